Serve one request end to end through separate processes

Cause: an empty repository. The thin path comes first so that the parts can grow side by side: settings, state charts, result codes, rpc with bytes counted by purpose, resource API, configuration watch, announcements, routing by rendezvous hashing, chat as JSON and SSE, plain services, stand-in backend servers, command line, scenario tests on real processes.

--- /dev/null
+++ b/api/chat.go
@@ -0,0 +1,79 @@
+package api
+
+// Header names of the callers' and the backend servers' protocol.
+const (
+	HeaderChat           = "Peridotwinch-Chat"
+	HeaderAffinity       = "Peridotwinch-Affinity"
+	HeaderRequestID      = "Peridotwinch-Request-Id"
+	HeaderPriority       = "Peridotwinch-Priority"
+	HeaderResumeOffset   = "Peridotwinch-Resume-Offset"
+	HeaderOutcome        = "Peridotwinch-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// ChatMessage is one turn of a chat.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the supported subset of a chat completion request.
+type ChatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []ChatMessage `json:"messages"`
+	Stream    bool          `json:"stream,omitempty"`
+	MaxTokens int           `json:"max_tokens,omitempty"`
+}
+
+// Validate returns the first field that is not valid, or nil.
+func (r *ChatRequest) Validate() *Error {
+	if r.Model == "" {
+		return FieldErrorf(CodeRequestInvalid, "model", "missing")
+	}
+	if len(r.Messages) == 0 {
+		return FieldErrorf(CodeRequestInvalid, "messages", "at least one is needed")
+	}
+	if r.MaxTokens < 0 {
+		return FieldErrorf(CodeRequestInvalid, "max_tokens", "below 0: %d", r.MaxTokens)
+	}
+	return nil
+}
+
+// ChatChoice is one answer to a chat completion request.
+type ChatChoice struct {
+	Index        int         `json:"index"`
+	Message      ChatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+// Usage counts the tokens of a request and its answer.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// ChatResponse is the answer to a request without streaming.
+type ChatResponse struct {
+	ID      string       `json:"id"`
+	Model   string       `json:"model"`
+	Choices []ChatChoice `json:"choices"`
+	Usage   Usage        `json:"usage"`
+}
+
+// ChatChunk is one event of a streamed answer.
+type ChatChunk struct {
+	ID      string            `json:"id"`
+	Choices []ChatChunkChoice `json:"choices"`
+	Usage   *Usage            `json:"usage,omitempty"`
+}
+
+// ChatChunkChoice carries the next token of a streamed answer.
+type ChatChunkChoice struct {
+	Index        int         `json:"index"`
+	Delta        ChatMessage `json:"delta"`
+	FinishReason string      `json:"finish_reason,omitempty"`
+}
+
+// StreamEnd is the data of the event that ends a streamed answer.
+const StreamEnd = "[DONE]"
--- /dev/null
+++ b/api/code.go
@@ -0,0 +1,119 @@
+// Package api holds the types that peridotwinch shares with its callers,
+// backend servers and operators: result codes, resources, the chat and
+// announcement protocols, and a Go client for the resource API.
+package api
+
+import "net/http"
+
+// Code is a numbered result code. Codes are stable and never reused.
+type Code int
+
+// Result codes. The thousands digit names the area: 1 the command line and the
+// settings, 2 the resource API, 3 callers' requests, 4 announcements.
+const (
+	CodeOK               Code = 0
+	CodeInternal         Code = 1000
+	CodeSettingsInvalid  Code = 1001
+	CodeAddressInUse     Code = 1002
+	CodeChartInvalid     Code = 1003
+	CodeUsage            Code = 1004
+	CodeUnreachable      Code = 1005
+	CodeDataDamaged      Code = 1006
+	CodeKindUnknown      Code = 2001
+	CodeResourceNotFound Code = 2002
+	CodeResourceInvalid  Code = 2003
+	CodeVersionConflict  Code = 2004
+	CodeNameTaken        Code = 2005
+	CodeNameAmbiguous    Code = 2006
+	CodeRevisionGone     Code = 2007
+	CodeNoQuorum         Code = 2008
+	CodeCustomerMissing  Code = 3001
+	CodeCustomerUnknown  Code = 3002
+	CodeModelUnknown     Code = 3003
+	CodeRequestInvalid   Code = 3004
+	CodeNoBackendServer  Code = 3005
+	CodeOverloaded       Code = 3006
+	CodeBackendFailed    Code = 3007
+	CodeStreamBroken     Code = 3008
+	CodeDraining         Code = 3009
+	CodeClaimUnavailable Code = 3010
+	CodeClaimLost        Code = 3011
+	CodeKeyExpired       Code = 3012
+	CodeKeyReused        Code = 3013
+	CodeTimeout          Code = 3014
+	CodePoolUnknown      Code = 3015
+	CodeNotConfigured    Code = 3016
+	CodeAnnouncement     Code = 4001
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK              = 0
+	ExitFailure         = 1
+	ExitUsage           = 2
+	ExitSettingsInvalid = 3
+	ExitRefused         = 4
+	ExitUnreachable     = 5
+	ExitAddressInUse    = 6
+	ExitDataDamaged     = 7
+)
+
+// CodeInfo describes one result code.
+type CodeInfo struct {
+	Code       Code
+	Name       string
+	HTTPStatus int
+	ExitCode   int
+	Meaning    string
+}
+
+// Codes lists every result code in ascending order. docs/RESULT-CODES.md is
+// checked against it by a test.
+var Codes = []CodeInfo{
+	{CodeOK, "ok", http.StatusOK, ExitOK, "The request succeeded."},
+	{CodeInternal, "internal", http.StatusInternalServerError, ExitFailure, "An unexpected failure; the log has the cause."},
+	{CodeSettingsInvalid, "settings_invalid", http.StatusBadRequest, ExitSettingsInvalid, "The settings file is not valid; each error names its field."},
+	{CodeAddressInUse, "address_in_use", http.StatusConflict, ExitAddressInUse, "A listen address is taken by another process."},
+	{CodeChartInvalid, "chart_invalid", http.StatusInternalServerError, ExitFailure, "A state chart is not valid."},
+	{CodeUsage, "usage", http.StatusBadRequest, ExitUsage, "The command line is not valid."},
+	{CodeUnreachable, "unreachable", http.StatusBadGateway, ExitUnreachable, "The daemon does not answer."},
+	{CodeDataDamaged, "data_damaged", http.StatusInternalServerError, ExitDataDamaged, "A file under the data folder is damaged; the daemon does not start on it."},
+	{CodeKindUnknown, "kind_unknown", http.StatusNotFound, ExitRefused, "There is no such kind of resource."},
+	{CodeResourceNotFound, "resource_not_found", http.StatusNotFound, ExitRefused, "No resource of this kind has this name."},
+	{CodeResourceInvalid, "resource_invalid", http.StatusUnprocessableEntity, ExitRefused, "A field of the resource is not valid."},
+	{CodeVersionConflict, "version_conflict", http.StatusConflict, ExitRefused, "The resource has changed since the given resourceVersion."},
+	{CodeNameTaken, "name_taken", http.StatusConflict, ExitRefused, "Another resource of this kind has this name in this scheme."},
+	{CodeNameAmbiguous, "name_ambiguous", http.StatusConflict, ExitRefused, "A bare name stands in more than one scheme; write scheme:name."},
+	{CodeRevisionGone, "revision_gone", http.StatusGone, ExitRefused, "The watch revision has been compacted; list again and watch from there."},
+	{CodeNoQuorum, "no_quorum", http.StatusServiceUnavailable, ExitRefused, "No majority of the control replicas answers; send the same request ID again."},
+	{CodeCustomerMissing, "customer_missing", http.StatusUnauthorized, ExitRefused, "The request carries no bearer token."},
+	{CodeCustomerUnknown, "customer_unknown", http.StatusUnauthorized, ExitRefused, "The bearer token belongs to no customer."},
+	{CodeModelUnknown, "model_unknown", http.StatusNotFound, ExitRefused, "No intent, model version or pool has the requested name."},
+	{CodeRequestInvalid, "request_invalid", http.StatusBadRequest, ExitRefused, "A field of the request is not valid."},
+	{CodeNoBackendServer, "no_backend_server", http.StatusServiceUnavailable, ExitRefused, "No backend server of the pool takes the request."},
+	{CodeOverloaded, "overloaded", http.StatusTooManyRequests, ExitRefused, "The request waited its time without a free slot, or the queue is full."},
+	{CodeBackendFailed, "backend_failed", http.StatusBadGateway, ExitRefused, "The backend server failed; the outcome field tells whether the request may have run."},
+	{CodeStreamBroken, "stream_broken", http.StatusBadGateway, ExitRefused, "The stream broke and could not be resumed."},
+	{CodeDraining, "draining", http.StatusServiceUnavailable, ExitRefused, "The daemon is shutting down and takes no new requests."},
+	{CodeClaimUnavailable, "claim_unavailable", http.StatusServiceUnavailable, ExitRefused, "No majority of the ledger replicas answers; ask again with the same key."},
+	{CodeClaimLost, "claim_lost", http.StatusConflict, ExitRefused, "Another attempt holds the key and its outcome is unknown."},
+	{CodeKeyExpired, "key_expired", http.StatusConflict, ExitRefused, "The request key belongs to an earlier epoch of its group."},
+	{CodeKeyReused, "key_reused", http.StatusUnprocessableEntity, ExitRefused, "The key was used before with another request."},
+	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
+	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
+	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
+}
+
+// Info returns the description of c, or that of CodeInternal for an unlisted code.
+func (c Code) Info() CodeInfo {
+	for _, info := range Codes {
+		if info.Code == c {
+			return info
+		}
+	}
+	return CodeInternal.Info()
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
--- /dev/null
+++ b/api/resource.go
@@ -0,0 +1,168 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"sort"
+	"strings"
+)
+
+// Kind names a kind of resource, as in the path of the resource API.
+type Kind string
+
+// Kinds of resources.
+const (
+	KindFleets        Kind = "fleets"
+	KindPools         Kind = "pools"
+	KindCustomers     Kind = "customers"
+	KindModelVersions Kind = "modelversions"
+	KindIntents       Kind = "intents"
+)
+
+// Kinds lists all kinds in the order in which references point.
+var Kinds = []Kind{KindFleets, KindPools, KindCustomers, KindModelVersions, KindIntents}
+
+// Scheme is one of the naming schemes that the settings declare.
+type Scheme string
+
+// Names maps a naming scheme to a resource's name in it.
+type Names map[Scheme]string
+
+// Ref is a reference to a resource: "scheme:name", or a bare name where only
+// one scheme has it.
+type Ref string
+
+// Split returns the scheme, empty for a bare name, and the name.
+func (r Ref) Split() (Scheme, string) {
+	scheme, name, found := strings.Cut(string(r), ":")
+	if !found {
+		return "", string(r)
+	}
+	return Scheme(scheme), name
+}
+
+// Refs returns all references to n in the order of the schemes' names.
+func (n Names) Refs() []Ref {
+	refs := make([]Ref, 0, len(n))
+	for scheme, name := range n {
+		refs = append(refs, Ref(fmt.Sprintf("%s:%s", scheme, name)))
+	}
+	sort.Slice(refs, func(i, j int) bool { return refs[i] < refs[j] })
+	return refs
+}
+
+// Phase is the state of a change on its way into force.
+type Phase string
+
+// Phases of a change.
+const (
+	PhaseAccepted Phase = "accepted"
+	PhaseInForce  Phase = "in_force"
+	PhaseFailed   Phase = "failed"
+)
+
+// Status tells how far a resource's last change has spread.
+type Status struct {
+	Phase          Phase          `json:"phase"`
+	Reason         string         `json:"reason,omitempty"`
+	FailureDomains []DomainStatus `json:"failureDomains,omitempty"`
+	Lacking        []string       `json:"lacking,omitempty"`
+	Unheard        []string       `json:"unheard,omitempty"`
+}
+
+// DomainStatus is the lowest revision that the routers of a failure domain apply.
+type DomainStatus struct {
+	FailureDomain string `json:"failureDomain"`
+	Revision      uint64 `json:"revision"`
+}
+
+// Resource is a declared resource with its names and specification.
+type Resource struct {
+	Kind            Kind            `json:"kind"`
+	UID             string          `json:"uid,omitempty"`
+	Names           Names           `json:"names"`
+	ResourceVersion uint64          `json:"resourceVersion,omitempty"`
+	Spec            json.RawMessage `json:"spec"`
+	Status          *Status         `json:"status,omitempty"`
+	Deleted         bool            `json:"deleted,omitempty"`
+}
+
+// Spec is the typed specification of a resource.
+type Spec interface {
+	// Validate returns an error for each field that is not valid.
+	Validate() []*Error
+}
+
+// MaxNameLength is the longest name in bytes.
+const MaxNameLength = 128
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]*$`)
+
+// Validate checks the names against the declared schemes, and the specification.
+func (r *Resource) Validate(schemes []Scheme) []*Error {
+	var errs []*Error
+	errs = append(errs, r.validateNames(schemes)...)
+	spec, err := DecodeSpec(r.Kind, r.Spec)
+	if err != nil {
+		return append(errs, AsError(err))
+	}
+	return append(errs, spec.Validate()...)
+}
+
+func (r *Resource) validateNames(schemes []Scheme) []*Error {
+	if len(r.Names) == 0 {
+		return []*Error{invalidField("names", "at least one name is needed")}
+	}
+	declared := make(map[Scheme]bool, len(schemes))
+	for _, scheme := range schemes {
+		declared[scheme] = true
+	}
+	var errs []*Error
+	for scheme, name := range r.Names {
+		field := fmt.Sprintf("names.%s", scheme)
+		if !declared[scheme] {
+			errs = append(errs, invalidField(field, "the settings declare no such scheme"))
+		}
+		if len(name) > MaxNameLength || !namePattern.MatchString(name) {
+			errs = append(errs, invalidField(field, "not a name: %q", name))
+		}
+	}
+	return errs
+}
+
+func invalidField(field, format string, args ...any) *Error {
+	return FieldErrorf(CodeResourceInvalid, field, format, args...)
+}
+
+// DecodeSpec decodes the specification of a resource of the given kind and
+// refuses unknown fields.
+func DecodeSpec(kind Kind, raw json.RawMessage) (Spec, error) {
+	spec, err := newSpec(kind)
+	if err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(spec); err != nil {
+		return nil, invalidField("spec", "%v", err)
+	}
+	return spec, nil
+}
+
+func newSpec(kind Kind) (Spec, error) {
+	switch kind {
+	case KindFleets:
+		return &FleetSpec{}, nil
+	case KindPools:
+		return &PoolSpec{}, nil
+	case KindCustomers:
+		return &CustomerSpec{}, nil
+	case KindModelVersions:
+		return &ModelVersionSpec{}, nil
+	case KindIntents:
+		return &IntentSpec{}, nil
+	}
+	return nil, FieldErrorf(CodeKindUnknown, "kind", "%q", kind)
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,192 @@
+// Package catalog holds a router's view of the configuration at a revision.
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+// Catalog is an immutable set of resources at a revision. It is safe for
+// concurrent use.
+type Catalog struct {
+	revision  uint64
+	resources map[string]*api.Resource
+	names     map[nameKey]*entry
+	bare      map[nameKey][]*entry
+	tokens    map[string]*Customer
+}
+
+type nameKey struct {
+	kind api.Kind
+	ref  api.Ref
+}
+
+type entry struct {
+	resource *api.Resource
+	spec     api.Spec
+}
+
+// Customer is a customer as requests see it.
+type Customer struct {
+	UID    string
+	Weight int
+}
+
+// Pool is a pool with its specification.
+type Pool struct {
+	UID  string
+	Spec *api.PoolSpec
+}
+
+// Route is where requests under a name go.
+type Route struct {
+	Pool          Pool
+	Model         string
+	Class         api.Class
+	Deterministic bool
+	NonIdempotent bool
+	DeadlineMS    int
+}
+
+// Empty returns a catalog without resources at revision 0.
+func Empty() *Catalog { return New(0, nil) }
+
+// New returns a catalog of the given resources by UID.
+func New(revision uint64, resources map[string]*api.Resource) *Catalog {
+	c := &Catalog{
+		revision:  revision,
+		resources: resources,
+		names:     make(map[nameKey]*entry),
+		bare:      make(map[nameKey][]*entry),
+		tokens:    make(map[string]*Customer),
+	}
+	for _, resource := range resources {
+		c.index(resource)
+	}
+	return c
+}
+
+// Apply returns a catalog with the changes of a higher revision. A snapshot
+// replaces all resources.
+func (c *Catalog) Apply(revision uint64, snapshot bool, changes []*api.Resource) *Catalog {
+	if revision <= c.revision {
+		return c
+	}
+	next := make(map[string]*api.Resource, len(c.resources)+len(changes))
+	if !snapshot {
+		maps.Copy(next, c.resources)
+	}
+	for _, change := range changes {
+		if change.Deleted {
+			delete(next, change.UID)
+			continue
+		}
+		next[change.UID] = change
+	}
+	return New(revision, next)
+}
+
+// Revision returns the revision of the catalog.
+func (c *Catalog) Revision() uint64 { return c.revision }
+
+// Len returns the number of resources.
+func (c *Catalog) Len() int { return len(c.resources) }
+
+func (c *Catalog) index(resource *api.Resource) {
+	spec, err := api.DecodeSpec(resource.Kind, resource.Spec)
+	if err != nil {
+		return
+	}
+	e := &entry{resource: resource, spec: spec}
+	for scheme, name := range resource.Names {
+		c.names[nameKey{resource.Kind, api.Ref(string(scheme) + ":" + name)}] = e
+		bare := nameKey{resource.Kind, api.Ref(name)}
+		c.bare[bare] = append(c.bare[bare], e)
+	}
+	if customer, ok := spec.(*api.CustomerSpec); ok {
+		c.indexTokens(resource, customer)
+	}
+}
+
+func (c *Catalog) indexTokens(resource *api.Resource, spec *api.CustomerSpec) {
+	customer := &Customer{UID: resource.UID, Weight: max(spec.Weight, 1)}
+	for _, digest := range spec.TokenDigests {
+		c.tokens[digest] = customer
+	}
+}
+
+// lookup returns the resource that ref names, or nil where none or several do.
+func (c *Catalog) lookup(kind api.Kind, ref api.Ref) *entry {
+	if e := c.names[nameKey{kind, ref}]; e != nil {
+		return e
+	}
+	var found *entry
+	for _, e := range c.bare[nameKey{kind, ref}] {
+		if found != nil && found != e {
+			return nil
+		}
+		found = e
+	}
+	return found
+}
+
+// Customer returns the customer that holds the bearer token, or nil.
+func (c *Catalog) Customer(token string) *Customer {
+	digest := sha256.Sum256([]byte(token))
+	return c.tokens[hex.EncodeToString(digest[:])]
+}
+
+// Pool returns the pool that ref names under any scheme.
+func (c *Catalog) Pool(ref api.Ref) (Pool, bool) {
+	e := c.lookup(api.KindPools, ref)
+	if e == nil {
+		return Pool{}, false
+	}
+	return Pool{UID: e.resource.UID, Spec: e.spec.(*api.PoolSpec)}, true
+}
+
+// Route resolves the name that a caller asks for: an intent, else a model
+// version, else a pool.
+func (c *Catalog) Route(ref api.Ref) (Route, bool) {
+	if e := c.lookup(api.KindIntents, ref); e != nil {
+		return c.routeIntent(e.spec.(*api.IntentSpec))
+	}
+	if e := c.lookup(api.KindModelVersions, ref); e != nil {
+		return c.routeModelVersion(e.spec.(*api.ModelVersionSpec))
+	}
+	pool, ok := c.Pool(ref)
+	return Route{Pool: pool, Class: api.ClassShort}, ok
+}
+
+func (c *Catalog) routeIntent(spec *api.IntentSpec) (Route, bool) {
+	route, ok := c.routeTarget(spec)
+	if !ok {
+		return Route{}, false
+	}
+	if spec.Class != "" {
+		route.Class = spec.Class
+	}
+	route.NonIdempotent = spec.NonIdempotent
+	route.DeadlineMS = spec.DeadlineMS
+	return route, true
+}
+
+func (c *Catalog) routeTarget(spec *api.IntentSpec) (Route, bool) {
+	if spec.ModelVersion == "" {
+		pool, ok := c.Pool(spec.Pool)
+		return Route{Pool: pool, Class: api.ClassShort}, ok
+	}
+	e := c.lookup(api.KindModelVersions, spec.ModelVersion)
+	if e == nil {
+		return Route{}, false
+	}
+	return c.routeModelVersion(e.spec.(*api.ModelVersionSpec))
+}
+
+func (c *Catalog) routeModelVersion(spec *api.ModelVersionSpec) (Route, bool) {
+	pool, ok := c.Pool(spec.Pool)
+	return Route{Pool: pool, Model: spec.Model, Class: api.ClassShort, Deterministic: spec.Deterministic}, ok
+}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+func applyCommand() *command {
+	var client clientFlags
+	return &command{
+		name:     "apply",
+		group:    groupOperator,
+		synopsis: "Creates or replaces the resources of JSON files",
+		usage:    "[-control ADDRESS] FILE...",
+		setFlags: client.set,
+		run: func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return usageError("name at least one file of resources")
+			}
+			for _, path := range args {
+				if err := applyFile(ctx, &client, path); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func applyFile(ctx context.Context, flags *clientFlags, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return usageError("%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	resources, err := readResources(file)
+	if err != nil {
+		return err
+	}
+	return applyResources(ctx, flags, resources)
+}
+
+// readResources reads a sequence of resources, one JSON value after the other.
+func readResources(r io.Reader) ([]*api.Resource, error) {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	var out []*api.Resource
+	for {
+		resource := &api.Resource{}
+		err := decoder.Decode(resource)
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, api.Errorf(api.CodeResourceInvalid, "resource %d: %v", len(out)+1, err)
+		}
+		if len(resource.Names) == 0 {
+			return nil, api.FieldErrorf(api.CodeResourceInvalid, "names", "resource %d has no name", len(out)+1)
+		}
+		out = append(out, resource)
+	}
+}
+
+func applyResources(ctx context.Context, flags *clientFlags, resources []*api.Resource) error {
+	for _, resource := range resources {
+		ref := resource.Names.Refs()[0]
+		stored, err := flags.client().Put(ctx, ref, resource, "")
+		if err != nil {
+			return err
+		}
+		if err := printApplied(flags.output, ref, stored); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printApplied(output string, ref api.Ref, stored *api.Resource) error {
+	if output == "json" {
+		return printJSON(stored)
+	}
+	_, err := fmt.Printf("%s %s: %s at revision %d\n", stored.Kind, ref, stored.Status.Phase, stored.ResourceVersion)
+	return err
+}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,29 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+func checkCommand() *command {
+	return &command{
+		name:     "check",
+		group:    groupDaemon,
+		synopsis: "Checks settings files and prints every fault",
+		usage:    "FILE...",
+		run: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usageError("name at least one settings file")
+			}
+			for _, path := range args {
+				if _, err := settings.Load(path); err != nil {
+					return err
+				}
+				fmt.Printf("%s: ok\n", path)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,116 @@
+// Package cli holds the command line, one file a command.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+// Main runs the command that args name and returns the exit code.
+func Main(args []string) int {
+	flags := flag.NewFlagSet("peridotwinch", flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "peridotwinch")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	for _, command := range commands() {
+		commander.Register(command, command.group)
+	}
+	if err := flags.Parse(args); err != nil {
+		return api.ExitUsage
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+func commands() []*command {
+	return []*command{
+		serveCommand(), devCommand(), checkCommand(),
+		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
+		fakeBackendCommand(), versionCommand(),
+	}
+}
+
+// Groups of commands in the help text.
+const (
+	groupDaemon   = "daemons"
+	groupOperator = "operators"
+	groupTest     = "stand-ins and tests"
+)
+
+// command is one command of the command line.
+type command struct {
+	name     string
+	group    string
+	synopsis string
+	usage    string
+	setFlags func(*flag.FlagSet)
+	run      func(ctx context.Context, args []string) error
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string {
+	return fmt.Sprintf("peridotwinch %s %s\n%s.\n", c.name, c.usage, c.synopsis)
+}
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(flags *flag.FlagSet) {
+	if c.setFlags != nil {
+		c.setFlags(flags)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := c.run(ctx, flags.Args())
+	if err == nil {
+		return api.ExitOK
+	}
+	printError(os.Stderr, err)
+	return subcommands.ExitStatus(api.AsError(err).Code.Info().ExitCode)
+}
+
+// printError prints each numbered error in JSON, one a line.
+func printError(w io.Writer, err error) {
+	encoder := json.NewEncoder(w)
+	var list settings.Errors
+	if errors.As(err, &list) {
+		for _, one := range list {
+			_ = encoder.Encode(&api.ErrorBody{Error: one})
+		}
+		return
+	}
+	_ = encoder.Encode(&api.ErrorBody{Error: api.AsError(err)})
+}
+
+func usageError(format string, args ...any) error {
+	return api.Errorf(api.CodeUsage, format, args...)
+}
+
+// newLogger returns a logger that writes JSON lines to standard error.
+func newLogger(level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"os/user"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+// DefaultOperators is the address of the resource API that commands call.
+const DefaultOperators = "127.0.0.1:8090"
+
+// clientFlags are the flags of the commands that call the resource API.
+type clientFlags struct {
+	control  string
+	operator string
+	output   string
+}
+
+func (c *clientFlags) set(f *flag.FlagSet) {
+	f.StringVar(&c.control, "control", DefaultOperators, "address of a control instance's resource API")
+	f.StringVar(&c.operator, "operator", currentUser(), "name for the audit trail")
+	f.StringVar(&c.output, "o", "text", "output format: text or json")
+}
+
+func (c *clientFlags) client() *api.Client { return api.NewClient(c.control, c.operator) }
+
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+func printJSON(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// kindAndRef reads the arguments KIND NAME.
+func kindAndRef(args []string) (api.Kind, api.Ref, error) {
+	if len(args) != 2 {
+		return "", "", usageError("want KIND NAME")
+	}
+	return api.Kind(args[0]), api.Ref(args[1]), nil
+}
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	_ "embed"
+	"flag"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/daemon"
+	"peridotwinch.example/peridotwinch/internal/fake"
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+//go:embed dev/settings.json
+var devSettings []byte
+
+//go:embed dev/resources.json
+var devResources string
+
+// devBackends is how many stand-in backend servers the development mode runs.
+const devBackends = 2
+
+// devApplyRetry is the pause between two tries to apply the resources.
+const devApplyRetry = 200 * time.Millisecond
+
+func devCommand() *command {
+	var dataDir string
+	return &command{
+		name:     "dev",
+		group:    groupDaemon,
+		synopsis: "Runs all roles and two stand-in backend servers in one process",
+		usage:    "[-data DIR]",
+		setFlags: func(f *flag.FlagSet) {
+			f.StringVar(&dataDir, "data", "", "data folder; empty for a temporary one")
+		},
+		run: func(ctx context.Context, _ []string) error { return runDev(ctx, dataDir) },
+	}
+}
+
+func runDev(ctx context.Context, dataDir string) error {
+	s, err := settings.Parse(devSettings)
+	if err != nil {
+		return err
+	}
+	if dataDir == "" {
+		if dataDir, err = os.MkdirTemp("", "peridotwinch-dev-"); err != nil {
+			return errors.Wrap(err, "make a data folder")
+		}
+		defer func() { _ = os.RemoveAll(dataDir) }()
+	}
+	s.DataDir = dataDir
+	log := newLogger(s.LogLevel)
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	var group run.Group
+	actor.AddDraining(&group, func(own context.Context) error {
+		ctx, cancel := context.WithCancel(ctx)
+		context.AfterFunc(own, cancel)
+		return d.Run(ctx)
+	})
+	actor.Add(&group, func(ctx context.Context) error { return applyDev(ctx, s, log) })
+	if err := addDevBackends(&group, s, log); err != nil {
+		return err
+	}
+	return group.Run()
+}
+
+func addDevBackends(group *run.Group, s *settings.Settings, log zerolog.Logger) error {
+	for range devBackends {
+		server, err := fake.New(fake.Config{
+			Listen: "127.0.0.1:0", Announce: []string{s.Listen.Backends}, Pool: "engine:demo",
+			Slots: fake.DefaultSlots, TokenTime: fake.DefaultTokenTime, AnnounceEvery: fake.DefaultAnnounceEvery,
+		}, log)
+		if err != nil {
+			return err
+		}
+		server.AddActors(group)
+	}
+	return nil
+}
+
+// applyDev applies the development resources until it succeeds, then waits for ctx.
+func applyDev(ctx context.Context, s *settings.Settings, log zerolog.Logger) error {
+	resources, err := readResources(strings.NewReader(devResources))
+	if err != nil {
+		return err
+	}
+	client := api.NewClient(s.Listen.Operators, "dev")
+	for _, resource := range resources {
+		applyUntilDone(ctx, client, resource, log)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func applyUntilDone(ctx context.Context, client *api.Client, resource *api.Resource, log zerolog.Logger) {
+	ref := resource.Names.Refs()[0]
+	for ctx.Err() == nil {
+		_, err := client.Put(ctx, ref, resource, "")
+		if err == nil {
+			return
+		}
+		log.Debug().Err(err).Str("resource", string(ref)).Msg("not applied yet")
+		time.Sleep(devApplyRetry)
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,139 @@
+// Package daemon composes the roles of one process.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/control"
+	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/lifecycle"
+	"peridotwinch.example/peridotwinch/internal/router"
+	"peridotwinch.example/peridotwinch/internal/rpc"
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+// role is a part of the daemon with its own actors and RPCs.
+type role interface {
+	Register(mux drpc.Mux) error
+	AddForeground(group *run.Group)
+	AddBackground(group *run.Group)
+}
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	life     *lifecycle.Lifecycle
+	roles    []role
+	peers    net.Listener
+	platform net.Listener
+	rpc      *rpc.Server
+}
+
+// New opens the daemon's listeners and sets its roles up.
+func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	log = log.With().Str("instance", s.Instance).Str("failureDomain", s.FailureDomain).Logger()
+	d := &Daemon{settings: s, log: log, life: lifecycle.New(), rpc: rpc.NewServer()}
+	var err error
+	if d.peers, err = httpx.Listen("listen.peers", s.Listen.Peers); err != nil {
+		return nil, err
+	}
+	if d.platform, err = httpx.Listen("listen.platform", s.Listen.Platform); err != nil {
+		return nil, err
+	}
+	if err := d.addRoles(); err != nil {
+		return nil, err
+	}
+	for _, r := range d.roles {
+		if err := r.Register(d.rpc.Mux()); err != nil {
+			return nil, errors.Wrap(err, "register a role's RPCs")
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) addRoles() error {
+	if d.settings.HasRole(settings.RoleRouter) {
+		r, err := router.New(d.settings, d.log, d.life)
+		if err != nil {
+			return err
+		}
+		d.roles = append(d.roles, r)
+	}
+	if d.settings.HasRole(settings.RoleControl) {
+		c, err := control.New(d.settings, d.log)
+		if err != nil {
+			return err
+		}
+		d.roles = append(d.roles, c)
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then drains.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group run.Group
+	group.Add(d.waitForShutdown(ctx))
+	for _, r := range d.roles {
+		r.AddForeground(&group)
+	}
+	for _, r := range d.roles {
+		r.AddBackground(&group)
+	}
+	actor.Add(&group, func(ctx context.Context) error { return d.rpc.Serve(ctx, d.peers) })
+	actor.Add(&group, func(ctx context.Context) error {
+		return httpx.Serve(ctx, d.platform, d.platformHandler(), httpx.ReadHeaderTimeout)
+	})
+	if err := d.life.Fire(lifecycle.Started); err != nil {
+		return err
+	}
+	d.log.Info().Msg("serving")
+	err := group.Run()
+	d.finish(err)
+	return err
+}
+
+// waitForShutdown returns the actor that ends first on a shutdown. The group
+// then interrupts the other actors in order: those that serve callers first.
+func (d *Daemon) waitForShutdown(parent context.Context) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(parent)
+	execute = func() error {
+		<-ctx.Done()
+		return nil
+	}
+	interrupt = func(error) {
+		_ = d.life.Fire(lifecycle.Drain)
+		d.log.Info().Msg("draining")
+		cancel()
+	}
+	return execute, interrupt
+}
+
+func (d *Daemon) finish(err error) {
+	if err != nil {
+		_ = d.life.Fire(lifecycle.Failed)
+		d.log.Error().Err(err).Msg("stopped on a failure")
+		return
+	}
+	_ = d.life.Fire(lifecycle.Drained)
+	d.log.Info().Msg("stopped")
+}
+
+func (d *Daemon) platformHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", d.life.Live)
+	mux.HandleFunc("GET /readyz", d.life.Ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/fake/announce.go
@@ -0,0 +1,62 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+// announceTimeout bounds one announcement.
+const announceTimeout = 500 * time.Millisecond
+
+// announceAll announces the server until ctx ends.
+func (s *Server) announceAll(ctx context.Context) error {
+	ticker := time.NewTicker(s.config.AnnounceEvery)
+	defer ticker.Stop()
+	for {
+		s.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce posts to the first router that takes the announcement.
+func (s *Server) announce(ctx context.Context) {
+	s.sequence++
+	raw, _ := json.Marshal(api.Announcement{
+		Address: s.Address(), Incarnation: s.incarnation, Sequence: s.sequence,
+		Pool: s.config.Pool, Models: s.config.Models, State: api.ServerServing,
+		Slots: s.config.Slots, Load: int(s.inFlight.Load()),
+	})
+	for _, router := range s.config.Announce {
+		if err := post(ctx, router, raw); err == nil {
+			return
+		}
+		s.log.Debug().Str("router", router).Msg("announcement not taken")
+	}
+}
+
+func post(ctx context.Context, router string, raw []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+"/v1/announcements", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return api.DecodeError(resp)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/catalog"
+	"peridotwinch.example/peridotwinch/internal/httpx"
+)
+
+// maxMintedKeys bounds the keys that one request mints.
+const maxMintedKeys = 1000
+
+// service carries a call of a plain service to a backend server.
+func (p *Proxy) service(w http.ResponseWriter, r *http.Request, c *call) error {
+	pool, ok := c.view.Pool(api.Ref(r.PathValue("pool")))
+	if !ok || pool.Spec.Protocol != api.ProtocolService {
+		return api.FieldErrorf(api.CodePoolUnknown, "pool", "%q", r.PathValue("pool")).NotRun()
+	}
+	route := catalog.Route{Pool: pool, Class: api.ClassShort}
+	lease, err := p.dispatcher.Acquire(r.Context(), c.view, pool, "", balanceRequest(r, c, route))
+	if err != nil {
+		return err
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return p.forward(w, r, lease, outgoing{
+		method: r.Method, path: path, body: c.body, requestID: c.id, class: route.Class,
+		contentType: r.Header.Get("Content-Type"), key: r.Header.Get(api.HeaderIdempotencyKey),
+	})
+}
+
+// mintRequest asks for keys that are bound to this failure domain.
+type mintRequest struct {
+	Count int `json:"count"`
+}
+
+// mintResponse carries minted keys.
+type mintResponse struct {
+	Keys []string `json:"keys"`
+}
+
+func (p *Proxy) mintKeys(w http.ResponseWriter, r *http.Request, c *call) error {
+	request := mintRequest{}
+	if err := json.Unmarshal(c.body, &request); err != nil {
+		return api.Errorf(api.CodeRequestInvalid, "%v", err).NotRun()
+	}
+	if request.Count < 1 || request.Count > maxMintedKeys {
+		return api.FieldErrorf(api.CodeRequestInvalid, "count", "not within 1 to %d: %d", maxMintedKeys, request.Count).NotRun()
+	}
+	keys, err := p.claimer.Mint(r.Context(), request.Count)
+	if err != nil {
+		return err
+	}
+	httpx.WriteJSON(w, http.StatusOK, &mintResponse{Keys: keys})
+	return nil
+}
--- /dev/null
+++ b/internal/rpc/count.go
@@ -0,0 +1,42 @@
+package rpc
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// countingConn counts the bytes of a connection by purpose and direction.
+type countingConn struct {
+	net.Conn
+	in  *metrics.Counter
+	out *metrics.Counter
+}
+
+func newCountingConn(conn net.Conn, purpose Purpose) *countingConn {
+	return &countingConn{
+		Conn: conn,
+		in:   bytesCounter(purpose, "in"),
+		out:  bytesCounter(purpose, "out"),
+	}
+}
+
+func bytesCounter(purpose Purpose, direction string) *metrics.Counter {
+	name := fmt.Sprintf(`peridotwinch_control_bytes_total{purpose=%q,direction=%q}`, purpose, direction)
+	return metrics.GetOrCreateCounter(name)
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(n)
+	return n, err
+}
--- /dev/null
+++ b/test/testbed/process.go
@@ -0,0 +1,129 @@
+package testbed
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/internal/cli"
+)
+
+// execVariable makes the test binary act as the product's binary.
+const execVariable = "PERIDOTWINCH_TESTBED_EXEC"
+
+// Patience bounds every wait of a test; only a hung process reaches it.
+const Patience = 60 * time.Second
+
+// Main is the TestMain of packages that start processes: the test binary then
+// serves as the product's binary too, built with the same race detector.
+func Main(m *testing.M) {
+	if os.Getenv(execVariable) != "" {
+		os.Exit(cli.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// Process is one process of the product.
+type Process struct {
+	Name string
+	args []string
+	dir  string
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	finished chan struct{}
+	exit     error
+}
+
+// NewProcess returns a process that is not started yet. Its log goes to
+// NAME.log in dir.
+func NewProcess(dir, name string, args ...string) *Process {
+	return &Process{Name: name, dir: dir, args: args}
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.LogPath(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	p.cmd = exec.Command(os.Args[0], p.args...)
+	p.cmd.Env = append(os.Environ(), execVariable+"=1")
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// A process ends with the test that started it.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrap(err, p.Name)
+	}
+	p.finished = make(chan struct{})
+	go p.wait(p.cmd, log, p.finished)
+	return nil
+}
+
+func (p *Process) wait(cmd *exec.Cmd, log *os.File, finished chan struct{}) {
+	err := cmd.Wait()
+	_ = log.Close()
+	p.mu.Lock()
+	p.exit = err
+	p.mu.Unlock()
+	close(finished)
+}
+
+// LogPath returns the path of the process's log.
+func (p *Process) LogPath() string { return filepath.Join(p.dir, p.Name+".log") }
+
+// Signal sends a signal.
+func (p *Process) Signal(signal syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return errors.Errorf("%s was not started", p.Name)
+	}
+	return p.cmd.Process.Signal(signal)
+}
+
+// Wait waits for the end of the process and returns its exit error.
+func (p *Process) Wait() error {
+	p.mu.Lock()
+	finished := p.finished
+	p.mu.Unlock()
+	select {
+	case <-finished:
+	case <-time.After(Patience):
+		return errors.Errorf("%s does not end", p.Name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exit
+}
+
+// Stop ends the process with SIGTERM and returns an error unless its exit code is 0.
+func (p *Process) Stop() error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return errors.Wrap(p.Wait(), p.Name)
+}
+
+// Kill ends the process with SIGKILL.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_ = p.Wait()
+	return nil
+}
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
--- /dev/null
+++ b/test/testbed/relay.go
@@ -0,0 +1,172 @@
+package testbed
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a relay does with the bytes of one direction.
+type Mode int
+
+// Modes of a relay.
+const (
+	// Forward passes bytes on.
+	Forward Mode = iota
+	// Swallow keeps connections open, accepts bytes and drops them.
+	Swallow
+	// Refuse closes connections.
+	Refuse
+)
+
+// pollEvery is how often a relay looks whether its mode has changed.
+const pollEvery = 5 * time.Millisecond
+
+// Relay is a TCP relay that cuts, swallows and delays.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	out   Mode
+	back  Mode
+	delay time.Duration
+	conns map[net.Conn]struct{}
+}
+
+// NewRelay returns a relay that listens on a new address and forwards to target.
+func NewRelay(target string) (*Relay, error) {
+	address, err := Address()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Set changes what happens to bytes towards the target and back from it.
+func (r *Relay) Set(out, back Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out, r.back = out, back
+	if out == Refuse || back == Refuse {
+		r.closeAll()
+	}
+}
+
+// SetDelay delays each read's bytes by d in each direction.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closeAll()
+}
+
+func (r *Relay) closeAll() {
+	for conn := range r.conns {
+		_ = conn.Close()
+		delete(r.conns, conn)
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(conn)
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	if out, back, _ := r.state(); out == Refuse || back == Refuse {
+		_ = near.Close()
+		return
+	}
+	far, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns[near], r.conns[far] = struct{}{}, struct{}{}
+	r.mu.Unlock()
+	go r.copy(far, near, func() Mode { out, _, _ := r.state(); return out })
+	r.copy(near, far, func() Mode { _, back, _ := r.state(); return back })
+}
+
+func (r *Relay) state() (out, back Mode, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.out, r.back, r.delay
+}
+
+// chunk is what one read brought, and when it is due.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+// relayQueue is how many reads a direction may hold back.
+const relayQueue = 4096
+
+func (r *Relay) copy(to, from net.Conn, mode func() Mode) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	chunks := make(chan chunk, relayQueue)
+	go r.write(to, chunks, mode)
+	defer close(chunks)
+	for {
+		buffer := make([]byte, 32<<10)
+		n, err := from.Read(buffer)
+		if n > 0 {
+			_, _, delay := r.state()
+			chunks <- chunk{buffer[:n], time.Now().Add(delay)}
+		}
+		if err != nil {
+			r.drain(chunks, mode)
+			return
+		}
+	}
+}
+
+// drain waits until the writer has taken everything. A connection that is
+// swallowed stays open.
+func (r *Relay) drain(chunks chan chunk, mode func() Mode) {
+	for len(chunks) > 0 || mode() == Swallow {
+		time.Sleep(pollEvery)
+	}
+	_, _, delay := r.state()
+	time.Sleep(delay)
+}
+
+// write passes chunks on. Once a byte of a connection has been dropped, all
+// later ones are, because a byte stream cannot lose its middle.
+func (r *Relay) write(to net.Conn, chunks <-chan chunk, mode func() Mode) {
+	swallowed := false
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		swallowed = swallowed || mode() == Swallow
+		if swallowed {
+			continue
+		}
+		if _, err := to.Write(c.bytes); err != nil {
+			swallowed = true
+		}
+	}
+}
