--- a/api/chat.go
+++ b/api/chat.go
@@ -8,6 +8,7 @@
 	HeaderPriority       = "Peridotwinch-Priority"
 	HeaderResumeOffset   = "Peridotwinch-Resume-Offset"
 	HeaderOutcome        = "Peridotwinch-Outcome"
+	HeaderHop            = "Peridotwinch-Hop"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,7 +23,10 @@
 type Lease struct {
 	Server      balance.ServerID
 	Incarnation uint64
-	release     func(balance.Result)
+	// Remote says that Server is the callers' address of a router of another
+	// failure domain, which takes the caller's request as it came.
+	Remote  bool
+	release func(balance.Result)
 }
 
 // Release gives the place on the server back.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,8 +60,11 @@
 	Instance      string `json:"instance"`
 	FailureDomain string `json:"failureDomain"`
 	Region        string `json:"region,omitempty"`
-	Address       string `json:"address"`
-	Roles         []Role `json:"roles"`
+	// Address takes RPCs.
+	Address string `json:"address"`
+	// Callers takes requests that another router forwards; routers need it.
+	Callers string `json:"callers,omitempty"`
+	Roles   []Role `json:"roles"`
 }
 
 // HasRole reports whether the peer plays the role.
@@ -254,6 +257,9 @@
 		v.required(field+".instance", peer.Instance)
 		v.required(field+".failureDomain", peer.FailureDomain)
 		v.address(field+".address", peer.Address)
+		if peer.HasRole(RoleRouter) {
+			v.address(field+".callers", peer.Callers)
+		}
 		v.roles(field+".roles", peer.Roles)
 		if seen[peer.Instance] {
 			v.add(field+".instance", "%q stands twice", peer.Instance)
--- a/test/testbed/bed.go
+++ b/test/testbed/bed.go
@@ -52,8 +52,19 @@
 	Address string
 }
 
+// port names what a connection between daemons goes to.
+type port string
+
+const (
+	portPeers   port = "peers"
+	portCallers port = "callers"
+)
+
 // link is a directed connection between two daemons.
-type link struct{ from, to string }
+type link struct {
+	from, to string
+	port     port
+}
 
 // Bed is a deployment on loopback. It is not safe for concurrent use, but its
 // processes are.
@@ -118,17 +129,18 @@
 // writeSettings gives the daemon a relay towards each other daemon.
 func (b *Bed) writeSettings(d *Daemon, all []DaemonSpec) error {
 	for _, other := range all {
-		address := b.Daemons[other.Instance].Settings.Listen.Peers
-		if other.Instance != d.Name {
-			relay, err := NewRelay(address)
-			if err != nil {
-				return err
-			}
-			b.relays[link{d.Name, other.Instance}] = relay
-			address = relay.Address()
+		listen := b.Daemons[other.Instance].Settings.Listen
+		address, err := b.relayed(link{d.Name, other.Instance, portPeers}, listen.Peers)
+		if err != nil {
+			return err
+		}
+		callers, err := b.relayed(link{d.Name, other.Instance, portCallers}, listen.Callers)
+		if err != nil {
+			return err
 		}
 		d.Settings.Peers = append(d.Settings.Peers, settings.Peer{
-			Instance: other.Instance, FailureDomain: other.FailureDomain, Address: address, Roles: other.Roles,
+			Instance: other.Instance, FailureDomain: other.FailureDomain,
+			Address: address, Callers: callers, Roles: other.Roles,
 		})
 	}
 	raw, err := json.MarshalIndent(&d.Settings, "", "  ")
@@ -138,6 +150,19 @@
 	return errors.Wrap(os.WriteFile(b.settingsPath(d.Name), raw, 0o644), "write settings")
 }
 
+// relayed returns the address at which a daemon reaches another one.
+func (b *Bed) relayed(l link, target string) (string, error) {
+	if l.from == l.to {
+		return target, nil
+	}
+	relay, err := NewRelay(target)
+	if err != nil {
+		return "", err
+	}
+	b.relays[l] = relay
+	return relay.Address(), nil
+}
+
 func (b *Bed) addBackend(spec BackendSpec) error {
 	address, err := Address()
 	if err != nil {
@@ -201,13 +226,23 @@
 	}
 }
 
-// Relay returns the relay of the connections that from opens to to.
-func (b *Bed) Relay(from, to string) *Relay { return b.relays[link{from, to}] }
+// SetLink sets what happens on every connection that from opens to to.
+func (b *Bed) SetLink(from, to string, out, back Mode) {
+	b.relays[link{from, to, portPeers}].Set(out, back)
+	b.relays[link{from, to, portCallers}].Set(out, back)
+}
+
+// SetDelay delays every read's bytes on every connection between daemons.
+func (b *Bed) SetDelay(delay time.Duration) {
+	for _, relay := range b.relays {
+		relay.SetDelay(delay)
+	}
+}
 
 // Cut sets both directions of every connection between two daemons.
 func (b *Bed) Cut(one, other string, mode Mode) {
-	b.Relay(one, other).Set(mode, mode)
-	b.Relay(other, one).Set(mode, mode)
+	b.SetLink(one, other, mode, mode)
+	b.SetLink(other, one, mode, mode)
 }
 
 // Isolate sets every connection between a daemon and all others.
