Carry requests by a state chart, at most once and whole

Cause: the proxy sent each request once through http.Client and copied the answer through. A refusal named its outcome by hand, a broken stream just stopped, keys were not claimed, and only a body that cannot be rewound kept net/http from replaying.

Now every request moves through charts/request.json and the state gives the outcome word: not_run only from received or claimed, which a dispatched request reaches again only where the connection counted no write since it got the request (and none can follow: the connection is sealed first) or the server said not_run. Keyed requests that may not be repeated are claimed first, released where nothing was written, completed before the answer. Streams are read event by event, matched by ID, resumed at their offset or restarted and compared, and end with [DONE] or an error event. One transport a backend server, so that its silent connections go together.

Ruled out: httptrace.WroteHeaders alone (fires after the flush, so a byte may be out before it); http.Client (follows redirects, a second request); leaving the caller's context on a run that may not be repeated.

--- a/api/code.go
+++ b/api/code.go
@@ -43,6 +43,7 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
+	CodeDrainCut         Code = 3030
 	CodeAnnouncement     Code = 4001
 )
 
@@ -102,6 +103,7 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown cut requests in progress off."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 }
 
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,8 @@
 	Customer string
 	Weight   int
 	Class    api.Class
+	// NoOverflow keeps the request in this failure domain.
+	NoOverflow bool
 	// Exclude lists servers that this request has already failed on.
 	Exclude []ServerID
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
@@ -97,7 +100,11 @@
 		return err
 	}
 	d.log.Info().Msg("serving")
+	defer d.forceOnSecondSignal()()
 	err := group.Run()
+	if err == nil {
+		err = d.life.CutError()
+	}
 	d.finish(err)
 	return err
 }
@@ -118,6 +125,29 @@
 	return execute, interrupt
 }
 
+// forceOnSecondSignal ends a graceful shutdown on the second signal. The
+// returned function ends the watch for signals.
+func (d *Daemon) forceOnSecondSignal() (stop func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	done := make(chan struct{})
+	go func() {
+		for range 2 {
+			select {
+			case <-signals:
+			case <-done:
+				return
+			}
+		}
+		d.log.Warn().Msg("second signal: the shutdown is forced")
+		d.life.ForceStop()
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 func (d *Daemon) finish(err error) {
 	if err != nil {
 		_ = d.life.Fire(lifecycle.Failed)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -2,6 +2,7 @@
 package lifecycle
 
 import (
+	"context"
 	"net/http"
 	"sync"
 
@@ -30,12 +31,16 @@
 	mu     sync.Mutex
 	state  statechart.State
 	checks []Check
+	forced context.Context
+	force  context.CancelFunc
+	cut    error
 }
 
 // New returns the lifecycle of a starting daemon.
 func New() *Lifecycle {
 	chart := statechart.MustLoad("daemon")
-	return &Lifecycle{chart: chart, state: chart.Initial()}
+	forced, force := context.WithCancel(context.Background())
+	return &Lifecycle{chart: chart, state: chart.Initial(), forced: forced, force: force}
 }
 
 // Fire moves to the state that follows on the event.
@@ -57,6 +62,26 @@
 	return l.state
 }
 
+// ForceStop ends a graceful shutdown without waiting for the requests in progress.
+func (l *Lifecycle) ForceStop() { l.force() }
+
+// Forced returns a context that ends with ForceStop.
+func (l *Lifecycle) Forced() context.Context { return l.forced }
+
+// ReportCut records that the shutdown cut requests in progress off.
+func (l *Lifecycle) ReportCut(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = err
+}
+
+// CutError returns what ReportCut recorded, or nil.
+func (l *Lifecycle) CutError() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
 // AddCheck adds a readiness check.
 func (l *Lifecycle) AddCheck(check Check) {
 	l.mu.Lock()
--- a/internal/proxy/chat.go
+++ b/internal/proxy/chat.go
@@ -9,22 +9,20 @@
 	"peridotwinch.example/peridotwinch/internal/catalog"
 )
 
+const chatPath = "/v1/chat/completions"
+
 // chat carries a chat completion request to a backend server.
 func (p *Proxy) chat(w http.ResponseWriter, r *http.Request, c *call) error {
 	request := &api.ChatRequest{}
 	if err := json.Unmarshal(c.body, request); err != nil {
-		return api.Errorf(api.CodeRequestInvalid, "%v", err).NotRun()
+		return api.Errorf(api.CodeRequestInvalid, "%v", err)
 	}
 	if err := request.Validate(); err != nil {
-		return err.NotRun()
+		return err
 	}
 	route, ok := c.view.Route(api.Ref(request.Model))
 	if !ok {
-		return api.FieldErrorf(api.CodeModelUnknown, "model", "%q", request.Model).NotRun()
-	}
-	lease, err := p.dispatcher.Acquire(r.Context(), c.view, route.Pool, route.Model, balanceRequest(r, c, route))
-	if err != nil {
-		return err
+		return api.FieldErrorf(api.CodeModelUnknown, "model", "%q", request.Model)
 	}
 	if route.Model != "" {
 		request.Model = route.Model
@@ -33,19 +31,26 @@
 	if err != nil {
 		return err
 	}
-	w.Header().Set(api.HeaderAffinity, string(lease.Server))
-	return p.forward(w, r, lease, outgoing{
-		method: http.MethodPost, path: "/v1/chat/completions", body: body,
-		requestID: c.id, class: route.Class,
+	return p.perform(w, r, c, job{
+		route:      route,
+		idempotent: !route.NonIdempotent,
+		chat:       true,
+		stream:     request.Stream,
+		local: outgoing{
+			method: http.MethodPost, path: chatPath, body: body, header: backendHeader(r, c, route.Class),
+		},
+		remote:  outgoing{method: http.MethodPost, path: chatPath, body: c.body, header: hopHeader(r, c)},
+		balance: balanceRequest(r, c, route),
 	})
 }
 
 func balanceRequest(r *http.Request, c *call, route catalog.Route) balance.Request {
 	return balance.Request{
-		Chat:     r.Header.Get(api.HeaderChat),
-		Hint:     balance.ServerID(r.Header.Get(api.HeaderAffinity)),
-		Customer: c.customer.UID,
-		Weight:   c.customer.Weight,
-		Class:    route.Class,
+		Chat:       r.Header.Get(api.HeaderChat),
+		Hint:       balance.ServerID(r.Header.Get(api.HeaderAffinity)),
+		Customer:   c.customer.UID,
+		Weight:     c.customer.Weight,
+		Class:      route.Class,
+		NoOverflow: r.Header.Get(api.HeaderHop) != "",
 	}
 }
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+var errCutOff = errors.New("the router's shutdown cut the request off")
+
+// callSet is the set of calls in progress. It is safe for concurrent use.
+type callSet struct {
+	mu    sync.Mutex
+	calls map[*call]struct{}
+}
+
+func newCallSet() *callSet { return &callSet{calls: make(map[*call]struct{})} }
+
+func (s *callSet) add(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[c] = struct{}{}
+}
+
+func (s *callSet) remove(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, c)
+}
+
+// ids returns the request IDs of the calls in progress, sorted.
+func (s *callSet) ids() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(s.calls))
+	for c := range s.calls {
+		ids = append(ids, c.id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// AnnounceDrain makes each answer close its connection, so that callers move
+// to other routers. Requests are still served.
+func (p *Proxy) AnnounceDrain() { p.lastAnswers.Store(true) }
+
+// CutOff ends the requests in progress with an explicit error and returns
+// their request IDs. Those that have not been dispatched release their claims.
+// Later requests are refused with CodeDraining.
+func (p *Proxy) CutOff() []string {
+	ids := p.inProgress.ids()
+	cutRequests.Add(len(ids))
+	p.cutOff(errCutOff)
+	return ids
+}
--- /dev/null
+++ b/internal/proxy/harness_test.go
@@ -0,0 +1,309 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/catalog"
+	"peridotwinch.example/peridotwinch/internal/dispatch"
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+func TestProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proxy")
+}
+
+const (
+	testToken = "clerk-token"
+	// longProgress is the progress timeout of tests in which no server stalls.
+	longProgress = time.Minute
+	// shortProgress is that of tests in which a server stalls.
+	shortProgress = 300 * time.Millisecond
+)
+
+type fixedCatalog struct{ view *catalog.Catalog }
+
+func (f fixedCatalog) Catalog() *catalog.Catalog { return f.view }
+
+func testCatalog() *catalog.Catalog {
+	digest := sha256.Sum256([]byte(testToken))
+	resources := map[string]*api.Resource{}
+	add := func(uid string, kind api.Kind, spec any) {
+		raw, err := json.Marshal(spec)
+		Expect(err).NotTo(HaveOccurred())
+		resources[uid] = &api.Resource{Kind: kind, UID: uid, Names: api.Names{"engine": uid}, Spec: raw}
+	}
+	add("chat", api.KindPools, &api.PoolSpec{Protocol: api.ProtocolChat})
+	add("gates", api.KindPools, &api.PoolSpec{Protocol: api.ProtocolService})
+	add("clerks", api.KindCustomers, &api.CustomerSpec{TokenDigests: []string{hex.EncodeToString(digest[:])}})
+	add("exact", api.KindModelVersions, &api.ModelVersionSpec{Pool: "chat", Model: "m", Deterministic: true})
+	add("summary", api.KindIntents, &api.IntentSpec{Pool: "chat", NonIdempotent: true})
+	add("patient", api.KindIntents, &api.IntentSpec{Pool: "chat", DeadlineMS: int(longProgress.Milliseconds())})
+	return catalog.New(1, resources)
+}
+
+// listDispatcher gives out leases on its servers in order.
+type listDispatcher struct {
+	mu       sync.Mutex
+	servers  []string
+	remote   string
+	requests []balance.Request
+	results  []balance.Result
+}
+
+func (d *listDispatcher) Acquire(_ context.Context, _ *catalog.Catalog, _ catalog.Pool, _ string, request balance.Request) (*dispatch.Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requests = append(d.requests, request)
+	for _, address := range d.servers {
+		if !slices.Contains(request.Exclude, balance.ServerID(address)) {
+			return dispatch.NewLease(balance.ServerID(address), false, d.released), nil
+		}
+	}
+	if d.remote != "" && !request.NoOverflow {
+		return dispatch.NewLease(balance.ServerID(d.remote), true, d.released), nil
+	}
+	return nil, api.Errorf(api.CodeNoBackendServer, "none").NotRun()
+}
+
+func (d *listDispatcher) released(result balance.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.results = append(d.results, result)
+}
+
+// memoryClaimer is a claimer without replicas.
+type memoryClaimer struct {
+	mu          sync.Mutex
+	holders     map[string]ledger.AttemptID
+	answers     map[string]ledger.Answer
+	verdict     ledger.Verdict
+	releases    int
+	releaseErr  error
+	completeErr error
+}
+
+func newMemoryClaimer() *memoryClaimer {
+	return &memoryClaimer{holders: map[string]ledger.AttemptID{}, answers: map[string]ledger.Answer{}}
+}
+
+func (m *memoryClaimer) Claim(_ context.Context, key ledger.Key, attempt ledger.AttemptID, _ ledger.Digest) ledger.Decision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.verdict != 0 {
+		return ledger.Decision{Verdict: m.verdict}
+	}
+	if answer, ok := m.answers[key.Value]; ok {
+		return ledger.Decision{Verdict: ledger.VerdictCompleted, Answer: &answer}
+	}
+	if _, ok := m.holders[key.Value]; ok {
+		return ledger.Decision{Verdict: ledger.VerdictHeld}
+	}
+	m.holders[key.Value] = attempt
+	return ledger.Decision{Verdict: ledger.VerdictGranted}
+}
+
+func (m *memoryClaimer) Release(_ context.Context, key ledger.Key, _ ledger.AttemptID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.releaseErr != nil {
+		return m.releaseErr
+	}
+	m.releases++
+	delete(m.holders, key.Value)
+	return nil
+}
+
+func (m *memoryClaimer) Complete(_ context.Context, key ledger.Key, _ ledger.AttemptID, answer ledger.Answer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.completeErr != nil {
+		return m.completeErr
+	}
+	m.answers[key.Value] = answer
+	return nil
+}
+
+func (m *memoryClaimer) Mint(context.Context, int) ([]string, error) { return []string{"k"}, nil }
+
+func (m *memoryClaimer) holds(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.holders[key]
+	return ok
+}
+
+// rig is a proxy with its fakes.
+type rig struct {
+	proxy      *Proxy
+	dispatcher *listDispatcher
+	claimer    *memoryClaimer
+	server     *httptest.Server
+}
+
+func newRig(progress time.Duration, servers ...string) *rig {
+	r := &rig{dispatcher: &listDispatcher{servers: servers}, claimer: newMemoryClaimer()}
+	s := &settings.Settings{Timeouts: settings.Timeouts{ProgressMS: int(progress.Milliseconds())}}
+	r.proxy = New(s, zerolog.Nop(), fixedCatalog{testCatalog()}, r.dispatcher, r.claimer)
+	r.server = httptest.NewServer(r.proxy.Handler())
+	DeferCleanup(r.server.Close)
+	return r
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome api.Outcome
+	body    string
+	failure *api.Error
+}
+
+// refusal returns the numbered error, or an empty one.
+func (r reply) refusal() *api.Error { return orEmpty(r.failure) }
+
+func orEmpty(failure *api.Error) *api.Error {
+	if failure == nil {
+		return &api.Error{}
+	}
+	return failure
+}
+
+// patience bounds a call; only a hung one reaches it.
+const patience = time.Minute
+
+// call sends a request; headers are pairs of name and value.
+func (r *rig) call(ctx context.Context, method, path, body string, headers ...string) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	out := reply{status: resp.StatusCode, outcome: api.Outcome(resp.Header.Get(api.HeaderOutcome)), body: string(raw)}
+	failure := &api.ErrorBody{}
+	if json.Unmarshal(raw, failure) == nil {
+		out.failure = failure.Error
+	}
+	return out, nil
+}
+
+func (r *rig) mustCall(method, path, body string, headers ...string) reply {
+	GinkgoHelper()
+	out, err := r.call(context.Background(), method, path, body, headers...)
+	Expect(err).NotTo(HaveOccurred())
+	return out
+}
+
+// rawServer is a backend server that speaks TCP by hand. It counts the
+// requests whose head and body it has read.
+type rawServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	requests int
+	accepted int
+}
+
+// newRawServer serves each connection with serve, which gets the number of the
+// connection and one of the request on it.
+func newRawServer(serve func(conn net.Conn, connection, request int) (keep bool)) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &rawServer{listener: listener}
+	DeferCleanup(listener.Close)
+	go s.accept(serve)
+	return s
+}
+
+func (s *rawServer) accept(serve func(net.Conn, int, int) bool) {
+	for connection := 1; ; connection++ {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.accepted++
+		s.mu.Unlock()
+		go s.serve(conn, connection, serve)
+	}
+}
+
+func (s *rawServer) serve(conn net.Conn, connection int, serve func(net.Conn, int, int) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for request := 1; ; request++ {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.mu.Lock()
+		s.requests++
+		s.mu.Unlock()
+		if !serve(conn, connection, request) {
+			return
+		}
+	}
+}
+
+func (s *rawServer) address() string { return s.listener.Addr().String() }
+
+func (s *rawServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+const rawOK = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone"
+
+func writeRaw(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+// deadAddress returns a loopback address at which nothing listens.
+func deadAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// httpServer returns the address of a server with a handler.
+func httpServer(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -16,20 +16,19 @@
 func (p *Proxy) service(w http.ResponseWriter, r *http.Request, c *call) error {
 	pool, ok := c.view.Pool(api.Ref(r.PathValue("pool")))
 	if !ok || pool.Spec.Protocol != api.ProtocolService {
-		return api.FieldErrorf(api.CodePoolUnknown, "pool", "%q", r.PathValue("pool")).NotRun()
+		return api.FieldErrorf(api.CodePoolUnknown, "pool", "%q", r.PathValue("pool"))
 	}
 	route := catalog.Route{Pool: pool, Class: api.ClassShort}
-	lease, err := p.dispatcher.Acquire(r.Context(), c.view, pool, "", balanceRequest(r, c, route))
-	if err != nil {
-		return err
-	}
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return p.forward(w, r, lease, outgoing{
-		method: r.Method, path: path, body: c.body, requestID: c.id, class: route.Class,
-		contentType: r.Header.Get("Content-Type"), key: r.Header.Get(api.HeaderIdempotencyKey),
+	return p.perform(w, r, c, job{
+		route:      route,
+		idempotent: isIdempotent(pool.Spec, r.Method),
+		local:      outgoing{method: r.Method, path: path, body: c.body, header: backendHeader(r, c, route.Class)},
+		remote:     outgoing{method: r.Method, path: r.URL.RequestURI(), body: c.body, header: hopHeader(r, c)},
+		balance:    balanceRequest(r, c, route),
 	})
 }
 
@@ -46,10 +45,10 @@
 func (p *Proxy) mintKeys(w http.ResponseWriter, r *http.Request, c *call) error {
 	request := mintRequest{}
 	if err := json.Unmarshal(c.body, &request); err != nil {
-		return api.Errorf(api.CodeRequestInvalid, "%v", err).NotRun()
+		return api.Errorf(api.CodeRequestInvalid, "%v", err)
 	}
 	if request.Count < 1 || request.Count > maxMintedKeys {
-		return api.FieldErrorf(api.CodeRequestInvalid, "count", "not within 1 to %d: %d", maxMintedKeys, request.Count).NotRun()
+		return api.FieldErrorf(api.CodeRequestInvalid, "count", "not within 1 to %d: %d", maxMintedKeys, request.Count)
 	}
 	keys, err := p.claimer.Mint(r.Context(), request.Count)
 	if err != nil {
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,290 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+const testTokens = 6
+
+func token(i int) string { return fmt.Sprintf("t%d ", i) }
+
+func tokensText(count int) string {
+	var text strings.Builder
+	for i := range count {
+		text.WriteString(token(i))
+	}
+	return text.String()
+}
+
+// engine is a stand-in engine of which each step can be spoilt.
+type engine struct {
+	// resumes says that the engine honours the resume offset.
+	resumes bool
+	// first is the number in the engine's first token.
+	first int
+	// stopAfter breaks the stream off after that many chunks; zero never.
+	stopAfter int
+	// spoil runs before each chunk.
+	spoil func(w http.ResponseWriter, r *http.Request, chunk int)
+	// silentEnd leaves out the explicit end.
+	silentEnd bool
+	asked     atomic.Int32
+	offset    atomic.Int32
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	e.asked.Add(1)
+	w.Header().Set("Content-Type", typeEventStream)
+	start := 0
+	if header := r.Header.Get(api.HeaderResumeOffset); header != "" && e.resumes {
+		start, _ = strconv.Atoi(header)
+		e.offset.Store(int32(start))
+		w.Header().Set(api.HeaderResumeOffset, header)
+	}
+	for i := start; i < testTokens; i++ {
+		if e.stopAfter > 0 && i-start == e.stopAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if e.spoil != nil {
+			e.spoil(w, r, i)
+		}
+		writeChunk(w, r.Header.Get(api.HeaderRequestID), token(e.first+i))
+	}
+	if !e.silentEnd {
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", api.StreamEnd)
+	}
+}
+
+func writeChunk(w http.ResponseWriter, id, text string) {
+	raw, _ := json.Marshal(&api.ChatChunk{ID: id, Choices: []api.ChatChunkChoice{{Delta: api.ChatMessage{Content: text}}}})
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", raw)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// streamed is what a caller got of a stream.
+type streamed struct {
+	text    string
+	ended   bool
+	failure *api.Error
+}
+
+func (s streamed) refusal() *api.Error { return orEmpty(s.failure) }
+
+func readStream(body string) streamed {
+	out := streamed{}
+	for _, event := range strings.Split(body, "\n\n") {
+		data := strings.TrimPrefix(event, "data: ")
+		if data == "" {
+			continue
+		}
+		Expect(out.ended).To(BeFalse(), "nothing follows the end")
+		if data == api.StreamEnd {
+			out.ended = true
+			continue
+		}
+		chunk, failure, err := decodeEvent([]byte(data))
+		Expect(err).NotTo(HaveOccurred())
+		out.text += chunkText(chunk)
+		if failure != nil {
+			out.failure, out.ended = failure, true
+		}
+	}
+	return out
+}
+
+func chatBody(model string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":"habari"}]}`, model, stream)
+}
+
+func (r *rig) stream(model string, headers ...string) streamed {
+	GinkgoHelper()
+	got := r.mustCall(http.MethodPost, chatPath, chatBody(model, true), headers...)
+	Expect(got.status).To(Equal(http.StatusOK), got.body)
+	out := readStream(got.body)
+	Expect(out.ended).To(BeTrue(), "the stream just stopped")
+	return out
+}
+
+var _ = Describe("A stream", func() {
+	It("is passed on up to its end", func() {
+		r := newRig(longProgress, httpServer((&engine{}).serve))
+		Expect(r.stream("chat")).To(Equal(streamed{text: tokensText(testTokens), ended: true}))
+	})
+
+	It("goes on at its offset on another server", func() {
+		second := &engine{resumes: true}
+		r := newRig(longProgress, httpServer((&engine{stopAfter: 4}).serve), httpServer(second.serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+		Expect(second.offset.Load()).To(Equal(int32(4)))
+		Expect(r.dispatcher.requests[1].NoOverflow).To(BeTrue())
+	})
+
+	It("is restarted without the tokens sent, where generation is deterministic", func() {
+		r := newRig(longProgress, httpServer((&engine{stopAfter: 4}).serve), httpServer((&engine{}).serve))
+		Expect(r.stream("exact")).To(Equal(streamed{text: tokensText(testTokens), ended: true}))
+	})
+
+	It("goes on over several failures", func() {
+		r := newRig(longProgress, httpServer((&engine{stopAfter: 1}).serve),
+			httpServer((&engine{resumes: true, stopAfter: 2}).serve), httpServer((&engine{resumes: true}).serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+	})
+
+	DescribeTable("ends with an explicit error", func(model string, second *engine, code api.Code) {
+		servers := []string{httpServer((&engine{stopAfter: 4}).serve)}
+		if second != nil {
+			servers = append(servers, httpServer(second.serve))
+		}
+		r := newRig(longProgress, servers...)
+		got := r.stream(model)
+		Expect(got.refusal().Code).To(Equal(code))
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeMayHaveRun))
+		Expect(got.text).To(Equal(tokensText(4)))
+	},
+		Entry("no server can resume", "chat", &engine{}, api.CodeStreamBroken),
+		Entry("a restart differs", "exact", &engine{first: 1}, api.CodeStreamBroken),
+		Entry("the request may not be repeated", "summary", &engine{resumes: true}, api.CodeStreamBroken),
+		Entry("every server breaks", "exact", &engine{stopAfter: 2}, api.CodeStreamBroken),
+	)
+
+	It("that stops without its end goes on elsewhere", func() {
+		r := newRig(longProgress, httpServer((&engine{silentEnd: true}).serve), httpServer((&engine{resumes: true}).serve))
+		Expect(r.stream("chat")).To(Equal(streamed{text: tokensText(testTokens), ended: true}))
+	})
+
+	It("drops and counts chunks of other requests", func() {
+		before := lateAnswers.Get()
+		mixed := &engine{spoil: func(w http.ResponseWriter, _ *http.Request, chunk int) {
+			if chunk%2 == 0 {
+				writeChunk(w, "another", "late ")
+			}
+		}}
+		r := newRig(longProgress, httpServer(mixed.serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+		Expect(lateAnswers.Get() - before).To(Equal(uint64(testTokens / 2)))
+	})
+
+	It("that stalls goes on elsewhere", func() {
+		stalled := &engine{spoil: func(_ http.ResponseWriter, r *http.Request, chunk int) {
+			if chunk == 3 {
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}}
+		r := newRig(shortProgress, httpServer(stalled.serve), httpServer((&engine{resumes: true}).serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+	})
+
+	It("does not count another request's chunks as progress", func() {
+		chatter := &engine{spoil: func(w http.ResponseWriter, r *http.Request, chunk int) {
+			for chunk == 3 && r.Context().Err() == nil {
+				writeChunk(w, "another", "late ")
+				time.Sleep(shortProgress / 10)
+			}
+		}}
+		r := newRig(shortProgress, httpServer(chatter.serve), httpServer((&engine{resumes: true}).serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+	})
+
+	It("that an error event ends goes on elsewhere", func() {
+		failing := httpServer(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", typeEventStream)
+			writeChunk(w, r.Header.Get(api.HeaderRequestID), token(0))
+			raw, _ := json.Marshal(&api.ErrorBody{Error: api.Errorf(api.CodeInternal, "out of memory")})
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", raw)
+		})
+		r := newRig(longProgress, failing, httpServer((&engine{resumes: true}).serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+	})
+
+	It("is canceled at the server when its caller leaves", func() {
+		reached, canceled := make(chan struct{}), make(chan struct{})
+		slow := httpServer((&engine{spoil: func(_ http.ResponseWriter, r *http.Request, chunk int) {
+			if chunk == 2 {
+				close(reached)
+				<-r.Context().Done()
+				close(canceled)
+				panic(http.ErrAbortHandler)
+			}
+		}}).serve)
+		r := newRig(longProgress, slow)
+		ctx, leave := context.WithCancel(context.Background())
+		go func() { _, _ = r.call(ctx, http.MethodPost, chatPath, chatBody("chat", true)) }()
+		Eventually(reached).WithTimeout(patience).Should(BeClosed())
+		leave()
+		Eventually(canceled).WithTimeout(patience).Should(BeClosed())
+	})
+
+	It("under a key is stored and sent again whole", func() {
+		e := &engine{}
+		r := newRig(longProgress, httpServer(e.serve))
+		for range 2 {
+			got := r.stream("summary", api.HeaderIdempotencyKey, "k")
+			Expect(got).To(Equal(streamed{text: tokensText(testTokens), ended: true}))
+		}
+		Expect(e.asked.Load()).To(Equal(int32(1)))
+	})
+})
+
+var _ = Describe("A whole answer", func() {
+	whole := func(id string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			own := r.Header.Get(api.HeaderRequestID)
+			w.Header().Set("Content-Type", typeJSON)
+			_ = json.NewEncoder(w).Encode(&api.ChatResponse{ID: cmp.Or(id, own), Model: "m"})
+		}
+	}
+	cutShort := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", typeJSON)
+		_, _ = w.Write([]byte(`{"id":"x","choi`))
+	}
+	failing := func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "sorry", http.StatusInternalServerError) }
+
+	DescribeTable("comes from another server", func(first http.HandlerFunc) {
+		r := newRig(longProgress, httpServer(first), httpServer(whole("")))
+		got := r.mustCall(http.MethodPost, chatPath, chatBody("chat", false), api.HeaderRequestID, "mine")
+		Expect(got.body).To(ContainSubstring(`"id":"mine"`))
+	},
+		Entry("where the first is cut short", http.HandlerFunc(cutShort)),
+		Entry("where the first belongs to another request", whole("another")),
+		Entry("where the first server failed", http.HandlerFunc(failing)),
+	)
+
+	DescribeTable("is an explicit error where no other server is left", func(only http.HandlerFunc) {
+		r := newRig(longProgress, httpServer(only))
+		got := r.mustCall(http.MethodPost, chatPath, chatBody("chat", false))
+		Expect(got.status).To(BeNumerically(">=", http.StatusInternalServerError))
+		Expect(got.outcome).To(Equal(api.OutcomeMayHaveRun))
+	},
+		Entry("cut short", http.HandlerFunc(cutShort)),
+		Entry("of another request", whole("another")),
+		Entry("a failed server", http.HandlerFunc(failing)),
+	)
+
+	It("spends no more retries than the budget has", func() {
+		asked := atomic.Int32{}
+		overloaded := httpServer(func(w http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			failing(w, r)
+		})
+		r := newRig(longProgress, overloaded)
+		const requests = 300
+		for range requests {
+			r.mustCall(http.MethodPost, chatPath, chatBody("chat", false))
+		}
+		Expect(asked.Load()).To(BeNumerically("<=", requests+retryInitial+requests*retryRatio))
+	})
+})
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -1,16 +1,14 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
-	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/internal/balance"
-	"peridotwinch.example/peridotwinch/internal/dispatch"
+	"github.com/pkg/errors"
 )
 
 // Limits of the connections to backend servers.
@@ -18,96 +16,146 @@
 	connectTimeout      = 2 * time.Second
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerHost = 64
-	copyBufferBytes     = 32 << 10
+	// transportRetention is how long the transport of an unused server is kept.
+	transportRetention = 5 * time.Minute
 )
 
-// upstream sends requests to backend servers.
+var (
+	errNoProgress = errors.New("no progress in time")
+	errFinished   = errors.New("the exchange is over")
+)
+
+// upstream sends requests to backend servers, over a transport for each, so
+// that the connections of one server can be given up alone.
 type upstream struct {
-	client *http.Client
-}
+	progress time.Duration
 
-func newUpstream(progress time.Duration) *upstream {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &upstream{client: &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		IdleConnTimeout:       idleConnTimeout,
-		MaxIdleConnsPerHost:   maxIdleConnsPerHost,
-		ResponseHeaderTimeout: progress,
-		DisableCompression:    true,
-	}}}
+	mu         sync.Mutex
+	transports map[string]*serverTransport
 }
 
-// outgoing is a request as it goes to a backend server.
-type outgoing struct {
-	method      string
-	path        string
-	body        []byte
-	contentType string
-	requestID   string
-	key         string
-	class       api.Class
+// serverTransport is the transport of one server and the time of its last use.
+type serverTransport struct {
+	*http.Transport
+	usedAt time.Time
 }
 
-// onceBody is a body that net/http cannot rewind, so that it never replays the
-// request on a second connection by itself.
-type onceBody struct{ io.Reader }
+func newUpstream(progress time.Duration) *upstream {
+	return &upstream{progress: progress, transports: make(map[string]*serverTransport)}
+}
 
-func (o outgoing) build(ctx context.Context, server balance.ServerID) (*http.Request, error) {
-	body := onceBody{bytes.NewReader(o.body)}
-	req, err := http.NewRequestWithContext(ctx, o.method, "http://"+string(server)+o.path, body)
-	if err != nil {
-		return nil, api.Errorf(api.CodeRequestInvalid, "%v", err).NotRun()
+func (u *upstream) transport(address string) *http.Transport {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	known := u.transports[address]
+	if known == nil {
+		u.forgetUnused(now)
+		known = &serverTransport{Transport: newTransport()}
+		u.transports[address] = known
 	}
-	req.ContentLength = int64(len(o.body))
-	req.Header.Set(api.HeaderRequestID, o.requestID)
-	req.Header.Set(api.HeaderPriority, string(o.class))
-	if o.contentType != "" {
-		req.Header.Set("Content-Type", o.contentType)
+	known.usedAt = now
+	return known.Transport
+}
+
+func (u *upstream) forgetUnused(now time.Time) {
+	for address, transport := range u.transports {
+		if now.Sub(transport.usedAt) > transportRetention {
+			transport.CloseIdleConnections()
+			delete(u.transports, address)
+		}
 	}
-	if o.key != "" {
-		req.Header.Set(api.HeaderIdempotencyKey, o.key)
+}
+
+func newTransport() *http.Transport {
+	dialer := &trackedDialer{net.Dialer{Timeout: connectTimeout}}
+	return &http.Transport{
+		DialContext:         dialer.dial,
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		DisableCompression:  true,
 	}
-	return req, nil
 }
 
-// forward sends a request under a lease and copies the answer to the caller.
-func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, lease *dispatch.Lease, out outgoing) error {
-	started := time.Now()
-	result := balance.Result{Failed: true}
-	defer func() { lease.Release(result) }()
-	req, err := out.build(r.Context(), lease.Server)
+// exchange is a request that a server has begun to answer.
+type exchange struct {
+	*http.Response
+	upstream *upstream
+	address  string
+	cancel   context.CancelCauseFunc
+	watchdog *time.Timer
+}
+
+// sendError tells why a server did not begin to answer.
+type sendError struct {
+	cause error
+	// written says that a byte of the request may have reached the server.
+	written bool
+	// stale says that the connection had carried an earlier request.
+	stale bool
+}
+
+// Error implements error.
+func (e *sendError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *sendError) Unwrap() error { return e.cause }
+
+// send sends a request once and waits up to firstByte for the head of the
+// answer. It never repeats a request. Errors are *sendError.
+func (u *upstream) send(ctx context.Context, out outgoing, address string, firstByte time.Duration) (*exchange, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	tracker := &writeTracker{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { tracker.got(info.Conn, info.Reused) },
+	})
+	req, err := out.build(traced, address)
 	if err != nil {
-		return err
+		cancel(errFinished)
+		return nil, &sendError{cause: err}
 	}
-	resp, err := p.upstream.client.Do(req)
+	watchdog := time.AfterFunc(firstByte, func() { cancel(errNoProgress) })
+	resp, err := u.transport(address).RoundTrip(req)
 	if err != nil {
-		return api.Errorf(api.CodeBackendFailed, "%v", err).MayHaveRun()
+		watchdog.Stop()
+		cause := u.cause(ctx, address, err)
+		cancel(errFinished)
+		return nil, &sendError{cause: cause, written: tracker.giveUp(), stale: tracker.wasReused()}
 	}
-	defer resp.Body.Close()
-	result.FirstByte = time.Since(started)
-	w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	w.WriteHeader(resp.StatusCode)
-	result.Failed = copyFlushing(w, resp.Body) != nil
-	return nil
+	watchdog.Reset(u.progress)
+	return &exchange{Response: resp, upstream: u, address: address, cancel: cancel, watchdog: watchdog}, nil
 }
 
-// copyFlushing copies an answer and flushes after each read.
-func copyFlushing(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, readErr := body.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			_ = controller.Flush()
-		}
-		if readErr == io.EOF {
-			return nil
-		}
-		if readErr != nil {
-			return readErr
-		}
+// cause returns why an exchange failed. After a time without progress, the
+// idle connections of the server are closed too: they may be as silent as the
+// one that failed.
+func (u *upstream) cause(ctx context.Context, address string, err error) error {
+	cause := context.Cause(ctx)
+	if cause == nil {
+		return err
 	}
+	if errors.Is(cause, errNoProgress) {
+		progressTimeouts.Inc()
+		u.transport(address).CloseIdleConnections()
+	}
+	return cause
+}
+
+// progressed starts the time without progress anew.
+func (e *exchange) progressed() { e.watchdog.Reset(e.upstream.progress) }
+
+// pause stops the time without progress until the next progress.
+func (e *exchange) pause() { e.watchdog.Stop() }
+
+// failure returns why reading the answer failed.
+func (e *exchange) failure(err error) error {
+	return e.upstream.cause(e.Request.Context(), e.address, err)
+}
+
+// close ends the exchange. The request is canceled at the server where the
+// answer was not read to its end.
+func (e *exchange) close() {
+	e.watchdog.Stop()
+	_ = e.Body.Close()
+	e.cancel(errFinished)
 }
--- /dev/null
+++ b/internal/router/drain.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/httpx"
+)
+
+// cutGrace is the time that cut requests get to answer with an explicit error
+// and to release their claims.
+const cutGrace = time.Second
+
+// serveCallers serves callers until ctx ends, then drains: the readiness probe
+// fails already, the listener stays open for the announce time, and then all
+// requests in progress finish. The drain timeout or a second signal ends that.
+func (r *Router) serveCallers(ctx context.Context) error {
+	server := &http.Server{Handler: r.proxy.Handler(), ReadHeaderTimeout: httpx.ReadHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(r.callers) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(r.life.Forced(), r.settings.Timeouts.Drain())
+	defer cancel()
+	r.proxy.AnnounceDrain()
+	wait(limit, r.settings.Timeouts.Announce())
+	if err := server.Shutdown(limit); err != nil {
+		r.cutOff(server)
+	}
+	return nil
+}
+
+// cutOff ends the requests in progress.
+func (r *Router) cutOff(server *http.Server) {
+	ids := r.proxy.CutOff()
+	grace, cancel := context.WithTimeout(context.Background(), cutGrace)
+	defer cancel()
+	_ = server.Shutdown(grace)
+	_ = server.Close()
+	if len(ids) == 0 {
+		return
+	}
+	r.log.Error().Int("count", len(ids)).Strs("requestIds", ids).Msg("the shutdown cut requests off")
+	r.life.ReportCut(api.Errorf(api.CodeDrainCut, "%d requests in progress", len(ids)))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,8 @@
 // Router is the router role of a daemon.
 type Router struct {
 	settings *settings.Settings
+	log      zerolog.Logger
+	life     *lifecycle.Lifecycle
 	watcher  *configwatch.Watcher
 	members  *membership.Service
 	proxy    *proxy.Proxy
@@ -49,6 +51,8 @@
 	life.AddCheck(watcher.Ready)
 	return &Router{
 		settings: s,
+		log:      log,
+		life:     life,
 		watcher:  watcher,
 		members:  members,
 		proxy:    proxy.New(s, log, watcher, dispatcher, ledger.Unavailable{}),
@@ -65,9 +69,7 @@
 // AddForeground adds the actors that serve callers. Their interrupts wait until
 // the requests in progress have finished.
 func (r *Router) AddForeground(group *run.Group) {
-	actor.AddDraining(group, func(ctx context.Context) error {
-		return httpx.Serve(ctx, r.callers, r.proxy.Handler(), r.settings.Timeouts.Drain())
-	})
+	actor.AddDraining(group, r.serveCallers)
 }
 
 // AddBackground adds the actors that the requests in progress rely on.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,9 @@
 	SilenceMS int `json:"silenceMs,omitempty"`
 	// QueueMS bounds the time that a request waits for a free slot.
 	QueueMS int `json:"queueMs,omitempty"`
+	// AnnounceMS is the time between the failing readiness probe and the closing
+	// of the callers' listener on a shutdown.
+	AnnounceMS int `json:"announceMs,omitempty"`
 }
 
 // Policy names a way to choose a backend server.
@@ -100,6 +103,7 @@
 	DefaultHeartbeat = 500 * time.Millisecond
 	DefaultSilence   = 3 * time.Second
 	DefaultQueue     = 2 * time.Second
+	DefaultAnnounce  = 500 * time.Millisecond
 )
 
 // Progress returns the progress timeout.
@@ -117,6 +121,9 @@
 // Queue returns the longest time that a request waits for a free slot.
 func (t Timeouts) Queue() time.Duration { return orDefault(t.QueueMS, DefaultQueue) }
 
+// Announce returns the time for which a leaving router still takes connections.
+func (t Timeouts) Announce() time.Duration { return orDefault(t.AnnounceMS, DefaultAnnounce) }
+
 func orDefault(ms int, def time.Duration) time.Duration {
 	if ms == 0 {
 		return def
@@ -274,6 +281,7 @@
 	v.notNegative("timeouts.heartbeatMs", t.HeartbeatMS)
 	v.notNegative("timeouts.silenceMs", t.SilenceMS)
 	v.notNegative("timeouts.queueMs", t.QueueMS)
+	v.notNegative("timeouts.announceMs", t.AnnounceMS)
 }
 
 func (v *validator) notNegative(field string, value int) {
