Make the stand-in backend server a batching engine that fails on command

Cause: the stand-in slept a fixed time a token, so neither load skew nor head-of-line blocking nor cache reuse nor a lost answer could be seen on it.

The engine is a pure model (batch step grows with the batch and with uncached prompt tokens, short work is admitted before long work, a prefix cache bounded by tokens) that a driver runs in real time. The server resumes at a token offset, drains on SIGTERM, takes faults at POST /control, checks fencing tokens of orders at POST /orders, and lists executions at GET /executions as {key, count, resumed, answered}.

Failed first: TestFaultsHitAndEndOnCommand counted 3 executions where 2 requests were sent. The test's own net/http client had repeated the keyed request on a reused connection that broke; the test now opens a connection for each request.

--- a/api/code.go
+++ b/api/code.go
@@ -44,6 +44,9 @@
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
 	CodeAnnouncement     Code = 4001
+	CodeFencingTokenOld  Code = 4010
+	CodeLoadMixInvalid   Code = 4011
+	CodeLoadNotWhole     Code = 4012
 )
 
 // Exit codes of the command line.
@@ -103,6 +106,9 @@
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
+	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
+	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the described load is not valid."},
+	{CodeLoadNotWhole, "load_not_whole", http.StatusInternalServerError, ExitFailure, "An answer under load was cut short or was not the request's own."},
 }
 
 // Info returns the description of c, or that of CodeInternal for an unlisted code.
--- a/internal/cli/fakebackend.go
+++ b/internal/cli/fakebackend.go
@@ -28,6 +28,8 @@
 			f.IntVar(&config.Slots, "slots", fake.DefaultSlots, "requests that the server works on at once")
 			f.DurationVar(&config.TokenTime, "token-time", fake.DefaultTokenTime, "time between two tokens")
 			f.DurationVar(&config.AnnounceEvery, "announce-every", fake.DefaultAnnounceEvery, "time between two announcements")
+			setEngineFlags(f, &config)
+			setFaultFlags(f, &config)
 		},
 		run: func(ctx context.Context, _ []string) error {
 			config.Announce = strings.Split(announce, ",")
@@ -40,6 +42,26 @@
 	}
 }
 
+func setEngineFlags(f *flag.FlagSet, config *fake.Config) {
+	f.DurationVar(&config.BatchTime, "batch-time", fake.DefaultBatchTime, "time that each further request of the batch adds to a token")
+	f.DurationVar(&config.PromptTime, "prompt-time", fake.DefaultPromptTime, "time for a prompt token that is not cached")
+	f.DurationVar(&config.ServiceTime, "service-time", 0, "time for a call of a plain service")
+	f.IntVar(&config.CacheTokens, "cache-tokens", fake.DefaultCacheTokens, "size of the prefix cache in tokens")
+	f.DurationVar(&config.EventDelay, "event-delay", 0, "age at which a cache event is published")
+	f.Float64Var(&config.EventLoss, "event-loss", 0, "share of cache events that are lost")
+	f.DurationVar(&config.ReportLag, "report-lag", 0, "age of the load reports")
+}
+
+func setFaultFlags(f *flag.FlagSet, config *fake.Config) {
+	f.Float64Var(&config.SlowFactor, "slow-factor", 1, "how many times as long work takes on a straggler")
+	f.DurationVar(&config.SlowEvery, "slow-every", 0, "mean pause between slow periods; zero for always slow")
+	f.DurationVar(&config.SlowFor, "slow-for", 0, "length of a slow period")
+	f.BoolVar(&config.NoResume, "no-resume", false, "ignore the resume header")
+	f.BoolVar(&config.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing token")
+	f.DurationVar(&config.DrainGrace, "drain-grace", fake.DefaultDrainGrace, "time that a draining server still takes new requests")
+	f.Uint64Var(&config.Seed, "seed", 1, "seed of the random choices")
+}
+
 func runFake(ctx context.Context, config fake.Config) error {
 	log := newLogger("")
 	server, err := fake.New(config, log)
--- a/internal/fake/announce.go
+++ b/internal/fake/announce.go
@@ -14,27 +14,23 @@
 const announceTimeout = 500 * time.Millisecond
 
 // announceAll announces the server until ctx ends.
-func (s *Server) announceAll(ctx context.Context) error {
+func (s *Server) announceAll(ctx context.Context) {
 	ticker := time.NewTicker(s.config.AnnounceEvery)
 	defer ticker.Stop()
 	for {
 		s.announce(ctx)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
+		case <-s.announceNow:
 		}
 	}
 }
 
 // announce posts to the first router that takes the announcement.
 func (s *Server) announce(ctx context.Context) {
-	s.sequence++
-	raw, _ := json.Marshal(api.Announcement{
-		Address: s.Address(), Incarnation: s.incarnation, Sequence: s.sequence,
-		Pool: s.config.Pool, Models: s.config.Models, State: api.ServerServing,
-		Slots: s.config.Slots, Load: int(s.inFlight.Load()),
-	})
+	raw, _ := json.Marshal(s.announcement(time.Now()))
 	for _, router := range s.config.Announce {
 		if err := post(ctx, router, raw); err == nil {
 			return
@@ -43,6 +39,18 @@
 	}
 }
 
+// announcement is what the server says of itself at now.
+func (s *Server) announcement(now time.Time) *api.Announcement {
+	s.sequence++
+	load, events := s.driver.report(now, int(s.inFlight.Load()))
+	return &api.Announcement{
+		Address: s.Address(), Incarnation: s.incarnation, Sequence: s.sequence,
+		Pool: s.config.Pool, Models: s.orders.loaded(), State: s.state(),
+		Slots: s.config.Slots, Load: load,
+		ChecksFencing: s.config.ChecksFencing, CacheEvents: events,
+	}
+}
+
 func post(ctx context.Context, router string, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -1,12 +1,12 @@
-// Package fake is a stand-in backend server: it announces itself to a router,
-// answers chats and plain calls, and counts every execution.
+// Package fake is a stand-in backend server: a model engine with continuous
+// batching and a prefix cache, or a plain service. It announces itself to a
+// router, fails on command, and counts every execution by key.
 package fake
 
 import (
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,28 +18,6 @@
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
-// Config describes a stand-in backend server.
-type Config struct {
-	// Listen is the IP address and port at which the server takes requests.
-	Listen string
-	// Announce lists the routers' addresses for announcements, tried in order.
-	Announce []string
-	Pool     api.Ref
-	Models   []string
-	Slots    int
-	// TokenTime is the time between two tokens of one answer.
-	TokenTime time.Duration
-	// AnnounceEvery is the time between two announcements.
-	AnnounceEvery time.Duration
-}
-
-// Defaults of Config.
-const (
-	DefaultSlots         = 16
-	DefaultTokenTime     = 2 * time.Millisecond
-	DefaultAnnounceEvery = time.Second
-)
-
 // Server is a stand-in backend server.
 type Server struct {
 	config      Config
@@ -48,9 +26,14 @@
 	incarnation uint64
 	sequence    uint64
 	inFlight    atomic.Int64
+	// drainingSince is the time in nanoseconds at which draining began, or zero.
+	drainingSince atomic.Int64
+	announceNow   chan struct{}
 
-	mu         sync.Mutex
-	executions map[string]int
+	driver     *driver
+	faults     *faultSwitch
+	orders     orderBook
+	executions executionLog
 }
 
 // New opens the server's listener.
@@ -59,47 +42,93 @@
 	if err != nil {
 		return nil, err
 	}
+	config = config.withDefaults()
+	faults := &faultSwitch{}
 	return &Server{
 		config:      config,
 		log:         log,
 		listener:    listener,
 		incarnation: uint64(time.Now().UnixNano()),
-		executions:  make(map[string]int),
+		announceNow: make(chan struct{}, 1),
+		driver:      newDriver(config, faults),
+		faults:      faults,
+		orders:      orderBook{checks: config.ChecksFencing, models: config.Models},
 	}, nil
 }
 
 // Address returns the address at which the server takes requests.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// AddActors adds the server's actors to a group.
-func (s *Server) AddActors(group *run.Group) {
-	actor.Add(group, func(ctx context.Context) error {
-		return httpx.Serve(ctx, s.listener, s.handler(), httpx.ReadHeaderTimeout)
+// AddActors adds the server to a group. When it is interrupted it announces that
+// it is draining, finishes its requests and ends.
+func (s *Server) AddActors(group *run.Group) { actor.Add(group, s.run) }
+
+func (s *Server) run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = s.driver.run(background) }()
+	go s.announceAll(background)
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	context.AfterFunc(ctx, func() {
+		s.drain()
+		sleepFor(background, s.config.DrainGrace)
+		stopServing()
 	})
-	actor.Add(group, s.announceAll)
+	return httpx.Serve(serving, s.listener, s.handler(), DrainLimit)
+}
+
+// drain announces that the server takes no new work.
+func (s *Server) drain() {
+	if !s.drainingSince.CompareAndSwap(0, time.Now().UnixNano()) {
+		return
+	}
+	s.log.Info().Int64("inFlight", s.inFlight.Load()).Msg("draining")
+	select {
+	case s.announceNow <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) state() api.ServerState {
+	if s.drainingSince.Load() != 0 {
+		return api.ServerDraining
+	}
+	return api.ServerServing
 }
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", s.chat)
+	mux.HandleFunc("POST /v1/chat/completions", s.enter(s.chat))
 	mux.HandleFunc("GET /executions", s.listExecutions)
-	mux.HandleFunc("/", s.plain)
+	mux.HandleFunc("GET /stats", s.showStats)
+	mux.HandleFunc("GET /control", s.showFaults)
+	mux.HandleFunc("POST /control", s.setFaults)
+	mux.HandleFunc("POST /orders", s.takeOrder)
+	mux.HandleFunc("/", s.enter(s.plain))
 	return mux
 }
 
-// count records an execution under the request's key, or its request ID.
-func (s *Server) count(r *http.Request) {
-	key := r.Header.Get(api.HeaderIdempotencyKey)
-	if key == "" {
-		key = r.Header.Get(api.HeaderRequestID)
+// enter counts a request as load, and refuses it where a fault asks for that.
+func (s *Server) enter(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.noteLate()
+		if s.faults.refuses() {
+			httpx.WriteError(w, api.Errorf(api.CodeOverloaded, "refused on command").NotRun())
+			return
+		}
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		handle(w, r)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.executions[key]++
 }
 
-func (s *Server) listExecutions(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	httpx.WriteJSON(w, http.StatusOK, s.executions)
+// noteLate counts a request that came after the server had announced that it is
+// draining.
+func (s *Server) noteLate() {
+	since := s.drainingSince.Load()
+	if since == 0 {
+		return
+	}
+	s.driver.noteLate(time.Since(time.Unix(0, since)))
 }
--- /dev/null
+++ b/internal/fake/server_test.go
@@ -0,0 +1,158 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+// client opens a connection for each request: net/http repeats a keyed request
+// by itself where a reused connection breaks, and the executions would count it.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// standIn is a running server with the outcome of its run.
+type standIn struct {
+	*Server
+	g    *WithT
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(t *testing.T, config Config) *standIn {
+	config.Listen, config.Slots, config.AnnounceEvery = "127.0.0.1:0", 8, DefaultAnnounceEvery
+	server, err := New(config, zerolog.Nop())
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &standIn{Server: server, g: g, stop: cancel, done: make(chan error, 1)}
+	go func() { s.done <- server.run(ctx) }()
+	t.Cleanup(cancel)
+	return s
+}
+
+func (s *standIn) send(ctx context.Context, path string, body any, headers map[string]string) (*http.Response, error) {
+	raw, err := json.Marshal(body)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+path, bytes.NewReader(raw))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	return client.Do(req)
+}
+
+// text sends a request and returns its body, and the error that cut it short.
+func (s *standIn) text(path string, body any, headers map[string]string) (string, error) {
+	resp, err := s.send(context.Background(), path, body, headers)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
+
+func question(stream bool, tokens int) *api.ChatRequest {
+	return &api.ChatRequest{
+		Model: "m", Stream: stream, MaxTokens: tokens,
+		Messages: []api.ChatMessage{{Role: "user", Content: "How many fish passed the weir?"}},
+	}
+}
+
+func TestResumeStartsAtTheOffset(t *testing.T) {
+	s := start(t, Config{})
+	headers := map[string]string{api.HeaderResumeOffset: "3", api.HeaderIdempotencyKey: "k"}
+	resp, err := s.send(context.Background(), "/v1/chat/completions", question(true, 5), headers)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	raw, err := io.ReadAll(resp.Body)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(resp.Header.Get(api.HeaderResumeOffset)).To(Equal("3"))
+	s.g.Expect(strings.Count(string(raw), "data: {")).To(Equal(2))
+	s.g.Expect(string(raw)).To(And(ContainSubstring("-3 "), Not(ContainSubstring("-2 "))))
+	s.g.Expect(s.executions.list()).To(Equal([]Execution{{Key: "k", Resumed: 1, Answered: 1}}))
+}
+
+func TestServerWithoutResumeStartsFromTheBeginning(t *testing.T) {
+	s := start(t, Config{NoResume: true})
+	resp, err := s.send(context.Background(), "/v1/chat/completions", question(true, 5), map[string]string{api.HeaderResumeOffset: "3"})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	raw, _ := io.ReadAll(resp.Body)
+	s.g.Expect(resp.Header).NotTo(HaveKey(api.HeaderResumeOffset))
+	s.g.Expect(strings.Count(string(raw), "data: {")).To(Equal(5))
+}
+
+func TestFaultsHitAndEndOnCommand(t *testing.T) {
+	s := start(t, Config{})
+	headers := map[string]string{api.HeaderIdempotencyKey: "k"}
+	setFaults := func(faults Faults) {
+		_, err := s.text("/control", &faults, nil)
+		s.g.Expect(err).NotTo(HaveOccurred())
+	}
+	setFaults(Faults{CloseAfterTokens: 2})
+	body, err := s.text("/v1/chat/completions", question(true, 5), headers)
+	s.g.Expect(err).To(HaveOccurred())
+	s.g.Expect(strings.Count(body, "data: {")).To(Equal(2))
+	setFaults(Faults{CloseBeforeAnswer: true})
+	_, err = s.text("/charges/1", "x", headers)
+	s.g.Expect(err).To(HaveOccurred())
+	setFaults(Faults{Refuse: true})
+	body, err = s.text("/charges/1", "x", headers)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(body).To(ContainSubstring(`"outcome":"not_run"`))
+	s.g.Expect(s.executions.list()).To(Equal([]Execution{{Key: "k", Count: 2}}))
+	setFaults(Faults{Stall: true})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.text("/charges/1", "x", headers)
+		ended <- err
+	}()
+	s.g.Eventually(func() int { return s.executions.list()[0].Count }).Should(Equal(3))
+	s.g.Expect(ended).NotTo(Receive())
+	setFaults(Faults{})
+	s.g.Eventually(ended).Should(Receive(BeNil()))
+}
+
+func TestCallerThatLeavesCancelsTheJob(t *testing.T) {
+	s := start(t, Config{TokenTime: DefaultTokenTime})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := s.send(ctx, "/v1/chat/completions", question(true, 1_000_000), nil)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	_, err = resp.Body.Read(make([]byte, 1))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	cancel()
+	s.g.Eventually(func() Stats { return s.driver.stats() }, "10s").Should(HaveField("Cancelled", 1))
+	s.g.Expect(s.driver.stats().Running).To(BeZero())
+}
+
+func TestDrainingServerFinishesItsStreams(t *testing.T) {
+	s := start(t, Config{TokenTime: DefaultTokenTime})
+	resp, err := s.send(context.Background(), "/v1/chat/completions", question(true, 100), nil)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.stop()
+	s.g.Eventually(s.state).Should(Equal(api.ServerDraining))
+	raw, err := io.ReadAll(resp.Body)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(string(raw)).To(HaveSuffix("data: [DONE]\n\n"))
+	s.g.Eventually(s.done, "10s").Should(Receive(BeNil()))
+}
+
+func TestOldFencingTokenIsRefusedOnlyByAServerThatChecks(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		s := start(t, Config{ChecksFencing: checks})
+		_, err := s.text("/orders", &Order{Kind: OrderLoadModel, Model: "m2", FencingToken: 5}, nil)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		body, err := s.text("/orders", &Order{Kind: OrderLoadModel, Model: "m1", FencingToken: 4}, nil)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(strings.Contains(body, "fencing_token_old")).To(Equal(checks))
+		s.g.Expect(s.orders.loaded()).To(HaveLen(map[bool]int{true: 1, false: 2}[checks]))
+	}
+}
