--- a/internal/ledger/claimer.go
+++ b/internal/ledger/claimer.go
@@ -32,6 +32,9 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// BodyDigest is set in place of a body above MaxAnswerBytes in an answer
+	// that was stored.
+	BodyDigest *Digest
 }
 
 // Verdict says what a claim came to.
--- /dev/null
+++ b/internal/ledger/group.go
@@ -0,0 +1,118 @@
+package ledger
+
+import "slices"
+
+// maxMembers bounds the members of a group; it makes epochs unique to the
+// replica that raised them.
+const maxMembers = 64
+
+// Majority returns how many of n replicas are a majority.
+func Majority(n int) int { return n/2 + 1 }
+
+// NextEpoch returns the epoch that the member with this index raises after it
+// has seen the highest one of others.
+func NextEpoch(highest uint64, member int) uint64 {
+	return (highest/maxMembers+1)*maxMembers + uint64(member)
+}
+
+// firstEpoch is the epoch of a new group.
+const firstEpoch uint64 = maxMembers
+
+// PrepareFormation promises to take part in a formation. Only a replica that
+// has never been active accepts.
+func (s *State) PrepareFormation(generation uint64, members []string) (bool, []Change) {
+	if s.meta.Phase == PhaseActive || generation < s.meta.Generation {
+		return false, nil
+	}
+	if s.meta.Phase == PhaseForming && s.meta.Generation == generation {
+		return true, nil
+	}
+	meta := Meta{Phase: PhaseForming, Generation: generation, Epoch: firstEpoch, Members: slices.Clone(members)}
+	return true, []Change{s.setMeta(meta)}
+}
+
+// CommitFormation makes a replica active that has promised this generation. The
+// caller knows that every member has promised it.
+func (s *State) CommitFormation(generation uint64) (bool, []Change) {
+	if s.meta.Generation != generation || s.meta.Phase == PhaseEmpty {
+		return false, nil
+	}
+	if s.meta.Phase == PhaseActive {
+		return true, nil
+	}
+	meta := s.meta
+	meta.Phase = PhaseActive
+	return true, []Change{s.setMeta(meta)}
+}
+
+// RaiseEpoch makes the replica refuse claims of older epochs, so that what it
+// holds now is all that it has granted in them. A replica that is not active
+// cannot serve a recovery and refuses.
+func (s *State) RaiseEpoch(epoch uint64) (bool, []Change) {
+	if s.meta.Phase != PhaseActive || epoch < s.meta.Epoch {
+		return false, nil
+	}
+	return true, s.adopt(epoch)
+}
+
+// Copy is what a recovering replica has read from another one.
+type Copy struct {
+	Meta    Meta
+	Records map[KeyHash]*Record
+}
+
+// Recover fills an empty replica from copies that other replicas made after
+// they raised the epoch. It refuses with less than a majority of all members,
+// which does not count the recovering replica itself.
+func (s *State) Recover(epoch uint64, members []string, copies []Copy) (bool, []Change) {
+	if s.meta.Phase == PhaseActive || len(copies) < Majority(len(members)) {
+		return false, nil
+	}
+	meta := Meta{Phase: PhaseActive, Epoch: epoch, Members: slices.Clone(members)}
+	for _, one := range copies {
+		if one.Meta.Epoch < epoch {
+			return false, nil
+		}
+		meta.Generation = max(meta.Generation, one.Meta.Generation)
+		meta.QuarantineUntil = max(meta.QuarantineUntil, one.Meta.QuarantineUntil)
+	}
+	// The meta comes last: a replica that crashes before it is still empty.
+	changes := s.replaceRecords(UnionCopies(copies))
+	return true, append(changes, s.setMeta(meta))
+}
+
+// UnionCopies merges the records of several copies.
+func UnionCopies(copies []Copy) map[KeyHash]*Record {
+	union := make(map[KeyHash]*Record)
+	for _, one := range copies {
+		for key, record := range one.Records {
+			union[key] = Union(union[key], record)
+		}
+	}
+	return union
+}
+
+// Restart installs a group's state after a majority lost its own. Only an
+// operator's command leads here.
+func (s *State) Restart(meta Meta, records map[KeyHash]*Record) (bool, []Change) {
+	if meta.Generation <= s.meta.Generation || meta.Epoch <= s.meta.Epoch {
+		return false, nil
+	}
+	meta.Phase = PhaseActive
+	changes := s.replaceRecords(records)
+	return true, append(changes, s.setMeta(meta))
+}
+
+func (s *State) replaceRecords(records map[KeyHash]*Record) []Change {
+	var changes []Change
+	for key := range s.records {
+		if records[key] == nil {
+			delete(s.records, key)
+			changes = append(changes, Change{Key: key})
+		}
+	}
+	for key, record := range records {
+		changes = append(changes, s.put(key, record))
+	}
+	return changes
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,8 @@
 	SilenceMS int `json:"silenceMs,omitempty"`
 	// QueueMS bounds the time that a request waits for a free slot.
 	QueueMS int `json:"queueMs,omitempty"`
+	// RetentionMS is how long the ledger remembers a finished request key.
+	RetentionMS int `json:"retentionMs,omitempty"`
 }
 
 // Policy names a way to choose a backend server.
@@ -100,6 +102,7 @@
 	DefaultHeartbeat = 500 * time.Millisecond
 	DefaultSilence   = 3 * time.Second
 	DefaultQueue     = 2 * time.Second
+	DefaultRetention = 24 * time.Hour
 )
 
 // Progress returns the progress timeout.
@@ -117,6 +120,9 @@
 // Queue returns the longest time that a request waits for a free slot.
 func (t Timeouts) Queue() time.Duration { return orDefault(t.QueueMS, DefaultQueue) }
 
+// Retention returns how long the ledger remembers a finished request key.
+func (t Timeouts) Retention() time.Duration { return orDefault(t.RetentionMS, DefaultRetention) }
+
 func orDefault(ms int, def time.Duration) time.Duration {
 	if ms == 0 {
 		return def
@@ -274,6 +280,7 @@
 	v.notNegative("timeouts.heartbeatMs", t.HeartbeatMS)
 	v.notNegative("timeouts.silenceMs", t.SilenceMS)
 	v.notNegative("timeouts.queueMs", t.QueueMS)
+	v.notNegative("timeouts.retentionMs", t.RetentionMS)
 }
 
 func (v *validator) notNegative(field string, value int) {
