Add durable storage of a ledger replica

Ruled out: tidwall/wal. It has no checksum, and its Open fails on a torn end, so that cutting it would need own knowledge of its files.

--- /dev/null
+++ b/internal/ledger/storage/frame.go
@@ -0,0 +1,69 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/pkg/errors"
+)
+
+// Layout of a frame: magic, length of the payload, CRC-32C over the length and
+// the payload, payload.
+const (
+	frameMagic       = "PWL1"
+	frameLengthAt    = len(frameMagic)
+	frameChecksumAt  = frameLengthAt + 4
+	frameHeaderBytes = frameChecksumAt + 4
+	maxPayloadBytes  = 1 << 30
+)
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	errFrame   = errors.New("not a whole frame")
+)
+
+// appendFrame appends the frame of a payload to buffer.
+func appendFrame(buffer, payload []byte) []byte {
+	start := len(buffer)
+	buffer = append(buffer, frameMagic...)
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(payload)))
+	buffer = binary.BigEndian.AppendUint32(buffer, frameChecksum(buffer[start:], payload))
+	return append(buffer, payload...)
+}
+
+// readFrame returns the payload of the frame at the start of raw and the
+// frame's size. It fails with errFrame on anything but a whole, undamaged frame.
+func readFrame(raw []byte) (payload []byte, size int, err error) {
+	if len(raw) < frameHeaderBytes || string(raw[:frameLengthAt]) != frameMagic {
+		return nil, 0, errFrame
+	}
+	length := int(binary.BigEndian.Uint32(raw[frameLengthAt:]))
+	if length > maxPayloadBytes || length > len(raw)-frameHeaderBytes {
+		return nil, 0, errFrame
+	}
+	payload = raw[frameHeaderBytes : frameHeaderBytes+length]
+	if binary.BigEndian.Uint32(raw[frameChecksumAt:]) != frameChecksum(raw, payload) {
+		return nil, 0, errFrame
+	}
+	return payload, frameHeaderBytes + length, nil
+}
+
+// holdsFrame reports whether a whole frame starts anywhere in raw.
+func holdsFrame(raw []byte) bool {
+	for {
+		at := bytes.Index(raw, []byte(frameMagic))
+		if at < 0 {
+			return false
+		}
+		if _, _, err := readFrame(raw[at:]); err == nil {
+			return true
+		}
+		raw = raw[at+1:]
+	}
+}
+
+func frameChecksum(header, payload []byte) uint32 {
+	sum := crc32.Update(0, castagnoli, header[frameLengthAt:frameChecksumAt])
+	return crc32.Update(sum, castagnoli, payload)
+}
--- /dev/null
+++ b/internal/ledger/wire/wire.go
@@ -0,0 +1,197 @@
+// Package wire converts claims to and from their protobuf messages, which both
+// the RPCs and the files of a replica use.
+package wire
+
+import (
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
+)
+
+// FromAnswer returns the message of an answer, or nil for none.
+func FromAnswer(answer *ledger.Answer) *ledgerpb.StoredAnswer {
+	if answer == nil {
+		return nil
+	}
+	out := &ledgerpb.StoredAnswer{Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
+	if answer.BodyDigest != nil {
+		out.BodyDigest = answer.BodyDigest[:]
+	}
+	return out
+}
+
+// ToAnswer returns the answer of a message, or nil for none.
+func ToAnswer(message *ledgerpb.StoredAnswer) (*ledger.Answer, error) {
+	if message == nil {
+		return nil, nil
+	}
+	out := &ledger.Answer{Status: int(message.Status), ContentType: message.ContentType, Body: message.Body}
+	if len(message.BodyDigest) == 0 {
+		return out, nil
+	}
+	digest := ledger.Digest{}
+	if err := fill(digest[:], message.BodyDigest, "body digest"); err != nil {
+		return nil, err
+	}
+	out.BodyDigest = &digest
+	return out, nil
+}
+
+// FromMeta returns the message of a meta.
+func FromMeta(meta ledger.Meta) *ledgerpb.Meta {
+	return &ledgerpb.Meta{
+		Phase:           ledgerpb.Phase(meta.Phase),
+		Generation:      meta.Generation,
+		Epoch:           meta.Epoch,
+		Members:         meta.Members,
+		QuarantineUntil: meta.QuarantineUntil,
+	}
+}
+
+// ToMeta returns the meta of a message; nil gives an empty replica's.
+func ToMeta(message *ledgerpb.Meta) ledger.Meta {
+	return ledger.Meta{
+		Phase:           ledger.Phase(message.GetPhase()),
+		Generation:      message.GetGeneration(),
+		Epoch:           message.GetEpoch(),
+		Members:         message.GetMembers(),
+		QuarantineUntil: message.GetQuarantineUntil(),
+	}
+}
+
+// FromRecord returns the message of a record.
+func FromRecord(record *ledger.Record) *ledgerpb.Record {
+	out := &ledgerpb.Record{
+		Holders:   fromAttempts(record.Holders),
+		Released:  fromAttempts(record.Released),
+		Answer:    FromAnswer(record.Answer),
+		ChangedAt: record.ChangedAt,
+		MintedAt:  record.MintedAt,
+	}
+	if record.Digest != (ledger.Digest{}) {
+		out.RequestDigest = record.Digest[:]
+	}
+	return out
+}
+
+// ToRecord returns the record of a message.
+func ToRecord(message *ledgerpb.Record) (*ledger.Record, error) {
+	out := &ledger.Record{ChangedAt: message.ChangedAt, MintedAt: message.MintedAt}
+	var err error
+	if len(message.RequestDigest) > 0 {
+		if err := fill(out.Digest[:], message.RequestDigest, "request digest"); err != nil {
+			return nil, err
+		}
+	}
+	if out.Holders, err = toAttempts(message.Holders); err != nil {
+		return nil, err
+	}
+	if out.Released, err = toAttempts(message.Released); err != nil {
+		return nil, err
+	}
+	out.Answer, err = ToAnswer(message.Answer)
+	return out, err
+}
+
+// FromChange returns the message of a change.
+func FromChange(change ledger.Change) *ledgerpb.Entry {
+	if change.Meta != nil {
+		return &ledgerpb.Entry{Meta: FromMeta(*change.Meta)}
+	}
+	out := &ledgerpb.Entry{Key: change.Key[:]}
+	if change.Record != nil {
+		out.Record = FromRecord(change.Record)
+	}
+	return out
+}
+
+// ToChange returns the change of a message.
+func ToChange(message *ledgerpb.Entry) (ledger.Change, error) {
+	if message.Meta != nil {
+		meta := ToMeta(message.Meta)
+		return ledger.Change{Meta: &meta}, nil
+	}
+	out := ledger.Change{}
+	if err := fill(out.Key[:], message.Key, "key"); err != nil {
+		return out, err
+	}
+	if message.Record == nil {
+		return out, nil
+	}
+	record, err := ToRecord(message.Record)
+	out.Record = record
+	return out, err
+}
+
+// ToClaim returns the claim of an operation.
+func ToClaim(message *ledgerpb.Operation) (ledger.ClaimRequest, error) {
+	out := ledger.ClaimRequest{Epoch: message.Epoch, Generation: message.Generation, MintedAt: message.MintedAt}
+	if err := fill(out.Key[:], message.Key, "key"); err != nil {
+		return out, err
+	}
+	if message.Kind == ledgerpb.OperationKind_READ {
+		return out, nil
+	}
+	if err := fill(out.Attempt[:], message.Attempt, "attempt"); err != nil {
+		return out, err
+	}
+	if message.Kind == ledgerpb.OperationKind_RELEASE {
+		return out, nil
+	}
+	return out, fill(out.Digest[:], message.RequestDigest, "request digest")
+}
+
+// FromReply returns the message of a reply.
+func FromReply(reply ledger.Reply) *ledgerpb.Result {
+	out := &ledgerpb.Result{
+		Status: ledgerpb.Status(reply.Status),
+		Epoch:  reply.Epoch,
+		Answer: FromAnswer(reply.Answer),
+	}
+	if reply.Status == ledger.StatusHeld {
+		out.Holder = reply.Holder[:]
+	}
+	return out
+}
+
+// ToReply returns the reply of a message.
+func ToReply(message *ledgerpb.Result) (ledger.Reply, error) {
+	out := ledger.Reply{Status: ledger.Status(message.Status), Epoch: message.Epoch}
+	if len(message.Holder) > 0 {
+		if err := fill(out.Holder[:], message.Holder, "holder"); err != nil {
+			return out, err
+		}
+	}
+	answer, err := ToAnswer(message.Answer)
+	out.Answer = answer
+	return out, err
+}
+
+func fromAttempts(ids []ledger.AttemptID) [][]byte {
+	var out [][]byte
+	for i := range ids {
+		out = append(out, ids[i][:])
+	}
+	return out
+}
+
+func toAttempts(raw [][]byte) ([]ledger.AttemptID, error) {
+	var out []ledger.AttemptID
+	for _, bytes := range raw {
+		id := ledger.AttemptID{}
+		if err := fill(id[:], bytes, "attempt"); err != nil {
+			return nil, err
+		}
+		out = append(out, id)
+	}
+	return out, nil
+}
+
+func fill(to, from []byte, name string) error {
+	if len(to) != len(from) {
+		return errors.Errorf("%s of %d bytes, want %d", name, len(from), len(to))
+	}
+	copy(to, from)
+	return nil
+}
