Run ledger replicas in the daemon and claim keys at their majority

The ledger role runs a replica in the fleet's group and one in the group of its failure domain. A group forms only when all members are there and none is active; an empty replica otherwise recovers from a majority of others. The router claims customers' keys at the fleet's group and minted keys at the group of their failure domain.

Every answer of a replica waits until all that it rests on is durable, also a repeated grant that changes nothing itself.

go test -race ./test/claims (three ledger processes): ok. In make run, POST /v1/request-keys mints keys and both groups are active.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/control"
 	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/ledger/replica"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/router"
 	"peridotwinch.example/peridotwinch/internal/rpc"
@@ -76,6 +77,13 @@
 		}
 		d.roles = append(d.roles, c)
 	}
+	if d.settings.HasRole(settings.RoleLedger) {
+		l, err := replica.NewRole(d.settings, d.log)
+		if err != nil {
+			return err
+		}
+		d.roles = append(d.roles, l)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/ledger/quorum/claimer.go
@@ -0,0 +1,172 @@
+package quorum
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/ledger"
+)
+
+// Times of a claim.
+const (
+	// unavailableAfter is how long a claim looks for a majority.
+	unavailableAfter = 2 * time.Second
+	minPause         = 5 * time.Millisecond
+	maxPause         = 200 * time.Millisecond
+	mintTimeout      = 2 * time.Second
+)
+
+// Members gives the addresses of the groups' replicas.
+type Members struct {
+	// Domain is the failure domain of this daemon.
+	Domain string
+	// Fleet holds the addresses of all replicas.
+	Fleet []string
+	// Domains holds the addresses of the replicas of each failure domain.
+	Domains map[string][]string
+}
+
+// Claimer implements ledger.Claimer with majorities of replicas.
+type Claimer struct {
+	domain  string
+	fleet   *group
+	domains map[string]*group
+
+	mu sync.Mutex
+	// granted holds what each attempt that may dispatch has claimed.
+	granted map[ledger.AttemptID]ledger.ClaimRequest
+}
+
+// New returns a claimer of the groups.
+func New(members Members) *Claimer {
+	c := &Claimer{
+		domain:  members.Domain,
+		fleet:   newGroup(ledger.FleetGroup, members.Fleet),
+		domains: make(map[string]*group),
+		granted: make(map[ledger.AttemptID]ledger.ClaimRequest),
+	}
+	for domain, addresses := range members.Domains {
+		c.domains[domain] = newGroup(ledger.DomainGroup(domain), addresses)
+	}
+	return c
+}
+
+// route returns the group of a key, nil for a failure domain without replicas,
+// and the claim's fields that follow from the key.
+func (c *Claimer) route(key ledger.Key) (*group, ledger.ClaimRequest) {
+	request := ledger.ClaimRequest{Key: key.Hash()}
+	minted, ok := ledger.ParseMintedKey(key.Value)
+	if !ok {
+		return c.fleet, request
+	}
+	request.Generation = minted.Generation
+	request.MintedAt = minted.MintedAt.Unix()
+	return c.domains[minted.Domain], request
+}
+
+// Claim implements ledger.Claimer. Where a rival is ahead, the attempt gives its
+// own grants back and waits until the key is free or finished.
+func (c *Claimer) Claim(ctx context.Context, key ledger.Key, attempt ledger.AttemptID, digest ledger.Digest) ledger.Decision {
+	g, request := c.route(key)
+	if g == nil {
+		return ledger.Decision{Verdict: ledger.VerdictUnavailable}
+	}
+	request.Digest = digest
+	claim := &claim{group: g, request: request}
+	for round := uint64(0); ; round++ {
+		claim.request.Attempt = derive(attempt, round)
+		decision, decided := claim.round(ctx)
+		if decision.Verdict == ledger.VerdictGranted {
+			c.remember(attempt, claim.request)
+		}
+		if decided {
+			return decision
+		}
+	}
+}
+
+// derive returns the ID that the replicas see in a round: an ID that released a
+// key cannot claim it again.
+func derive(attempt ledger.AttemptID, round uint64) ledger.AttemptID {
+	if round == 0 {
+		return attempt
+	}
+	raw := binary.BigEndian.AppendUint64(attempt[:], round)
+	digest := sha256.Sum256(raw)
+	return ledger.AttemptID(digest[:len(attempt)])
+}
+
+func (c *Claimer) remember(attempt ledger.AttemptID, request ledger.ClaimRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.granted[attempt] = request
+}
+
+func (c *Claimer) recall(key ledger.Key, attempt ledger.AttemptID) (*group, ledger.ClaimRequest, bool) {
+	g, _ := c.route(key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request, ok := c.granted[attempt]
+	return g, request, ok && g != nil
+}
+
+func (c *Claimer) forget(attempt ledger.AttemptID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.granted, attempt)
+}
+
+// Release implements ledger.Claimer. It returns nil once a majority has the
+// release on disk, so that the key can be claimed again.
+func (c *Claimer) Release(ctx context.Context, key ledger.Key, attempt ledger.AttemptID) error {
+	g, request, ok := c.recall(key, attempt)
+	if !ok {
+		return notGranted()
+	}
+	if err := g.release(ctx, request); err != nil {
+		return err
+	}
+	c.forget(attempt)
+	return nil
+}
+
+// Complete implements ledger.Claimer. It returns nil once a majority has the
+// answer on disk.
+func (c *Claimer) Complete(ctx context.Context, key ledger.Key, attempt ledger.AttemptID, answer ledger.Answer) error {
+	g, request, ok := c.recall(key, attempt)
+	if !ok {
+		return notGranted()
+	}
+	if err := g.complete(ctx, request, answer); err != nil {
+		return err
+	}
+	c.forget(attempt)
+	return nil
+}
+
+func notGranted() error {
+	return api.Errorf(api.CodeClaimLost, "the attempt holds no key")
+}
+
+// Mint implements ledger.Claimer.
+func (c *Claimer) Mint(ctx context.Context, count int) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, mintTimeout)
+	defer cancel()
+	own := c.domains[c.domain]
+	if own == nil {
+		return nil, api.Errorf(api.CodeClaimUnavailable, "the failure domain %s has no ledger replica", c.domain)
+	}
+	generation, ok := own.generation(ctx)
+	if !ok {
+		return nil, api.Errorf(api.CodeClaimUnavailable, "no ledger replica of %s is active", c.domain)
+	}
+	keys := make([]string, count)
+	for i := range keys {
+		keys[i] = ledger.NewMintedKey(c.domain, generation, time.Now()).String()
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/internal/ledger/quorum/group.go
@@ -0,0 +1,245 @@
+package quorum
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/wire"
+	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
+)
+
+// Times of a group's client.
+const (
+	// spreadTimeout bounds how long the replicas beyond the majority are told
+	// of a release or a completion.
+	spreadTimeout = 30 * time.Second
+	spreadRetry   = 100 * time.Millisecond
+)
+
+// group claims keys at the replicas of one group.
+type group struct {
+	replicas []*replicaClient
+	// epoch is the highest one seen.
+	epoch atomic.Uint64
+}
+
+func newGroup(id ledger.GroupID, addresses []string) *group {
+	g := &group{}
+	for _, address := range addresses {
+		g.replicas = append(g.replicas, newReplicaClient(id, address))
+	}
+	return g
+}
+
+// learn notes an epoch of a reply.
+func (g *group) learn(epoch uint64) {
+	for {
+		known := g.epoch.Load()
+		if epoch <= known || g.epoch.CompareAndSwap(known, epoch) {
+			return
+		}
+	}
+}
+
+func (g *group) majority() int { return ledger.Majority(len(g.replicas)) }
+
+// message returns the operation of a claim at the known epoch.
+func (g *group) message(kind ledgerpb.OperationKind, r ledger.ClaimRequest) *ledgerpb.Operation {
+	return &ledgerpb.Operation{
+		Kind: kind, Key: r.Key[:], Attempt: r.Attempt[:], RequestDigest: r.Digest[:],
+		Epoch: g.epoch.Load(), Generation: r.Generation, MintedAt: r.MintedAt,
+	}
+}
+
+// memberReply is a member's reply, or an error.
+type memberReply struct {
+	member int
+	reply  ledger.Reply
+	err    error
+}
+
+// round asks the replicas for the key until the attempt is decided, every
+// replica has answered, or ctx ends.
+func (g *group) round(ctx context.Context, r ledger.ClaimRequest, attempt *ledger.Attempt) ledger.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	replies := make(chan memberReply)
+	ask := func(member int) {
+		message := g.message(ledgerpb.OperationKind_CLAIM, r)
+		go func() {
+			reply, err := g.replicas[member].do(ctx, message)
+			select {
+			case replies <- memberReply{member, reply, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	for member := range g.replicas {
+		attempt.AskAgain(member)
+		ask(member)
+	}
+	for {
+		select {
+		case got := <-replies:
+			g.take(attempt, got, ask)
+		case <-ctx.Done():
+			return g.giveUp(attempt)
+		}
+		if outcome := attempt.Outcome(); outcome != ledger.OutcomeOpen {
+			return outcome
+		}
+	}
+}
+
+func (g *group) take(attempt *ledger.Attempt, got memberReply, ask func(member int)) {
+	if got.err != nil {
+		attempt.Fail(got.member)
+		return
+	}
+	attempt.Add(got.member, got.reply)
+	g.learn(got.reply.Epoch)
+	if attempt.Outcome() != ledger.OutcomeOpen {
+		return
+	}
+	for member := range g.replicas {
+		if attempt.Outdated(member) && attempt.IsAnswered(member) {
+			attempt.AskAgain(member)
+			ask(member)
+		}
+	}
+}
+
+// giveUp counts the members that did not answer in time as failed.
+func (g *group) giveUp(attempt *ledger.Attempt) ledger.Outcome {
+	for member := range g.replicas {
+		attempt.Fail(member)
+	}
+	return attempt.Outcome()
+}
+
+// read returns how many replicas see the key free, and whether one has an answer.
+func (g *group) read(ctx context.Context, key ledger.KeyHash) (free int, finished bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	replies := make(chan ledger.Reply, len(g.replicas))
+	message := &ledgerpb.Operation{Kind: ledgerpb.OperationKind_READ, Key: key[:]}
+	for _, replica := range g.replicas {
+		go func() {
+			reply, _ := replica.do(ctx, message)
+			replies <- reply
+		}()
+	}
+	for range g.replicas {
+		reply := <-replies
+		if reply.Status == ledger.StatusCompleted {
+			return free, true
+		}
+		if reply.Status == ledger.StatusFree {
+			free++
+		}
+		if free >= g.majority() {
+			return free, false
+		}
+	}
+	return free, false
+}
+
+// spread sends an operation to every replica until each has taken it, and
+// returns once a majority has. The rest goes on beside the caller.
+func (g *group) spread(ctx context.Context, message *ledgerpb.Operation, want ledger.Status) error {
+	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
+	results := make(chan bool, len(g.replicas))
+	var deliveries sync.WaitGroup
+	for _, replica := range g.replicas {
+		deliveries.Go(func() { results <- deliver(background, replica, message, want) })
+	}
+	go func() {
+		deliveries.Wait()
+		cancel()
+	}()
+	return g.await(ctx, results)
+}
+
+// await returns nil once a majority of the results are true.
+func (g *group) await(ctx context.Context, results <-chan bool) error {
+	taken := 0
+	for range g.replicas {
+		select {
+		case ok := <-results:
+			if ok {
+				taken++
+			}
+		case <-ctx.Done():
+			return g.noMajority()
+		}
+		if taken >= g.majority() {
+			return nil
+		}
+	}
+	return g.noMajority()
+}
+
+func (g *group) noMajority() error {
+	return api.Errorf(api.CodeClaimUnavailable, "no majority of %d ledger replicas answered", len(g.replicas))
+}
+
+// deliver repeats an operation until the replica has taken it.
+func deliver(ctx context.Context, replica *replicaClient, message *ledgerpb.Operation, want ledger.Status) bool {
+	for {
+		reply, err := replica.do(ctx, message)
+		if err == nil && reply.Status == want {
+			return true
+		}
+		if err == nil && reply.Status != ledger.StatusInactive {
+			return false
+		}
+		if !pause(ctx, spreadRetry) {
+			return false
+		}
+	}
+}
+
+// pause waits and reports whether ctx still goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *group) release(ctx context.Context, r ledger.ClaimRequest) error {
+	return g.spread(ctx, g.message(ledgerpb.OperationKind_RELEASE, r), ledger.StatusReleased)
+}
+
+func (g *group) complete(ctx context.Context, r ledger.ClaimRequest, answer ledger.Answer) error {
+	message := g.message(ledgerpb.OperationKind_COMPLETE, r)
+	message.Answer = wire.FromAnswer(answer.Bounded())
+	return g.spread(ctx, message, ledger.StatusCompleted)
+}
+
+// generation returns that of the group, from the first active replica that answers.
+func (g *group) generation(ctx context.Context) (uint64, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	metas := make(chan ledger.Meta, len(g.replicas))
+	for _, replica := range g.replicas {
+		go func() {
+			meta, _ := replica.meta(ctx)
+			metas <- meta
+		}()
+	}
+	for range g.replicas {
+		if meta := <-metas; meta.Phase == ledger.PhaseActive {
+			return meta.Generation, true
+		}
+	}
+	return 0, false
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/membership"
 	"peridotwinch.example/peridotwinch/internal/proxy"
@@ -51,12 +52,20 @@
 		settings: s,
 		watcher:  watcher,
 		members:  members,
-		proxy:    proxy.New(s, log, watcher, dispatcher, ledger.Unavailable{}),
+		proxy:    proxy.New(s, log, watcher, dispatcher, newClaimer(s)),
 		callers:  callers,
 		backends: backends,
 	}, nil
 }
 
+// newClaimer returns the claimer of the ledger replicas that the settings name.
+func newClaimer(s *settings.Settings) ledger.Claimer {
+	if len(s.PeersWithRole(settings.RoleLedger)) == 0 {
+		return ledger.Unavailable{}
+	}
+	return quorum.New(quorum.MembersFrom(s))
+}
+
 func newPolicy() balance.Balancer { return balance.NewRendezvous() }
 
 // Register adds the role's RPCs to a server.
