Keep servers under a load bound, queue fairly, spread drains at once

Cause: the balancer was plain rendezvous within the slots, refused at the first full moment, and the membership table lost drains to the next heartbeat and took departed servers back by late gossip.

Failing first: on the earlier table a late announcement after expiry gave 'late gossip revives a departed server: Expected true to be false'; the same case is now in table_test.go.

Now: weighted rendezvous with the returned hint (server and incarnation), each router's own load bound with staggered rounding, load reports split into slot shares, ejection of slow servers, budgets; a queue a pool (short first, ageing, deficit round robin, refusal by expected wait); a state chart of a backend server's life, tombstones, drains sent at once, compact liveness, whole-table exchange for restarted routers, summaries between failure domains.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,12 +1,14 @@
-// Package balance decides which backend server takes a request. It is pure: it
-// takes the time as an argument, does no I/O and starts no goroutine.
+// Package balance decides which backend server takes a request, in what order
+// requests wait, and how often they are repeated. It is pure: it takes the time
+// as an argument, does no I/O and starts no goroutine.
 package balance
 
 import (
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"peridotwinch.example/peridotwinch/api"
 )
 
@@ -21,6 +23,8 @@
 	// ReportedLoad is the newest load report, and ReportedAt its local receipt time.
 	ReportedLoad int
 	ReportedAt   time.Time
+	// Since is when this incarnation was first known; zero counts as long ago.
+	Since time.Time
 }
 
 // Request is what a decision knows of a request.
@@ -28,71 +32,63 @@
 	// Chat identifies the chat; empty for a request without one.
 	Chat string
 	// Hint is the server that the caller's affinity header names, or empty.
-	Hint     ServerID
-	Customer string
-	Weight   int
-	Class    api.Class
+	Hint ServerID
+	// HintIncarnation is the incarnation of Hint; zero matches any.
+	HintIncarnation uint64
+	Customer        string
+	Weight          int
+	Class           api.Class
+	// FirstByteWithin bounds the time to the first byte; zero means no bound.
+	FirstByteWithin time.Duration
+	// NoOverflow keeps the request in this failure domain.
+	NoOverflow bool
 	// Exclude lists servers that this request has already failed on.
 	Exclude []ServerID
 }
 
+// Result tells how a server handled a request.
+type Result struct {
+	FirstByte time.Duration
+	Failed    bool
+}
+
 // Balancer chooses among the servers of a pool. It is not safe for concurrent use.
 type Balancer interface {
 	// Pick returns the server that takes the request now, or false where none may.
 	// A picked request counts as in flight until Done.
-	Pick(now time.Time, request Request, servers []Server) (ServerID, bool)
+	Pick(now time.Time, request Request, view *View) (ServerID, bool)
 	// Done tells that a picked request has left the server, with the time that
 	// its first byte took and whether the server failed it.
 	Done(now time.Time, request Request, server ServerID, result Result)
 }
 
-// Result tells how a server handled a request.
-type Result struct {
-	FirstByte time.Duration
-	Failed    bool
-}
+// hintSeparator stands between the address and the incarnation of a hint.
+const hintSeparator = "#"
 
-// Rendezvous is plain weighted rendezvous hashing within the servers' slots.
-type Rendezvous struct {
-	inFlight map[ServerID]int
+// FormatHint returns the affinity header for a server and its incarnation.
+func FormatHint(id ServerID, incarnation uint64) string {
+	return string(id) + hintSeparator + strconv.FormatUint(incarnation, 36)
 }
 
-// NewRendezvous returns a balancer without requests in flight.
-func NewRendezvous() *Rendezvous { return &Rendezvous{inFlight: make(map[ServerID]int)} }
-
-// Pick implements Balancer.
-func (r *Rendezvous) Pick(_ time.Time, request Request, servers []Server) (ServerID, bool) {
-	var best ServerID
-	var bestScore uint64
-	for _, server := range servers {
-		if r.inFlight[server.ID] >= server.Slots || excluded(request, server.ID) {
-			continue
-		}
-		score := xxhash.Sum64String(request.Chat + "\x00" + string(server.ID))
-		if best == "" || score > bestScore {
-			best, bestScore = server.ID, score
-		}
+// ParseHint splits an affinity header. A header without an incarnation gives
+// zero, and one that is not valid gives an empty server.
+func ParseHint(header string) (ServerID, uint64) {
+	id, raw, found := strings.Cut(header, hintSeparator)
+	if !found {
+		return ServerID(id), 0
 	}
-	if best == "" {
-		return "", false
+	incarnation, err := strconv.ParseUint(raw, 36, 64)
+	if err != nil {
+		return "", 0
 	}
-	r.inFlight[best]++
-	return best, true
+	return ServerID(id), incarnation
 }
 
-// Done implements Balancer.
-func (r *Rendezvous) Done(_ time.Time, _ Request, server ServerID, _ Result) {
-	r.inFlight[server]--
-	if r.inFlight[server] <= 0 {
-		delete(r.inFlight, server)
-	}
-}
+func (r *Request) excludes(id ServerID) bool { return slices.Contains(r.Exclude, id) }
 
-func excluded(request Request, id ServerID) bool {
-	for _, other := range request.Exclude {
-		if other == id {
-			return true
-		}
+func (r *Request) hints(server *Server) bool {
+	if r.Hint != server.ID {
+		return false
 	}
-	return false
+	return r.HintIncarnation == 0 || r.HintIncarnation == server.Incarnation
 }
--- /dev/null
+++ b/internal/balance/budget.go
@@ -0,0 +1,50 @@
+package balance
+
+import "time"
+
+// Budget bounds extra attempts, such as retries or hedges, to a share of the
+// first attempts plus a small constant rate. It is not safe for concurrent use.
+type Budget struct {
+	share  float64
+	rate   float64
+	burst  float64
+	tokens float64
+	filled time.Time
+}
+
+// Parameters of the budgets: the share of the requests, the rate in attempts a
+// second that is always granted, and the most attempts saved up.
+const (
+	retryShare = 0.1
+	retryRate  = 0.5
+	retryBurst = 10
+	hedgeShare = 0.05
+	hedgeRate  = 0.2
+	hedgeBurst = 5
+)
+
+// NewRetryBudget returns the budget of retries.
+func NewRetryBudget(now time.Time) *Budget {
+	return &Budget{share: retryShare, rate: retryRate, burst: retryBurst, tokens: retryBurst, filled: now}
+}
+
+// NewHedgeBudget returns the budget of hedged requests.
+func NewHedgeBudget(now time.Time) *Budget {
+	return &Budget{share: hedgeShare, rate: hedgeRate, burst: hedgeBurst, tokens: hedgeBurst, filled: now}
+}
+
+// Earn records a first attempt.
+func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, b.burst) }
+
+// Spend reports whether one more extra attempt is within the budget, and takes it.
+func (b *Budget) Spend(now time.Time) bool {
+	if elapsed := now.Sub(b.filled); elapsed > 0 {
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), b.burst)
+		b.filled = now
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/balance/ejection.go
@@ -0,0 +1,128 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of the ejection of slow or failing servers.
+const (
+	// ejectFactor is the multiple of the median latency at which a server is slow.
+	ejectFactor = 3.0
+	// ejectSamples is the number of results that a score needs.
+	ejectSamples = 3
+	// ejectFailures is the number of failures in a row that eject a server.
+	ejectFailures = 3
+	// ejectShare bounds the share of the servers that are ejected at once.
+	ejectShare = 0.2
+	// ejectTime is the first ejection's length; it doubles up to ejectTimeMax.
+	ejectTime    = 10 * time.Second
+	ejectTimeMax = 2 * time.Minute
+	// reviewEvery is the time between two reviews.
+	reviewEvery = 250 * time.Millisecond
+	// latencyGain is the weight of a new result in the moving average.
+	latencyGain = 0.3
+)
+
+// latencyScore is the state of a server's ejection.
+type latencyScore struct {
+	average  float64
+	samples  int
+	failures int
+	ejected  bool
+	until    time.Time
+	length   time.Duration
+}
+
+func (l *latencyScore) observe(firstByte float64) {
+	if l.samples == 0 {
+		l.average = firstByte
+	}
+	l.samples++
+	l.average += latencyGain * (firstByte - l.average)
+}
+
+func (l *latencyScore) eject(now time.Time) {
+	l.length = min(max(2*l.length, ejectTime), ejectTimeMax)
+	l.ejected = true
+	l.until = now.Add(l.length)
+	l.samples = 0
+	l.failures = 0
+}
+
+// ejector takes slow or failing servers out of a pool for a bounded time.
+type ejector struct {
+	reviewed time.Time
+	averages []float64
+}
+
+func newEjector() *ejector { return &ejector{} }
+
+// observe records a result. Long work tells nothing of a server's speed.
+func (e *ejector) observe(_ time.Time, state *serverState, request *Request, result Result) {
+	if result.Failed {
+		state.latency.failures++
+		return
+	}
+	state.latency.failures = 0
+	if !isLong(request) && result.FirstByte > 0 {
+		state.latency.observe(result.FirstByte.Seconds())
+	}
+}
+
+// review ejects the servers that are much slower than the median and takes
+// back those whose time is over.
+func (e *ejector) review(now time.Time, states []*serverState) {
+	if now.Sub(e.reviewed) < reviewEvery {
+		return
+	}
+	e.reviewed = now
+	room := int(ejectShare * float64(len(states)))
+	for _, state := range states {
+		latency := &state.latency
+		if latency.ejected && !now.Before(latency.until) {
+			latency.ejected = false
+		}
+		if latency.ejected {
+			room--
+		}
+	}
+	median := e.median(states)
+	for _, state := range states {
+		if room <= 0 {
+			return
+		}
+		if !state.latency.ejected && isOutlier(&state.latency, median) {
+			state.latency.eject(now)
+			room--
+		}
+	}
+}
+
+func isOutlier(latency *latencyScore, median float64) bool {
+	if latency.failures >= ejectFailures {
+		return true
+	}
+	return median > 0 && latency.samples >= ejectSamples && latency.average > ejectFactor*median
+}
+
+// median returns the median latency of the servers that have results, or zero
+// where fewer than half have some.
+func (e *ejector) median(states []*serverState) float64 {
+	e.averages = e.averages[:0]
+	for _, state := range states {
+		if state.latency.samples > 0 {
+			e.averages = append(e.averages, state.latency.average)
+		}
+	}
+	if 2*len(e.averages) < len(states) {
+		return 0
+	}
+	return highest(e.averages, (len(e.averages)+1)/2)
+}
+
+// highest returns the count-th highest of values, which it sorts.
+func highest(values []float64, count int) float64 {
+	slices.Sort(values)
+	return values[len(values)-count]
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,5 +1,5 @@
 // Package dispatch admits requests to backend servers: it joins the membership
-// table with the balancer of each pool.
+// table with the balancer and the waiting queue of each pool.
 package dispatch
 
 import (
@@ -11,6 +11,7 @@
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/membership"
+	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
 // Source lists the known backend servers.
@@ -18,6 +19,9 @@
 	Servers() []membership.Server
 }
 
+// wakeEvery is the time between two looks at the queues that nothing else woke.
+const wakeEvery = 50 * time.Millisecond
+
 // Lease is the right to send one request to a backend server. Release must be
 // called exactly once.
 type Lease struct {
@@ -34,80 +38,181 @@
 
 // Dispatcher gives out leases. It is safe for concurrent use.
 type Dispatcher struct {
-	source    Source
-	newPolicy func() balance.Balancer
+	source     Source
+	newPolicy  func() balance.Balancer
+	queueLimit time.Duration
+	now        func() time.Time
 
 	mu    sync.Mutex
-	pools map[string]balance.Balancer
+	pools map[string]*pool
+}
+
+// Option changes a dispatcher at its start.
+type Option func(*Dispatcher)
+
+// WithQueueLimit bounds the time that a request waits for a slot.
+func WithQueueLimit(limit time.Duration) Option {
+	return func(d *Dispatcher) { d.queueLimit = limit }
 }
 
 // New returns a dispatcher over the servers of source.
-func New(source Source, newPolicy func() balance.Balancer) *Dispatcher {
-	return &Dispatcher{source: source, newPolicy: newPolicy, pools: make(map[string]balance.Balancer)}
+func New(source Source, newPolicy func() balance.Balancer, options ...Option) *Dispatcher {
+	d := &Dispatcher{
+		source:     source,
+		newPolicy:  newPolicy,
+		queueLimit: settings.DefaultQueue,
+		now:        time.Now,
+		pools:      make(map[string]*pool),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	return d
 }
 
-// Acquire returns a lease on a server of the pool. It fails with
-// CodeNoBackendServer where the pool has no serving server, and with
-// CodeOverloaded where none has room in time; both mean that nothing has run.
+// Acquire returns a lease on a server of the pool and waits for a slot while
+// ctx lasts. It fails with CodeNoBackendServer where the pool has no serving
+// server, and with CodeOverloaded where none has room in time; both mean that
+// nothing has run.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	servers := d.candidates(view, pool, model)
-	if len(servers) == 0 {
-		return nil, api.Errorf(api.CodeNoBackendServer, "the pool has no serving backend server").NotRun()
+	return d.acquireLocal(ctx, view, pool, model, request)
+}
+
+func (d *Dispatcher) acquireLocal(ctx context.Context, view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, error) {
+	d.mu.Lock()
+	now := d.now()
+	p := d.pool(target.UID)
+	key := candidateKey{pool: target.UID, model: model}
+	servers := p.view(now, d.source, view, target, key)
+	if servers.Len() == 0 {
+		d.mu.Unlock()
+		return nil, errNoServer()
 	}
+	p.queue.Arrived(now, &request)
+	if !p.queue.MustWait(&request) {
+		if lease := d.pick(now, p, request, servers); lease != nil {
+			d.mu.Unlock()
+			return lease, nil
+		}
+	}
+	w, ok := p.enqueue(now, request, key, servers.Slots())
+	d.mu.Unlock()
+	if !ok {
+		return nil, errOverloaded("the request would wait too long for a slot")
+	}
+	return d.wait(ctx, p, w)
+}
+
+// pick returns a lease where the balancer finds a server.
+func (d *Dispatcher) pick(now time.Time, p *pool, request balance.Request, servers *balance.View) *Lease {
+	id, ok := p.balancer.Pick(now, request, servers)
+	if !ok {
+		return nil
+	}
+	return &Lease{
+		Server:      id,
+		Incarnation: servers.Incarnation(id),
+		release:     func(result balance.Result) { d.release(p, request, id, result) },
+	}
+}
+
+// wait blocks until the waiter gets a lease, its time is over or ctx ends.
+func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
+	timer := time.NewTimer(w.waiter.Deadline.Sub(d.now()))
+	defer timer.Stop()
+	select {
+	case lease := <-w.granted:
+		return lease, nil
+	case <-timer.C:
+		return d.giveUp(p, w, errOverloaded("no slot came free in time"))
+	case <-ctx.Done():
+		return d.giveUp(p, w, errOverloaded("the caller left before a slot came free"))
+	}
+}
+
+// giveUp takes a waiter out of the queue, unless it has just got a lease.
+func (d *Dispatcher) giveUp(p *pool, w *waiting, err error) (*Lease, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	balancer := d.balancer(pool.UID)
-	id, ok := balancer.Pick(time.Now(), request, servers)
-	if !ok {
-		return nil, api.Errorf(api.CodeOverloaded, "no backend server of the pool has room").NotRun()
+	select {
+	case lease := <-w.granted:
+		return lease, nil
+	default:
 	}
-	return &Lease{Server: id, release: func(result balance.Result) { d.release(balancer, request, id, result) }}, nil
+	p.remove(w)
+	return nil, err
 }
 
-func (d *Dispatcher) balancer(pool string) balance.Balancer {
-	balancer := d.pools[pool]
-	if balancer == nil {
-		balancer = d.newPolicy()
-		d.pools[pool] = balancer
+func (d *Dispatcher) pool(uid string) *pool {
+	p := d.pools[uid]
+	if p == nil {
+		p = newPool(d.newPolicy(), d.queueLimit)
+		d.pools[uid] = p
 	}
-	return balancer
+	return p
 }
 
-func (d *Dispatcher) release(balancer balance.Balancer, request balance.Request, id balance.ServerID, result balance.Result) {
+func (d *Dispatcher) release(p *pool, request balance.Request, id balance.ServerID, result balance.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	balancer.Done(time.Now(), request, id, result)
+	now := d.now()
+	p.balancer.Done(now, request, id, result)
+	p.queue.Served(now)
+	d.serveQueue(now, p)
 }
 
-func (d *Dispatcher) candidates(view *catalog.Catalog, pool catalog.Pool, model string) []balance.Server {
-	var out []balance.Server
-	for _, server := range d.source.Servers() {
-		if !serves(view, server, pool, model) {
-			continue
+// serveQueue gives leases to waiters for as long as there is room.
+func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
+	for p.queue.Len() > 0 {
+		served := p.queue.Next(now, func(waiter *balance.Waiter) bool { return d.serve(now, p, waiter) })
+		if served == nil {
+			return
 		}
-		out = append(out, balance.Server{
-			ID: balance.ServerID(server.Address), Incarnation: server.Incarnation, Slots: server.Slots,
-			ReportedLoad: server.Load, ReportedAt: server.ReceivedAt,
-		})
 	}
-	return out
 }
 
-func serves(view *catalog.Catalog, server membership.Server, pool catalog.Pool, model string) bool {
-	if server.State != api.ServerServing {
+func (d *Dispatcher) serve(now time.Time, p *pool, waiter *balance.Waiter) bool {
+	w := p.waiters[waiter]
+	lease := d.pick(now, p, waiter.Request, p.cached(w.key))
+	if lease == nil {
 		return false
 	}
-	announced, ok := view.Pool(server.Pool)
-	if !ok || announced.UID != pool.UID {
-		return false
-	}
-	if model == "" {
-		return true
+	delete(p.waiters, waiter)
+	w.granted <- lease
+	return true
+}
+
+// Run looks at the queues regularly, because membership and load reports free
+// slots too, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(wakeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.wake()
+		}
 	}
-	for _, loaded := range server.Models {
-		if loaded == model {
-			return true
+}
+
+func (d *Dispatcher) wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	for _, p := range d.pools {
+		if p.queue.Len() > 0 {
+			p.refresh(now, d.source)
+			d.serveQueue(now, p)
 		}
 	}
-	return false
+}
+
+func errNoServer() error {
+	return api.Errorf(api.CodeNoBackendServer, "the pool has no serving backend server").NotRun()
+}
+
+func errOverloaded(message string) error {
+	return api.Errorf(api.CodeOverloaded, "%s", message).NotRun()
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,199 @@
+package dispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/catalog"
+	"peridotwinch.example/peridotwinch/internal/dispatch"
+	"peridotwinch.example/peridotwinch/internal/membership"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+// source is a membership that the test changes.
+type source struct {
+	mu      sync.Mutex
+	version uint64
+	servers []membership.Server
+}
+
+func (s *source) Servers() []membership.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers
+}
+
+func (s *source) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+func (s *source) set(servers ...membership.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = servers
+	s.version++
+}
+
+func server(i, slots int, state api.ServerState) membership.Server {
+	return membership.Server{Announcement: api.Announcement{
+		Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Incarnation: 1, Sequence: 1,
+		Pool: "chat", Models: []string{"swahili"}, State: state, Slots: slots,
+	}}
+}
+
+func newCatalog() (*catalog.Catalog, catalog.Pool) {
+	spec, err := json.Marshal(&api.PoolSpec{Protocol: api.ProtocolChat})
+	Expect(err).NotTo(HaveOccurred())
+	view := catalog.New(1, map[string]*api.Resource{
+		"uid": {Kind: api.KindPools, UID: "uid", Names: api.Names{"engine": "chat"}, Spec: spec},
+	})
+	pool, ok := view.Pool("chat")
+	Expect(ok).To(BeTrue())
+	return view, pool
+}
+
+var _ = Describe("Dispatcher", func() {
+	var (
+		members *source
+		d       *dispatch.Dispatcher
+		view    *catalog.Catalog
+		pool    catalog.Pool
+		ctx     context.Context
+	)
+	short := balance.Request{Customer: "a", Class: api.ClassShort}
+
+	BeforeEach(func() {
+		members = &source{}
+		view, pool = newCatalog()
+		d = dispatch.New(members, func() balance.Balancer {
+			return balance.NewBounded(rand.New(rand.NewPCG(1, 2)))
+		}, dispatch.WithQueueLimit(time.Hour))
+		own, cancel := context.WithCancel(context.Background())
+		ctx = own
+		dispatcher := d
+		DeferCleanup(cancel)
+		go func() { _ = dispatcher.Run(own) }()
+	})
+
+	acquire := func(request balance.Request) (*dispatch.Lease, error) {
+		return d.Acquire(ctx, view, pool, "swahili", request)
+	}
+	acquireLater := func(request balance.Request) chan *dispatch.Lease {
+		got := make(chan *dispatch.Lease, 1)
+		go func() {
+			defer GinkgoRecover()
+			lease, err := acquire(request)
+			Expect(err).NotTo(HaveOccurred())
+			got <- lease
+		}()
+		return got
+	}
+	expectNotRun := func(err error, code api.Code) {
+		GinkgoHelper()
+		Expect(err).To(HaveOccurred())
+		Expect(api.AsError(err).Code).To(Equal(code))
+		Expect(api.AsError(err).Outcome).To(Equal(api.OutcomeNotRun))
+	}
+
+	It("refuses where no server serves the model", func() {
+		_, err := acquire(short)
+		expectNotRun(err, api.CodeNoBackendServer)
+		members.set(server(1, 4, api.ServerServing))
+		_, err = d.Acquire(ctx, view, pool, "english", short)
+		expectNotRun(err, api.CodeNoBackendServer)
+	})
+
+	It("sends nothing to a draining server, from the moment it is known", func() {
+		members.set(server(1, 4, api.ServerServing), server(2, 4, api.ServerServing))
+		_, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		members.set(server(1, 4, api.ServerDraining), server(2, 4, api.ServerServing))
+		for range 4 {
+			lease, err := acquire(short)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(lease.Server).To(Equal(balance.ServerID("127.0.0.1:9002")))
+			Expect(lease.Incarnation).To(Equal(uint64(1)))
+			lease.Release(balance.Result{})
+		}
+	})
+
+	It("gives a waiter the slot that another request leaves", func() {
+		members.set(server(1, 1, api.ServerServing))
+		first, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		got := acquireLater(short)
+		Consistently(got, "100ms").ShouldNot(Receive())
+		first.Release(balance.Result{})
+		Eventually(got, "60s").Should(Receive())
+	})
+
+	It("gives a waiter the slot of a server that joins", func() {
+		members.set(server(1, 1, api.ServerServing))
+		_, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		got := acquireLater(short)
+		members.set(server(1, 1, api.ServerServing), server(2, 1, api.ServerServing))
+		Eventually(got, "60s").Should(Receive())
+	})
+
+	It("lets a caller that leaves go, and refuses it as not run", func() {
+		members.set(server(1, 1, api.ServerServing))
+		first, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		left, leave := context.WithCancel(ctx)
+		leave()
+		_, err = d.Acquire(left, view, pool, "swahili", short)
+		expectNotRun(err, api.CodeOverloaded)
+		first.Release(balance.Result{})
+		_, err = acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses a request whose deadline passes in the queue", func() {
+		members.set(server(1, 1, api.ServerServing))
+		_, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		hurried := short
+		hurried.FirstByteWithin = 20 * time.Millisecond
+		_, err = acquire(hurried)
+		expectNotRun(err, api.CodeOverloaded)
+	})
+
+	It("loses no slot under concurrent use", func() {
+		members.set(server(1, 3, api.ServerServing), server(2, 3, api.ServerServing))
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				request := short
+				request.Customer = fmt.Sprint(i % 7)
+				if i%5 == 0 {
+					request.Class = api.ClassLong
+				}
+				if lease, err := acquire(request); err == nil {
+					lease.Release(balance.Result{FirstByte: time.Millisecond})
+				}
+			})
+		}
+		group.Wait()
+		for range 6 {
+			_, err := acquire(short)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+})
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
-	"encoding/json"
-
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/httpx"
-	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/memberpb"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
@@ -28,11 +31,14 @@
 	instance  string
 	domain    string
 	heartbeat time.Duration
-	peers     []*rpc.Client
-
-	mu      sync.Mutex
-	table   *Table
-	pending []api.Announcement
+	silence   time.Duration
+	peers     []*peerLink
+	remotes   []*remoteLink
+
+	mu        sync.Mutex
+	table     *Table
+	heard     map[string]time.Time
+	summaries map[string]domainSummary
 }
 
 // NewService returns the membership service of a router.
@@ -42,11 +48,18 @@
 		instance:  s.Instance,
 		domain:    s.FailureDomain,
 		heartbeat: s.Timeouts.Heartbeat(),
+		silence:   s.Timeouts.Silence(),
 		table:     NewTable(s.Timeouts.Silence()),
+		heard:     make(map[string]time.Time),
+		summaries: make(map[string]domainSummary),
 	}
 	for _, peer := range s.PeersWithRole(settings.RoleRouter) {
-		if peer.Instance != s.Instance && peer.FailureDomain == s.FailureDomain {
-			service.peers = append(service.peers, rpc.NewClient(peer.Address, rpc.PurposeMember))
+		switch {
+		case peer.Instance == s.Instance:
+		case peer.FailureDomain == s.FailureDomain:
+			service.peers = append(service.peers, newPeerLink(peer))
+		default:
+			service.addRemote(peer)
 		}
 	}
 	return service
@@ -67,15 +80,24 @@
 		httpx.WriteError(w, err)
 		return
 	}
-	s.merge(announcement, true)
+	s.announced(time.Now(), announcement)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Service) merge(announcement api.Announcement, spread bool) {
+// announced merges an announcement that came to this router and hands it to
+// the links. A server that drains is told to the peers at once.
+func (s *Service) announced(now time.Time, announcement api.Announcement) {
+	announcement.CacheEvents = nil
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table.Merge(time.Now(), announcement) && spread {
-		s.pending = append(s.pending, announcement)
+	s.table.Advance(now)
+	change := s.table.Merge(now, announcement)
+	s.mu.Unlock()
+	urgent := change == ChangeContent && announcement.State == api.ServerDraining
+	for _, peer := range s.peers {
+		peer.add(announcement.Address, change)
+		if urgent {
+			peer.wake()
+		}
 	}
 }
 
@@ -83,73 +105,107 @@
 func (s *Service) Servers() []Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Expire(time.Now())
+	s.table.Advance(time.Now())
 	return s.table.Servers()
 }
 
-// Run spreads announcements until ctx ends.
-func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(s.heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.spread(ctx)
-		}
-	}
+// Version changes whenever a server joins, leaves or changes another field
+// than its load.
+func (s *Service) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Version()
 }
 
-func (s *Service) spread(ctx context.Context) {
+// Place returns this router's place among the live routers of its failure domain.
+func (s *Service) Place() balance.Place {
 	s.mu.Lock()
-	pending := s.pending
-	s.pending = nil
-	s.mu.Unlock()
-	if len(pending) == 0 {
-		return
-	}
-	request := &memberpb.ExchangeRequest{Instance: s.instance, FailureDomain: s.domain}
-	for _, announcement := range pending {
-		request.Entries = append(request.Entries, toEntry(announcement))
+	defer s.mu.Unlock()
+	now := time.Now()
+	place := balance.Place{Count: 1}
+	for _, peer := range s.peers {
+		if now.Sub(s.heard[peer.instance]) > s.silence {
+			continue
+		}
+		place.Count++
+		if peer.instance < s.instance {
+			place.Rank++
+		}
 	}
+	return place
+}
+
+// Ready reports an error until each peer has been asked for its table once.
+func (s *Service) Ready() error {
 	for _, peer := range s.peers {
-		go s.send(ctx, peer, request)
+		if !peer.asked.Load() {
+			return errors.Errorf("membership: router %s has not been asked yet", peer.instance)
+		}
 	}
+	return nil
 }
 
-func (s *Service) send(ctx context.Context, peer *rpc.Client, request *memberpb.ExchangeRequest) {
-	ctx, cancel := context.WithTimeout(ctx, rpc.DialTimeout)
-	defer cancel()
-	err := peer.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := memberpb.NewDRPCMemberClient(conn).Exchange(ctx, request)
-		return err
+// Run spreads announcements until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	var group run.Group
+	actor.Add(&group, func(own context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-own.Done():
+		}
+		return nil
 	})
-	if err != nil && ctx.Err() == nil {
-		s.log.Warn().Err(err).Str("peer", peer.Address()).Msg("membership exchange failed")
+	for _, peer := range s.peers {
+		actor.Add(&group, func(ctx context.Context) error { return s.runPeer(ctx, peer) })
+	}
+	for _, remote := range s.remotes {
+		actor.Add(&group, func(ctx context.Context) error { return s.runRemote(ctx, remote) })
 	}
+	return group.Run()
 }
 
 // Exchange implements the RPC service.
 func (s *Service) Exchange(_ context.Context, request *memberpb.ExchangeRequest) (*memberpb.ExchangeResponse, error) {
-	for _, entry := range request.GetEntries() {
-		s.merge(fromEntry(entry), false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.table.Advance(now)
+	if slices.ContainsFunc(s.peers, func(p *peerLink) bool { return p.instance == request.GetInstance() }) {
+		s.heard[request.GetInstance()] = now
 	}
-	return &memberpb.ExchangeResponse{}, nil
+	s.mergeEntries(now, request.GetEntries())
+	response := &memberpb.ExchangeResponse{}
+	response.Unknown = s.touch(now, request.GetServing(), api.ServerServing, response.Unknown)
+	response.Unknown = s.touch(now, request.GetDraining(), api.ServerDraining, response.Unknown)
+	if request.GetWantAll() {
+		for _, record := range s.table.Records() {
+			response.Entries = append(response.Entries, toEntry(now, record))
+		}
+	}
+	return response, nil
 }
 
-func toEntry(a api.Announcement) *memberpb.Entry {
-	return &memberpb.Entry{
-		Address: a.Address, Incarnation: a.Incarnation, Sequence: a.Sequence,
-		Pool: string(a.Pool), Models: a.Models, State: string(a.State),
-		Slots: uint32(a.Slots), Load: uint32(a.Load), ChecksFencing: a.ChecksFencing,
+func (s *Service) mergeEntries(now time.Time, entries []*memberpb.Entry) {
+	for _, entry := range entries {
+		receivedAt := now.Add(-time.Duration(entry.GetAgeMs()) * time.Millisecond)
+		since := now.Add(-time.Duration(entry.GetKnownMs()) * time.Millisecond)
+		announcement := fromEntry(entry)
+		if announcement.Validate() == nil {
+			s.table.MergeAged(announcement, receivedAt, since)
+		}
 	}
 }
 
-func fromEntry(e *memberpb.Entry) api.Announcement {
-	return api.Announcement{
-		Address: e.GetAddress(), Incarnation: e.GetIncarnation(), Sequence: e.GetSequence(),
-		Pool: api.Ref(e.GetPool()), Models: e.GetModels(), State: api.ServerState(e.GetState()),
-		Slots: int(e.GetSlots()), Load: int(e.GetLoad()), ChecksFencing: e.GetChecksFencing(),
+// touch merges a batch of liveness and appends the ids that the table lacks.
+func (s *Service) touch(now time.Time, batch *memberpb.Liveness, state api.ServerState, unknown []uint64) []uint64 {
+	sequences, loads := batch.GetSequences(), batch.GetLoads()
+	for i, id := range batch.GetIds() {
+		if i >= len(sequences) || i >= len(loads) {
+			return unknown
+		}
+		if _, ok := s.table.Touch(now, ServerID(id), sequences[i], int(loads[i]), state); !ok {
+			unknown = append(unknown, id)
+		}
 	}
+	return unknown
 }
--- a/internal/proxy/chat.go
+++ b/internal/proxy/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	w.Header().Set(api.HeaderAffinity, string(lease.Server))
+	w.Header().Set(api.HeaderAffinity, balance.FormatHint(lease.Server, lease.Incarnation))
 	return p.forward(w, r, lease, outgoing{
 		method: http.MethodPost, path: "/v1/chat/completions", body: body,
 		requestID: c.id, class: route.Class,
@@ -41,11 +42,14 @@
 }
 
 func balanceRequest(r *http.Request, c *call, route catalog.Route) balance.Request {
+	hint, incarnation := balance.ParseHint(r.Header.Get(api.HeaderAffinity))
 	return balance.Request{
-		Chat:     r.Header.Get(api.HeaderChat),
-		Hint:     balance.ServerID(r.Header.Get(api.HeaderAffinity)),
-		Customer: c.customer.UID,
-		Weight:   c.customer.Weight,
-		Class:    route.Class,
+		Chat:            r.Header.Get(api.HeaderChat),
+		Hint:            hint,
+		HintIncarnation: incarnation,
+		Customer:        c.customer.UID,
+		Weight:          c.customer.Weight,
+		Class:           route.Class,
+		FirstByteWithin: time.Duration(route.DeadlineMS) * time.Millisecond,
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 
@@ -27,6 +28,7 @@
 	settings *settings.Settings
 	watcher  *configwatch.Watcher
 	members  *membership.Service
+	dispatch *dispatch.Dispatcher
 	proxy    *proxy.Proxy
 	callers  net.Listener
 	backends net.Listener
@@ -45,19 +47,31 @@
 	}
 	watcher := configwatch.New(s, log)
 	members := membership.NewService(s, log)
-	dispatcher := dispatch.New(members, newPolicy)
+	dispatcher := dispatch.New(members, newPolicy(s.Routing.Policy), dispatch.WithQueueLimit(s.Timeouts.Queue()))
 	life.AddCheck(watcher.Ready)
+	life.AddCheck(members.Ready)
 	return &Router{
 		settings: s,
 		watcher:  watcher,
 		members:  members,
+		dispatch: dispatcher,
 		proxy:    proxy.New(s, log, watcher, dispatcher, ledger.Unavailable{}),
 		callers:  callers,
 		backends: backends,
 	}, nil
 }
 
-func newPolicy() balance.Balancer { return balance.NewRendezvous() }
+// newPolicy returns the maker of the balancers that the settings select.
+func newPolicy(policy settings.Policy) func() balance.Balancer {
+	return func() balance.Balancer {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		balancer, err := balance.New(policy, random)
+		if err != nil {
+			return balance.NewBounded(random)
+		}
+		return balancer
+	}
+}
 
 // Register adds the role's RPCs to a server.
 func (r *Router) Register(mux drpc.Mux) error { return r.members.Register(mux) }
@@ -76,6 +90,7 @@
 	announcements.Handle("POST /v1/announcements", r.members)
 	actor.Add(group, r.watcher.Run)
 	actor.Add(group, r.members.Run)
+	actor.Add(group, r.dispatch.Run)
 	actor.Add(group, func(ctx context.Context) error {
 		return httpx.Serve(ctx, r.backends, announcements, httpx.ReadHeaderTimeout)
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,6 +87,22 @@
 // Policy names a way to choose a backend server.
 type Policy string
 
+// Routing policies. The product's policy has the empty name; the others are
+// baselines to measure it against.
+const (
+	PolicyProduct       Policy = ""
+	PolicyRandom        Policy = "random"
+	PolicyRoundRobin    Policy = "round_robin"
+	PolicyLeastInFlight Policy = "least_in_flight"
+	PolicyRendezvous    Policy = "rendezvous"
+	PolicyTwoChoices    Policy = "two_choices"
+)
+
+// Policies lists all routing policies, the product's first.
+var Policies = []Policy{
+	PolicyProduct, PolicyRandom, PolicyRoundRobin, PolicyLeastInFlight, PolicyRendezvous, PolicyTwoChoices,
+}
+
 // Routing selects the routing policy.
 type Routing struct {
 	// Policy is empty for the product's policy or names a baseline.
@@ -199,6 +215,7 @@
 	v.dataDir(s)
 	v.peers(s.Peers)
 	v.timeouts(s.Timeouts)
+	v.policy(s.Routing.Policy)
 	return v.errs
 }
 
@@ -276,6 +293,12 @@
 	v.notNegative("timeouts.queueMs", t.QueueMS)
 }
 
+func (v *validator) policy(policy Policy) {
+	if !slices.Contains(Policies, policy) {
+		v.add("routing.policy", "unknown policy %q", policy)
+	}
+}
+
 func (v *validator) notNegative(field string, value int) {
 	if value < 0 {
 		v.add(field, "below 0: %d", value)
