--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # `make run` starts the embedded single-process default; `make test` runs every check.
-.PHONY: run build test tools fmt generate
+.PHONY: run build test tools fmt generate docs cluster
 
 build:
 	go build -o bin/peridotwinch ./cmd/peridotwinch
@@ -20,3 +20,10 @@
 
 generate:
 	./internal/rpc/generate.sh
+
+docs:
+	go run ./internal/tools/settingsdoc >docs/operations/settings.md
+
+# cluster lays out the settings of seven daemons in three failure domains.
+cluster: build
+	./bin/peridotwinch layout -out cluster examples/seven-instances/inventory.json
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,7 +36,7 @@
 
 func commands() []*command {
 	return []*command{
-		serveCommand(), devCommand(), checkCommand(),
+		serveCommand(), devCommand(), checkCommand(), layoutCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
 		fakeBackendCommand(), versionCommand(),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"peridotwinch.example/peridotwinch/api"
 )
 
@@ -27,13 +29,18 @@
 // Settings are the static settings of a daemon.
 type Settings struct {
 	// Instance is the daemon's name, unique in the system.
-	Instance      string `json:"instance"`
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain that the instance stands in.
 	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region,omitempty"`
-	Roles         []Role `json:"roles"`
+	// Region is the region of the failure domain.
+	Region string `json:"region,omitempty"`
+	// Roles are the parts that the daemon plays: router, control, ledger.
+	Roles []Role `json:"roles"`
 	// DataDir is the data folder; routers may do without one.
-	DataDir     string       `json:"dataDir,omitempty"`
-	LogLevel    string       `json:"logLevel,omitempty"`
+	DataDir string `json:"dataDir,omitempty"`
+	// LogLevel is debug, info, warn or error; info by default.
+	LogLevel string `json:"logLevel,omitempty"`
+	// NameSchemes declares the naming schemes of the resources.
 	NameSchemes []api.Scheme `json:"nameSchemes"`
 	Listen      Listen       `json:"listen"`
 	Peers       []Peer       `json:"peers"`
@@ -57,14 +64,18 @@
 
 // Peer is a daemon of the system, this one included.
 type Peer struct {
-	Instance      string `json:"instance"`
+	// Instance is the daemon's name.
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain that the instance stands in.
 	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region,omitempty"`
+	// Region is the region of the failure domain.
+	Region string `json:"region,omitempty"`
 	// Address takes RPCs.
 	Address string `json:"address"`
 	// Callers takes requests that another router forwards; routers need it.
 	Callers string `json:"callers,omitempty"`
-	Roles   []Role `json:"roles"`
+	// Roles are the parts that the daemon plays.
+	Roles []Role `json:"roles"`
 }
 
 // HasRole reports whether the peer plays the role.
@@ -222,6 +233,7 @@
 	v.peers(s.Peers)
 	v.timeouts(s.Timeouts)
 	v.policy(s.Routing.Policy)
+	v.logLevel(s.LogLevel)
 	return v.errs
 }
 
@@ -306,6 +318,12 @@
 	}
 }
 
+func (v *validator) logLevel(level string) {
+	if _, err := zerolog.ParseLevel(level); err != nil {
+		v.add("logLevel", "unknown level %q", level)
+	}
+}
+
 func (v *validator) notNegative(field string, value int) {
 	if value < 0 {
 		v.add(field, "below 0: %d", value)
