--- /dev/null
+++ b/internal/load/scrape.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// routerCounters are what a router's metrics said at one time.
+type routerCounters struct {
+	at       time.Time
+	cpu      float64
+	resident float64
+	bytes    map[string]float64
+}
+
+// Names of the metrics that are read.
+const (
+	metricCPU      = "process_cpu_seconds_total"
+	metricResident = "process_resident_memory_bytes"
+)
+
+var controlBytes = regexp.MustCompile(`^peridotwinch_control_bytes_total\{(.*)\}$`)
+var purposeLabel = regexp.MustCompile(`purpose="([^"]*)"`)
+
+// scrape reads a process's metrics.
+func scrape(ctx context.Context, platform string) (*routerCounters, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := &routerCounters{at: time.Now(), bytes: make(map[string]float64)}
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		out.add(scanner.Text())
+	}
+	return out, errors.Wrap(scanner.Err(), "read metrics")
+}
+
+// add reads one line "name value".
+func (c *routerCounters) add(line string) {
+	space := strings.LastIndexByte(line, ' ')
+	if space < 0 {
+		return
+	}
+	value, err := strconv.ParseFloat(line[space+1:], 64)
+	if err != nil {
+		return
+	}
+	name := line[:space]
+	switch name {
+	case metricCPU:
+		c.cpu = value
+	case metricResident:
+		c.resident = value
+	}
+	if labels := controlBytes.FindStringSubmatch(name); labels != nil {
+		c.bytes[purposeOf(labels[1])] += value
+	}
+}
+
+func purposeOf(labels string) string {
+	if match := purposeLabel.FindStringSubmatch(labels); match != nil {
+		return match[1]
+	}
+	return "unknown"
+}
+
+// since returns what changed from an earlier reading.
+func (c *routerCounters) since(before *routerCounters, name string) RouterReport {
+	seconds := c.at.Sub(before.at).Seconds()
+	out := RouterReport{
+		Name: name, Seconds: seconds, CPUSeconds: c.cpu - before.cpu, ResidentBytes: int64(c.resident),
+		ControlBytesPerSecond: make(map[string]float64),
+	}
+	for purpose, bytes := range c.bytes {
+		rate := (bytes - before.bytes[purpose]) / seconds
+		out.ControlBytesPerSecond[purpose] = rate
+		out.ControlTotal += rate
+	}
+	return out
+}
