Measure deployments of both sizes as real processes

Cause: the measures of service, churn, stragglers, short behind long and the crest had no command.

Without -measure one small run checks that it works.

--- /dev/null
+++ b/test/measure/measure_test.go
@@ -0,0 +1,321 @@
+// Package measure starts deployments of the users' sizes as real processes and
+// measures them. Without -measure it only checks, in small, that the
+// measurements run.
+package measure
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/load"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+var (
+	measuring = flag.Bool("measure", false, "run the measurements in full")
+	policies  = flag.String("policies", "", "routing policies to compare, separated by commas; empty is the product's")
+	seed      = flag.Uint64("seed", 1, "seed of the load")
+	verbose   = flag.Bool("report", false, "print each run's report")
+)
+
+func TestMain(m *testing.M) { testbed.Main(m) }
+
+// smokeMS is the length of a run without -measure.
+const smokeMS = 1000
+
+// trial is one run of a mix on a deployment.
+type trial struct {
+	policy settings.Policy
+	mix    *load.Mix
+	change func(*testbed.Spec)
+	// during runs beside the load until its context ends.
+	during func(ctx context.Context, s *system)
+}
+
+func (d deployment) run(t *testing.T, tr trial) *load.Report {
+	mix := *tr.mix
+	mix.Seed = *seed
+	change := tr.change
+	if !*measuring {
+		d = d.small()
+		mix.DurationMS, mix.WarmupMS, mix.RatePerSecond, mix.Crest = smokeMS, 0, 20, nil
+		change = nil
+	}
+	s := d.start(t, settings.Routing{Policy: tr.policy}, mix.Customers, change)
+	defer s.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if tr.during != nil && *measuring {
+		go tr.during(ctx, s)
+	}
+	report, err := load.Run(ctx, &mix, s.targets)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(report.Sent).To(BeNumerically(">", 0))
+	s.g.Expect(report.NotWhole).To(BeZero(), strings.Join(report.Faults, "; "))
+	if *verbose {
+		fmt.Printf("\n## %s, policy %s\n", d.name, policyName(tr.policy))
+		report.Print(os.Stdout)
+	}
+	return report
+}
+
+// small is the deployment with one failure domain, for a check without a measurement.
+func (d deployment) small() deployment {
+	d.domains, d.routers, d.models, d.apps = d.domains[:1], []int{1}, []int{2}, []int{1}
+	return d
+}
+
+func policyName(p settings.Policy) string {
+	if p == "" {
+		return "product"
+	}
+	return string(p)
+}
+
+func eachPolicy(measure func(settings.Policy)) {
+	for policy := range strings.SplitSeq(*policies, ",") {
+		if policy == "product" {
+			policy = ""
+		}
+		measure(settings.Policy(policy))
+	}
+}
+
+func class(r *load.Report, name string) load.SeriesReport { return find(r.Classes, name) }
+
+func find(all []load.SeriesReport, name string) load.SeriesReport {
+	for _, s := range all {
+		if s.Name == name {
+			return s
+		}
+	}
+	return load.SeriesReport{Name: name}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func TestKilindiService(t *testing.T) { measureService(t, kilindi) }
+
+func TestMotaguaService(t *testing.T) {
+	needMeasure(t)
+	measureService(t, motagua)
+}
+
+// needMeasure skips what only a full measurement gives; one small run for each
+// kind of process stays in.
+func needMeasure(t *testing.T) {
+	if !*measuring {
+		t.Skip("only with -args -measure")
+	}
+}
+
+// measureService prints cache reuse, load skew and control traffic.
+func measureService(t *testing.T, d deployment) {
+	fmt.Println("| deployment | policy | reuse % | highest/mean p50 | p99 | max | samples over bound | control B/s a router, mean | max | first token p95 ms | between p95 ms | refused |")
+	eachPolicy(func(policy settings.Policy) {
+		report := d.run(t, trial{policy: policy, mix: readMix(t, d.name)})
+		printService(d, policy, report)
+	})
+}
+
+func printService(d deployment, policy settings.Policy, r *load.Report) {
+	skew := r.Skew
+	if skew == nil {
+		skew = &load.SkewReport{}
+	}
+	mean, highest := controlTraffic(r)
+	short := class(r, "short")
+	fmt.Printf("| %s | %s | %.1f | %.2f | %.2f | %.2f | %d of %d | %.0f | %.0f | %.0f | %.1f | %d |\n",
+		d.name, policyName(policy), 100*r.Cache.Reuse, skew.Median, skew.P99, skew.Highest, skew.OverBound, skew.Samples,
+		mean, highest, short.First.P95, short.Between.P95, refused(r))
+}
+
+func controlTraffic(r *load.Report) (mean, highest float64) {
+	for _, router := range r.Routers {
+		mean += router.ControlTotal / float64(len(r.Routers))
+		highest = max(highest, router.ControlTotal)
+	}
+	return mean, highest
+}
+
+func refused(r *load.Report) int {
+	total := 0
+	for _, o := range r.Outcomes {
+		if o.Code != api.CodeOK {
+			total += o.Count
+		}
+	}
+	return total
+}
+
+// replaceEvery is the pause between two replaced servers of a churn run: with 20
+// model workers, 10% of them are replaced each minute.
+const replaceEvery = 6 * time.Second
+
+func TestKilindiChurn(t *testing.T) {
+	needMeasure(t)
+	measureChurn(t, kilindi)
+}
+
+func TestMotaguaChurn(t *testing.T) {
+	needMeasure(t)
+	measureChurn(t, motagua)
+}
+
+// measureChurn prints cache reuse without and with servers that are replaced.
+func measureChurn(t *testing.T, d deployment) {
+	fmt.Println("| deployment | policy | reuse % without churn | with churn | ratio | refused |")
+	eachPolicy(func(policy settings.Policy) {
+		mix := readMix(t, d.name)
+		mix.DurationMS = 30_000
+		calm := d.run(t, trial{policy: policy, mix: mix})
+		churn := d.run(t, trial{policy: policy, mix: mix, during: replaceServers})
+		fmt.Printf("| %s | %s | %.1f | %.1f | %.3f | %d |\n", d.name, policyName(policy), 100*calm.Cache.Reuse, 100*churn.Cache.Reuse,
+			ratio(churn.Cache.Reuse, calm.Cache.Reuse), refused(churn))
+	})
+}
+
+func replaceServers(ctx context.Context, s *system) {
+	for _, name := range s.models {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(replaceEvery):
+		}
+		backend := s.Backends[name]
+		if backend.Stop() == nil {
+			_ = backend.Start()
+		}
+	}
+}
+
+func TestKilindiStragglers(t *testing.T) {
+	needMeasure(t)
+	measureStragglers(t, kilindi)
+}
+
+func TestMotaguaStragglers(t *testing.T) {
+	needMeasure(t)
+	measureStragglers(t, motagua)
+}
+
+// stragglerShare is one server in so many, at a tenth of its speed.
+const stragglerShare = 10
+
+func measureStragglers(t *testing.T, d deployment) {
+	fmt.Println("| deployment | policy | first token p99 ms without | with | ratio | whole p99 ms without | with | ratio | refused |")
+	eachPolicy(func(policy settings.Policy) {
+		mix := readMix(t, d.name)
+		plain := class(d.run(t, trial{policy: policy, mix: mix}), "short")
+		report := d.run(t, trial{policy: policy, mix: mix, change: slowDown})
+		slow := class(report, "short")
+		fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %.0f | %.2f | %d |\n", d.name, policyName(policy),
+			plain.First.P99, slow.First.P99, ratio(slow.First.P99, plain.First.P99),
+			plain.Whole.P99, slow.Whole.P99, ratio(slow.Whole.P99, plain.Whole.P99), refused(report))
+	})
+}
+
+func slowDown(spec *testbed.Spec) {
+	models := 0
+	for i, backend := range spec.Backends {
+		if !isModel(backend) {
+			continue
+		}
+		if models%stragglerShare == 0 {
+			spec.Backends[i].Flags = append(append([]string{}, backend.Flags...), "-slow-factor", "10")
+		}
+		models++
+	}
+}
+
+func TestKilindiShortBehindLong(t *testing.T) {
+	needMeasure(t)
+	measureShortBehindLong(t, kilindi)
+}
+
+func TestMotaguaShortBehindLong(t *testing.T) {
+	needMeasure(t)
+	measureShortBehindLong(t, motagua)
+}
+
+func measureShortBehindLong(t *testing.T, d deployment) {
+	fmt.Println("| deployment | policy | short first token p99 ms alone | beside long | ratio | short whole p99 ms alone | beside long | ratio | refused |")
+	eachPolicy(func(policy settings.Policy) {
+		alone := class(d.run(t, trial{policy: policy, mix: readMix(t, d.name+"-short-only")}), "short")
+		report := d.run(t, trial{policy: policy, mix: readMix(t, d.name)})
+		beside := class(report, "short")
+		fmt.Printf("| %s | %s | %.0f | %.0f | %.2f | %.0f | %.0f | %.2f | %d |\n", d.name, policyName(policy),
+			alone.First.P99, beside.First.P99, ratio(beside.First.P99, alone.First.P99),
+			alone.Whole.P99, beside.Whole.P99, ratio(beside.Whole.P99, alone.Whole.P99), refused(report))
+	})
+}
+
+func TestKilindiCrest(t *testing.T) {
+	needMeasure(t)
+	measureCrest(t, kilindi)
+}
+
+func TestMotaguaCrest(t *testing.T) {
+	needMeasure(t)
+	measureCrest(t, motagua)
+}
+
+// measureCrest prints what admitted and refused requests met while demand was
+// above capacity.
+func measureCrest(t *testing.T, d deployment) {
+	fmt.Println("| deployment | policy | answered in the crest | late for the deadline | refused not run | other failures | refusal p99 ms | max ms | first token p99 ms | smallest share answered of a customer |")
+	eachPolicy(func(policy settings.Policy) {
+		report := d.run(t, trial{policy: policy, mix: readMix(t, d.name+"-crest")})
+		printCrest(d, policy, report)
+	})
+}
+
+func printCrest(d deployment, policy settings.Policy, r *load.Report) {
+	var answered, notRun int64
+	late := 0
+	var refusal, slowest, first float64
+	least := 1.0
+	for _, s := range r.Crest {
+		answered += s.Whole.Count
+		notRun += s.Refused.Count
+		late += s.Late
+		refusal, slowest = max(refusal, s.Refused.P99), max(slowest, s.Refused.Max)
+		first = max(first, s.First.P99)
+		least = min(least, ratio(float64(s.Whole.Count), float64(s.Whole.Count+s.Refused.Count)))
+	}
+	other := 0
+	for _, o := range r.Outcomes {
+		if o.Code != api.CodeOK && o.Outcome != api.OutcomeNotRun {
+			other += o.Count
+		}
+	}
+	fmt.Printf("| %s | %s | %d | %d | %d | %d | %.0f | %.0f | %.0f | %.2f |\n",
+		d.name, policyName(policy), answered, late, notRun, other, refusal, slowest, first, least)
+}
+
+// TestKilindiSurge has one customer send twenty times its load.
+func TestKilindiSurge(t *testing.T) {
+	needMeasure(t)
+	fmt.Println("| policy | customer | answered | refused | share answered | first token p99 ms |")
+	eachPolicy(func(policy settings.Policy) {
+		report := kilindi.run(t, trial{policy: policy, mix: readMix(t, "kilindi-surge")})
+		for _, s := range report.Crest {
+			fmt.Printf("| %s | %s | %d | %d | %.2f | %.0f |\n", policyName(policy), s.Name, s.Whole.Count, s.Refused.Count,
+				ratio(float64(s.Whole.Count), float64(s.Whole.Count+s.Refused.Count)), s.First.P99)
+		}
+	})
+}
--- a/test/testbed/bed.go
+++ b/test/testbed/bed.go
@@ -38,6 +38,7 @@
 	Daemons  []DaemonSpec      `json:"daemons"`
 	Backends []BackendSpec     `json:"backends"`
 	Timeouts settings.Timeouts `json:"timeouts"`
+	Routing  settings.Routing  `json:"routing"`
 }
 
 // Daemon is a daemon with its addresses.
@@ -79,7 +80,7 @@
 func New(dir string, spec Spec) (*Bed, error) {
 	b := &Bed{Dir: dir, Daemons: map[string]*Daemon{}, Backends: map[string]*Backend{}, relays: map[link]*Relay{}}
 	for _, d := range spec.Daemons {
-		if err := b.addDaemon(d, spec.Timeouts); err != nil {
+		if err := b.addDaemon(d, spec); err != nil {
 			return nil, err
 		}
 	}
@@ -96,7 +97,7 @@
 	return b, nil
 }
 
-func (b *Bed) addDaemon(spec DaemonSpec, timeouts settings.Timeouts) error {
+func (b *Bed) addDaemon(spec DaemonSpec, all Spec) error {
 	var addresses [5]string
 	for i := range addresses {
 		address, err := Address()
@@ -116,7 +117,7 @@
 				Callers: addresses[0], Backends: addresses[1], Operators: addresses[2],
 				Peers: addresses[3], Platform: addresses[4],
 			},
-			Timeouts: timeouts,
+			Timeouts: all.Timeouts, Routing: all.Routing,
 		},
 	}
 	return nil
