--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -162,7 +162,7 @@
 
 func TestCountersAreReadFromMetrics(t *testing.T) {
 	g := NewWithT(t)
-	before, after := &routerCounters{bytes: map[string]float64{}}, &routerCounters{bytes: map[string]float64{}}
+	before, after := &Counters{bytes: map[string]float64{}}, &Counters{bytes: map[string]float64{}}
 	before.at, after.at = time.Unix(0, 0), time.Unix(2, 0)
 	for _, line := range []string{
 		"# HELP x", `peridotwinch_control_bytes_total{purpose="membership",direction="in"} 100`,
@@ -171,7 +171,7 @@
 	} {
 		after.add(line)
 	}
-	report := after.since(before, "r")
+	report := after.Since(before, "r")
 	g.Expect(report.ControlBytesPerSecond).To(HaveKeyWithValue("membership", 200.0))
 	g.Expect(report.CPUSeconds).To(Equal(1.5))
 	g.Expect(report.ResidentBytes).To(BeNumerically("==", 5_000_000))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -50,19 +50,19 @@
 	report.Skew = meter.report()
 	for i, router := range targets.Routers {
 		if before[i] != nil {
-			report.Routers = append(report.Routers, after[i].since(before[i], router.Name))
+			report.Routers = append(report.Routers, after[i].Since(before[i], router.Name))
 		}
 	}
 	return report, nil
 }
 
-func scrapeAll(ctx context.Context, targets *Targets) ([]*routerCounters, error) {
-	out := make([]*routerCounters, len(targets.Routers))
+func scrapeAll(ctx context.Context, targets *Targets) ([]*Counters, error) {
+	out := make([]*Counters, len(targets.Routers))
 	for i, router := range targets.Routers {
 		if router.Platform == "" {
 			continue
 		}
-		counters, err := scrape(ctx, router.Platform)
+		counters, err := ReadCounters(ctx, router.Platform)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -12,8 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-// routerCounters are what a router's metrics said at one time.
-type routerCounters struct {
+// Counters are what a daemon's metrics said at one time.
+type Counters struct {
 	at       time.Time
 	cpu      float64
 	resident float64
@@ -29,8 +29,8 @@
 var controlBytes = regexp.MustCompile(`^peridotwinch_control_bytes_total\{(.*)\}$`)
 var purposeLabel = regexp.MustCompile(`purpose="([^"]*)"`)
 
-// scrape reads a process's metrics.
-func scrape(ctx context.Context, platform string) (*routerCounters, error) {
+// ReadCounters reads a daemon's metrics from its platform address.
+func ReadCounters(ctx context.Context, platform string) (*Counters, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform+"/metrics", nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "read metrics")
@@ -40,7 +40,7 @@
 		return nil, errors.Wrap(err, "read metrics")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out := &routerCounters{at: time.Now(), bytes: make(map[string]float64)}
+	out := &Counters{at: time.Now(), bytes: make(map[string]float64)}
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
 		out.add(scanner.Text())
@@ -49,7 +49,7 @@
 }
 
 // add reads one line "name value".
-func (c *routerCounters) add(line string) {
+func (c *Counters) add(line string) {
 	space := strings.LastIndexByte(line, ' ')
 	if space < 0 {
 		return
@@ -77,8 +77,8 @@
 	return "unknown"
 }
 
-// since returns what changed from an earlier reading.
-func (c *routerCounters) since(before *routerCounters, name string) RouterReport {
+// Since returns what changed from an earlier reading.
+func (c *Counters) Since(before *Counters, name string) RouterReport {
 	seconds := c.at.Sub(before.at).Seconds()
 	out := RouterReport{
 		Name: name, Seconds: seconds, CPUSeconds: c.cpu - before.cpu, ResidentBytes: int64(c.resident),
