--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// CommandNames returns the names of all commands.
+func CommandNames() []string {
+	var names []string
+	for _, command := range commands() {
+		names = append(names, command.name)
+	}
+	return names
+}
+
 // Groups of commands in the help text.
 const (
 	groupDaemon   = "daemons"
