--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,10 +38,19 @@
 	return []*command{
 		serveCommand(), devCommand(), checkCommand(), layoutCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
-		fakeBackendCommand(), versionCommand(),
+		fakeBackendCommand(), loadCommand(), versionCommand(),
 	}
 }
 
+// CommandNames returns the names of all commands.
+func CommandNames() []string {
+	var names []string
+	for _, command := range commands() {
+		names = append(names, command.name)
+	}
+	return names
+}
+
 // Groups of commands in the help text.
 const (
 	groupDaemon   = "daemons"
