--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
@@ -67,7 +68,7 @@
 }
 
 func (t *transfer) setAffinity(ex *exchange, lease *dispatch.Lease) {
-	affinity := string(lease.Server)
+	affinity := balance.FormatHint(lease.Server, lease.Incarnation)
 	if lease.Remote {
 		affinity = ex.Header.Get(api.HeaderAffinity)
 	}
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -1,38 +1,40 @@
 package proxy
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// Limits of the retry budget: each request earns retryRatio of a retry.
-const (
-	retryRatio   = 0.2
-	retryBurst   = 500.0
-	retryInitial = 100.0
+	"peridotwinch.example/peridotwinch/internal/balance"
 )
 
-// budget is a token bucket that ties the number of retries and resumed streams
-// to the number of requests, so that retries never amplify an overload. It is
+// budgets bound the retries and the resumed streams of all requests. They are
 // safe for concurrent use.
-type budget struct {
-	mu     sync.Mutex
-	tokens float64
+type budgets struct {
+	mu      sync.Mutex
+	retries *balance.Budget
+	resumes *balance.Budget
 }
 
-func newBudget() *budget { return &budget{tokens: retryInitial} }
+func newBudgets() *budgets {
+	now := time.Now()
+	return &budgets{retries: balance.NewRetryBudget(now), resumes: balance.NewResumeBudget(now)}
+}
 
 // earn counts a caller's request.
-func (b *budget) earn() {
+func (b *budgets) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+retryRatio, retryBurst)
+	b.retries.Earn()
+	b.resumes.Earn()
 }
 
-// spend takes a retry from the budget, or returns false where none is left.
-func (b *budget) spend() bool {
+// spend takes a retry or a resumed stream from its budget, or returns false
+// where none is left.
+func (b *budgets) spend(resumed bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
+	if resumed {
+		return b.resumes.Spend(time.Now())
 	}
-	b.tokens--
-	return true
+	return b.retries.Spend(time.Now())
 }
--- a/internal/proxy/chat.go
+++ b/internal/proxy/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
@@ -45,12 +46,15 @@
 }
 
 func balanceRequest(r *http.Request, c *call, route catalog.Route) balance.Request {
+	hint, incarnation := balance.ParseHint(r.Header.Get(api.HeaderAffinity))
 	return balance.Request{
-		Chat:       r.Header.Get(api.HeaderChat),
-		Hint:       balance.ServerID(r.Header.Get(api.HeaderAffinity)),
-		Customer:   c.customer.UID,
-		Weight:     c.customer.Weight,
-		Class:      route.Class,
-		NoOverflow: r.Header.Get(api.HeaderHop) != "",
+		Chat:            r.Header.Get(api.HeaderChat),
+		Hint:            hint,
+		HintIncarnation: incarnation,
+		Customer:        c.customer.UID,
+		Weight:          c.customer.Weight,
+		Class:           route.Class,
+		FirstByteWithin: time.Duration(route.DeadlineMS) * time.Millisecond,
+		NoOverflow:      r.Header.Get(api.HeaderHop) != "",
 	}
 }
--- a/internal/proxy/claim.go
+++ b/internal/proxy/claim.go
@@ -25,8 +25,7 @@
 		t.proxy.fire(t.call, eventClaim)
 	case ledger.VerdictCompleted:
 		t.proxy.fire(t.call, eventRecall)
-		t.recall(decision.Answer)
-		return nil
+		return t.recall(decision.Answer)
 	default:
 		t.proxy.fire(t.call, eventWithhold)
 		return verdictError(decision.Verdict)
@@ -84,12 +83,16 @@
 }
 
 // recall answers with the stored answer of an earlier attempt.
-func (t *transfer) recall(stored *ledger.Answer) {
+func (t *transfer) recall(stored *ledger.Answer) error {
+	if stored.BodyDigest != nil {
+		return api.Errorf(api.CodeAnswerNotKept, "status %d, SHA-256 of the body %x", stored.Status, *stored.BodyDigest)
+	}
 	outcome := api.OutcomeRan
 	if stored.Status >= http.StatusInternalServerError {
 		outcome = api.OutcomeMayHaveRun
 	}
 	(&answer{Answer: *stored}).write(t.w, outcome)
+	return nil
 }
 
 // verdictError returns the refusal that follows from a key not granted.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -44,7 +44,7 @@
 	dispatcher Dispatcher
 	claimer    ledger.Claimer
 	upstream   *upstream
-	budget     *budget
+	budgets    *budgets
 	progress   time.Duration
 	inProgress *callSet
 
@@ -64,7 +64,7 @@
 		dispatcher: dispatcher,
 		claimer:    claimer,
 		upstream:   newUpstream(s.Timeouts.Progress()),
-		budget:     newBudget(),
+		budgets:    newBudgets(),
 		progress:   s.Timeouts.Progress(),
 		inProgress: newCallSet(),
 		cut:        cut,
@@ -143,7 +143,7 @@
 	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
 		return api.Errorf(api.CodeRequestInvalid, "read the body: %v", err)
 	}
-	p.budget.earn()
+	p.budgets.earn()
 	return nil
 }
 
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -281,10 +281,11 @@
 			failing(w, r)
 		})
 		r := newRig(longProgress, overloaded)
-		const requests = 300
+		// The budget is 10 retries, 10% of the requests and 0.5 a second.
+		const requests, allowed = 300, 10 + 30 + 30
 		for range requests {
 			r.mustCall(http.MethodPost, chatPath, chatBody("chat", false))
 		}
-		Expect(asked.Load()).To(BeNumerically("<=", requests+retryInitial+requests*retryRatio))
+		Expect(asked.Load()).To(BeNumerically("<=", requests+allowed))
 	})
 })
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -34,6 +34,8 @@
 	err *api.Error
 	// answer is what the server answered, where it answered at all.
 	answer *answer
+	// unsent says that no byte was written.
+	unsent bool
 	// repeatable says that another server may be tried.
 	repeatable bool
 	// blameless says that the server is not at fault.
@@ -58,7 +60,11 @@
 	if !failed.repeatable || try >= maxTries || t.waiting.Err() != nil {
 		return false
 	}
-	if !t.proxy.budget.spend() {
+	if failed.unsent {
+		// The server got no work, so that another try adds no load.
+		return true
+	}
+	if !t.proxy.budgets.spend(t.call.stream.offset() > 0) {
 		budgetExhausted.Inc()
 		return false
 	}
@@ -148,7 +154,7 @@
 	if !sent.stale {
 		t.exclude = append(t.exclude, lease.Server)
 	}
-	return &failure{err: callerError(sent.cause), repeatable: true, blameless: t.running.Err() != nil}
+	return &failure{err: callerError(sent.cause), unsent: true, repeatable: true, blameless: t.running.Err() != nil}
 }
 
 // decline records that the request did not run on the server that had it last.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"peridotwinch.example/peridotwinch/api"
 )
 
@@ -27,13 +29,18 @@
 // Settings are the static settings of a daemon.
 type Settings struct {
 	// Instance is the daemon's name, unique in the system.
-	Instance      string `json:"instance"`
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain that the instance stands in.
 	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region,omitempty"`
-	Roles         []Role `json:"roles"`
+	// Region is the region of the failure domain.
+	Region string `json:"region,omitempty"`
+	// Roles are the parts that the daemon plays: router, control, ledger.
+	Roles []Role `json:"roles"`
 	// DataDir is the data folder; routers may do without one.
-	DataDir     string       `json:"dataDir,omitempty"`
-	LogLevel    string       `json:"logLevel,omitempty"`
+	DataDir string `json:"dataDir,omitempty"`
+	// LogLevel is debug, info, warn or error; info by default.
+	LogLevel string `json:"logLevel,omitempty"`
+	// NameSchemes declares the naming schemes of the resources.
 	NameSchemes []api.Scheme `json:"nameSchemes"`
 	Listen      Listen       `json:"listen"`
 	Peers       []Peer       `json:"peers"`
@@ -57,14 +64,18 @@
 
 // Peer is a daemon of the system, this one included.
 type Peer struct {
-	Instance      string `json:"instance"`
+	// Instance is the daemon's name.
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain that the instance stands in.
 	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region,omitempty"`
+	// Region is the region of the failure domain.
+	Region string `json:"region,omitempty"`
 	// Address takes RPCs.
 	Address string `json:"address"`
 	// Callers takes requests that another router forwards; routers need it.
 	Callers string `json:"callers,omitempty"`
-	Roles   []Role `json:"roles"`
+	// Roles are the parts that the daemon plays.
+	Roles []Role `json:"roles"`
 }
 
 // HasRole reports whether the peer plays the role.
@@ -85,11 +96,29 @@
 	// AnnounceMS is the time between the failing readiness probe and the closing
 	// of the callers' listener on a shutdown.
 	AnnounceMS int `json:"announceMs,omitempty"`
+	// RetentionMS is how long the ledger remembers a finished request key.
+	RetentionMS int `json:"retentionMs,omitempty"`
 }
 
 // Policy names a way to choose a backend server.
 type Policy string
 
+// Routing policies. The product's policy has the empty name; the others are
+// baselines to measure it against.
+const (
+	PolicyProduct       Policy = ""
+	PolicyRandom        Policy = "random"
+	PolicyRoundRobin    Policy = "round_robin"
+	PolicyLeastInFlight Policy = "least_in_flight"
+	PolicyRendezvous    Policy = "rendezvous"
+	PolicyTwoChoices    Policy = "two_choices"
+)
+
+// Policies lists all routing policies, the product's first.
+var Policies = []Policy{
+	PolicyProduct, PolicyRandom, PolicyRoundRobin, PolicyLeastInFlight, PolicyRendezvous, PolicyTwoChoices,
+}
+
 // Routing selects the routing policy.
 type Routing struct {
 	// Policy is empty for the product's policy or names a baseline.
@@ -104,6 +133,7 @@
 	DefaultSilence   = 3 * time.Second
 	DefaultQueue     = 2 * time.Second
 	DefaultAnnounce  = 500 * time.Millisecond
+	DefaultRetention = 24 * time.Hour
 )
 
 // Progress returns the progress timeout.
@@ -124,6 +154,9 @@
 // Announce returns the time for which a leaving router still takes connections.
 func (t Timeouts) Announce() time.Duration { return orDefault(t.AnnounceMS, DefaultAnnounce) }
 
+// Retention returns how long the ledger remembers a finished request key.
+func (t Timeouts) Retention() time.Duration { return orDefault(t.RetentionMS, DefaultRetention) }
+
 func orDefault(ms int, def time.Duration) time.Duration {
 	if ms == 0 {
 		return def
@@ -206,6 +239,8 @@
 	v.dataDir(s)
 	v.peers(s.Peers)
 	v.timeouts(s.Timeouts)
+	v.policy(s.Routing.Policy)
+	v.logLevel(s.LogLevel)
 	return v.errs
 }
 
@@ -282,6 +317,19 @@
 	v.notNegative("timeouts.silenceMs", t.SilenceMS)
 	v.notNegative("timeouts.queueMs", t.QueueMS)
 	v.notNegative("timeouts.announceMs", t.AnnounceMS)
+	v.notNegative("timeouts.retentionMs", t.RetentionMS)
+}
+
+func (v *validator) policy(policy Policy) {
+	if !slices.Contains(Policies, policy) {
+		v.add("routing.policy", "unknown policy %q", policy)
+	}
+}
+
+func (v *validator) logLevel(level string) {
+	if _, err := zerolog.ParseLevel(level); err != nil {
+		v.add("logLevel", "unknown level %q", level)
+	}
 }
 
 func (v *validator) notNegative(field string, value int) {
