--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -23,8 +23,8 @@
 	resumeRate  = 10
 	resumeBurst = 500
 	hedgeShare  = 0.05
-	hedgeRate  = 0.2
-	hedgeBurst = 5
+	hedgeRate   = 0.2
+	hedgeBurst  = 5
 )
 
 // NewRetryBudget returns the budget of retries.
