--- /dev/null
+++ b/test/faults/deployment_test.go
@@ -0,0 +1,145 @@
+// Package faults runs real processes under faults and judges what callers got.
+package faults
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/fake"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+// Sizes that a full run sets on the command line.
+var (
+	chargeCount = flag.Int("charges", 200, "charges with a key, and as many without one")
+	streamCount = flag.Int("streams", 500, "streams")
+	seed        = flag.Uint64("seed", 1, "seed of the charges and of the faults")
+)
+
+func TestMain(m *testing.M) { testbed.Main(m) }
+
+const (
+	callerToken = "clerk-token"
+	domainA     = "pwani-a"
+	domainB     = "pwani-b"
+	domainC     = "pwani-c"
+)
+
+var (
+	routerRoles  = []settings.Role{settings.RoleRouter}
+	ledgerRoles  = []settings.Role{settings.RoleLedger}
+	controlRoles = []settings.Role{settings.RoleControl}
+)
+
+// control is the only control instance; no test here harms it.
+var control = testbed.DaemonSpec{Instance: "control-1", FailureDomain: domainA, Roles: controlRoles}
+
+// deployed is a running deployment with the resources of the tests.
+type deployed struct {
+	*testbed.Bed
+	*WithT
+}
+
+// deploy starts a deployment and applies the resources.
+func deploy(t *testing.T, spec testbed.Spec) deployed {
+	t.Helper()
+	g := NewWithT(t)
+	bed, err := testbed.New(t.TempDir(), spec)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(bed.Close)
+	t.Cleanup(func() { keepLogs(t, bed) })
+	g.Expect(bed.Start()).To(Succeed())
+	d := deployed{bed, g}
+	d.apply(resources())
+	for _, router := range bed.Routers() {
+		g.Expect(router.WaitReady()).To(Succeed())
+	}
+	return d
+}
+
+// keepLogs copies the logs of a failed test where the environment names a folder.
+func keepLogs(t *testing.T, bed *testbed.Bed) {
+	folder := os.Getenv("PERIDOTWINCH_KEEP_LOGS")
+	if !t.Failed() || folder == "" {
+		return
+	}
+	_ = os.CopyFS(folder, os.DirFS(bed.Dir))
+}
+
+func (d deployed) apply(all []*api.Resource) {
+	client := api.NewClient(d.Daemons[control.Instance].Settings.Listen.Operators, "test")
+	for _, resource := range all {
+		d.Expect(testbed.Eventually(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), testbed.Patience)
+			defer cancel()
+			_, err := client.Put(ctx, resource.Names.Refs()[0], resource, "")
+			return err
+		})).To(Succeed())
+	}
+}
+
+func resources() []*api.Resource {
+	digest := sha256.Sum256([]byte(callerToken))
+	return []*api.Resource{
+		resource(api.KindPools, "engine", "gates", &api.PoolSpec{Protocol: api.ProtocolService}),
+		resource(api.KindPools, "engine", "chat-engine", &api.PoolSpec{Protocol: api.ProtocolChat}),
+		resource(api.KindCustomers, "customer", "clerks", &api.CustomerSpec{TokenDigests: []string{hex.EncodeToString(digest[:])}}),
+		resource(api.KindIntents, "model", "toll-queries", &api.IntentSpec{Pool: "chat-engine", Class: api.ClassShort}),
+	}
+}
+
+func resource(kind api.Kind, scheme api.Scheme, name string, spec any) *api.Resource {
+	raw, _ := json.Marshal(spec)
+	return &api.Resource{Kind: kind, Names: api.Names{scheme: name}, Spec: raw}
+}
+
+func (d deployed) callers(router string) string { return d.Daemons[router].Settings.Listen.Callers }
+
+// executions returns how often the requests under each key ran on all servers.
+func (d deployed) executions() map[string]int {
+	counts := map[string]int{}
+	for name, backend := range d.Backends {
+		var list []fake.Execution
+		d.Expect(testbed.Eventually(func() error { return getJSON(backend.Address, "/executions", &list) })).To(Succeed(), name)
+		for _, execution := range list {
+			counts[execution.Key] += execution.Count
+		}
+	}
+	return counts
+}
+
+// setFaults makes a stand-in fail.
+func (d deployed) setFaults(backend string, faults fake.Faults) {
+	raw, err := json.Marshal(&faults)
+	d.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.Post("http://"+d.Backends[backend].Address+"/control", "application/json", bytes.NewReader(raw))
+	d.Expect(err).NotTo(HaveOccurred())
+	d.Expect(resp.Body.Close()).To(Succeed())
+	d.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+func getJSON(address, path string, out any) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s%s: status %d", address, path, resp.StatusCode)
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
