--- a/test/faults/campaign_test.go
+++ b/test/faults/campaign_test.go
@@ -17,6 +17,7 @@
 )
 
 const (
+	campaignProgressMS = 1000
 	// chargeEvery spreads the charges over the faults.
 	chargeEvery = 20 * time.Millisecond
 	// senders is how many charges are in progress at once.
@@ -31,7 +32,7 @@
 func campaignSpec() testbed.Spec {
 	spec := testbed.Spec{
 		Daemons:  []testbed.DaemonSpec{control},
-		Timeouts: settings.Timeouts{ProgressMS: 2000, HeartbeatMS: 200},
+		Timeouts: settings.Timeouts{ProgressMS: campaignProgressMS, HeartbeatMS: 200},
 	}
 	for i, domain := range []string{domainA, domainB, domainC} {
 		suffix := string(rune('a' + i))
@@ -60,6 +61,7 @@
 
 func TestAtMostOnce(t *testing.T) {
 	c := &campaign{deployed: deploy(t, campaignSpec()), random: rand.New(rand.NewPCG(*seed, 1))}
+	c.claimsWork(campaignRouters)
 	charges := c.charges(*chargeCount)
 	schedule := newSchedule(c.deployed, rand.New(rand.NewPCG(*seed, 2)))
 	schedule.start()
--- a/test/faults/charge_test.go
+++ b/test/faults/charge_test.go
@@ -43,18 +43,24 @@
 // send sends the charge to a router once.
 func (c charge) send(router string) result {
 	out := result{began: time.Now()}
-	defer func() { out.ended = time.Now() }()
+	c.call(router, &out)
+	out.ended = time.Now()
+	return out
+}
+
+// call fills in what the caller got.
+func (c charge) call(router string, out *result) {
 	resp, err := c.do(router)
 	if err != nil {
 		out.unsent = strings.Contains(err.Error(), "connection refused")
 		out.broken = !out.unsent
-		return out
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
 		out.broken = true
-		return out
+		return
 	}
 	out.body = string(raw)
 	out.outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
@@ -62,7 +68,6 @@
 	if json.Unmarshal(raw, failure) == nil && failure.Error != nil {
 		out.code = failure.Error.Code
 	}
-	return out
 }
 
 func (c charge) do(router string) (*http.Response, error) {
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -108,6 +108,15 @@
 
 func (d deployed) callers(router string) string { return d.Daemons[router].Settings.Listen.Callers }
 
+// claimsWork waits until each router gets a customer's key granted and has a
+// gate to send the charge to.
+func (d deployed) claimsWork(routers []string) {
+	for _, router := range routers {
+		first := post(charge{id: "first-" + router, keyed: true})
+		d.Expect(testbed.Eventually(func() error { return first.send(d.callers(router)).settled() })).To(Succeed(), router)
+	}
+}
+
 // executions returns how often the requests under each key ran on all servers.
 func (d deployed) executions() map[string]int {
 	counts := map[string]int{}
--- /dev/null
+++ b/test/faults/domain_test.go
@@ -0,0 +1,72 @@
+package faults
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+// cutOffCharges is how many charges of each sort a cut-off domain gets.
+const cutOffCharges = 10
+
+func TestCutOffFailureDomain(t *testing.T) {
+	d := deploy(t, campaignSpec())
+	own, err := mintKeys(d.callers("router-c"), cutOffCharges)
+	d.Expect(err).NotTo(HaveOccurred())
+	foreign, err := mintKeys(d.callers("router-a"), cutOffCharges)
+	d.Expect(err).NotTo(HaveOccurred())
+	d.claimsWork(campaignRouters)
+	d.cutOff(domainC, testbed.Swallow)
+
+	for _, key := range own {
+		d.expect("router-c", charge{id: key, keyed: true}, api.OutcomeRan)
+	}
+	for i := range cutOffCharges {
+		d.expect("router-c", charge{id: fmt.Sprintf("unkeyed-%d", i)}, api.OutcomeRan)
+	}
+	fresh, err := mintKeys(d.callers("router-c"), 1)
+	d.Expect(err).NotTo(HaveOccurred(), "a cut-off failure domain still mints keys")
+	d.expect("router-c", charge{id: fresh[0], keyed: true}, api.OutcomeRan)
+	d.expect("router-c", charge{id: foreign[0], keyed: true}, api.OutcomeMayHaveRun)
+	d.expect("router-c", charge{id: "customer-key", keyed: true}, api.OutcomeMayHaveRun)
+	d.Expect(d.executions()).NotTo(HaveKey("customer-key"))
+
+	d.expect("router-a", charge{id: foreign[0], keyed: true}, api.OutcomeRan)
+	d.expect("router-b", charge{id: "customer-key", keyed: true}, api.OutcomeRan)
+	d.expect("router-b", charge{id: own[0], keyed: true}, api.OutcomeMayHaveRun)
+	d.cutOff(domainC, testbed.Forward)
+	for _, key := range []string{foreign[0], "customer-key", own[0]} {
+		for _, router := range campaignRouters {
+			d.Expect(testbed.Eventually(func() error { return post(charge{id: key, keyed: true}).send(d.callers(router)).settled() })).To(Succeed())
+		}
+	}
+	for key, count := range d.executions() {
+		d.Expect(count).To(Equal(1), key)
+	}
+}
+
+func post(c charge) charge {
+	c.method = http.MethodPost
+	return c
+}
+
+func (d deployed) expect(router string, c charge, want api.Outcome) {
+	got := post(c).send(d.callers(router))
+	d.Expect(got.outcome).To(Equal(want), "%s at %s: code %s, %q", c.id, router, got.code, got.body)
+}
+
+// cutOff sets every connection between a failure domain and the others.
+func (d deployed) cutOff(domain string, mode testbed.Mode) {
+	for name, inside := range d.Daemons {
+		for other, outside := range d.Daemons {
+			if inside.Settings.FailureDomain == domain && outside.Settings.FailureDomain != domain {
+				d.Cut(name, other, mode)
+			}
+		}
+	}
+}
--- a/test/faults/schedule_test.go
+++ b/test/faults/schedule_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"peridotwinch.example/peridotwinch/internal/fake"
 	"peridotwinch.example/peridotwinch/test/testbed"
 )
 
@@ -38,6 +39,9 @@
 
 const diskLossAt = 2
 
+// lateAnswerMS is above the progress timeout of the campaign.
+const lateAnswerMS = 2 * campaignProgressMS
+
 // fault is a kind of fault.
 type fault struct {
 	name string
@@ -45,6 +49,7 @@
 }
 
 var routerNames = campaignRouters
+var gateNames = []string{"gate-a", "gate-b", "gate-c"}
 var ledgerNames = []string{"ledger-1", "ledger-2", "ledger-3", "ledger-4", "ledger-5"}
 
 var faults = []fault{
@@ -54,6 +59,9 @@
 	{"freeze ledger", func(s *schedule) { s.freeze(s.pick(ledgerNames)) }},
 	{"swallow", func(s *schedule) { s.cut(testbed.Swallow) }},
 	{"refuse", func(s *schedule) { s.cut(testbed.Refuse) }},
+	{"gate closes unanswered", func(s *schedule) { s.spoil(fake.Faults{CloseBeforeAnswer: true}) }},
+	{"gate answers late", func(s *schedule) { s.spoil(fake.Faults{DelayMS: lateAnswerMS}) }},
+	{"gate refuses", func(s *schedule) { s.spoil(fake.Faults{Refuse: true}) }},
 }
 
 func newSchedule(d deployed, random *rand.Rand) *schedule {
@@ -120,6 +128,14 @@
 	s.Expect(s.Daemons[name].Thaw()).To(Succeed())
 }
 
+// spoil makes a gate fail for a while.
+func (s *schedule) spoil(faults fake.Faults) {
+	gate := s.pick(gateNames)
+	s.setFaults(gate, faults)
+	s.hold()
+	s.setFaults(gate, fake.Faults{})
+}
+
 // cut cuts one daemon off from some or all others.
 func (s *schedule) cut(mode testbed.Mode) {
 	one := s.pick(append(append([]string{}, routerNames...), ledgerNames...))
--- /dev/null
+++ b/test/faults/swallow_test.go
@@ -0,0 +1,98 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+const sigterm = syscall.SIGTERM
+
+func notReady(d *testbed.Daemon) error {
+	resp, err := http.Get("http://" + d.Settings.Listen.Platform + "/readyz")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return fmt.Errorf("%s: status %d", d.Name, resp.StatusCode)
+	}
+	return nil
+}
+
+func executed(d deployed, key string) error {
+	if d.executions()[key] == 0 {
+		return fmt.Errorf("%s has not begun", key)
+	}
+	return nil
+}
+
+func logOf(d deployed, daemon *testbed.Daemon) string {
+	raw, err := os.ReadFile(daemon.LogPath())
+	d.Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
+
+// announceAs announces a plain service at an address until the test ends.
+func announceAs(t *testing.T, router, address string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+			raw, _ := json.Marshal(&api.Announcement{
+				Address: address, Incarnation: 1, Sequence: sequence, Pool: "gates", State: api.ServerServing, Slots: 10,
+			})
+			resp, err := http.Post("http://"+router+"/v1/announcements", "application/json", bytes.NewReader(raw))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+func TestSwallowedConnection(t *testing.T) {
+	d := deploy(t, testbed.Spec{
+		Daemons:  []testbed.DaemonSpec{control, {Instance: "router-1", FailureDomain: domainA, Roles: routerRoles}},
+		Timeouts: settings.Timeouts{ProgressMS: 500, HeartbeatMS: 200},
+	})
+	var served atomic.Int32
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		_, _ = w.Write([]byte("open"))
+	}))
+	t.Cleanup(gate.Close)
+	relay, err := testbed.NewRelay(strings.TrimPrefix(gate.URL, "http://"))
+	d.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(relay.Close)
+	announceAs(t, d.Daemons["router-1"].Settings.Listen.Backends, relay.Address())
+	router := d.callers("router-1")
+	d.Expect(testbed.Eventually(func() error { return post(charge{id: "first"}).send(router).settled() })).To(Succeed())
+
+	relay.Set(testbed.Swallow, testbed.Swallow)
+	swallowed := post(charge{id: "swallowed"}).send(router)
+	d.Expect(swallowed.code).To(Equal(api.CodeTimeout))
+	d.Expect(swallowed.outcome).To(Equal(api.OutcomeMayHaveRun))
+	relay.Set(testbed.Forward, testbed.Forward)
+	before := served.Load()
+	next := post(charge{id: "next"}).send(router)
+	d.Expect(next.outcome).To(Equal(api.OutcomeRan), "the next request goes over a new connection: %s", next.code)
+	d.Expect(served.Load()).To(Equal(before + 1))
+	t.Logf("swallowed request refused after %v, the next one answered after %v",
+		swallowed.ended.Sub(swallowed.began).Round(time.Millisecond), next.ended.Sub(next.began).Round(time.Millisecond))
+}
