--- a/api/code.go
+++ b/api/code.go
@@ -27,6 +27,9 @@
 	CodeNameAmbiguous    Code = 2006
 	CodeRevisionGone     Code = 2007
 	CodeNoQuorum         Code = 2008
+	CodeRequestIDReused  Code = 2010
+	CodeReferenceMissing Code = 2011
+	CodeStillReferenced  Code = 2012
 	CodeCustomerMissing  Code = 3001
 	CodeCustomerUnknown  Code = 3002
 	CodeModelUnknown     Code = 3003
@@ -86,6 +89,9 @@
 	{CodeNameAmbiguous, "name_ambiguous", http.StatusConflict, ExitRefused, "A bare name stands in more than one scheme; write scheme:name."},
 	{CodeRevisionGone, "revision_gone", http.StatusGone, ExitRefused, "The watch revision has been compacted; list again and watch from there."},
 	{CodeNoQuorum, "no_quorum", http.StatusServiceUnavailable, ExitRefused, "No majority of the control replicas answers; send the same request ID again."},
+	{CodeRequestIDReused, "request_id_reused", http.StatusUnprocessableEntity, ExitRefused, "The request ID was used before for another write."},
+	{CodeReferenceMissing, "reference_missing", http.StatusUnprocessableEntity, ExitRefused, "The resource names another one that does not exist."},
+	{CodeStillReferenced, "still_referenced", http.StatusConflict, ExitRefused, "Another resource refers to this one by a name that the change would take away."},
 	{CodeCustomerMissing, "customer_missing", http.StatusUnauthorized, ExitRefused, "The request carries no bearer token."},
 	{CodeCustomerUnknown, "customer_unknown", http.StatusUnauthorized, ExitRefused, "The bearer token belongs to no customer."},
 	{CodeModelUnknown, "model_unknown", http.StatusNotFound, ExitRefused, "No intent, model version or pool has the requested name."},
--- a/api/resource.go
+++ b/api/resource.go
@@ -24,6 +24,12 @@
 // Kinds lists all kinds in the order in which references point.
 var Kinds = []Kind{KindFleets, KindPools, KindCustomers, KindModelVersions, KindIntents}
 
+// CheckKind returns CodeKindUnknown for a kind that there is not.
+func CheckKind(kind Kind) error {
+	_, err := newSpec(kind)
+	return err
+}
+
 // Scheme is one of the naming schemes that the settings declare.
 type Scheme string
 
@@ -95,6 +101,23 @@
 	Validate() []*Error
 }
 
+// HasName reports whether ref names the resource.
+func (r *Resource) HasName(ref Ref) bool {
+	scheme, name := ref.Split()
+	if scheme != "" {
+		return r.Names[scheme] == name
+	}
+	for _, other := range r.Names {
+		if other == name {
+			return true
+		}
+	}
+	return false
+}
+
+// MaxNames is how many names a resource may have.
+const MaxNames = 3
+
 // MaxNameLength is the longest name in bytes.
 const MaxNameLength = 128
 
@@ -115,6 +138,9 @@
 	if len(r.Names) == 0 {
 		return []*Error{invalidField("names", "at least one name is needed")}
 	}
+	if len(r.Names) > MaxNames {
+		return []*Error{invalidField("names", "more than %d", MaxNames)}
+	}
 	declared := make(map[Scheme]bool, len(schemes))
 	for _, scheme := range schemes {
 		declared[scheme] = true
--- a/api/spec.go
+++ b/api/spec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 )
 
 // Protocol is what the backend servers of a pool speak.
@@ -23,6 +24,27 @@
 	ClassLong  Class = "long"
 )
 
+// Reference is a field that names another resource.
+type Reference struct {
+	Field string
+	Kind  Kind
+	Ref   Ref
+}
+
+// References returns the fields of a specification that name other resources.
+func References(spec Spec) []Reference {
+	var all []Reference
+	switch s := spec.(type) {
+	case *PoolSpec:
+		all = []Reference{{"spec.fleet", KindFleets, s.Fleet}}
+	case *ModelVersionSpec:
+		all = []Reference{{"spec.pool", KindPools, s.Pool}}
+	case *IntentSpec:
+		all = []Reference{{"spec.modelVersion", KindModelVersions, s.ModelVersion}, {"spec.pool", KindPools, s.Pool}}
+	}
+	return slices.DeleteFunc(all, func(r Reference) bool { return r.Ref == "" })
+}
+
 // FleetSpec groups pools that share a load bound.
 type FleetSpec struct {
 	// LoadBound is the multiple of the mean load that no server exceeds.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,9 +2,11 @@
 package catalog
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
+	"slices"
 
 	"peridotwinch.example/peridotwinch/api"
 )
@@ -13,7 +15,7 @@
 // concurrent use.
 type Catalog struct {
 	revision  uint64
-	resources map[string]*api.Resource
+	resources map[string]*entry
 	names     map[nameKey]*entry
 	bare      map[nameKey][]*entry
 	tokens    map[string]*Customer
@@ -58,35 +60,48 @@
 func New(revision uint64, resources map[string]*api.Resource) *Catalog {
 	c := &Catalog{
 		revision:  revision,
-		resources: resources,
+		resources: make(map[string]*entry, len(resources)),
 		names:     make(map[nameKey]*entry),
 		bare:      make(map[nameKey][]*entry),
 		tokens:    make(map[string]*Customer),
 	}
 	for _, resource := range resources {
-		c.index(resource)
+		c.add(resource)
 	}
 	return c
 }
 
 // Apply returns a catalog with the changes of a higher revision. A snapshot
-// replaces all resources.
+// replaces all resources. The cost of a change is a copy of the indexes; only
+// the changed resources are decoded.
 func (c *Catalog) Apply(revision uint64, snapshot bool, changes []*api.Resource) *Catalog {
 	if revision <= c.revision {
 		return c
 	}
-	next := make(map[string]*api.Resource, len(c.resources)+len(changes))
+	next := New(revision, nil)
 	if !snapshot {
-		maps.Copy(next, c.resources)
+		next.resources = maps.Clone(c.resources)
+		next.names = maps.Clone(c.names)
+		next.bare = maps.Clone(c.bare)
+		next.tokens = maps.Clone(c.tokens)
 	}
 	for _, change := range changes {
-		if change.Deleted {
-			delete(next, change.UID)
-			continue
+		next.remove(change.UID)
+		if !change.Deleted {
+			next.add(change)
 		}
-		next[change.UID] = change
 	}
-	return New(revision, next)
+	return next
+}
+
+// Resources returns all resources, those changed first first.
+func (c *Catalog) Resources() []*api.Resource {
+	out := make([]*api.Resource, 0, len(c.resources))
+	for _, e := range c.resources {
+		out = append(out, e.resource)
+	}
+	slices.SortFunc(out, func(a, b *api.Resource) int { return cmp.Compare(a.ResourceVersion, b.ResourceVersion) })
+	return out
 }
 
 // Revision returns the revision of the catalog.
@@ -95,22 +110,61 @@
 // Len returns the number of resources.
 func (c *Catalog) Len() int { return len(c.resources) }
 
-func (c *Catalog) index(resource *api.Resource) {
+func (c *Catalog) add(resource *api.Resource) {
+	e := &entry{resource: resource}
+	c.resources[resource.UID] = e
 	spec, err := api.DecodeSpec(resource.Kind, resource.Spec)
 	if err != nil {
 		return
 	}
-	e := &entry{resource: resource, spec: spec}
+	e.spec = spec
 	for scheme, name := range resource.Names {
 		c.names[nameKey{resource.Kind, api.Ref(string(scheme) + ":" + name)}] = e
 		bare := nameKey{resource.Kind, api.Ref(name)}
-		c.bare[bare] = append(c.bare[bare], e)
+		c.bare[bare] = append(slices.Clip(c.bare[bare]), e)
 	}
 	if customer, ok := spec.(*api.CustomerSpec); ok {
 		c.indexTokens(resource, customer)
 	}
 }
 
+// remove takes a resource out of the indexes. The lists of bare names are
+// shared with earlier catalogs and therefore copied.
+func (c *Catalog) remove(uid string) {
+	e := c.resources[uid]
+	if e == nil {
+		return
+	}
+	delete(c.resources, uid)
+	for scheme, name := range e.resource.Names {
+		key := nameKey{e.resource.Kind, api.Ref(string(scheme) + ":" + name)}
+		if c.names[key] == e {
+			delete(c.names, key)
+		}
+		c.removeBare(nameKey{e.resource.Kind, api.Ref(name)}, e)
+	}
+	if customer, ok := e.spec.(*api.CustomerSpec); ok {
+		c.removeTokens(uid, customer)
+	}
+}
+
+func (c *Catalog) removeBare(key nameKey, gone *entry) {
+	rest := slices.DeleteFunc(slices.Clone(c.bare[key]), func(e *entry) bool { return e == gone })
+	if len(rest) == 0 {
+		delete(c.bare, key)
+		return
+	}
+	c.bare[key] = rest
+}
+
+func (c *Catalog) removeTokens(uid string, spec *api.CustomerSpec) {
+	for _, digest := range spec.TokenDigests {
+		if c.tokens[digest] != nil && c.tokens[digest].UID == uid {
+			delete(c.tokens, digest)
+		}
+	}
+}
+
 func (c *Catalog) indexTokens(resource *api.Resource, spec *api.CustomerSpec) {
 	customer := &Customer{UID: resource.UID, Weight: max(spec.Weight, 1)}
 	for _, digest := range spec.TokenDigests {
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -18,7 +18,7 @@
 		name:     "apply",
 		group:    groupOperator,
 		synopsis: "Creates or replaces the resources of JSON files",
-		usage:    "[-control ADDRESS] FILE...",
+		usage:    "[-control ADDRESS[,ADDRESS]] FILE...",
 		setFlags: client.set,
 		run: func(ctx context.Context, args []string) error {
 			if len(args) == 0 {
@@ -70,12 +70,11 @@
 
 func applyResources(ctx context.Context, flags *clientFlags, resources []*api.Resource) error {
 	for _, resource := range resources {
-		ref := resource.Names.Refs()[0]
-		stored, err := flags.client().Put(ctx, ref, resource, "")
+		stored, err := flags.client().Apply(ctx, resource)
 		if err != nil {
 			return err
 		}
-		if err := printApplied(flags.output, ref, stored); err != nil {
+		if err := printApplied(flags.output, resource.Names.Refs()[0], stored); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+func auditCommand() *command {
+	var client clientFlags
+	var revision uint64
+	return &command{
+		name:     "audit",
+		group:    groupOperator,
+		synopsis: "Prints who changed what and when",
+		usage:    "[-control ADDRESS[,ADDRESS]] [-revision N]",
+		setFlags: func(f *flag.FlagSet) {
+			client.set(f)
+			f.Uint64Var(&revision, "revision", 0, "revision after which to start; 0 for all that are kept")
+		},
+		run: func(ctx context.Context, _ []string) error {
+			changes, err := client.client().Audit(ctx, revision)
+			if err != nil {
+				return err
+			}
+			if client.output == "json" {
+				return printJSON(changes)
+			}
+			for _, change := range changes.Items {
+				printChange(change)
+			}
+			return nil
+		},
+	}
+}
+
+func printChange(change *api.Change) {
+	fmt.Printf("%d\t%s\t%s\t%s\t%s %s %v\n", change.Revision, change.Time.Format(time.RFC3339Nano),
+		change.Operator, change.RequestID, change.Verb, change.After.Kind, change.After.Names.Refs())
+	if change.Before != nil {
+		fmt.Printf("\tbefore\t%s\n", change.Before.Spec)
+	}
+	if !change.After.Deleted {
+		fmt.Printf("\tafter\t%s\n", change.After.Spec)
+	}
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -20,7 +20,7 @@
 }
 
 func (c *clientFlags) set(f *flag.FlagSet) {
-	f.StringVar(&c.control, "control", DefaultOperators, "address of a control instance's resource API")
+	f.StringVar(&c.control, "control", DefaultOperators, "addresses of control instances' resource APIs, separated by commas")
 	f.StringVar(&c.operator, "operator", currentUser(), "name for the audit trail")
 	f.StringVar(&c.output, "o", "text", "output format: text or json")
 }
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -104,13 +104,12 @@
 }
 
 func applyUntilDone(ctx context.Context, client *api.Client, resource *api.Resource, log zerolog.Logger) {
-	ref := resource.Names.Refs()[0]
 	for ctx.Err() == nil {
-		_, err := client.Put(ctx, ref, resource, "")
+		_, err := client.Apply(ctx, resource)
 		if err == nil {
 			return
 		}
-		log.Debug().Err(err).Str("resource", string(ref)).Msg("not applied yet")
+		log.Debug().Err(err).Str("resource", string(resource.Names.Refs()[0])).Msg("not applied yet")
 		time.Sleep(devApplyRetry)
 	}
 }
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -14,7 +14,7 @@
 		name:     "get",
 		group:    groupOperator,
 		synopsis: "Prints a resource, or all of a kind",
-		usage:    "[-control ADDRESS] KIND [NAME]",
+		usage:    "[-control ADDRESS[,ADDRESS]] KIND [NAME]",
 		setFlags: client.set,
 		run: func(ctx context.Context, args []string) error {
 			if len(args) == 1 {
@@ -54,7 +54,7 @@
 		name:     "delete",
 		group:    groupOperator,
 		synopsis: "Removes a resource",
-		usage:    "[-control ADDRESS] [-version N] KIND NAME",
+		usage:    "[-control ADDRESS[,ADDRESS]] [-version N] KIND NAME",
 		setFlags: func(f *flag.FlagSet) {
 			client.set(f)
 			f.Uint64Var(&version, "version", 0, "resourceVersion that the resource must have; 0 for any")
@@ -68,43 +68,3 @@
 		},
 	}
 }
-
-func statusCommand() *command {
-	var client clientFlags
-	return &command{
-		name:     "status",
-		group:    groupOperator,
-		synopsis: "Tells how far the last change of a resource has spread",
-		usage:    "[-control ADDRESS] KIND NAME",
-		setFlags: client.set,
-		run: func(ctx context.Context, args []string) error {
-			kind, ref, err := kindAndRef(args)
-			if err != nil {
-				return err
-			}
-			resource, err := client.client().Get(ctx, kind, ref)
-			if err != nil {
-				return err
-			}
-			return printStatus(&client, resource)
-		},
-	}
-}
-
-func printStatus(flags *clientFlags, resource *api.Resource) error {
-	status := resource.Status
-	if flags.output == "json" {
-		return printJSON(status)
-	}
-	fmt.Printf("%s at revision %d\n", status.Phase, resource.ResourceVersion)
-	for _, domain := range status.FailureDomains {
-		fmt.Printf("  %s applies revision %d\n", domain.FailureDomain, domain.Revision)
-	}
-	for _, router := range status.Lacking {
-		fmt.Printf("  %s still lacks it\n", router)
-	}
-	for _, router := range status.Unheard {
-		fmt.Printf("  %s is not heard\n", router)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+func statusCommand() *command {
+	var client clientFlags
+	return &command{
+		name:     "status",
+		group:    groupOperator,
+		synopsis: "Tells how far the last change of a resource has spread, or how control itself is",
+		usage:    "[-control ADDRESS[,ADDRESS]] [KIND NAME]",
+		setFlags: client.set,
+		run: func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return printControlStatus(ctx, &client)
+			}
+			kind, ref, err := kindAndRef(args)
+			if err != nil {
+				return err
+			}
+			resource, err := client.client().Get(ctx, kind, ref)
+			if err != nil {
+				return err
+			}
+			return printStatus(&client, resource)
+		},
+	}
+}
+
+func printStatus(flags *clientFlags, resource *api.Resource) error {
+	status := resource.Status
+	if flags.output == "json" {
+		return printJSON(status)
+	}
+	fmt.Printf("%s at revision %d\n", status.Phase, resource.ResourceVersion)
+	if status.Reason != "" {
+		fmt.Printf("  %s\n", status.Reason)
+	}
+	for _, domain := range status.FailureDomains {
+		fmt.Printf("  %s applies revision %d\n", domain.FailureDomain, domain.Revision)
+	}
+	for _, router := range status.Lacking {
+		fmt.Printf("  %s still lacks it\n", router)
+	}
+	for _, router := range status.Unheard {
+		fmt.Printf("  %s is not heard\n", router)
+	}
+	return nil
+}
+
+func printControlStatus(ctx context.Context, flags *clientFlags) error {
+	status, err := flags.client().ControlStatus(ctx)
+	if err != nil {
+		return err
+	}
+	if flags.output == "json" {
+		return printJSON(status)
+	}
+	fmt.Printf("%s at revision %d, current: %t\n", status.Instance, status.Revision, status.Current)
+	if status.Removed {
+		fmt.Println("  the group has replaced this replica")
+	}
+	for _, replica := range status.Replicas {
+		fmt.Printf("  replica %016x on %s: %s\n", replica.ID, replica.Instance, replicaPart(replica))
+	}
+	for _, router := range status.Routers {
+		fmt.Printf("  router %s in %s: revision %d, heard: %t\n", router.Instance, router.FailureDomain, router.Revision, router.Heard)
+	}
+	return nil
+}
+
+func replicaPart(replica api.ReplicaStatus) string {
+	switch {
+	case replica.Leader:
+		return "leader"
+	case replica.Learner:
+		return "learner"
+	}
+	return "voter"
+}
--- /dev/null
+++ b/internal/configwatch/metrics.go
@@ -0,0 +1,25 @@
+package configwatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// addMetrics adds gauges of the configuration to the process's metrics.
+func (w *Watcher) addMetrics() {
+	gauge := func(name string, value func() float64) {
+		metrics.GetOrCreateGauge(fmt.Sprintf("peridotwinch_router_config_%s{instance=%q}", name, w.instance), value)
+	}
+	gauge("revision", func() float64 { return float64(w.Catalog().Revision()) })
+	gauge("cut_off", func() float64 {
+		if w.IsCutOff() {
+			return 1
+		}
+		return 0
+	})
+	gauge("silence_seconds", func() float64 {
+		return time.Since(time.UnixMilli(w.lastHeard.Load())).Seconds()
+	})
+}
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -178,7 +178,7 @@
 		added := n.ids[len(n.ids)-1]
 		g.Expect(leader.ProposeChange(Change{Type: PromoteLearner, Member: Member{ID: added}})).NotTo(Succeed())
 		n.runBlocked(2 * testElectionTicks)
-		g.Expect(n.nodes[added].durable.Snapshot.Index).To(Equal(leader.log.base.Index))
+		g.Expect(n.nodes[added].durable.Snapshot.Index).To(Equal(leader.SnapshotIndex()))
 		n.change(leader.config.ID, RemoveReplica, lost)
 		n.runBlocked(testElectionTicks)
 		n.change(leader.config.ID, PromoteLearner, added)
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -1,6 +1,6 @@
 package consensus
 
-// entryLog holds the entries above a snapshot.
+// entryLog holds the entries above a base, which has no data.
 type entryLog struct {
 	base    Snapshot
 	entries []Entry
@@ -94,11 +94,12 @@
 	return membership
 }
 
-// compact makes a snapshot the base and drops the entries that it stands for.
-func (l *entryLog) compact(snapshot Snapshot) {
-	kept := l.entries[snapshot.Index-l.base.Index:]
-	l.entries = append([]Entry(nil), kept...)
-	l.base = snapshot
+// compact drops the entries up to an index.
+func (l *entryLog) compact(index uint64) {
+	term, _ := l.term(index)
+	base := Snapshot{Index: index, Term: term, Membership: l.membershipAt(index)}
+	l.entries = append([]Entry(nil), l.entries[index-l.base.Index:]...)
+	l.base = base
 	l.findMembership()
 }
 
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -37,6 +37,8 @@
 type Replica struct {
 	config Config
 	log    *entryLog
+	// snapshot is the newest one; the log may still hold entries below it.
+	snapshot Snapshot
 
 	term   uint64
 	vote   ReplicaID
@@ -67,7 +69,8 @@
 func New(config Config, state State) *Replica {
 	r := &Replica{
 		config:    config,
-		log:       newEntryLog(state.Snapshot, state.Entries),
+		log:       newEntryLog(withoutData(state.Snapshot), state.Entries),
+		snapshot:  state.Snapshot,
 		term:      state.HardState.Term,
 		vote:      state.HardState.Vote,
 		commit:    state.Snapshot.Index,
@@ -175,7 +178,7 @@
 func (r *Replica) stepHigherTerm(m Message) bool {
 	switch m.Type {
 	case MessagePreVote:
-		if !r.hearsLeader() {
+		if !r.HearsLeader() {
 			r.handleVote(m)
 		}
 		return false
@@ -185,7 +188,7 @@
 			return false
 		}
 	case MessageVote:
-		if r.hearsLeader() {
+		if r.HearsLeader() {
 			return false
 		}
 	}
@@ -204,8 +207,8 @@
 	}
 }
 
-// hearsLeader reports whether a leader was heard within the least election timeout.
-func (r *Replica) hearsLeader() bool {
+// HearsLeader reports whether a leader was heard within the least election timeout.
+func (r *Replica) HearsLeader() bool {
 	return r.role == RoleLeader || (r.leader != 0 && r.electionElapsed < r.config.ElectionTicks)
 }
 
@@ -255,19 +258,29 @@
 
 const unlimitedBytes = int(^uint(0) >> 1)
 
-// Compact replaces the entries up to an applied index by a snapshot of the
-// state machine at that index. An index that is not above the last snapshot's
-// or not yet applied changes nothing. It returns the snapshot with its term
-// and membership.
-func (r *Replica) Compact(index uint64, data []byte) (Snapshot, bool) {
-	if index <= r.log.base.Index || index > r.applied {
+// Compact takes a snapshot of the state machine at an applied index. Entries
+// below it stay in memory as far as keep says, so that a replica which is only
+// a little behind needs no snapshot. An index that is not above the last
+// snapshot's or not yet applied changes nothing.
+func (r *Replica) Compact(index uint64, data []byte, keep uint64) (Snapshot, bool) {
+	if index <= r.snapshot.Index || index > r.applied {
 		return Snapshot{}, false
 	}
 	term, _ := r.log.term(index)
-	snapshot := Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index), Data: data}
-	r.log.compact(snapshot)
-	return snapshot, true
+	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index), Data: data}
+	if base := index - min(keep, index); base > r.log.base.Index {
+		r.log.compact(base)
+	}
+	return r.snapshot, true
 }
 
 // Entries returns the entries above the snapshot.
-func (r *Replica) Entries() []Entry { return r.log.slice(r.log.base.Index+1, unlimitedBytes) }
+func (r *Replica) Entries() []Entry { return r.log.slice(r.snapshot.Index+1, unlimitedBytes) }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (r *Replica) SnapshotIndex() uint64 { return r.snapshot.Index }
+
+func withoutData(snapshot Snapshot) Snapshot {
+	snapshot.Data = nil
+	return snapshot
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -52,7 +52,7 @@
 	}
 	term, ok := r.log.term(p.next - 1)
 	if !ok {
-		snapshot := r.log.base
+		snapshot := r.snapshot
 		p.snapshotTicks = r.config.ElectionTicks
 		r.send(Message{Type: MessageSnapshot, To: to, Snapshot: &snapshot})
 		return
@@ -117,7 +117,8 @@
 		r.commitTo(snapshot.Index)
 	}
 	if snapshot.Index > r.commit {
-		r.log = newEntryLog(*snapshot, nil)
+		r.log = newEntryLog(withoutData(*snapshot), nil)
+		r.snapshot = *snapshot
 		r.commit, r.applied, r.stable = snapshot.Index, snapshot.Index, snapshot.Index
 		r.restored = snapshot
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,11 +1,11 @@
+// Package control keeps the declared resources in a replicated log, answers the
+// resource API and streams changes to the routers.
 package control
 
 import (
 	"context"
 	"encoding/json"
 	"net"
-	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/oklog/run"
@@ -14,112 +14,128 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/control/replica"
 	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/rpc/configpb"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
-// maxResourceBytes bounds the body of a write.
-const maxResourceBytes = 1 << 20
+// requestTimeout bounds an operator's request; after it the answer is
+// CodeNoQuorum.
+const requestTimeout = 5 * time.Second
 
 // Control is the control role of a daemon.
 type Control struct {
 	log       zerolog.Logger
+	settings  *settings.Settings
 	store     *Store
+	replica   *replica.Replica
 	leases    *leases
-	heartbeat time.Duration
+	sharing   *sharing
 	operators net.Listener
+	// closing ends the operators' watches on a shutdown.
+	closing context.Context
+	close   context.CancelFunc
 }
 
-// New opens the role's listener and returns the role.
-func New(s *settings.Settings, log zerolog.Logger) (*Control, error) {
+// New loads the durable state, opens the role's listener and returns the role.
+func New(s *settings.Settings, log zerolog.Logger, life *lifecycle.Lifecycle) (*Control, error) {
+	store := NewStore()
+	r, err := replica.New(s, store, log)
+	if err != nil {
+		return nil, err
+	}
 	operators, err := httpx.Listen("listen.operators", s.Listen.Operators)
 	if err != nil {
 		return nil, err
 	}
-	return &Control{
-		operators: operators,
-		log:       log,
-		store:     NewStore(s.NameSchemes),
-		leases:    newLeases(s.PeersWithRole(settings.RoleRouter)),
-		heartbeat: s.Timeouts.Heartbeat(),
-	}, nil
+	if !s.HasRole(settings.RoleRouter) {
+		// A router serves callers also where control has no quorum.
+		life.AddCheck(r.Ready)
+	}
+	c := &Control{
+		log: log, settings: s, store: store, replica: r, operators: operators,
+		leases: newLeases(s.PeersWithRole(settings.RoleRouter), time.Now()),
+	}
+	c.sharing = newSharing(s, c.leases)
+	c.closing, c.close = context.WithCancel(context.Background())
+	c.addMetrics()
+	return c, nil
 }
 
 // AddForeground adds no actor: operators repeat a request that was cut.
 func (c *Control) AddForeground(*run.Group) {}
 
-// AddBackground adds the resource API's actor.
+// AddBackground adds the actors of the replica and of the resource API.
 func (c *Control) AddBackground(group *run.Group) {
 	actor.Add(group, func(ctx context.Context) error {
+		context.AfterFunc(ctx, c.close)
 		return httpx.Serve(ctx, c.operators, c.Handler(), httpx.ReadHeaderTimeout)
 	})
+	actor.Add(group, c.sharing.run)
+	actor.Add(group, c.watchQuorum)
+	actor.Add(group, c.replica.Run)
 }
 
 // Register adds the role's RPCs to a server.
-func (c *Control) Register(mux drpc.Mux) error { return configpb.DRPCRegisterConfig(mux, c) }
-
-// Handler returns the resource API.
-func (c *Control) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /apis/v1/{kind}", c.list)
-	mux.HandleFunc("GET /apis/v1/{kind}/{name}", c.get)
-	mux.HandleFunc("PUT /apis/v1/{kind}/{name}", c.put)
-	mux.HandleFunc("DELETE /apis/v1/{kind}/{name}", c.delete)
-	return mux
-}
-
-func (c *Control) list(w http.ResponseWriter, r *http.Request) {
-	kind := api.Kind(r.PathValue("kind"))
-	httpx.WriteJSON(w, http.StatusOK, c.store.List(kind))
-}
-
-func (c *Control) get(w http.ResponseWriter, r *http.Request) {
-	resource, err := c.store.Get(api.Kind(r.PathValue("kind")), api.Ref(r.PathValue("name")))
-	c.answer(w, resource, err)
+func (c *Control) Register(mux drpc.Mux) error {
+	if err := c.replica.Register(mux); err != nil {
+		return err
+	}
+	return configpb.DRPCRegisterConfig(mux, c)
 }
 
-func (c *Control) put(w http.ResponseWriter, r *http.Request) {
-	resource := &api.Resource{}
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxResourceBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(resource); err != nil {
-		httpx.WriteError(w, api.Errorf(api.CodeResourceInvalid, "%v", err))
-		return
+// watchQuorum forgets what the leases prove while the replica was cut off.
+func (c *Control) watchQuorum(ctx context.Context) error {
+	ticker := time.NewTicker(c.settings.Timeouts.Heartbeat() / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if !c.replica.Status().Current {
+				c.leases.restart(now)
+			}
+		}
 	}
-	resource.Kind = api.Kind(r.PathValue("kind"))
-	stored, err := c.store.Put(api.Ref(r.PathValue("name")), resource)
-	c.logChange("put", r, err)
-	c.answer(w, stored, err)
 }
 
-func (c *Control) delete(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
+// write gets a command committed and returns the resource as it is then.
+func (c *Control) write(ctx context.Context, command *Command) (*api.Resource, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	raw, err := json.Marshal(command)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInternal, "encode a command: %v", err)
+	}
+	answer, err := c.replica.Propose(ctx, raw)
 	if err != nil {
-		httpx.WriteError(w, api.FieldErrorf(api.CodeResourceInvalid, "resourceVersion", "not a number"))
-		return
+		return nil, err
 	}
-	err = c.store.Delete(api.Kind(r.PathValue("kind")), api.Ref(r.PathValue("name")), version)
-	c.logChange("delete", r, err)
+	outcome, err := decodeOutcome(answer)
 	if err != nil {
-		httpx.WriteError(w, err)
-		return
+		return nil, err
 	}
-	w.WriteHeader(http.StatusNoContent)
+	if outcome.Error != nil {
+		return nil, outcome.Error
+	}
+	return outcome.Resource, nil
 }
 
-func (c *Control) logChange(verb string, r *http.Request, err error) {
-	c.log.Info().Err(err).Str("verb", verb).Str("path", r.URL.Path).
-		Str("operator", r.Header.Get(api.HeaderOperator)).
-		Str("requestId", r.Header.Get(api.HeaderRequestID)).Msg("configuration change")
+// current waits until the store has all that was committed before the call.
+func (c *Control) current(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return c.replica.Barrier(ctx)
 }
 
-func (c *Control) answer(w http.ResponseWriter, resource *api.Resource, err error) {
-	if err != nil {
-		httpx.WriteError(w, err)
-		return
+// status tells how far a revision has spread.
+func (c *Control) status(now time.Time, revision uint64) *api.Status {
+	var changed time.Time
+	if change := c.store.ChangeAt(revision); change != nil {
+		changed = change.Time
 	}
-	out := *resource
-	out.Status = c.leases.status(time.Now(), resource.ResourceVersion)
-	httpx.WriteJSON(w, http.StatusOK, &out)
+	return c.leases.status(now, revision, changed)
 }
--- /dev/null
+++ b/internal/control/handler.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/httpx"
+)
+
+// maxResourceBytes bounds the body of a write.
+const maxResourceBytes = 1 << 20
+
+// Handler returns the resource API.
+func (c *Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /apis/v1/{kind}", c.list)
+	mux.HandleFunc("GET /apis/v1/{kind}/{name}", c.get)
+	mux.HandleFunc("PUT /apis/v1/{kind}/{name}", c.put)
+	mux.HandleFunc("DELETE /apis/v1/{kind}/{name}", c.delete)
+	mux.HandleFunc("GET /apis/v1/audit", c.audit)
+	mux.HandleFunc("GET /apis/v1/status", c.controlStatus)
+	return mux
+}
+
+func (c *Control) list(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		c.watch(w, r, "")
+		return
+	}
+	kind := api.Kind(r.PathValue("kind"))
+	if err := api.CheckKind(kind); err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	if err := c.current(r.Context()); err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, c.store.List(kind))
+}
+
+func (c *Control) get(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		c.watch(w, r, api.Ref(r.PathValue("name")))
+		return
+	}
+	if err := c.current(r.Context()); err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	resource, err := c.store.Get(api.Kind(r.PathValue("kind")), api.Ref(r.PathValue("name")))
+	if err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, withStatus(resource, c.status(time.Now(), resource.ResourceVersion)))
+}
+
+func withStatus(resource *api.Resource, status *api.Status) *api.Resource {
+	out := *resource
+	out.Status = status
+	return &out
+}
+
+func (c *Control) put(w http.ResponseWriter, r *http.Request) {
+	resource := &api.Resource{}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxResourceBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(resource); err != nil {
+		httpx.WriteError(w, api.Errorf(api.CodeResourceInvalid, "%v", err))
+		return
+	}
+	resource.Kind = api.Kind(r.PathValue("kind"))
+	if errs := resource.Validate(c.settings.NameSchemes); len(errs) > 0 {
+		httpx.WriteError(w, errs[0])
+		return
+	}
+	command := newCommand(api.VerbPut, r.Header.Get(api.HeaderRequestID), r.Header.Get(api.HeaderOperator))
+	command.Kind, command.Ref = resource.Kind, api.Ref(r.PathValue("name"))
+	command.Names, command.Spec, command.ResourceVersion = resource.Names, resource.Spec, resource.ResourceVersion
+	stored, err := c.write(r.Context(), command)
+	c.logChange(command, err)
+	if err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, withStatus(stored, &api.Status{Phase: api.PhaseAccepted}))
+}
+
+func (c *Control) delete(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
+	if err != nil {
+		httpx.WriteError(w, api.FieldErrorf(api.CodeResourceInvalid, "resourceVersion", "not a number"))
+		return
+	}
+	command := newCommand(api.VerbDelete, r.Header.Get(api.HeaderRequestID), r.Header.Get(api.HeaderOperator))
+	command.Kind, command.Ref = api.Kind(r.PathValue("kind")), api.Ref(r.PathValue("name"))
+	command.ResourceVersion = version
+	_, err = c.write(r.Context(), command)
+	c.logChange(command, err)
+	if err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (c *Control) logChange(command *Command, err error) {
+	c.log.Info().Err(err).Str("verb", string(command.Verb)).Str("kind", string(command.Kind)).
+		Str("name", string(command.Ref)).Str("operator", command.Operator).
+		Str("requestId", command.RequestID).Msg("configuration change")
+}
+
+// audit answers with the changes above a revision that are still kept.
+func (c *Control) audit(w http.ResponseWriter, r *http.Request) {
+	above, err := revisionOf(r, 0)
+	if err == nil {
+		err = c.current(r.Context())
+	}
+	if err != nil {
+		httpx.WriteError(w, err)
+		return
+	}
+	changes, revision, err := c.store.Changes(above)
+	if err != nil && above > 0 {
+		httpx.WriteError(w, err)
+		return
+	}
+	if err != nil {
+		changes, revision = c.store.KeptChanges()
+	}
+	httpx.WriteJSON(w, http.StatusOK, &api.ChangeList{Revision: revision, Items: changes})
+}
+
+// revisionOf reads the query's revision, or returns def where it has none.
+func revisionOf(r *http.Request, def uint64) (uint64, error) {
+	raw := r.URL.Query().Get("revision")
+	if raw == "" {
+		return def, nil
+	}
+	revision, err := strconv.ParseUint(raw, 10, 64)
+	if err != nil {
+		return 0, api.FieldErrorf(api.CodeResourceInvalid, "revision", "not a number")
+	}
+	return revision, nil
+}
+
+// controlStatus answers with what this instance knows of itself, also without
+// a majority.
+func (c *Control) controlStatus(w http.ResponseWriter, _ *http.Request) {
+	status := c.replica.Status()
+	out := &api.ControlStatus{
+		Instance: c.settings.Instance, Replica: uint64(status.ID), Group: status.Group,
+		Current: status.Current, Removed: status.Removed, Revision: c.store.Revision(),
+		Applied: status.Applied, SnapshotIndex: status.SnapshotIndex,
+		LogBytes: status.LogBytes, SnapshotBytes: status.SnapshotBytes,
+		Routers: c.leases.routerStatus(time.Now()),
+	}
+	for _, member := range status.Membership.Members {
+		out.Replicas = append(out.Replicas, api.ReplicaStatus{
+			ID: uint64(member.ID), Instance: member.Instance,
+			Learner: member.Learner, Leader: member.ID == status.Leader,
+		})
+	}
+	httpx.WriteJSON(w, http.StatusOK, out)
+}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -9,13 +10,20 @@
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
-// leaseTerm is how long a router's report counts.
-const leaseTerm = 3 * time.Second
+const (
+	// leaseTerm is how long a router's report counts.
+	leaseTerm = 3 * time.Second
+	// inForceDeadline is the time after which a change that a live router still
+	// lacks has failed.
+	inForceDeadline = 30 * time.Second
+)
 
 // report is the newest report of a router.
 type report struct {
 	revision uint64
 	at       time.Time
+	// direct says that this replica heard the router itself.
+	direct bool
 }
 
 // leases tracks which revision each router applies. It is safe for concurrent use.
@@ -23,44 +31,111 @@
 	routers []settings.Peer
 
 	mu      sync.Mutex
+	since   time.Time
 	reports map[string]report
 }
 
-func newLeases(routers []settings.Peer) *leases {
-	return &leases{routers: routers, reports: make(map[string]report)}
+func newLeases(routers []settings.Peer, now time.Time) *leases {
+	return &leases{routers: routers, since: now, reports: make(map[string]report)}
 }
 
-func (l *leases) record(now time.Time, instance string, revision uint64) {
+// restart notes that the replica may have missed reports up to now.
+func (l *leases) restart(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reports[instance] = report{revision: revision, at: now}
+	l.since = now
 }
 
-// status tells how far a revision has spread.
-func (l *leases) status(now time.Time, revision uint64) *api.Status {
+// report takes a router's own report.
+func (l *leases) report(now time.Time, instance string, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	status := &api.Status{Phase: api.PhaseInForce}
-	lowest := make(map[string]uint64)
+	l.reports[instance] = report{revision: revision, at: now, direct: true}
+}
+
+// record takes a report that another replica heard.
+func (l *leases) record(instance string, revision uint64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.reports[instance].at) {
+		l.reports[instance] = report{revision: revision, at: at}
+	}
+}
+
+// heard returns the live reports that this replica heard itself.
+func (l *leases) heard(now time.Time) map[string]report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]report)
+	for instance, r := range l.reports {
+		if r.direct && now.Sub(r.at) <= leaseTerm {
+			out[instance] = r
+		}
+	}
+	return out
+}
+
+// routerStatus describes all routers of the settings.
+func (l *leases) routerStatus(now time.Time) []api.RouterStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []api.RouterStatus
 	for _, router := range l.routers {
 		r, known := l.reports[router.Instance]
-		if !known || now.Sub(r.at) > leaseTerm {
+		out = append(out, api.RouterStatus{
+			Instance: router.Instance, FailureDomain: router.FailureDomain,
+			Revision: r.revision, Heard: known && now.Sub(r.at) <= leaseTerm,
+		})
+	}
+	return out
+}
+
+// status tells how far a revision that was set at a time has spread.
+func (l *leases) status(now time.Time, revision uint64, changed time.Time) *api.Status {
+	status := &api.Status{}
+	lowest := make(map[string]uint64)
+	heard := 0
+	for _, router := range l.routerStatus(now) {
+		if !router.Heard {
 			status.Unheard = append(status.Unheard, router.Instance)
 			continue
 		}
-		if r.revision < revision {
-			status.Phase = api.PhaseAccepted
+		heard++
+		if router.Revision < revision {
 			status.Lacking = append(status.Lacking, router.Instance)
 		}
-		if low, ok := lowest[router.FailureDomain]; !ok || r.revision < low {
-			lowest[router.FailureDomain] = r.revision
+		if low, ok := lowest[router.FailureDomain]; !ok || router.Revision < low {
+			lowest[router.FailureDomain] = router.Revision
 		}
 	}
+	status.FailureDomains = domainStatus(lowest)
+	status.Phase, status.Reason = l.phase(now, status, heard, changed)
+	return status
+}
+
+// phase decides between accepted, in force and failed. While this replica may
+// not have heard all live routers yet, silent ones count as lacking.
+func (l *leases) phase(now time.Time, status *api.Status, heard int, changed time.Time) (phase api.Phase, reason string) {
+	l.mu.Lock()
+	settling := now.Sub(l.since) <= leaseTerm && len(status.Unheard) > 0
+	l.mu.Unlock()
+	if heard > 0 && len(status.Lacking) == 0 && !settling {
+		return api.PhaseInForce, ""
+	}
+	if settling || changed.IsZero() || now.Sub(changed) <= inForceDeadline {
+		return api.PhaseAccepted, ""
+	}
+	if heard == 0 {
+		return api.PhaseFailed, fmt.Sprintf("no router was heard within %s", inForceDeadline)
+	}
+	return api.PhaseFailed, fmt.Sprintf("%d routers have not applied it within %s", len(status.Lacking), inForceDeadline)
+}
+
+func domainStatus(lowest map[string]uint64) []api.DomainStatus {
+	var out []api.DomainStatus
 	for domain, low := range lowest {
-		status.FailureDomains = append(status.FailureDomains, api.DomainStatus{FailureDomain: domain, Revision: low})
+		out = append(out, api.DomainStatus{FailureDomain: domain, Revision: low})
 	}
-	sort.Slice(status.FailureDomains, func(i, j int) bool {
-		return status.FailureDomains[i].FailureDomain < status.FailureDomains[j].FailureDomain
-	})
-	return status
+	sort.Slice(out, func(i, j int) bool { return out[i].FailureDomain < out[j].FailureDomain })
+	return out
 }
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -1,126 +1,188 @@
-// Package control keeps the declared resources, answers the resource API and
-// streams changes to the routers.
 package control
 
 import (
+	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
 
-	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// Store holds the resources of all kinds at a revision. It is safe for
-// concurrent use.
-type Store struct {
-	schemes []api.Scheme
+// keptChanges bounds the changes that the store keeps for watches and the audit
+// trail, and the request IDs that it remembers.
+const keptChanges = 4096
 
-	mu        sync.Mutex
-	revision  uint64
-	resources map[string]*api.Resource
-	history   []change
-	watchers  map[chan struct{}]struct{}
-}
-
-// change is one resource as it was set at a revision.
-type change struct {
+// Store is the state machine of the replicated log: the resources of all kinds
+// at a revision. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
 	revision uint64
-	resource *api.Resource
+	index    *index
+	changes  []*api.Change
+	// outcomes are in the order of the log, and by request ID.
+	outcomes  []*Outcome
+	byRequest map[string]*Outcome
+	watchers  map[chan struct{}]struct{}
 }
 
 // NewStore returns an empty store at revision 0.
-func NewStore(schemes []api.Scheme) *Store {
+func NewStore() *Store {
 	return &Store{
-		schemes:   schemes,
-		resources: make(map[string]*api.Resource),
+		index:     newIndex(),
+		byRequest: make(map[string]*Outcome),
 		watchers:  make(map[chan struct{}]struct{}),
 	}
 }
 
-// Put creates or replaces the resource that ref names.
-func (s *Store) Put(ref api.Ref, resource *api.Resource) (*api.Resource, error) {
-	if errs := resource.Validate(s.schemes); len(errs) > 0 {
-		return nil, errs[0]
+// Apply implements replica.StateMachine.
+func (s *Store) Apply(raw []byte) []byte {
+	command := &Command{}
+	outcome := &Outcome{}
+	if err := json.Unmarshal(raw, command); err != nil {
+		outcome.Error = api.Errorf(api.CodeInternal, "decode a command: %v", err)
+	} else {
+		outcome = s.apply(command)
 	}
+	out, err := json.Marshal(outcome)
+	if err != nil {
+		return []byte(`{}`)
+	}
+	return out
+}
+
+func (s *Store) apply(command *Command) *Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	existing, err := s.find(resource.Kind, ref)
-	if err != nil && api.AsError(err).Code != api.CodeResourceNotFound {
+	digest := command.digest()
+	if first := s.byRequest[command.RequestID]; first != nil {
+		if first.Digest == digest {
+			return first
+		}
+		return &Outcome{Error: api.FieldErrorf(api.CodeRequestIDReused, "requestId", "%q", command.RequestID)}
+	}
+	outcome := &Outcome{RequestID: command.RequestID, Digest: digest}
+	change, err := s.change(command)
+	if err != nil {
+		outcome.Error = api.AsError(err)
+	} else {
+		outcome.Revision = change.Revision
+		outcome.Resource = change.After
+	}
+	s.remember(outcome)
+	return outcome
+}
+
+func (s *Store) remember(outcome *Outcome) {
+	s.outcomes = append(s.outcomes, outcome)
+	s.byRequest[outcome.RequestID] = outcome
+	if len(s.outcomes) > keptChanges {
+		delete(s.byRequest, s.outcomes[0].RequestID)
+		s.outcomes = s.outcomes[1:]
+	}
+}
+
+// change carries out a command that was not seen before.
+func (s *Store) change(command *Command) (*api.Change, error) {
+	before, err := s.index.find(command.Kind, command.Ref)
+	if err != nil && (command.Verb == api.VerbDelete || api.AsError(err).Code != api.CodeResourceNotFound) {
 		return nil, err
 	}
-	if err := checkVersion(existing, resource.ResourceVersion); err != nil {
+	if err := checkVersion(command, before); err != nil {
 		return nil, err
 	}
-	if err := s.checkNames(resource, existing); err != nil {
+	after := command.after(before)
+	if err := s.checkChange(before, after, command.Ref); err != nil {
 		return nil, err
 	}
-	next := *resource
-	next.UID = uuid.NewString()
-	if existing != nil {
-		next.UID = existing.UID
+	s.revision++
+	after.ResourceVersion = s.revision
+	change := &api.Change{
+		Revision: s.revision, Time: command.Time, Operator: command.Operator, RequestID: command.RequestID,
+		Verb: command.Verb, Before: before, After: after,
 	}
-	s.commit(&next)
-	return &next, nil
+	s.changes = append(s.changes, change)
+	if len(s.changes) > keptChanges {
+		s.changes = s.changes[1:]
+	}
+	s.notify()
+	return change, nil
 }
 
-func checkVersion(existing *api.Resource, version uint64) error {
+// checkVersion compares and sets: a write names the version that it replaces,
+// zero for a resource that does not exist. A deletion at zero takes any version.
+func checkVersion(command *Command, before *api.Resource) error {
 	var current uint64
-	if existing != nil {
-		current = existing.ResourceVersion
+	if before != nil {
+		current = before.ResourceVersion
 	}
-	if version != current && version != 0 {
-		return api.FieldErrorf(api.CodeVersionConflict, "resourceVersion", "%d, and the resource is at %d", version, current)
+	anyVersion := command.Verb == api.VerbDelete && command.ResourceVersion == 0
+	if command.ResourceVersion == current || anyVersion {
+		return nil
 	}
-	return nil
+	return api.FieldErrorf(api.CodeVersionConflict, "resourceVersion", "%d, and the resource is at %d", command.ResourceVersion, current)
 }
 
-func (s *Store) checkNames(resource, existing *api.Resource) error {
-	for _, other := range s.resources {
-		if other.Kind != resource.Kind || (existing != nil && other.UID == existing.UID) {
-			continue
-		}
-		for scheme, name := range resource.Names {
-			if other.Names[scheme] == name {
-				return api.FieldErrorf(api.CodeNameTaken, "names."+string(scheme), "%q is taken", name)
-			}
-		}
+// after returns the resource as the command leaves it.
+func (c *Command) after(before *api.Resource) *api.Resource {
+	if c.Verb == api.VerbDelete {
+		gone := *before
+		gone.Deleted = true
+		return &gone
 	}
-	return nil
+	resource := &api.Resource{Kind: c.Kind, UID: c.UID, Names: c.Names, Spec: c.Spec}
+	if before != nil {
+		resource.UID = before.UID
+	}
+	return resource
 }
 
-// Delete removes the resource that ref names.
-func (s *Store) Delete(kind api.Kind, ref api.Ref, version uint64) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	existing, err := s.find(kind, ref)
-	if err != nil {
-		return err
+// checkChange puts the change into the index, or leaves the index as it was.
+func (s *Store) checkChange(before, after *api.Resource, ref api.Ref) error {
+	if before == nil && !after.HasName(ref) {
+		return api.FieldErrorf(api.CodeResourceInvalid, "names", "%q is none of them", ref)
 	}
-	if err := checkVersion(existing, version); err != nil {
+	if err := s.index.checkNames(after); err != nil && !after.Deleted {
 		return err
 	}
-	gone := *existing
-	gone.Deleted = true
-	s.commit(&gone)
-	return nil
+	s.index.replace(before, after)
+	err := s.index.checkOwnReferences(after.UID)
+	if err == nil {
+		err = s.index.checkReferencesTo(after.Kind)
+	}
+	if err != nil {
+		s.index.replace(after, before)
+	}
+	return err
+}
+
+func (s *Store) notify() {
+	for changed := range s.watchers {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Get returns the resource that ref names.
 func (s *Store) Get(kind api.Kind, ref api.Ref) (*api.Resource, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.find(kind, ref)
+	return s.index.find(kind, ref)
 }
 
-// List returns all resources of a kind, oldest change first.
+// List returns all resources of a kind, oldest change first; the empty kind
+// stands for all kinds.
 func (s *Store) List(kind api.Kind) *api.ResourceList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := &api.ResourceList{Revision: s.revision, Items: []*api.Resource{}}
-	for _, resource := range s.resources {
-		if resource.Kind == kind {
+	for _, resource := range s.index.resources {
+		if kind == "" || resource.Kind == kind {
 			list.Items = append(list.Items, resource)
 		}
 	}
@@ -130,17 +192,42 @@
 	return list
 }
 
-// Changes returns the resources changed above a revision and the current revision.
-func (s *Store) Changes(above uint64) ([]*api.Resource, uint64) {
+// Revision returns the current revision.
+func (s *Store) Revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []*api.Resource
-	for _, c := range s.history {
-		if c.revision > above {
-			out = append(out, c.resource)
-		}
+	return s.revision
+}
+
+// Changes returns the changes above a revision and the current revision, or
+// CodeRevisionGone where some of them are no longer kept.
+func (s *Store) Changes(above uint64) ([]*api.Change, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.revision - uint64(len(s.changes))
+	if above < oldest {
+		return nil, s.revision, api.FieldErrorf(api.CodeRevisionGone, "revision", "changes up to %d are no longer kept", oldest)
+	}
+	if above >= s.revision {
+		return nil, s.revision, nil
+	}
+	return slices.Clone(s.changes[above-oldest:]), s.revision, nil
+}
+
+// KeptChanges returns all changes that are kept and the current revision.
+func (s *Store) KeptChanges() ([]*api.Change, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.changes), s.revision
+}
+
+// ChangeAt returns the change of a revision, or nil where it is no longer kept.
+func (s *Store) ChangeAt(revision uint64) *api.Change {
+	changes, _, err := s.Changes(revision - 1)
+	if err != nil || len(changes) == 0 {
+		return nil
 	}
-	return out, s.revision
+	return changes[0]
 }
 
 // Subscribe returns a channel that gets a value after each change, and a
@@ -157,53 +244,54 @@
 	}
 }
 
-func (s *Store) commit(resource *api.Resource) {
-	s.revision++
-	resource.ResourceVersion = s.revision
-	resource.Status = nil
-	if resource.Deleted {
-		delete(s.resources, resource.UID)
-	} else {
-		s.resources[resource.UID] = resource
-	}
-	s.history = append(s.history, change{s.revision, resource})
-	for changed := range s.watchers {
-		select {
-		case changed <- struct{}{}:
-		default:
-		}
-	}
+// storeSnapshot is the encoded state of a store.
+type storeSnapshot struct {
+	Revision  uint64          `json:"revision"`
+	Resources []*api.Resource `json:"resources"`
+	Changes   []*api.Change   `json:"changes"`
+	Outcomes  []*Outcome      `json:"outcomes"`
 }
 
-func (s *Store) find(kind api.Kind, ref api.Ref) (*api.Resource, error) {
-	if !slices.Contains(api.Kinds, kind) {
-		return nil, api.FieldErrorf(api.CodeKindUnknown, "kind", "%q", kind)
-	}
-	scheme, name := ref.Split()
-	var found *api.Resource
-	for _, resource := range s.resources {
-		if resource.Kind != kind || !hasName(resource, scheme, name) {
-			continue
-		}
-		if found != nil {
-			return nil, api.FieldErrorf(api.CodeNameAmbiguous, "name", "%q", ref)
-		}
-		found = resource
+// Snapshot implements replica.StateMachine.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := &storeSnapshot{Revision: s.revision, Changes: s.changes}
+	for _, outcome := range s.outcomes {
+		// The resource of a success stands in the change of its revision.
+		lean := *outcome
+		lean.Resource = nil
+		snapshot.Outcomes = append(snapshot.Outcomes, &lean)
 	}
-	if found == nil {
-		return nil, api.FieldErrorf(api.CodeResourceNotFound, "name", "%q", ref)
+	for _, uid := range sortedKeys(s.index.resources) {
+		snapshot.Resources = append(snapshot.Resources, s.index.resources[uid])
 	}
-	return found, nil
+	raw, err := json.Marshal(snapshot)
+	return raw, errors.Wrap(err, "encode the store")
 }
 
-func hasName(resource *api.Resource, scheme api.Scheme, name string) bool {
-	if scheme != "" {
-		return resource.Names[scheme] == name
+// Restore implements replica.StateMachine.
+func (s *Store) Restore(raw []byte) error {
+	snapshot := &storeSnapshot{}
+	if err := json.Unmarshal(raw, snapshot); err != nil {
+		return errors.Wrap(err, "decode the store")
 	}
-	for _, other := range resource.Names {
-		if other == name {
-			return true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.changes, s.outcomes = snapshot.Revision, snapshot.Changes, snapshot.Outcomes
+	s.index = newIndex()
+	for _, resource := range snapshot.Resources {
+		s.index.add(resource)
+	}
+	s.byRequest = make(map[string]*Outcome, len(s.outcomes))
+	for _, outcome := range s.outcomes {
+		if outcome.Revision > 0 {
+			outcome.Resource = s.changes[len(s.changes)-1-int(s.revision-outcome.Revision)].After
 		}
+		s.byRequest[outcome.RequestID] = outcome
 	}
-	return false
+	s.notify()
+	return nil
 }
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,7 +70,7 @@
 		d.roles = append(d.roles, r)
 	}
 	if d.settings.HasRole(settings.RoleControl) {
-		c, err := control.New(d.settings, d.log)
+		c, err := control.New(d.settings, d.log, d.life)
 		if err != nil {
 			return err
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,7 +60,15 @@
 func newPolicy() balance.Balancer { return balance.NewRendezvous() }
 
 // Register adds the role's RPCs to a server.
-func (r *Router) Register(mux drpc.Mux) error { return r.members.Register(mux) }
+func (r *Router) Register(mux drpc.Mux) error {
+	// Where this process has the control role, that answers for the configuration.
+	if !r.settings.HasRole(settings.RoleControl) {
+		if err := r.watcher.Register(mux); err != nil {
+			return err
+		}
+	}
+	return r.members.Register(mux)
+}
 
 // AddForeground adds the actors that serve callers. Their interrupts wait until
 // the requests in progress have finished.
