Test the control group on real processes

Three instances: any takes writes and reads them back; a lost disk is repaired under a new replica ID and a second one lost right after; an empty instance waits for the others; a silently isolated leader answers only CodeNoQuorum and disturbs nobody.

Failing first: an instance that belongs to no group let each read run into its 5 s time-out; it refuses at once now. A group of one waited up to 2 s for its election; it leads at once.

go test -race ./test/configfaults passes in 24 s, ./internal/control in 3 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeInternal, "encode a command: %v", err)
 	}
+	if err := c.inGroup(); err != nil {
+		return nil, err
+	}
 	answer, err := c.replica.Propose(ctx, raw)
 	if err != nil {
 		return nil, err
@@ -128,9 +131,20 @@
 func (c *Control) current(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	if err := c.inGroup(); err != nil {
+		return err
+	}
 	return c.replica.Barrier(ctx)
 }
 
+// inGroup refuses at once what a replica without a group cannot answer.
+func (c *Control) inGroup() error {
+	if c.replica.Status().Group == "" {
+		return api.Errorf(api.CodeNoQuorum, "this control replica belongs to no group yet")
+	}
+	return nil
+}
+
 // status tells how far a revision has spread.
 func (c *Control) status(now time.Time, revision uint64) *api.Status {
 	var changed time.Time
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -141,6 +141,7 @@
 			return err
 		}
 	}
+	r.leadAlone()
 	close(r.started)
 	go r.maintain(ctx)
 	ticker := time.NewTicker(r.settings.Timeouts.Heartbeat() / ticksPerHeartbeat)
@@ -161,6 +162,17 @@
 	}
 }
 
+// leadAlone elects the only voter of a group at once: it has nobody to wait for.
+func (r *Replica) leadAlone() {
+	voters := r.core.Membership().Voters()
+	if len(voters) != 1 || voters[0] != r.identity.Replica {
+		return
+	}
+	for range 2 * electionTicks {
+		r.core.Tick()
+	}
+}
+
 // takeQueued handles the events that wait already, so that one sync serves them all.
 func (r *Replica) takeQueued() {
 	for range len(r.events) {
--- /dev/null
+++ b/internal/control/store_test.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"peridotwinch.example/peridotwinch/api"
+)
+
+func putPool(requestID, name string, version uint64, spec string) *Command {
+	command := newCommand(api.VerbPut, requestID, "amina")
+	command.Kind, command.Ref = api.KindPools, api.Ref("engine:"+name)
+	command.Names = api.Names{"engine": name}
+	command.Spec, command.ResourceVersion = json.RawMessage(spec), version
+	return command
+}
+
+const chatPool = `{"protocol":"chat"}`
+
+func apply(s *Store, command *Command) *Outcome {
+	raw, err := json.Marshal(command)
+	if err != nil {
+		panic(err)
+	}
+	outcome, err := decodeOutcome(s.Apply(raw))
+	if err != nil {
+		panic(err)
+	}
+	return outcome
+}
+
+func codeOf(outcome *Outcome) api.Code {
+	if outcome.Error == nil {
+		return api.CodeOK
+	}
+	return outcome.Error.Code
+}
+
+// restored returns a store that a snapshot of s gives.
+func restored(g *WithT, s *Store) *Store {
+	raw, err := s.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	out := NewStore()
+	g.Expect(out.Restore(raw)).To(Succeed())
+	return out
+}
+
+func TestEqualVersionsRaceAndResends(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	g.Expect(codeOf(apply(s, putPool("create", "a", 0, chatPool)))).To(Equal(api.CodeOK))
+	won := apply(s, putPool("one", "a", 1, chatPool))
+	g.Expect(won.Revision).To(BeNumerically("==", 2))
+	g.Expect(codeOf(apply(s, putPool("other", "a", 1, chatPool)))).To(Equal(api.CodeVersionConflict))
+	g.Expect(codeOf(apply(s, putPool("late create", "a", 0, chatPool)))).To(Equal(api.CodeVersionConflict))
+	for _, store := range []*Store{s, restored(g, s)} {
+		again := apply(store, putPool("one", "a", 1, chatPool))
+		g.Expect(again.Revision).To(Equal(won.Revision))
+		g.Expect(again.Resource).To(Equal(won.Resource))
+		g.Expect(codeOf(apply(store, putPool("other", "a", 1, chatPool)))).To(Equal(api.CodeVersionConflict))
+		g.Expect(codeOf(apply(store, putPool("one", "b", 0, chatPool)))).To(Equal(api.CodeRequestIDReused))
+		g.Expect(store.Revision()).To(BeNumerically("==", 2))
+	}
+}
+
+func TestAuditTrailHasBeforeAndAfter(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	apply(s, putPool("create", "a", 0, chatPool))
+	apply(s, putPool("change", "a", 1, `{"protocol":"service"}`))
+	changes, _, err := restored(g, s).Changes(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(changes[0].Operator).To(Equal("amina"))
+	g.Expect(changes[0].RequestID).To(Equal("change"))
+	g.Expect(string(changes[0].Before.Spec)).To(Equal(chatPool))
+	g.Expect(string(changes[0].After.Spec)).To(Equal(`{"protocol":"service"}`))
+}
+
+func TestNamesAndReferences(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	both := putPool("1", "a", 0, chatPool)
+	both.Names["model"] = "swahili"
+	g.Expect(codeOf(apply(s, both))).To(Equal(api.CodeOK))
+	for _, ref := range []api.Ref{"engine:a", "model:swahili", "a", "swahili"} {
+		found, err := s.Get(api.KindPools, ref)
+		g.Expect(err).NotTo(HaveOccurred(), string(ref))
+		g.Expect(found.UID).To(Equal(both.UID))
+	}
+	taken := putPool("2", "b", 0, chatPool)
+	taken.Names["model"] = "swahili"
+	g.Expect(codeOf(apply(s, taken))).To(Equal(api.CodeNameTaken))
+
+	intent := newCommand(api.VerbPut, "3", "amina")
+	intent.Kind, intent.Ref, intent.Names = api.KindIntents, "model:q", api.Names{"model": "q"}
+	intent.Spec = json.RawMessage(`{"pool":"missing"}`)
+	g.Expect(codeOf(apply(s, intent))).To(Equal(api.CodeReferenceMissing))
+	intent.RequestID, intent.Spec = "4", json.RawMessage(`{"pool":"swahili"}`)
+	g.Expect(codeOf(apply(s, intent))).To(Equal(api.CodeOK))
+
+	// A change after which the reference leads nowhere, or to two pools.
+	g.Expect(codeOf(apply(s, putPool("5", "a", 1, chatPool)))).To(Equal(api.CodeStillReferenced))
+	g.Expect(codeOf(apply(s, putPool("6", "swahili", 0, chatPool)))).To(Equal(api.CodeStillReferenced))
+	remove := newCommand(api.VerbDelete, "7", "amina")
+	remove.Kind, remove.Ref = api.KindPools, "a"
+	g.Expect(codeOf(apply(s, remove))).To(Equal(api.CodeStillReferenced))
+	found, err := s.Get(api.KindPools, "swahili")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found.UID).To(Equal(both.UID))
+}
+
+func TestOldRevisionsAndRequestsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStore()
+	for i := range keptChanges + 2 {
+		apply(s, putPool(fmt.Sprint(i), fmt.Sprint("p", i), 0, chatPool))
+	}
+	_, _, err := s.Changes(1)
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeRevisionGone))
+	changes, _, err := s.Changes(2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes).To(HaveLen(keptChanges))
+	g.Expect(s.byRequest).To(HaveLen(keptChanges))
+	restored(g, s)
+}
+
+// TestEqualLogsGiveEqualStates applies random commands to two stores, one of
+// which is restored from a snapshot on the way.
+func TestEqualLogsGiveEqualStates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, other := NewStore(), NewStore()
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				raw, _ := other.Snapshot()
+				other = NewStore()
+				if err := other.Restore(raw); err != nil {
+					t.Fatal(err)
+				}
+			}
+			command := drawCommand(t)
+			raw, _ := json.Marshal(command)
+			if a, b := one.Apply(raw), other.Apply(raw); string(a) != string(b) {
+				t.Fatalf("%s and %s", a, b)
+			}
+		}
+		a, _ := one.Snapshot()
+		b, _ := other.Snapshot()
+		if string(a) != string(b) {
+			t.Fatalf("%s and %s", a, b)
+		}
+	})
+}
+
+func drawCommand(t *rapid.T) *Command {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	command := newCommand(api.VerbPut, fmt.Sprint(rapid.IntRange(0, 40).Draw(t, "request")), "amina")
+	command.Kind = rapid.SampledFrom([]api.Kind{api.KindPools, api.KindIntents}).Draw(t, "kind")
+	command.Names = api.Names{"engine": name.Draw(t, "engine"), "model": name.Draw(t, "model")}
+	command.Ref = api.Ref(name.Draw(t, "ref"))
+	command.Spec = json.RawMessage(`{"protocol":"chat"}`)
+	if command.Kind == api.KindIntents {
+		command.Spec = json.RawMessage(`{"pool":"` + name.Draw(t, "pool") + `"}`)
+	}
+	command.ResourceVersion = uint64(rapid.IntRange(0, 5).Draw(t, "version"))
+	if rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+		command.Verb = api.VerbDelete
+	}
+	return command
+}
--- /dev/null
+++ b/test/configfaults/group_faults_test.go
@@ -0,0 +1,176 @@
+package configfaults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+func TestAnyInstanceTakesWritesAndReadsThemBack(t *testing.T) {
+	g := deploy(t, 2)
+	for i, name := range g.controls {
+		stored := g.put(g.client(name), pool(fmt.Sprint("pool-", i), 2), "")
+		g.Expect(stored.ResourceVersion).To(BeNumerically("==", i+1))
+		for _, other := range g.controls {
+			read, err := g.client(other).Get(context.Background(), api.KindPools, api.Ref(fmt.Sprint("pool-", i)))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(read.UID).To(Equal(stored.UID))
+		}
+	}
+	g.waitInForce(g.client(g.controls...), "pool-2")
+	g.ready(g.routers...)
+}
+
+// TestLostDiskThenSecondLoss loses a disk, and a second one as soon as the first
+// repair is reported done.
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	g := deploy(t, 0)
+	client := g.client(g.controls...)
+	lost := g.followers()
+	for i := range 20 {
+		g.put(client, pool(fmt.Sprint("pool-", i), 2), "")
+	}
+	before, err := g.status(lost[0])
+	g.Expect(err).NotTo(HaveOccurred())
+
+	g.loseDisk(lost[0])
+	g.ready(lost[0]) // ready says that the replica votes: the repair is done
+	after, err := g.status(lost[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after.Replica).NotTo(Equal(before.Replica))
+	g.Expect(after.Replicas).To(HaveLen(3))
+
+	g.Expect(g.bed.Daemons[lost[1]].Kill()).To(Succeed())
+	g.Expect(g.bed.LoseDisk(lost[1])).To(Succeed())
+	g.put(client, pool("after-second-loss", 2), "")
+	list, err := client.List(context.Background(), api.KindPools)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Items).To(HaveLen(21))
+
+	g.Expect(g.bed.Daemons[lost[1]].Start()).To(Succeed())
+	g.ready(lost[1])
+	list, err = g.client(lost[1]).List(context.Background(), api.KindPools)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Items).To(HaveLen(21))
+}
+
+func (g *group) loseDisk(name string) {
+	g.t.Helper()
+	g.Expect(g.bed.Daemons[name].Kill()).To(Succeed())
+	g.Expect(g.bed.LoseDisk(name)).To(Succeed())
+	g.Expect(g.bed.Daemons[name].Start()).To(Succeed())
+}
+
+// TestEmptyInstanceWaitsForTheOthers starts an empty instance while the others
+// are away: it must wait, because it might have lost its disk.
+func TestEmptyInstanceWaitsForTheOthers(t *testing.T) {
+	g := deploy(t, 0)
+	client := g.client(g.controls...)
+	g.put(client, pool("kept", 2), "")
+	for _, name := range g.controls {
+		g.Expect(g.bed.Daemons[name].Kill()).To(Succeed())
+	}
+	g.Expect(g.bed.LoseDisk("control-1")).To(Succeed())
+	g.Expect(g.bed.Daemons["control-1"].Start()).To(Succeed())
+	_, err := g.client("control-1").Get(context.Background(), api.KindPools, "kept")
+	for api.AsError(err).Code == api.CodeUnreachable {
+		_, err = g.client("control-1").Get(context.Background(), api.KindPools, "kept")
+	}
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeNoQuorum))
+	status, err := g.status("control-1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status.Group).To(BeEmpty())
+
+	g.Expect(g.bed.Daemons["control-2"].Start()).To(Succeed())
+	g.Expect(g.bed.Daemons["control-3"].Start()).To(Succeed())
+	g.ready(g.controls...)
+	_, err = g.client("control-1").Get(context.Background(), api.KindPools, "kept")
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// TestSilentIsolation cuts a replica off without closing a connection.
+func TestSilentIsolation(t *testing.T) {
+	g := deploy(t, 0)
+	client := g.client(g.controls...)
+	g.put(client, pool("shared", 2), "")
+	isolated := g.leader()
+	var ask sync.WaitGroup
+	answers := make(chan api.Code, 10)
+	rest := g.client(g.followers()...)
+	g.bed.Isolate(isolated, testbed.Swallow)
+	second := pool("shared", 3)
+	second.ResourceVersion = 1
+	g.put(rest, second, "second")
+	for range 10 {
+		ask.Go(func() { answers <- g.readOnce(isolated, "shared") })
+	}
+	ask.Wait()
+	close(answers)
+	for code := range answers {
+		g.Expect(code).To(Equal(api.CodeNoQuorum), "an isolated replica answers as current")
+	}
+	status, err := g.status(isolated)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status.Current).To(BeFalse())
+
+	leader := g.leaderOf(g.followersOf(isolated)...)
+	g.bed.Isolate(isolated, testbed.Forward)
+	g.ready(isolated)
+	read, err := g.client(isolated).Get(context.Background(), api.KindPools, "shared")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bound(read)).To(Equal(3.0))
+	g.Expect(g.leader()).To(Equal(leader), "the replica that came back disturbs nobody")
+}
+
+// readOnce reads a pool at one instance without a second try.
+func (g *group) readOnce(name, pool string) api.Code {
+	resp, err := http.Get("http://" + g.bed.Daemons[name].Settings.Listen.Operators + "/apis/v1/pools/" + pool)
+	if err != nil {
+		return api.CodeUnreachable
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return api.CodeOK
+	}
+	return api.DecodeError(resp).Code
+}
+
+func (g *group) followersOf(name string) []string {
+	var out []string
+	for _, other := range g.controls {
+		if other != name {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+func (g *group) leaderOf(names ...string) string {
+	g.t.Helper()
+	var found string
+	g.Expect(testbed.Eventually(func() error {
+		for _, name := range names {
+			status, err := g.status(name)
+			if err != nil {
+				return err
+			}
+			for _, replica := range status.Replicas {
+				if replica.Leader && status.Current {
+					found = replica.Instance
+					return nil
+				}
+			}
+		}
+		return errors.New("no leader")
+	})).To(Succeed())
+	return found
+}
