--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -33,10 +33,15 @@
 	mu      sync.Mutex
 	since   time.Time
 	reports map[string]report
+	// watchers are signalled when a router applies a new revision.
+	watchers map[chan struct{}]struct{}
 }
 
 func newLeases(routers []settings.Peer, now time.Time) *leases {
-	return &leases{routers: routers, since: now, reports: make(map[string]report)}
+	return &leases{
+		routers: routers, since: now,
+		reports: make(map[string]report), watchers: make(map[chan struct{}]struct{}),
+	}
 }
 
 // restart notes that the replica may have missed reports up to now.
@@ -50,7 +55,7 @@
 func (l *leases) report(now time.Time, instance string, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reports[instance] = report{revision: revision, at: now, direct: true}
+	l.set(instance, report{revision: revision, at: now, direct: true})
 }
 
 // record takes a report that another replica heard.
@@ -58,7 +63,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.After(l.reports[instance].at) {
-		l.reports[instance] = report{revision: revision, at: at}
+		l.set(instance, report{revision: revision, at: at})
+	}
+}
+
+func (l *leases) set(instance string, next report) {
+	last := l.reports[instance]
+	l.reports[instance] = next
+	if next.revision == last.revision {
+		return
+	}
+	for changed := range l.watchers {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// subscribe returns a channel that gets a value after a router has applied a
+// new revision, and a function that ends the subscription.
+func (l *leases) subscribe() (<-chan struct{}, func()) {
+	changed := make(chan struct{}, 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watchers[changed] = struct{}{}
+	return changed, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.watchers, changed)
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -85,6 +85,8 @@
 func (o *operatorWatch) run(r *http.Request) {
 	changed, cancel := o.control.store.Subscribe()
 	defer cancel()
+	reported, cancelReported := o.control.leases.subscribe()
+	defer cancelReported()
 	ticker := time.NewTicker(o.control.settings.Timeouts.Heartbeat())
 	defer ticker.Stop()
 	for {
@@ -92,7 +94,7 @@
 			o.fail(err)
 			return
 		}
-		if o.sendStatus() != nil || o.send(&api.Event{Type: api.EventHeartbeat, Revision: o.revision}) != nil {
+		if o.sendStatus() != nil {
 			return
 		}
 		select {
@@ -102,7 +104,11 @@
 			o.fail(api.Errorf(api.CodeDraining, "the control instance shuts down"))
 			return
 		case <-changed:
+		case <-reported:
 		case <-ticker.C:
+			if o.send(&api.Event{Type: api.EventHeartbeat, Revision: o.revision}) != nil {
+				return
+			}
 		}
 	}
 }
--- a/test/configfaults/group_faults_test.go
+++ b/test/configfaults/group_faults_test.go
@@ -16,6 +16,7 @@
 )
 
 func TestAnyInstanceTakesWritesAndReadsThemBack(t *testing.T) {
+	t.Parallel()
 	g := deploy(t, 2)
 	for i, name := range g.controls {
 		stored := g.put(g.client(name), pool(fmt.Sprint("pool-", i), 2), "")
@@ -33,6 +34,7 @@
 // TestLostDiskThenSecondLoss loses a disk, and a second one as soon as the first
 // repair is reported done.
 func TestLostDiskThenSecondLoss(t *testing.T) {
+	t.Parallel()
 	g := deploy(t, 0)
 	client := g.client(g.controls...)
 	lost := g.followers()
@@ -73,6 +75,7 @@
 // TestEmptyInstanceWaitsForTheOthers starts an empty instance while the others
 // are away: it must wait, because it might have lost its disk.
 func TestEmptyInstanceWaitsForTheOthers(t *testing.T) {
+	t.Parallel()
 	g := deploy(t, 0)
 	client := g.client(g.controls...)
 	g.put(client, pool("kept", 2), "")
@@ -99,6 +102,7 @@
 
 // TestSilentIsolation cuts a replica off without closing a connection.
 func TestSilentIsolation(t *testing.T) {
+	t.Parallel()
 	g := deploy(t, 0)
 	client := g.client(g.controls...)
 	g.put(client, pool("shared", 2), "")
--- a/test/testbed/relay.go
+++ b/test/testbed/relay.go
@@ -36,11 +36,7 @@
 
 // NewRelay returns a relay that listens on a new address and forwards to target.
 func NewRelay(target string) (*Relay, error) {
-	address, err := Address()
-	if err != nil {
-		return nil, err
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenAnywhere()
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +45,26 @@
 	return r, nil
 }
 
+// listenTries bounds the ports that are tried: another program may take a port
+// between the look at it and its use.
+const listenTries = 10
+
+func listenAnywhere() (net.Listener, error) {
+	var last error
+	for range listenTries {
+		address, err := Address()
+		if err != nil {
+			return nil, err
+		}
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // Address returns the address that the relay listens on.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
