--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,11 +82,29 @@
 	SilenceMS int `json:"silenceMs,omitempty"`
 	// QueueMS bounds the time that a request waits for a free slot.
 	QueueMS int `json:"queueMs,omitempty"`
+	// RetentionMS is how long the ledger remembers a finished request key.
+	RetentionMS int `json:"retentionMs,omitempty"`
 }
 
 // Policy names a way to choose a backend server.
 type Policy string
 
+// Routing policies. The product's policy has the empty name; the others are
+// baselines to measure it against.
+const (
+	PolicyProduct       Policy = ""
+	PolicyRandom        Policy = "random"
+	PolicyRoundRobin    Policy = "round_robin"
+	PolicyLeastInFlight Policy = "least_in_flight"
+	PolicyRendezvous    Policy = "rendezvous"
+	PolicyTwoChoices    Policy = "two_choices"
+)
+
+// Policies lists all routing policies, the product's first.
+var Policies = []Policy{
+	PolicyProduct, PolicyRandom, PolicyRoundRobin, PolicyLeastInFlight, PolicyRendezvous, PolicyTwoChoices,
+}
+
 // Routing selects the routing policy.
 type Routing struct {
 	// Policy is empty for the product's policy or names a baseline.
@@ -100,6 +118,7 @@
 	DefaultHeartbeat = 500 * time.Millisecond
 	DefaultSilence   = 3 * time.Second
 	DefaultQueue     = 2 * time.Second
+	DefaultRetention = 24 * time.Hour
 )
 
 // Progress returns the progress timeout.
@@ -117,6 +136,9 @@
 // Queue returns the longest time that a request waits for a free slot.
 func (t Timeouts) Queue() time.Duration { return orDefault(t.QueueMS, DefaultQueue) }
 
+// Retention returns how long the ledger remembers a finished request key.
+func (t Timeouts) Retention() time.Duration { return orDefault(t.RetentionMS, DefaultRetention) }
+
 func orDefault(ms int, def time.Duration) time.Duration {
 	if ms == 0 {
 		return def
@@ -199,6 +221,7 @@
 	v.dataDir(s)
 	v.peers(s.Peers)
 	v.timeouts(s.Timeouts)
+	v.policy(s.Routing.Policy)
 	return v.errs
 }
 
@@ -274,6 +297,13 @@
 	v.notNegative("timeouts.heartbeatMs", t.HeartbeatMS)
 	v.notNegative("timeouts.silenceMs", t.SilenceMS)
 	v.notNegative("timeouts.queueMs", t.QueueMS)
+	v.notNegative("timeouts.retentionMs", t.RetentionMS)
+}
+
+func (v *validator) policy(policy Policy) {
+	if !slices.Contains(Policies, policy) {
+		v.add("routing.policy", "unknown policy %q", policy)
+	}
 }
 
 func (v *validator) notNegative(field string, value int) {
