--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,8 @@
 // Router is the router role of a daemon.
 type Router struct {
 	settings *settings.Settings
+	log      zerolog.Logger
+	life     *lifecycle.Lifecycle
 	watcher  *configwatch.Watcher
 	members  *membership.Service
 	dispatch *dispatch.Dispatcher
@@ -53,6 +55,8 @@
 	life.AddCheck(members.Ready)
 	return &Router{
 		settings: s,
+		log:      log,
+		life:     life,
 		watcher:  watcher,
 		members:  members,
 		dispatch: dispatcher,
@@ -96,9 +100,7 @@
 // AddForeground adds the actors that serve callers. Their interrupts wait until
 // the requests in progress have finished.
 func (r *Router) AddForeground(group *run.Group) {
-	actor.AddDraining(group, func(ctx context.Context) error {
-		return httpx.Serve(ctx, r.callers, r.proxy.Handler(), r.settings.Timeouts.Drain())
-	})
+	actor.AddDraining(group, r.serveCallers)
 }
 
 // AddBackground adds the actors that the requests in progress rely on.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,9 @@
 	SilenceMS int `json:"silenceMs,omitempty"`
 	// QueueMS bounds the time that a request waits for a free slot.
 	QueueMS int `json:"queueMs,omitempty"`
+	// AnnounceMS is the time between the failing readiness probe and the closing
+	// of the callers' listener on a shutdown.
+	AnnounceMS int `json:"announceMs,omitempty"`
 	// RetentionMS is how long the ledger remembers a finished request key.
 	RetentionMS int `json:"retentionMs,omitempty"`
 }
@@ -129,6 +132,7 @@
 	DefaultHeartbeat = 500 * time.Millisecond
 	DefaultSilence   = 3 * time.Second
 	DefaultQueue     = 2 * time.Second
+	DefaultAnnounce  = 500 * time.Millisecond
 	DefaultRetention = 24 * time.Hour
 )
 
@@ -147,6 +151,9 @@
 // Queue returns the longest time that a request waits for a free slot.
 func (t Timeouts) Queue() time.Duration { return orDefault(t.QueueMS, DefaultQueue) }
 
+// Announce returns the time for which a leaving router still takes connections.
+func (t Timeouts) Announce() time.Duration { return orDefault(t.AnnounceMS, DefaultAnnounce) }
+
 // Retention returns how long the ledger remembers a finished request key.
 func (t Timeouts) Retention() time.Duration { return orDefault(t.RetentionMS, DefaultRetention) }
 
@@ -309,6 +316,7 @@
 	v.notNegative("timeouts.heartbeatMs", t.HeartbeatMS)
 	v.notNegative("timeouts.silenceMs", t.SilenceMS)
 	v.notNegative("timeouts.queueMs", t.QueueMS)
+	v.notNegative("timeouts.announceMs", t.AnnounceMS)
 	v.notNegative("timeouts.retentionMs", t.RetentionMS)
 }
 
