Show how every daemon is with one command

Cause: an operator had to read seven metrics pages to find what is degraded. Each daemon now answers a status RPC to which its roles add their part; status -settings FILE asks all peers of that file and prints failure domains, routers with their servers by pool, control and ledger replicas, and each degradation with its result code.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -9,13 +10,20 @@
 
 func statusCommand() *command {
 	var client clientFlags
+	var settingsPath string
 	return &command{
 		name:     "status",
 		group:    groupOperator,
-		synopsis: "Tells how far the last change of a resource has spread, or how control itself is",
-		usage:    "[-control ADDRESS[,ADDRESS]] [KIND NAME]",
-		setFlags: client.set,
+		synopsis: "Tells how all daemons are, how control is, or how far the last change of a resource has spread",
+		usage:    "-settings FILE | [-control ADDRESS[,ADDRESS]] [KIND NAME]",
+		setFlags: func(f *flag.FlagSet) {
+			client.set(f)
+			f.StringVar(&settingsPath, "settings", "", "settings file whose peers are asked how they are")
+		},
 		run: func(ctx context.Context, args []string) error {
+			if settingsPath != "" {
+				return printOverview(ctx, settingsPath, client.output)
+			}
 			if len(args) == 0 {
 				return printControlStatus(ctx, &client)
 			}
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -151,6 +151,22 @@
 // controlStatus answers with what this instance knows of itself, also without
 // a majority.
 func (c *Control) controlStatus(w http.ResponseWriter, _ *http.Request) {
+	httpx.WriteJSON(w, http.StatusOK, c.selfStatus())
+}
+
+// AddStatus implements status.Reporter.
+func (c *Control) AddStatus(status *api.DaemonStatus) {
+	status.Control = c.selfStatus()
+	if status.Control.Removed {
+		status.Degrade(api.CodeNoQuorum, "control", "the group has replaced this replica")
+		return
+	}
+	if !status.Control.Current {
+		status.Degrade(api.CodeNoQuorum, "control", "the replica hears no leader with a majority")
+	}
+}
+
+func (c *Control) selfStatus() *api.ControlStatus {
 	status := c.replica.Status()
 	out := &api.ControlStatus{
 		Instance: c.settings.Instance, Replica: uint64(status.ID), Group: status.Group,
@@ -165,5 +181,5 @@
 			Learner: member.Learner, Leader: member.ID == status.Leader,
 		})
 	}
-	httpx.WriteJSON(w, http.StatusOK, out)
+	return out
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/control"
 	"peridotwinch.example/peridotwinch/internal/httpx"
@@ -23,10 +24,12 @@
 	"peridotwinch.example/peridotwinch/internal/router"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/status"
 )
 
 // role is a part of the daemon with its own actors and RPCs.
 type role interface {
+	status.Reporter
 	Register(mux drpc.Mux) error
 	AddForeground(group *run.Group)
 	AddBackground(group *run.Group)
@@ -57,12 +60,28 @@
 	if err := d.addRoles(); err != nil {
 		return nil, err
 	}
+	if err := d.register(); err != nil {
+		return nil, errors.Wrap(err, "register RPCs")
+	}
+	return d, nil
+}
+
+func (d *Daemon) register() error {
+	reporters := []status.Reporter{d}
 	for _, r := range d.roles {
 		if err := r.Register(d.rpc.Mux()); err != nil {
-			return nil, errors.Wrap(err, "register a role's RPCs")
+			return err
 		}
+		reporters = append(reporters, r)
 	}
-	return d, nil
+	return status.NewService(reporters...).Register(d.rpc.Mux())
+}
+
+// AddStatus implements status.Reporter.
+func (d *Daemon) AddStatus(status *api.DaemonStatus) {
+	status.Instance = d.settings.Instance
+	status.FailureDomain = d.settings.FailureDomain
+	status.State = string(d.life.State())
 }
 
 func (d *Daemon) addRoles() error {
--- /dev/null
+++ b/internal/router/report.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/membership"
+)
+
+// AddStatus implements status.Reporter.
+func (r *Router) AddStatus(status *api.DaemonStatus) {
+	status.Router = &api.RouterSelfStatus{
+		Revision: r.watcher.Catalog().Revision(),
+		Pools:    countPools(r.members.Servers()),
+	}
+	if err := r.watcher.Ready(); err != nil {
+		status.Degraded = append(status.Degraded, api.AsError(err))
+	}
+	if r.watcher.IsCutOff() {
+		status.Degrade(api.CodeUnreachable, "control", "the router follows no control replica and serves its last configuration")
+	}
+	for _, pool := range status.Router.Pools {
+		if pool.Serving == 0 {
+			status.Degrade(api.CodeNoBackendServer, string(pool.Pool), "no serving backend server")
+		}
+	}
+}
+
+// countPools counts servers by the pool's name that they announce.
+func countPools(servers []membership.Server) []api.PoolStatus {
+	counts := make(map[api.Ref]*api.PoolStatus)
+	for i := range servers {
+		server := &servers[i]
+		pool := counts[server.Pool]
+		if pool == nil {
+			pool = &api.PoolStatus{Pool: server.Pool}
+			counts[server.Pool] = pool
+		}
+		addServer(pool, server)
+	}
+	out := make([]api.PoolStatus, 0, len(counts))
+	for _, pool := range counts {
+		out = append(out, *pool)
+	}
+	slices.SortFunc(out, func(a, b api.PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	return out
+}
+
+func addServer(pool *api.PoolStatus, server *membership.Server) {
+	switch {
+	case !server.Present():
+		pool.Silent++
+		return
+	case server.Life == membership.Draining:
+		pool.Draining++
+	default:
+		pool.Serving++
+		pool.Slots += server.Slots
+	}
+	pool.Load += server.Load
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -32,6 +32,7 @@
 	PurposeLedger    Purpose = 'l'
 	PurposeConsensus Purpose = 'r'
 	PurposeForward   Purpose = 'f'
+	PurposeStatus    Purpose = 's'
 )
 
 // String returns the purpose's name in metrics.
@@ -47,6 +48,8 @@
 		return "consensus"
 	case PurposeForward:
 		return "forward"
+	case PurposeStatus:
+		return "status"
 	}
 	return "unknown"
 }
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -21,7 +21,7 @@
 	"ready":    ready,
 	"start":    onProcess((*testbed.Process).Start),
 	"shutdown": onProcess((*testbed.Process).Stop),
-	"kill":     onProcess((*testbed.Process).Kill),
+	"sigkill":  onProcess((*testbed.Process).Kill),
 	"freeze":   onProcess((*testbed.Process).Freeze),
 	"thaw":     onProcess((*testbed.Process).Thaw),
 	"ask":      ask,
