--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -64,14 +64,20 @@
 
 // listDispatcher gives out leases on its servers in order.
 type listDispatcher struct {
-	mu       sync.Mutex
-	servers  []string
-	remote   string
+	mu      sync.Mutex
+	servers []string
+	remote  string
+	// full makes requests wait for a slot that never comes.
+	full     bool
 	requests []balance.Request
 	results  []balance.Result
 }
 
-func (d *listDispatcher) Acquire(_ context.Context, _ *catalog.Catalog, _ catalog.Pool, _ string, request balance.Request) (*dispatch.Lease, error) {
+func (d *listDispatcher) Acquire(ctx context.Context, _ *catalog.Catalog, _ catalog.Pool, _ string, request balance.Request) (*dispatch.Lease, error) {
+	if d.full {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requests = append(d.requests, request)
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -126,6 +126,17 @@
 		Expect(server.count()).To(Equal(1))
 	})
 
+	It("reaches the server with its path as the caller wrote it", func() {
+		paths := make(chan string, 1)
+		address := httpServer(func(w http.ResponseWriter, r *http.Request) {
+			paths <- r.RequestURI
+			_, _ = io.WriteString(w, "done")
+		})
+		r := newRig(longProgress, address)
+		r.mustCall(http.MethodPost, "/services/gates/a%2Fb%3Fc/d%20e?lane=2", "charge")
+		Expect(paths).To(Receive(Equal("/a%2Fb%3Fc/d%20e?lane=2")))
+	})
+
 	It("is never retried after a redirect", func() {
 		hits := atomic.Int32{}
 		address := httpServer(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/proxy/remote_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/ledger"
+)
+
+var _ = Describe("A lease on a router of another failure domain", func() {
+	It("forwards the caller's request as it came, marked as forwarded", func() {
+		requests := make(chan *http.Request, 1)
+		router := httpServer(func(w http.ResponseWriter, r *http.Request) {
+			requests <- r.Clone(r.Context())
+			w.Header().Set(api.HeaderAffinity, "10.0.0.1:80#1")
+			_, _ = w.Write([]byte("far"))
+		})
+		r := newRig(longProgress)
+		r.dispatcher.remote = router
+		got := r.mustCall(http.MethodPost, "/services/gates/a%20b?lane=2", "charge", api.HeaderRequestID, "mine")
+		Expect(got.body).To(Equal("far"))
+		var sent *http.Request
+		Expect(requests).To(Receive(&sent))
+		Expect(sent.RequestURI).To(Equal("/services/gates/a%20b?lane=2"))
+		Expect(sent.Header.Get("Authorization")).To(Equal("Bearer " + testToken))
+		Expect(sent.Header.Get(api.HeaderHop)).To(Equal("1"))
+		Expect(sent.Header.Get(api.HeaderRequestID)).To(Equal("mine"))
+	})
+
+	It("is not given to requests that were forwarded already or hold a claim", func() {
+		r := newRig(longProgress)
+		r.dispatcher.remote = deadAddress()
+		for _, headers := range [][]string{{api.HeaderHop, "1"}, {api.HeaderIdempotencyKey, "k"}} {
+			got := r.mustCall(http.MethodPost, "/services/gates/a", "charge", headers...)
+			Expect(got.refusal().Code).To(Equal(api.CodeNoBackendServer))
+			Expect(got.refusal().Outcome).To(Equal(api.OutcomeNotRun))
+		}
+	})
+
+	It("takes the other router's not_run for its own", func() {
+		r := newRig(longProgress)
+		r.dispatcher.remote = httpServer(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(api.HeaderOutcome, string(api.OutcomeNotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge")
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeNotRun))
+	})
+})
+
+var _ = Describe("A stored answer that was too large to keep", func() {
+	It("is told as run, with its digest", func() {
+		r := newRig(longProgress)
+		r.claimer.answers["k"] = ledger.Answer{Status: http.StatusOK, BodyDigest: &ledger.Digest{0xab}}
+		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge", api.HeaderIdempotencyKey, "k")
+		Expect(got.refusal().Code).To(Equal(api.CodeAnswerNotKept))
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeRan))
+		Expect(got.refusal().Message).To(ContainSubstring("ab00"))
+	})
+})
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -135,10 +135,13 @@
 		request.Exclude = nil
 		lease, err = t.proxy.dispatcher.Acquire(t.waiting, t.call.view, route.Pool, route.Model, request)
 	}
-	if err != nil {
-		return nil, &failure{err: callerError(err), blameless: true}
+	if err == nil {
+		return lease, nil
+	}
+	if cause := context.Cause(t.waiting); cause != nil {
+		err = cause
 	}
-	return lease, nil
+	return nil, &failure{err: callerError(err), blameless: true}
 }
 
 // sendFailed tells what follows from a server that did not begin to answer.
