--- a/internal/ledger/claimer.go
+++ b/internal/ledger/claimer.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/hex"
 )
 
 // Key is an idempotency key of a customer.
@@ -24,6 +25,9 @@
 	return id
 }
 
+// String returns the ID in hexadecimal digits.
+func (id AttemptID) String() string { return hex.EncodeToString(id[:]) }
+
 // Digest is the SHA-256 digest of a request.
 type Digest [sha256.Size]byte
 
