Restart a ledger group on an operator's command after a lost majority

Cause: when a majority of the disks is gone, claims may be lost, so no replica may start the group by itself.

ledger-restart copies what the survivors hold, raises the epoch, starts a new generation (which refuses all keys minted before) and refuses customers' own keys for a quarantine. A key that a survivor holds stays held: its rival may have had the lost majority, so granting it again to its holder would be a second run. ledger-status shows the members.

--- a/api/code.go
+++ b/api/code.go
@@ -43,7 +43,10 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
-	CodeAnnouncement     Code = 4001
+
+	// Ledger.
+	CodeLedgerHasMajority Code = 3020
+	CodeAnnouncement      Code = 4001
 )
 
 // Exit codes of the command line.
@@ -102,6 +105,7 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeLedgerHasMajority, "ledger_has_majority", http.StatusConflict, ExitRefused, "A majority of the group's ledger replicas is active; the others recover by themselves."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,6 +38,7 @@
 	return []*command{
 		serveCommand(), devCommand(), checkCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
+		ledgerStatusCommand(), ledgerRestartCommand(),
 		fakeBackendCommand(), versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/cli/ledger.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/replica"
+	"peridotwinch.example/peridotwinch/internal/settings"
+)
+
+// ledgerFlags name a group of ledger replicas.
+type ledgerFlags struct {
+	settings string
+	group    string
+	output   string
+}
+
+func (l *ledgerFlags) set(f *flag.FlagSet) {
+	f.StringVar(&l.settings, "settings", "", "settings file whose peers make up the group")
+	f.StringVar(&l.group, "group", string(ledger.FleetGroup), "fleet, or domain/NAME")
+	f.StringVar(&l.output, "o", "text", "output format: text or json")
+}
+
+func (l *ledgerFlags) operator() (*replica.Operator, *settings.Settings, error) {
+	s, err := settings.Load(l.settings)
+	if err != nil {
+		return nil, nil, err
+	}
+	group := ledger.GroupID(l.group)
+	if len(replica.MembersOf(s, group)) == 0 {
+		return nil, nil, usageError("the settings name no ledger replica of the group %q", l.group)
+	}
+	return replica.NewOperator(s, group), s, nil
+}
+
+func ledgerStatusCommand() *command {
+	var flags ledgerFlags
+	return &command{
+		name:     "ledger-status",
+		group:    groupOperator,
+		synopsis: "Prints the state of each ledger replica of a group",
+		usage:    "-settings FILE [-group GROUP]",
+		setFlags: flags.set,
+		run: func(ctx context.Context, _ []string) error {
+			operator, _, err := flags.operator()
+			if err != nil {
+				return err
+			}
+			return printMembers(flags.output, operator.Status(ctx))
+		},
+	}
+}
+
+func printMembers(output string, members []replica.MemberStatus) error {
+	if output == "json" {
+		return printJSON(members)
+	}
+	for _, m := range members {
+		if m.Error != "" {
+			fmt.Printf("%s %s unreachable: %s\n", m.Instance, m.Address, m.Error)
+			continue
+		}
+		fmt.Printf("%s %s %s generation %d epoch %d records %d\n",
+			m.Instance, m.Address, m.Phase, m.Generation, m.Epoch, m.Records)
+	}
+	return nil
+}
+
+func ledgerRestartCommand() *command {
+	var flags ledgerFlags
+	var quarantine time.Duration
+	return &command{
+		name:     "ledger-restart",
+		group:    groupOperator,
+		synopsis: "Starts a ledger group again after a majority of its replicas lost their disks",
+		usage:    "-settings FILE [-group GROUP] [-quarantine DURATION]",
+		setFlags: func(f *flag.FlagSet) {
+			flags.set(f)
+			f.DurationVar(&quarantine, "quarantine", -1, "how long no customer's own key is granted; the retention unless given")
+		},
+		run: func(ctx context.Context, _ []string) error {
+			operator, s, err := flags.operator()
+			if err != nil {
+				return err
+			}
+			if quarantine < 0 {
+				quarantine = s.Timeouts.Retention()
+			}
+			if err := operator.Restart(ctx, quarantine); err != nil {
+				return err
+			}
+			return printMembers(flags.output, operator.Status(ctx))
+		},
+	}
+}
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -15,6 +15,9 @@
 	return (highest/maxMembers+1)*maxMembers + uint64(member)
 }
 
+// OperatorEpoch returns the epoch of a restart; no member raises the same one.
+func OperatorEpoch(highest uint64) uint64 { return NextEpoch(highest, maxMembers-1) }
+
 // firstEpoch is the epoch of a new group.
 const firstEpoch uint64 = maxMembers
 
@@ -93,16 +96,26 @@
 }
 
 // Restart installs a group's state after a majority lost its own. Only an
-// operator's command leads here.
+// operator's command leads here. Another attempt than the holders that are left
+// may have run, so a held key stays held for good.
 func (s *State) Restart(meta Meta, records map[KeyHash]*Record) (bool, []Change) {
 	if meta.Generation <= s.meta.Generation || meta.Epoch <= s.meta.Epoch {
 		return false, nil
 	}
 	meta.Phase = PhaseActive
-	changes := s.replaceRecords(records)
+	union := UnionCopies([]Copy{{Records: s.records}, {Records: records}})
+	for key, record := range union {
+		if record.Answer == nil && len(record.Holders) > 0 {
+			union[key] = Union(record, &Record{Holders: []AttemptID{unknownAttempt}})
+		}
+	}
+	changes := s.replaceRecords(union)
 	return true, append(changes, s.setMeta(meta))
 }
 
+// unknownAttempt stands for attempts that nobody remembers.
+var unknownAttempt = AttemptID{}
+
 func (s *State) replaceRecords(records map[KeyHash]*Record) []Change {
 	var changes []Change
 	for key := range s.records {
--- a/internal/ledger/replica/recover.go
+++ b/internal/ledger/replica/recover.go
@@ -58,7 +58,7 @@
 	answers := make(chan *ledger.Copy, len(active))
 	for _, status := range active {
 		go func() {
-			one, err := k.copyFrom(ctx, status.member, epoch)
+			one, err := copyFrom(ctx, k.group, status.member, epoch)
 			if err != nil {
 				k.log.Debug().Err(err).Str("member", status.member.instance).Msg("no copy")
 			}
@@ -78,14 +78,14 @@
 }
 
 // copyFrom reads a whole copy of another member at the raised epoch.
-func (k *keeper) copyFrom(ctx context.Context, other member, epoch uint64) (*ledger.Copy, error) {
+func copyFrom(ctx context.Context, group ledger.GroupID, other member, epoch uint64) (*ledger.Copy, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(copyProgressTimeout, cancel)
 	defer silence.Stop()
 	out := &ledger.Copy{Records: make(map[ledger.KeyHash]*ledger.Record)}
 	err := other.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		request := &ledgerpb.RecoverRequest{Group: string(k.group), Epoch: epoch}
+		request := &ledgerpb.RecoverRequest{Group: string(group), Epoch: epoch}
 		stream, err := ledgerpb.NewDRPCLedgerClient(conn).Recover(ctx, request)
 		if err != nil {
 			return err
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -18,6 +18,17 @@
 	PhaseActive
 )
 
+// String returns the phase's name.
+func (p Phase) String() string {
+	switch p {
+	case PhaseForming:
+		return "forming"
+	case PhaseActive:
+		return "active"
+	}
+	return "empty"
+}
+
 // Meta is a replica's durable state in a group besides the records.
 type Meta struct {
 	Phase Phase
@@ -27,8 +38,8 @@
 	Epoch uint64
 	// Members are the instances of the group in ascending order.
 	Members []string
-	// QuarantineUntil is the Unix time in seconds until which keys without a
-	// record are not granted.
+	// QuarantineUntil is the Unix time in seconds until which no customer's own
+	// key is granted, because what a majority had granted is lost.
 	QuarantineUntil int64
 }
 
@@ -142,12 +153,12 @@
 		return s.reply(StatusStale), changes
 	}
 	record := s.records[r.Key]
-	if record == nil && now.Unix() < s.meta.QuarantineUntil {
-		return s.reply(StatusHeld), changes
-	}
 	if refusal, refused := s.refusal(record, r); refused {
 		return refusal, changes
 	}
+	if r.Generation == 0 && now.Unix() < s.meta.QuarantineUntil {
+		return s.reply(StatusHeld), changes
+	}
 	if record != nil && record.heldAlone(r.Attempt) {
 		return s.reply(StatusGranted), changes
 	}
--- a/test/claims/claims_test.go
+++ b/test/claims/claims_test.go
@@ -17,12 +17,22 @@
 
 func TestMain(m *testing.M) { testbed.Main(m) }
 
-// claimTimeout bounds a claim that is expected to wait in vain.
-const claimTimeout = 3 * time.Second
+// Bounds of a claim, and of one that is expected to wait in vain.
+const (
+	claimTimeout = 10 * time.Second
+	heldTimeout  = 500 * time.Millisecond
+)
 
-// ledgers starts one failure domain with three ledger replicas, one with a
-// single replica, and returns the deployment.
+// ledgers starts a failure domain with three ledger replicas.
 func ledgers(t *testing.T) *testbed.Bed {
+	t.Helper()
+	bed := newLedgers(t)
+	NewWithT(t).Expect(bed.Start()).To(Succeed())
+	return bed
+}
+
+// newLedgers prepares a failure domain with three ledger replicas.
+func newLedgers(t *testing.T) *testbed.Bed {
 	t.Helper()
 	g := NewWithT(t)
 	roles := []settings.Role{settings.RoleLedger}
@@ -33,7 +43,6 @@
 	}})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(bed.Close)
-	g.Expect(bed.Start()).To(Succeed())
 	return bed
 }
 
@@ -53,7 +62,17 @@
 
 // claim claims a key under a new attempt and returns both.
 func claim(c ledger.Claimer, key ledger.Key) (ledger.AttemptID, ledger.Decision) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	return claimFor(c, key, claimTimeout)
+}
+
+// claimHeld claims a key that another attempt holds for good.
+func claimHeld(c ledger.Claimer, key ledger.Key) ledger.Decision {
+	_, decision := claimFor(c, key, heldTimeout)
+	return decision
+}
+
+func claimFor(c ledger.Claimer, key ledger.Key, timeout time.Duration) (ledger.AttemptID, ledger.Decision) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	attempt := ledger.NewAttemptID()
 	return attempt, c.Claim(ctx, key, attempt, ledger.Digest{1})
@@ -84,8 +103,7 @@
 
 	second, decision := claim(c, key)
 	g.Expect(decision.Verdict).To(Equal(ledger.VerdictGranted), "the key is free after the release")
-	_, decision = claim(claimer(bed, "pwani-a"), key)
-	g.Expect(decision.Verdict).To(Equal(ledger.VerdictHeld))
+	g.Expect(claimHeld(claimer(bed, "pwani-a"), key).Verdict).To(Equal(ledger.VerdictHeld))
 
 	waiting := make(chan ledger.Decision)
 	go func() {
--- a/test/claims/history_test.go
+++ b/test/claims/history_test.go
@@ -13,6 +13,9 @@
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
+// attemptTimeout bounds an attempt, also one that waits for a vanished holder.
+const attemptTimeout = 2 * time.Second
+
 // call is a step of an attempt in a history.
 type call struct {
 	key     string
@@ -98,7 +101,7 @@
 
 // attempt claims a key and, as the draw says, vanishes, releases or runs.
 func (r *recorder) attempt(c ledger.Claimer, value string, draw int) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	key, id := customerKey(value), ledger.NewAttemptID()
 	decision, _ := r.record(call{value, kindClaim, id}, func() (ledger.Decision, error) {
