Count acknowledgements of a release in one epoch only

Cause: the model of claims showed that two replicas can acknowledge a release in different epochs while the key is not free: the first one loses its disk after its acknowledgement and recovers before the second one takes the release. The same holds for a stored answer. A release or completion now returns only with a majority of one epoch, and members of an older epoch are asked again; the operations carry the epoch, so that a replica that missed it learns it.

ledger-restart gets -force for a group that has formed anew after all disks were lost.

--- a/internal/cli/ledger.go
+++ b/internal/cli/ledger.go
@@ -72,13 +72,15 @@
 func ledgerRestartCommand() *command {
 	var flags ledgerFlags
 	var quarantine time.Duration
+	var force bool
 	return &command{
 		name:     "ledger-restart",
 		group:    groupOperator,
 		synopsis: "Starts a ledger group again after a majority of its replicas lost their disks",
-		usage:    "-settings FILE [-group GROUP] [-quarantine DURATION]",
+		usage:    "-settings FILE [-group GROUP] [-quarantine DURATION] [-force]",
 		setFlags: func(f *flag.FlagSet) {
 			flags.set(f)
+			f.BoolVar(&force, "force", false, "restart also while a majority is active")
 			f.DurationVar(&quarantine, "quarantine", -1, "how long no customer's own key is granted; the retention unless given")
 		},
 		run: func(ctx context.Context, _ []string) error {
@@ -89,7 +91,7 @@
 			if quarantine < 0 {
 				quarantine = s.Timeouts.Retention()
 			}
-			if err := operator.Restart(ctx, quarantine); err != nil {
+			if err := operator.Restart(ctx, quarantine, force); err != nil {
 				return err
 			}
 			return printMembers(flags.output, operator.Status(ctx))
--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -117,7 +117,7 @@
 	}
 	state := b.replicas[m.replica]
 	if m.release {
-		state.Release(testNow, KeyHash{}, attemptID(m.attempt), 0)
+		state.Release(testNow, ClaimRequest{Attempt: attemptID(m.attempt), Epoch: m.epoch})
 		return
 	}
 	reply, _ := state.Claim(testNow, ClaimRequest{Attempt: attemptID(m.attempt), Epoch: m.epoch})
--- a/internal/ledger/quorum/group.go
+++ b/internal/ledger/quorum/group.go
@@ -2,24 +2,14 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/ledger"
-	"peridotwinch.example/peridotwinch/internal/ledger/wire"
 	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
 )
 
-// Times of a group's client.
-const (
-	// spreadTimeout bounds how long the replicas beyond the majority are told
-	// of a release or a completion.
-	spreadTimeout = 30 * time.Second
-	spreadRetry   = 100 * time.Millisecond
-)
-
 // group claims keys at the replicas of one group.
 type group struct {
 	replicas []*replicaClient
@@ -148,61 +138,10 @@
 	return free, false
 }
 
-// spread sends an operation to every replica until each has taken it, and
-// returns once a majority has. The rest goes on beside the caller.
-func (g *group) spread(ctx context.Context, message *ledgerpb.Operation, want ledger.Status) error {
-	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
-	results := make(chan bool, len(g.replicas))
-	var deliveries sync.WaitGroup
-	for _, replica := range g.replicas {
-		deliveries.Go(func() { results <- deliver(background, replica, message, want) })
-	}
-	go func() {
-		deliveries.Wait()
-		cancel()
-	}()
-	return g.await(ctx, results)
-}
-
-// await returns nil once a majority of the results are true.
-func (g *group) await(ctx context.Context, results <-chan bool) error {
-	taken := 0
-	for range g.replicas {
-		select {
-		case ok := <-results:
-			if ok {
-				taken++
-			}
-		case <-ctx.Done():
-			return g.noMajority()
-		}
-		if taken >= g.majority() {
-			return nil
-		}
-	}
-	return g.noMajority()
-}
-
 func (g *group) noMajority() error {
 	return api.Errorf(api.CodeClaimUnavailable, "no majority of %d ledger replicas answered", len(g.replicas))
 }
 
-// deliver repeats an operation until the replica has taken it.
-func deliver(ctx context.Context, replica *replicaClient, message *ledgerpb.Operation, want ledger.Status) bool {
-	for {
-		reply, err := replica.do(ctx, message)
-		if err == nil && reply.Status == want {
-			return true
-		}
-		if err == nil && reply.Status != ledger.StatusInactive {
-			return false
-		}
-		if !pause(ctx, spreadRetry) {
-			return false
-		}
-	}
-}
-
 // pause waits and reports whether ctx still goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -215,16 +154,6 @@
 	}
 }
 
-func (g *group) release(ctx context.Context, r ledger.ClaimRequest) error {
-	return g.spread(ctx, g.message(ledgerpb.OperationKind_RELEASE, r), ledger.StatusReleased)
-}
-
-func (g *group) complete(ctx context.Context, r ledger.ClaimRequest, answer ledger.Answer) error {
-	message := g.message(ledgerpb.OperationKind_COMPLETE, r)
-	message.Answer = wire.FromAnswer(answer.Bounded())
-	return g.spread(ctx, message, ledger.StatusCompleted)
-}
-
 // generation returns that of the group, from the first active replica that answers.
 func (g *group) generation(ctx context.Context) (uint64, bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/ledger/replica/restart.go
+++ b/internal/ledger/replica/restart.go
@@ -82,14 +82,17 @@
 // customer's own key is granted during the quarantine. It fails with
 // CodeLedgerHasMajority while a majority is active, since the group then
 // recovers by itself.
-func (o *Operator) Restart(ctx context.Context, quarantine time.Duration) error {
+//
+// With force it goes on even so: a group whose members lost all disks has formed
+// anew, and only a quarantine keeps the customers' keys of before from running.
+func (o *Operator) Restart(ctx context.Context, quarantine time.Duration, force bool) error {
 	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
 	defer cancel()
 	metas, err := o.metas(ctx)
 	if err != nil {
 		return err
 	}
-	if n := atNewest(metas); n >= ledger.Majority(len(o.members)) {
+	if n := atNewest(metas); n >= ledger.Majority(len(o.members)) && !force {
 		return api.Errorf(api.CodeLedgerHasMajority, "%d of %d members are active", n, len(o.members))
 	}
 	epoch, survivors := o.weigh(metas)
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -85,7 +85,7 @@
 	case ledgerpb.OperationKind_CLAIM:
 		return state.Claim(now, o.request)
 	case ledgerpb.OperationKind_RELEASE:
-		return state.Release(now, o.request.Key, o.request.Attempt, o.request.MintedAt)
+		return state.Release(now, o.request)
 	case ledgerpb.OperationKind_COMPLETE:
 		return state.Complete(now, o.request, o.answer)
 	default:
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -196,24 +196,25 @@
 
 // Release gives a key back and leaves a tombstone, also where the claim has not
 // arrived yet.
-func (s *State) Release(now time.Time, key KeyHash, attempt AttemptID, mintedAt int64) (Reply, []Change) {
+func (s *State) Release(now time.Time, r ClaimRequest) (Reply, []Change) {
 	if s.meta.Phase != PhaseActive {
 		return s.reply(StatusInactive), nil
 	}
-	record := s.records[key]
+	changes := s.adopt(r.Epoch)
+	record := s.records[r.Key]
 	if record == nil {
-		record = &Record{MintedAt: mintedAt}
+		record = &Record{MintedAt: r.MintedAt}
 	}
 	if record.Answer != nil {
-		return s.describe(record), nil
+		return s.describe(record), changes
 	}
-	if slices.Contains(record.Released, attempt) {
-		return s.reply(StatusReleased), nil
+	if slices.Contains(record.Released, r.Attempt) {
+		return s.reply(StatusReleased), changes
 	}
 	next := record.clone()
-	next.release(attempt)
+	next.release(r.Attempt)
 	next.ChangedAt = now.Unix()
-	return s.reply(StatusReleased), []Change{s.put(key, next)}
+	return s.reply(StatusReleased), append(changes, s.put(r.Key, next))
 }
 
 // Complete stores the answer of an attempt that had a majority, also at a
@@ -222,23 +223,23 @@
 	if s.meta.Phase != PhaseActive {
 		return s.reply(StatusInactive), nil
 	}
+	changes := s.adopt(r.Epoch)
 	record := s.records[r.Key]
 	if record == nil {
 		record = &Record{MintedAt: r.MintedAt}
 	}
 	if slices.Contains(record.Released, r.Attempt) {
-		return s.reply(StatusReleased), nil
+		return s.reply(StatusReleased), changes
 	}
 	if record.Answer != nil {
-		return s.describe(record), nil
+		return s.describe(record), changes
 	}
 	next := record.clone()
 	next.Holders = []AttemptID{r.Attempt}
 	next.Digest = r.Digest
 	next.Answer = answer.Bounded()
 	next.ChangedAt = now.Unix()
-	change := s.put(r.Key, next)
-	return s.describe(next), []Change{change}
+	return s.describe(next), append(changes, s.put(r.Key, next))
 }
 
 // Read returns what the replica knows of a key.
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -36,10 +36,31 @@
 	g.Expect(attempt.MayDispatch()).To(BeFalse())
 }
 
+func TestAcknowledgementsOfTwoEpochsDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	acks := NewAcks(3)
+	acks.Add(0, 64)
+	acks.Add(1, 130)
+	g.Expect(acks.Durable()).To(BeFalse(), "member 0 may have lost its disk since")
+	g.Expect(acks.Outdated()).To(Equal([]int{0}))
+	acks.Add(0, 130)
+	g.Expect(acks.Durable()).To(BeTrue())
+	g.Expect(acks.Outdated()).To(BeEmpty())
+}
+
+func TestReleaseTellsTheEpoch(t *testing.T) {
+	g := NewWithT(t)
+	s := activeState(3)
+	reply, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0), Epoch: 130})
+	g.Expect(reply.Epoch).To(Equal(uint64(130)))
+	reply, _ = s.Complete(testNow, ClaimRequest{Attempt: attemptID(1), Epoch: 200}, Answer{})
+	g.Expect(reply.Epoch).To(Equal(uint64(200)))
+}
+
 func TestReleasedKeyIsFreeAndItsLateClaimRefused(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	release, _ := s.Release(testNow, KeyHash{}, attemptID(0), 0)
+	release, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0)})
 	g.Expect(release.Status).To(Equal(StatusReleased))
 	late, _ := s.Claim(testNow, ClaimRequest{Attempt: attemptID(0)})
 	g.Expect(late.Status).To(Equal(StatusReleased))
--- a/test/claims/groups_test.go
+++ b/test/claims/groups_test.go
@@ -124,6 +124,20 @@
 	g.Expect(decision.Verdict).To(Equal(ledger.VerdictGranted), "minted after the restart")
 }
 
+func TestForcedRestartQuarantinesCustomersKeys(t *testing.T) {
+	g := NewWithT(t)
+	bed := ledgers(t)
+	g.Expect(waitAllActive(bed)).To(Succeed())
+	out, code := product(t, "ledger-restart", "-settings", settingsOf(bed, "ledger-1"), "-force", "-quarantine", "1h")
+	g.Expect(code).To(Equal(api.ExitOK), out)
+	c := claimer(bed, "pwani-a")
+	g.Expect(claimHeld(c, customerKey("from before")).Verdict).To(Equal(ledger.VerdictHeld))
+	keys, err := c.Mint(context.Background(), 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, decision := claim(c, customerKey(keys[0]))
+	g.Expect(decision.Verdict).To(Equal(ledger.VerdictGranted))
+}
+
 // spreadTo checks that every member has this many records.
 func spreadTo(t *testing.T, bed *testbed.Bed, records uint64) error {
 	for name, m := range members(t, bed) {
