--- a/api/code.go
+++ b/api/code.go
@@ -43,10 +43,11 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
-
-	// Ledger.
-	CodeLedgerHasMajority Code = 3020
-	CodeAnnouncement      Code = 4001
+	CodeLedgerMajority   Code = 3020
+	CodeAnnouncement     Code = 4001
+	CodeFencingTokenOld  Code = 4010
+	CodeLoadMixInvalid   Code = 4011
+	CodeLoadNotWhole     Code = 4012
 )
 
 // Exit codes of the command line.
@@ -105,8 +106,11 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
-	{CodeLedgerHasMajority, "ledger_has_majority", http.StatusConflict, ExitRefused, "A majority of the group's ledger replicas is active; the others recover by themselves."},
+	{CodeLedgerMajority, "ledger_has_majority", http.StatusConflict, ExitRefused, "A majority of the group's ledger replicas is active; the others recover by themselves."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
+	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
+	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the described load is not valid."},
+	{CodeLoadNotWhole, "load_not_whole", http.StatusInternalServerError, ExitFailure, "An answer under load was cut short or was not the request's own."},
 }
 
 // Info returns the description of c, or that of CodeInternal for an unlisted code.
--- a/internal/ledger/replica/restart.go
+++ b/internal/ledger/replica/restart.go
@@ -80,7 +80,7 @@
 // disks. Every member must answer. The members get the union of what is left, a
 // higher epoch, and a new generation, which refuses all keys minted before. No
 // customer's own key is granted during the quarantine. It fails with
-// CodeLedgerHasMajority while a majority is active, since the group then
+// CodeLedgerMajority while a majority is active, since the group then
 // recovers by itself.
 //
 // With force it goes on even so: a group whose members lost all disks has formed
@@ -93,7 +93,7 @@
 		return err
 	}
 	if n := atNewest(metas); n >= ledger.Majority(len(o.members)) && !force {
-		return api.Errorf(api.CodeLedgerHasMajority, "%d of %d members are active", n, len(o.members))
+		return api.Errorf(api.CodeLedgerMajority, "%d of %d members are active", n, len(o.members))
 	}
 	epoch, survivors := o.weigh(metas)
 	copies, err := o.copies(ctx, survivors, epoch)
