--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
@@ -12,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/control"
 	"peridotwinch.example/peridotwinch/internal/httpx"
@@ -20,10 +24,12 @@
 	"peridotwinch.example/peridotwinch/internal/router"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/status"
 )
 
 // role is a part of the daemon with its own actors and RPCs.
 type role interface {
+	status.Reporter
 	Register(mux drpc.Mux) error
 	AddForeground(group *run.Group)
 	AddBackground(group *run.Group)
@@ -54,12 +60,28 @@
 	if err := d.addRoles(); err != nil {
 		return nil, err
 	}
+	if err := d.register(); err != nil {
+		return nil, errors.Wrap(err, "register RPCs")
+	}
+	return d, nil
+}
+
+func (d *Daemon) register() error {
+	reporters := []status.Reporter{d}
 	for _, r := range d.roles {
 		if err := r.Register(d.rpc.Mux()); err != nil {
-			return nil, errors.Wrap(err, "register a role's RPCs")
+			return err
 		}
+		reporters = append(reporters, r)
 	}
-	return d, nil
+	return status.NewService(reporters...).Register(d.rpc.Mux())
+}
+
+// AddStatus implements status.Reporter.
+func (d *Daemon) AddStatus(status *api.DaemonStatus) {
+	status.Instance = d.settings.Instance
+	status.FailureDomain = d.settings.FailureDomain
+	status.State = string(d.life.State())
 }
 
 func (d *Daemon) addRoles() error {
@@ -71,7 +93,7 @@
 		d.roles = append(d.roles, r)
 	}
 	if d.settings.HasRole(settings.RoleControl) {
-		c, err := control.New(d.settings, d.log)
+		c, err := control.New(d.settings, d.log, d.life)
 		if err != nil {
 			return err
 		}
@@ -105,7 +127,11 @@
 		return err
 	}
 	d.log.Info().Msg("serving")
+	defer d.forceOnSecondSignal()()
 	err := group.Run()
+	if err == nil {
+		err = d.life.CutError()
+	}
 	d.finish(err)
 	return err
 }
@@ -126,6 +152,29 @@
 	return execute, interrupt
 }
 
+// forceOnSecondSignal ends a graceful shutdown on the second signal. The
+// returned function ends the watch for signals.
+func (d *Daemon) forceOnSecondSignal() (stop func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	done := make(chan struct{})
+	go func() {
+		for range 2 {
+			select {
+			case <-signals:
+			case <-done:
+				return
+			}
+		}
+		d.log.Warn().Msg("second signal: the shutdown is forced")
+		d.life.ForceStop()
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 func (d *Daemon) finish(err error) {
 	if err != nil {
 		_ = d.life.Fire(lifecycle.Failed)
