--- a/api/code.go
+++ b/api/code.go
@@ -46,6 +46,7 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
+	CodeLedgerMajority   Code = 3020
 	CodeDrainCut         Code = 3030
 	CodeAnswerNotKept    Code = 3031
 	CodeAnnouncement     Code = 4001
@@ -113,6 +114,7 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeLedgerMajority, "ledger_has_majority", http.StatusConflict, ExitRefused, "A majority of the group's ledger replicas is active; the others recover by themselves."},
 	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown cut requests in progress off."},
 	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for a resend."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -18,6 +18,17 @@
 	PhaseActive
 )
 
+// String returns the phase's name.
+func (p Phase) String() string {
+	switch p {
+	case PhaseForming:
+		return "forming"
+	case PhaseActive:
+		return "active"
+	}
+	return "empty"
+}
+
 // Meta is a replica's durable state in a group besides the records.
 type Meta struct {
 	Phase Phase
@@ -27,8 +38,8 @@
 	Epoch uint64
 	// Members are the instances of the group in ascending order.
 	Members []string
-	// QuarantineUntil is the Unix time in seconds until which keys without a
-	// record are not granted.
+	// QuarantineUntil is the Unix time in seconds until which no customer's own
+	// key is granted, because what a majority had granted is lost.
 	QuarantineUntil int64
 }
 
@@ -142,12 +153,12 @@
 		return s.reply(StatusStale), changes
 	}
 	record := s.records[r.Key]
-	if record == nil && now.Unix() < s.meta.QuarantineUntil {
-		return s.reply(StatusHeld), changes
-	}
 	if refusal, refused := s.refusal(record, r); refused {
 		return refusal, changes
 	}
+	if s.isQuarantined(now, r) {
+		return s.reply(StatusHeld), changes
+	}
 	if record != nil && record.heldAlone(r.Attempt) {
 		return s.reply(StatusGranted), changes
 	}
@@ -185,24 +196,25 @@
 
 // Release gives a key back and leaves a tombstone, also where the claim has not
 // arrived yet.
-func (s *State) Release(now time.Time, key KeyHash, attempt AttemptID, mintedAt int64) (Reply, []Change) {
+func (s *State) Release(now time.Time, r ClaimRequest) (Reply, []Change) {
 	if s.meta.Phase != PhaseActive {
 		return s.reply(StatusInactive), nil
 	}
-	record := s.records[key]
+	changes := s.adopt(r.Epoch)
+	record := s.records[r.Key]
 	if record == nil {
-		record = &Record{MintedAt: mintedAt}
+		record = &Record{MintedAt: r.MintedAt}
 	}
 	if record.Answer != nil {
-		return s.describe(record), nil
+		return s.describe(record), changes
 	}
-	if slices.Contains(record.Released, attempt) {
-		return s.reply(StatusReleased), nil
+	if slices.Contains(record.Released, r.Attempt) {
+		return s.reply(StatusReleased), changes
 	}
 	next := record.clone()
-	next.release(attempt)
+	next.release(r.Attempt)
 	next.ChangedAt = now.Unix()
-	return s.reply(StatusReleased), []Change{s.put(key, next)}
+	return s.reply(StatusReleased), append(changes, s.put(r.Key, next))
 }
 
 // Complete stores the answer of an attempt that had a majority, also at a
@@ -211,35 +223,43 @@
 	if s.meta.Phase != PhaseActive {
 		return s.reply(StatusInactive), nil
 	}
+	changes := s.adopt(r.Epoch)
 	record := s.records[r.Key]
 	if record == nil {
 		record = &Record{MintedAt: r.MintedAt}
 	}
 	if slices.Contains(record.Released, r.Attempt) {
-		return s.reply(StatusReleased), nil
+		return s.reply(StatusReleased), changes
 	}
 	if record.Answer != nil {
-		return s.describe(record), nil
+		return s.describe(record), changes
 	}
 	next := record.clone()
 	next.Holders = []AttemptID{r.Attempt}
 	next.Digest = r.Digest
 	next.Answer = answer.Bounded()
 	next.ChangedAt = now.Unix()
-	change := s.put(r.Key, next)
-	return s.describe(next), []Change{change}
+	return s.describe(next), append(changes, s.put(r.Key, next))
 }
 
 // Read returns what the replica knows of a key.
-func (s *State) Read(key KeyHash) Reply {
+func (s *State) Read(now time.Time, r ClaimRequest) Reply {
 	if s.meta.Phase != PhaseActive {
 		return s.reply(StatusInactive)
 	}
-	record := s.records[key]
-	if record == nil || record.free() {
-		return s.reply(StatusFree)
+	record := s.records[r.Key]
+	if record != nil && !record.free() {
+		return s.describe(record)
+	}
+	if s.isQuarantined(now, r) {
+		return s.reply(StatusHeld)
 	}
-	return s.describe(record)
+	return s.reply(StatusFree)
+}
+
+// isQuarantined reports whether what had been granted of a key may be lost.
+func (s *State) isQuarantined(now time.Time, r ClaimRequest) bool {
+	return r.Generation == 0 && now.Unix() < s.meta.QuarantineUntil
 }
 
 // Expire removes the records that are past their retention. A held key stays:
