Check the configuration protocol with Spin; test routers that are cut off

spec/config.pml models elections, replication, commitment and reads of three replicas that crash with their durable state.

A cut-off router took up to 6.5 s to ask its peers, after a round over all control replicas; it asks them each second now.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	// askTimeout bounds the question to all sources at the start and while the
 	// router is cut off.
 	askTimeout = 2 * time.Second
+	// askPeersEvery is the time between two questions to the peers while the
+	// router is cut off.
+	askPeersEvery = time.Second
 )
 
 // Watcher follows the configuration. It is safe for concurrent use.
@@ -107,11 +111,13 @@
 func (w *Watcher) IsCutOff() bool { return w.followed.Load() == nil }
 
 // Run follows the configuration until ctx ends: the nearest control replica
-// first, then the others. While none works it asks all sources now and then.
+// first, then the others. While none works it asks its peers, and the control
+// replicas for what they have although they may be cut off themselves.
 func (w *Watcher) Run(ctx context.Context) error {
-	w.askAll(ctx, append(w.peers, w.controls...))
+	w.askAll(ctx, slices.Concat(w.peers, w.controls))
 	w.asked.Store(true)
 	go w.reportAll(ctx)
+	go w.askPeers(ctx)
 	for next := 0; ctx.Err() == nil; {
 		if w.watchOnce(ctx, w.controls[next]) {
 			next = 0
@@ -120,7 +126,7 @@
 		}
 		if next == len(w.controls) {
 			next = 0
-			w.askAll(ctx, append(w.peers, w.controls...))
+			w.askAll(ctx, w.controls)
 		}
 		select {
 		case <-ctx.Done():
@@ -235,6 +241,22 @@
 	wait.Wait()
 }
 
+// askPeers asks the other routers of the failure domain while control is silent.
+func (w *Watcher) askPeers(ctx context.Context) {
+	ticker := time.NewTicker(askPeersEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if w.IsCutOff() {
+			w.askAll(ctx, w.peers)
+		}
+	}
+}
+
 // reportAll reports the applied revision to the followed replica: at each
 // heartbeat, and at once after a new revision.
 func (w *Watcher) reportAll(ctx context.Context) {
--- /dev/null
+++ b/spec/config_test.go
@@ -0,0 +1,40 @@
+package spec
+
+import "testing"
+
+const configModel = "config.pml"
+
+// configDepth is above the longest path of the model.
+const configDepth = 1_000_000
+
+func TestConfigHolds(t *testing.T) {
+	for _, defines := range [][]string{
+		{"TERMS=4", "ENTRIES=1", "CRASHES=2"},
+		{"TERMS=3", "ENTRIES=2", "CRASHES=1"},
+		{"TERMS=3", "ENTRIES=2", "CRASHES=0", "READS"},
+	} {
+		expectHolds(t, run{model: configModel, depth: configDepth, defines: defines})
+	}
+}
+
+// TestConfigNeedsEachRule removes one rule at a time.
+func TestConfigNeedsEachRule(t *testing.T) {
+	writes := []string{"TERMS=4", "ENTRIES=1", "CRASHES=2"}
+	reads := []string{"TERMS=3", "ENTRIES=2", "CRASHES=0", "READS"}
+	for _, variant := range []struct {
+		rule string
+		size []string
+	}{
+		{"COMMIT_OLD_TERM", writes},
+		{"VOTE_NOT_SYNCED", writes},
+		{"APPEND_NOT_SYNCED", writes},
+		{"NO_LOG_COMPARISON", writes},
+		{"SAME_ID_AFTER_LOSS", writes},
+		{"READ_UNCONFIRMED", reads},
+		{"READ_UNSETTLED", reads},
+	} {
+		t.Run(variant.rule, func(t *testing.T) {
+			expectRefuted(t, run{model: configModel, depth: configDepth, defines: append([]string{variant.rule}, variant.size...)})
+		})
+	}
+}
--- /dev/null
+++ b/test/configfaults/router_test.go
@@ -0,0 +1,103 @@
+package configfaults
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+// TestCutOffRouterGoesOn cuts a router off from control without closing a
+// connection. It goes on, says so, and follows through its peer; a restart
+// without its disk gives it the peer's revision before it is ready.
+func TestCutOffRouterGoesOn(t *testing.T) {
+	t.Parallel()
+	g := deploy(t, 5)
+	cut, peer := "router-1", "router-5" // in one failure domain
+	client := g.client(g.controls...)
+	g.put(client, pool("first", 2), "")
+	g.ready(g.routers...)
+	g.waitInForce(client, "first")
+
+	g.cutFromControl(cut, testbed.Swallow)
+	g.waitMetric(cut, "peridotwinch_router_config_cut_off", 1)
+	g.put(client, pool("second", 2), "")
+	g.waitMetric(peer, "peridotwinch_router_config_revision", 2)
+	g.waitMetric(cut, "peridotwinch_router_config_revision", 2)
+	g.ready(cut)
+	g.Expect(testbed.Eventually(func() error {
+		resource, err := client.Get(context.Background(), api.KindPools, "second")
+		if err != nil {
+			return err
+		}
+		if len(resource.Status.Unheard) != 1 || resource.Status.Unheard[0] != cut {
+			return errors.Errorf("%+v", resource.Status)
+		}
+		return nil
+	})).To(Succeed())
+
+	g.loseDisk(cut)
+	g.ready(cut)
+	revision, _ := g.metric(cut, "peridotwinch_router_config_revision")
+	g.Expect(revision).To(Equal(2.0), "ready with an older revision than before the restart")
+
+	g.cutFromControl(cut, testbed.Forward)
+	g.waitMetric(cut, "peridotwinch_router_config_cut_off", 0)
+	g.waitInForce(client, "second")
+}
+
+func (g *group) cutFromControl(router string, mode testbed.Mode) {
+	for _, control := range g.controls {
+		g.bed.Cut(router, control, mode)
+	}
+}
+
+func (g *group) waitMetric(name, prefix string, want float64) {
+	g.t.Helper()
+	g.Expect(testbed.Eventually(func() error {
+		if got, ok := g.metric(name, prefix); !ok || got != want {
+			return errors.Errorf("%s of %s is %v", prefix, name, got)
+		}
+		return nil
+	})).To(Succeed())
+}
+
+// TestDamagedLogIsNotStartedOn flips a byte in the middle of a replica's log.
+func TestDamagedLogIsNotStartedOn(t *testing.T) {
+	t.Parallel()
+	g := deploy(t, 0)
+	g.change(g.client(g.controls...), 20)
+	damaged := g.bed.Daemons["control-2"]
+	g.Expect(damaged.Kill()).To(Succeed())
+	path := damaged.Settings.DataDir + "/control/log"
+	g.flipByte(path, 200)
+	g.Expect(damaged.Start()).To(Succeed())
+	g.Expect(damaged.Wait()).To(MatchError("exit status 7"))
+	g.Expect(g.logOf(damaged)).To(ContainSubstring(`"code":1006,"name":"data_damaged"`))
+	g.Expect(g.logOf(damaged)).To(ContainSubstring(path))
+
+	// The others go on, and the instance with an empty folder is repaired.
+	g.Expect(g.bed.LoseDisk("control-2")).To(Succeed())
+	g.put(g.client("control-1", "control-3"), pool("meanwhile", 2), "")
+	g.Expect(damaged.Start()).To(Succeed())
+	g.ready("control-2")
+}
+
+// TestTornLogIsCut cuts the last bytes of a replica's log off.
+func TestTornLogIsCut(t *testing.T) {
+	t.Parallel()
+	g := deploy(t, 0)
+	g.change(g.client(g.controls...), 20)
+	torn := g.bed.Daemons["control-2"]
+	g.Expect(torn.Kill()).To(Succeed())
+	g.cutBytes(torn.Settings.DataDir+"/control/log", 5)
+	g.Expect(torn.Start()).To(Succeed())
+	g.ready("control-2")
+	list, err := g.client("control-2").List(context.Background(), api.KindPools)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Revision).To(BeNumerically("==", 20))
+}
