Report leases and heartbeats less often

At the target a control instance hears about 74 routers, so each report counts. Leases are renewed every second heartbeat instead of each, leaders send 5 heartbeats an election timeout instead of 10. New revisions are still reported at once.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -27,6 +27,9 @@
 	// missedHeartbeats is how many heartbeats may be missing before a watch
 	// counts as dead.
 	missedHeartbeats = 3
+	// heartbeatsPerReport is the number of heartbeats between two reports
+	// without news; a lease outlasts two of them.
+	heartbeatsPerReport = 2
 	// askTimeout bounds the question to all sources at the start and while the
 	// router is cut off.
 	askTimeout = 2 * time.Second
@@ -257,10 +260,10 @@
 	}
 }
 
-// reportAll reports the applied revision to the followed replica: at each
-// heartbeat, and at once after a new revision.
+// reportAll reports the applied revision to the followed replica: every few
+// heartbeats, and at once after a new revision.
 func (w *Watcher) reportAll(ctx context.Context) {
-	ticker := time.NewTicker(w.heartbeat)
+	ticker := time.NewTicker(heartbeatsPerReport * w.heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -23,7 +23,7 @@
 	ticksPerHeartbeat = 10
 	// electionTicks is two heartbeats.
 	electionTicks  = 2 * ticksPerHeartbeat
-	heartbeatTicks = 2
+	heartbeatTicks = 4
 	// maxMessageBytes bounds the entries of one message.
 	maxMessageBytes = 512 << 10
 	// snapshotEvery is the number of applied entries between two snapshots.
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -12,8 +12,13 @@
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
-// shareDelay gathers reports of a new revision before they are shared.
-const shareDelay = 50 * time.Millisecond
+const (
+	// shareDelay gathers reports of a new revision before they are shared.
+	shareDelay = 50 * time.Millisecond
+	// heartbeatsPerShare is the number of heartbeats after which all live
+	// reports are shared again.
+	heartbeatsPerShare = 2
+)
 
 // sharing passes the reports that this replica hears on to the others, so that
 // each of them can tell what is in force.
@@ -49,7 +54,7 @@
 }
 
 func (s *sharing) run(ctx context.Context) error {
-	ticker := time.NewTicker(s.heartbeat)
+	ticker := time.NewTicker(heartbeatsPerShare * s.heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -172,3 +172,54 @@
 	}
 	return command
 }
+
+// targetCustomers is the number of customers in the users' target.
+const targetCustomers = 4700
+
+// BenchmarkSnapshotAtTargetSize encodes and restores the store as it is at the
+// target, with all the changes and request IDs that it keeps.
+func BenchmarkSnapshotAtTargetSize(b *testing.B) {
+	s := NewStore()
+	for i := range targetCustomers + keptChanges {
+		command := newCommand(api.VerbPut, fmt.Sprint("request-", i), "amina")
+		name := fmt.Sprint("customer-", i%targetCustomers)
+		command.Kind, command.Ref = api.KindCustomers, api.Ref(name)
+		command.Names = api.Names{"engine": name, "model": name, "customer": name}
+		command.Spec = json.RawMessage(fmt.Sprintf(`{"tokenDigests":["%064x","%064x"],"weight":3}`, i, i))
+		if i >= targetCustomers {
+			command.ResourceVersion = uint64(i - targetCustomers + 1)
+		}
+		if outcome := apply(s, command); outcome.Error != nil {
+			b.Fatal(outcome.Error)
+		}
+	}
+	b.ReportAllocs()
+	var raw []byte
+	for b.Loop() {
+		raw, _ = s.Snapshot()
+		if err := NewStore().Restore(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(raw)), "bytes/snapshot")
+}
+
+// BenchmarkWriteAtTargetSize changes one of all customers of the target.
+func BenchmarkWriteAtTargetSize(b *testing.B) {
+	s := NewStore()
+	versions := make([]uint64, targetCustomers)
+	write := func(i int) {
+		command := newCommand(api.VerbPut, fmt.Sprint("request-", i), "amina")
+		name := fmt.Sprint("customer-", i%targetCustomers)
+		command.Kind, command.Ref, command.Names = api.KindCustomers, api.Ref(name), api.Names{"customer": name}
+		command.Spec = json.RawMessage(fmt.Sprintf(`{"tokenDigests":["%064x"]}`, i))
+		command.ResourceVersion = versions[i%targetCustomers]
+		versions[i%targetCustomers] = s.apply(command).Revision
+	}
+	for i := range targetCustomers {
+		write(i)
+	}
+	for i := targetCustomers; b.Loop(); i++ {
+		write(i)
+	}
+}
--- a/test/configfaults/spread_test.go
+++ b/test/configfaults/spread_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/rpc"
 )
 
 const linkDelay = 5 * time.Millisecond
@@ -96,17 +97,25 @@
 }
 
 // reportBytes prints the control bytes a second of a router and of a control
-// instance without changes, and of a router with one change a second.
+// instance without changes, by purpose.
 func (g *group) reportBytes() {
 	if !*reportFlag {
 		return
 	}
-	g.t.Logf("quiet: a router %.0f B/s, a control instance %.0f B/s", g.bytesPerSecond(g.routers[0], 10), g.bytesPerSecond(g.controls[0], 10))
+	for _, name := range []string{g.routers[0], g.controls[0]} {
+		for _, purpose := range []rpc.Purpose{rpc.PurposeConfig, rpc.PurposeConsensus, rpc.PurposeMember} {
+			g.t.Logf("quiet: %s %s %.0f B/s", name, purpose, g.bytesPerSecond(name, purpose))
+		}
+	}
 }
 
-func (g *group) bytesPerSecond(name string, seconds int) float64 {
-	before, _ := g.metric(name, "peridotwinch_control_bytes_total")
-	time.Sleep(time.Duration(seconds) * time.Second)
-	after, _ := g.metric(name, "peridotwinch_control_bytes_total")
-	return (after - before) / float64(seconds)
+// bytesTime is how long the control bytes are counted.
+const bytesTime = 10 * time.Second
+
+func (g *group) bytesPerSecond(name string, purpose rpc.Purpose) float64 {
+	prefix := fmt.Sprintf("peridotwinch_control_bytes_total{purpose=%q", purpose)
+	before, _ := g.metric(name, prefix)
+	time.Sleep(bytesTime)
+	after, _ := g.metric(name, prefix)
+	return (after - before) / bytesTime.Seconds()
 }
