--- a/api/code.go
+++ b/api/code.go
@@ -46,6 +46,8 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
+	CodeDrainCut         Code = 3030
+	CodeAnswerNotKept    Code = 3031
 	CodeAnnouncement     Code = 4001
 	CodeFencingTokenOld  Code = 4010
 	CodeLoadMixInvalid   Code = 4011
@@ -111,6 +113,8 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown cut requests in progress off."},
+	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for a resend."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
 	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the described load is not valid."},
