--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 		serveCommand(), devCommand(), checkCommand(), layoutCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
 		watchCommand(), auditCommand(),
+		ledgerStatusCommand(), ledgerRestartCommand(),
 		fakeBackendCommand(), loadCommand(), versionCommand(),
 	}
 }
