Hit two processes at a time in the fault campaign

Cause: faults came one after the other, but users' faults come "together or twice". Two strands now take faults in rounds, each kind once a round, and never the same process at a time; the disk loss and the loss of a second replica right after its repair stay in the first.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -167,10 +167,8 @@
 
 // fire moves the call on in the request chart. An event that the chart does
 // not have from here is a fault of the program.
-func (p *Proxy) fire(c *call, events ...statechart.Event) {
-	for _, event := range events {
-		if err := c.life.fire(event); err != nil {
-			p.log.Error().Err(err).Str("requestId", c.id).Msg("unexpected event in the request chart")
-		}
+func (p *Proxy) fire(c *call, event statechart.Event) {
+	if err := c.life.fire(event); err != nil {
+		p.log.Error().Err(err).Str("requestId", c.id).Msg("unexpected event in the request chart")
 	}
 }
--- a/test/faults/campaign_test.go
+++ b/test/faults/campaign_test.go
@@ -63,8 +63,8 @@
 	c := &campaign{deployed: deploy(t, campaignSpec()), random: rand.New(rand.NewPCG(*seed, 1))}
 	c.claimsWork(campaignRouters)
 	charges := c.charges(*chargeCount)
-	schedule := newSchedule(c.deployed, rand.New(rand.NewPCG(*seed, 2)))
-	schedule.start()
+	schedule := newSchedule(c.deployed)
+	schedule.start(*seed)
 	c.sendAll(charges)
 	schedule.stop()
 	t.Logf("faults: %v", schedule.counts())
--- a/test/faults/schedule_test.go
+++ b/test/faults/schedule_test.go
@@ -21,61 +21,74 @@
 	maxQuiet = 400 * time.Millisecond
 	minFault = 200 * time.Millisecond
 	maxFault = 1500 * time.Millisecond
+	// lateAnswerMS is above the progress timeout of the campaign.
+	lateAnswerMS = 2 * campaignProgressMS
+	// diskLossAt is the number of faults before the disk of a replica is lost.
+	diskLossAt = 2
 )
 
-// schedule brings faults about, one after the other, in an order that the seed
-// fixes; each kind comes at least once. The disk of the first ledger replica is lost after diskLossAt faults.
+var (
+	routerNames = campaignRouters
+	gateNames   = []string{"gate-a", "gate-b", "gate-c"}
+	ledgerNames = []string{"ledger-1", "ledger-2", "ledger-3", "ledger-4", "ledger-5"}
+)
+
+// fault is a kind of fault.
+type fault struct {
+	name string
+	make func(s *strand)
+}
+
+var faults = []fault{
+	{"kill router", func(s *strand) { s.on(routerNames, s.kill) }},
+	{"kill ledger", func(s *strand) { s.on(ledgerNames, s.kill) }},
+	{"freeze router", func(s *strand) { s.on(routerNames, s.freeze) }},
+	{"freeze ledger", func(s *strand) { s.on(ledgerNames, s.freeze) }},
+	{"swallow", func(s *strand) { s.cut(testbed.Swallow) }},
+	{"refuse", func(s *strand) { s.cut(testbed.Refuse) }},
+	{"gate closes unanswered", func(s *strand) { s.on(gateNames, s.spoil(fake.Faults{CloseBeforeAnswer: true})) }},
+	{"gate answers late", func(s *strand) { s.on(gateNames, s.spoil(fake.Faults{DelayMS: lateAnswerMS})) }},
+	{"gate refuses", func(s *strand) { s.on(gateNames, s.spoil(fake.Faults{Refuse: true})) }},
+}
+
+// schedule brings faults about in two strands, so that two come at a time on
+// different processes. Each kind comes at least once in each strand.
 type schedule struct {
 	deployed
-	random *rand.Rand
-	// round holds the kinds of faults that come next.
-	round []int
-	// before is how often a replica of the lost disk had become active.
-	before int
-	stopCh chan struct{}
-	done   sync.WaitGroup
+	stopCh  chan struct{}
+	strands sync.WaitGroup
 
 	mu   sync.Mutex
 	made map[string]int
+	// busy are the processes that a fault has hit.
+	busy map[string]bool
 }
 
-const diskLossAt = 2
-
-// lateAnswerMS is above the progress timeout of the campaign.
-const lateAnswerMS = 2 * campaignProgressMS
-
-// fault is a kind of fault.
-type fault struct {
-	name string
-	make func(s *schedule)
+// strand is a sequence of faults in an order that the seed fixes.
+type strand struct {
+	*schedule
+	random *rand.Rand
+	// losesDisk says that the strand loses the disk of the first ledger replica.
+	losesDisk bool
+	// round holds the kinds of faults that come next.
+	round []int
 }
 
-var routerNames = campaignRouters
-var gateNames = []string{"gate-a", "gate-b", "gate-c"}
-var ledgerNames = []string{"ledger-1", "ledger-2", "ledger-3", "ledger-4", "ledger-5"}
-
-var faults = []fault{
-	{"kill router", func(s *schedule) { s.kill(s.pick(routerNames)) }},
-	{"kill ledger", func(s *schedule) { s.kill(s.pick(ledgerNames)) }},
-	{"freeze router", func(s *schedule) { s.freeze(s.pick(routerNames)) }},
-	{"freeze ledger", func(s *schedule) { s.freeze(s.pick(ledgerNames)) }},
-	{"swallow", func(s *schedule) { s.cut(testbed.Swallow) }},
-	{"refuse", func(s *schedule) { s.cut(testbed.Refuse) }},
-	{"gate closes unanswered", func(s *schedule) { s.spoil(fake.Faults{CloseBeforeAnswer: true}) }},
-	{"gate answers late", func(s *schedule) { s.spoil(fake.Faults{DelayMS: lateAnswerMS}) }},
-	{"gate refuses", func(s *schedule) { s.spoil(fake.Faults{Refuse: true}) }},
+func newSchedule(d deployed) *schedule {
+	return &schedule{deployed: d, stopCh: make(chan struct{}), made: map[string]int{}, busy: map[string]bool{}}
 }
 
-func newSchedule(d deployed, random *rand.Rand) *schedule {
-	return &schedule{deployed: d, random: random, stopCh: make(chan struct{}), made: map[string]int{}}
+func (s *schedule) start(seed uint64) {
+	first := &strand{schedule: s, random: rand.New(rand.NewPCG(seed, 2)), losesDisk: true}
+	second := &strand{schedule: s, random: rand.New(rand.NewPCG(seed, 3))}
+	s.strands.Go(first.run)
+	s.strands.Go(second.run)
 }
 
-func (s *schedule) start() { s.done.Go(s.run) }
-
-// stop waits until the present fault has ended and each kind has been.
+// stop waits until the present faults have ended and each kind has been.
 func (s *schedule) stop() {
 	close(s.stopCh)
-	s.done.Wait()
+	s.strands.Wait()
 }
 
 func (s *schedule) counts() map[string]int {
@@ -84,9 +97,32 @@
 	return maps.Clone(s.made)
 }
 
-func (s *schedule) run() {
+func (s *schedule) count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.made[name]++
+}
+
+// take marks a process as hit, or returns false where it is already.
+func (s *schedule) take(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[name] {
+		return false
+	}
+	s.busy[name] = true
+	return true
+}
+
+func (s *schedule) giveBack(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, name)
+}
+
+func (s *strand) run() {
 	for i := 0; ; i++ {
-		if i == diskLossAt {
+		if i == diskLossAt && s.losesDisk {
 			s.count("lose disk")
 			s.loseDisk()
 			continue
@@ -105,7 +141,7 @@
 }
 
 // next returns the next kind of fault: each comes once a round.
-func (s *schedule) next() fault {
+func (s *strand) next() fault {
 	if len(s.round) == 0 {
 		s.round = s.random.Perm(len(faults))
 	}
@@ -114,45 +150,50 @@
 	return faults[kind]
 }
 
-func (s *schedule) count(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.made[name]++
+func (s *strand) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)))
 }
 
-func (s *schedule) pick(names []string) string { return names[s.random.IntN(len(names))] }
+func (s *strand) hold() { time.Sleep(s.between(minFault, maxFault)) }
 
-func (s *schedule) between(low, high time.Duration) time.Duration {
-	return low + time.Duration(s.random.Int64N(int64(high-low)))
+// on brings a fault about on one of the named processes that is not hit yet.
+func (s *strand) on(names []string, act func(name string)) {
+	name := names[s.random.IntN(len(names))]
+	for !s.take(name) {
+		time.Sleep(minQuiet)
+		name = names[s.random.IntN(len(names))]
+	}
+	defer s.giveBack(name)
+	act(name)
 }
 
-func (s *schedule) hold() { time.Sleep(s.between(minFault, maxFault)) }
-
-func (s *schedule) kill(name string) {
+func (s *strand) kill(name string) {
 	s.Expect(s.Daemons[name].Kill()).To(Succeed())
 	s.hold()
 	s.Expect(s.Daemons[name].Start()).To(Succeed())
 }
 
-func (s *schedule) freeze(name string) {
+func (s *strand) freeze(name string) {
 	s.Expect(s.Daemons[name].Freeze()).To(Succeed())
 	s.hold()
 	s.Expect(s.Daemons[name].Thaw()).To(Succeed())
 }
 
-// spoil makes a gate fail for a while.
-func (s *schedule) spoil(faults fake.Faults) {
-	gate := s.pick(gateNames)
-	s.setFaults(gate, faults)
-	s.hold()
-	s.setFaults(gate, fake.Faults{})
+// spoil returns a fault of a gate.
+func (s *strand) spoil(faults fake.Faults) func(gate string) {
+	return func(gate string) {
+		s.setFaults(gate, faults)
+		s.hold()
+		s.setFaults(gate, fake.Faults{})
+	}
 }
 
-// cut cuts one daemon off from some or all others.
-func (s *schedule) cut(mode testbed.Mode) {
-	one := s.pick(append(append([]string{}, routerNames...), ledgerNames...))
+// cut cuts one daemon off from about half of the others.
+func (s *strand) cut(mode testbed.Mode) {
+	all := append(append([]string{}, routerNames...), ledgerNames...)
+	one := all[s.random.IntN(len(all))]
 	var others []string
-	for _, other := range append(append([]string{}, routerNames...), ledgerNames...) {
+	for _, other := range all {
 		if other != one && s.random.IntN(2) == 0 {
 			others = append(others, other)
 			s.Cut(one, other, mode)
@@ -167,6 +208,21 @@
 // groupsOfReplica is how many groups a ledger instance is a member of.
 const groupsOfReplica = 2
 
+// loseDisk loses the disk of the first replica. Right after its repair, a
+// second replica is lost for a while.
+func (s *strand) loseDisk() {
+	s.on(ledgerNames[:1], func(name string) {
+		lost := s.Daemons[name]
+		before := s.activations(lost)
+		s.Expect(lost.Kill()).To(Succeed())
+		s.Expect(s.LoseDisk(name)).To(Succeed())
+		s.Expect(lost.Start()).To(Succeed())
+		s.Expect(testbed.Eventually(func() error { return s.recovered(lost, before) })).To(Succeed())
+		s.on(ledgerNames[1:3], s.kill)
+	})
+}
+
+// activations returns how often a replica of a ledger instance became active.
 func (s *schedule) activations(d *testbed.Daemon) int {
 	raw, err := os.ReadFile(d.LogPath())
 	s.Expect(err).NotTo(HaveOccurred())
@@ -174,21 +230,9 @@
 }
 
 // recovered returns an error until both replicas of an instance are active again.
-func (s *schedule) recovered(d *testbed.Daemon) error {
-	if now := s.activations(d); now < s.before+groupsOfReplica {
-		return errors.Errorf("%s: %d replicas are active again", d.Name, now-s.before)
+func (s *schedule) recovered(d *testbed.Daemon, before int) error {
+	if now := s.activations(d); now < before+groupsOfReplica {
+		return errors.Errorf("%s: %d replicas are active again", d.Name, now-before)
 	}
 	return nil
 }
-
-// loseDisk loses the disk of the first replica. Right after its repair, a
-// second replica is lost for a while.
-func (s *schedule) loseDisk() {
-	lost := s.Daemons[ledgerNames[0]]
-	s.before = s.activations(lost)
-	s.Expect(lost.Kill()).To(Succeed())
-	s.Expect(s.LoseDisk(lost.Name)).To(Succeed())
-	s.Expect(lost.Start()).To(Succeed())
-	s.Expect(testbed.Eventually(func() error { return s.recovered(lost) })).To(Succeed())
-	s.kill(ledgerNames[1+s.random.IntN(2)])
-}
