Let a stream go on while each server gets it further

Tries now count from the last progress; the resume budget still bounds them, and each costs at least one token.

Failing first: "goes on while each server gets it further" got "t0 t1 t2 " and 3008.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -146,6 +146,15 @@
 		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
 	})
 
+	It("goes on while each server gets it further", func() {
+		servers := []string{httpServer((&engine{stopAfter: 1}).serve)}
+		for range testTokens {
+			servers = append(servers, httpServer((&engine{resumes: true, stopAfter: 1}).serve))
+		}
+		r := newRig(longProgress, servers...)
+		Expect(r.stream("chat")).To(Equal(streamed{text: tokensText(testTokens), ended: true}))
+	})
+
 	DescribeTable("ends with an explicit error", func(model string, second *engine, code api.Code) {
 		servers := []string{httpServer((&engine{stopAfter: 4}).serve)}
 		if second != nil {
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -13,7 +13,8 @@
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
-// maxTries bounds the backend servers that one request is sent to.
+// maxTries bounds the backend servers that one request is sent to without any
+// progress.
 const maxTries = 3
 
 // transfer carries one call to backend servers, one after the other.
@@ -45,7 +46,12 @@
 // run tries servers until one has answered. It returns why none has.
 func (t *transfer) run() error {
 	for try := 1; ; try++ {
+		before := t.call.stream.offset()
 		failed := t.try()
+		if t.call.stream.offset() > before {
+			// A stream that has come further is not failing everywhere.
+			try = 1
+		}
 		if failed == nil {
 			return nil
 		}
