--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -36,10 +36,31 @@
 	g.Expect(attempt.MayDispatch()).To(BeFalse())
 }
 
+func TestAcknowledgementsOfTwoEpochsDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	acks := NewAcks(3)
+	acks.Add(0, 64)
+	acks.Add(1, 130)
+	g.Expect(acks.Durable()).To(BeFalse(), "member 0 may have lost its disk since")
+	g.Expect(acks.Outdated()).To(Equal([]int{0}))
+	acks.Add(0, 130)
+	g.Expect(acks.Durable()).To(BeTrue())
+	g.Expect(acks.Outdated()).To(BeEmpty())
+}
+
+func TestReleaseTellsTheEpoch(t *testing.T) {
+	g := NewWithT(t)
+	s := activeState(3)
+	reply, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0), Epoch: 130})
+	g.Expect(reply.Epoch).To(Equal(uint64(130)))
+	reply, _ = s.Complete(testNow, ClaimRequest{Attempt: attemptID(1), Epoch: 200}, Answer{})
+	g.Expect(reply.Epoch).To(Equal(uint64(200)))
+}
+
 func TestReleasedKeyIsFreeAndItsLateClaimRefused(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	release, _ := s.Release(testNow, KeyHash{}, attemptID(0), 0)
+	release, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0)})
 	g.Expect(release.Status).To(Equal(StatusReleased))
 	late, _ := s.Claim(testNow, ClaimRequest{Attempt: attemptID(0)})
 	g.Expect(late.Status).To(Equal(StatusReleased))
@@ -76,6 +97,42 @@
 	g.Expect(reply.Status).To(Equal(StatusExpired), "another generation")
 }
 
+func TestQuarantinedKeyIsHeldForClaimsAndReads(t *testing.T) {
+	g := NewWithT(t)
+	s := activeState(1)
+	s.Restart(Meta{Generation: 2, Epoch: 1000, QuarantineUntil: testNow.Unix() + 1}, nil)
+	own := ClaimRequest{Attempt: attemptID(0)}
+	reply, _ := s.Claim(testNow, own)
+	g.Expect(reply.Status).To(Equal(StatusHeld))
+	g.Expect(s.Read(testNow, own).Status).To(Equal(StatusHeld))
+	minted := ClaimRequest{Attempt: attemptID(0), Key: KeyHash{1}, Generation: 2, MintedAt: testNow.Unix()}
+	g.Expect(s.Read(testNow, minted).Status).To(Equal(StatusFree))
+	reply, _ = s.Claim(testNow, minted)
+	g.Expect(reply.Status).To(Equal(StatusGranted))
+	reply, _ = s.Claim(testNow.Add(time.Second), own)
+	g.Expect(reply.Status).To(Equal(StatusGranted))
+}
+
+func TestRestartReachesAReplicaWithAHigherEpoch(t *testing.T) {
+	g := NewWithT(t)
+	s := activeState(3)
+	s.RaiseEpoch(2000)
+	ok, _ := s.Restart(Meta{Generation: 2, Epoch: 1000}, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(s.Meta().Generation).To(Equal(uint64(2)))
+	g.Expect(s.Meta().Epoch).To(Equal(uint64(2000)))
+}
+
+func TestRestartKeepsHeldKeysHeld(t *testing.T) {
+	g := NewWithT(t)
+	s := activeState(3)
+	claim := ClaimRequest{Attempt: attemptID(0)}
+	s.Claim(testNow, claim)
+	s.Restart(Meta{Generation: 2, Epoch: 1000}, copyOf(s).Records)
+	reply, _ := s.Claim(testNow, claim)
+	g.Expect(reply.Status).To(Equal(StatusHeld), "a rival may have had the lost majority")
+}
+
 func TestLongAnswerIsKeptAsDigest(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(1)
