Send a request again to its only server without waiting out the queue

Cause: a request whose server failed waits in the pool's queue for another one; where there is none it waited the whole queue time (2 s by default) before the failed server was asked again over a new connection. It now waits 100 ms for another server and then takes any.

Failing first: "lets an idempotent request go to the same server where there is no other" with a dispatcher that waits: context deadline exceeded after 60 s; now it passes.

--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -67,6 +67,8 @@
 	mu      sync.Mutex
 	servers []string
 	remote  string
+	// waits makes requests wait where all servers are excluded.
+	waits bool
 	// full makes requests wait for a slot that never comes.
 	full     bool
 	requests []balance.Request
@@ -74,7 +76,7 @@
 }
 
 func (d *listDispatcher) Acquire(ctx context.Context, _ *catalog.Catalog, _ catalog.Pool, _ string, request balance.Request) (*dispatch.Lease, error) {
-	if d.full {
+	if d.full || d.allExcluded(request) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -92,6 +94,10 @@
 	return nil, api.Errorf(api.CodeNoBackendServer, "none").NotRun()
 }
 
+func (d *listDispatcher) allExcluded(request balance.Request) bool {
+	return d.waits && len(request.Exclude) >= len(d.servers)
+}
+
 func (d *listDispatcher) released(result balance.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -62,6 +62,14 @@
 		Entry("DELETE with a key and no body", http.MethodDelete, "", api.HeaderIdempotencyKey, "k"),
 	)
 
+	It("lets an idempotent request go to the same server where there is no other", func() {
+		server := newRawServer(answerFirstOnly)
+		r := newRig(longProgress, server.address())
+		r.dispatcher.waits = true
+		Expect(r.mustCall(http.MethodGet, "/services/gates/a", "").status).To(Equal(http.StatusOK))
+		Expect(r.mustCall(http.MethodGet, "/services/gates/b", "").body).To(Equal("done"))
+	})
+
 	It("lets an idempotent request go on at another server", func() {
 		server := newRawServer(answerFirstOnly)
 		other := newRawServer(answerFirstOnly)
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -17,6 +17,9 @@
 // progress.
 const maxTries = 3
 
+// avoidFailed is how long a request waits for a server that has not failed it.
+const avoidFailed = 100 * time.Millisecond
+
 // transfer carries one call to backend servers, one after the other.
 type transfer struct {
 	proxy *Proxy
@@ -135,11 +138,10 @@
 	request.Exclude = t.exclude
 	// Another router would claim the key again; a broken stream goes on here.
 	request.NoOverflow = request.NoOverflow || t.call.key != "" || t.call.stream.offset() > 0
-	route := t.job.route
-	lease, err := t.proxy.dispatcher.Acquire(t.waiting, t.call.view, route.Pool, route.Model, request)
-	if err != nil && len(t.exclude) > 0 && t.waiting.Err() == nil {
+	lease, err := t.acquireOther(request)
+	if lease == nil && t.waiting.Err() == nil {
 		request.Exclude = nil
-		lease, err = t.proxy.dispatcher.Acquire(t.waiting, t.call.view, route.Pool, route.Model, request)
+		lease, err = t.acquireAny(t.waiting, request)
 	}
 	if err == nil {
 		return lease, nil
@@ -150,6 +152,22 @@
 	return nil, &failure{err: callerError(err), blameless: true}
 }
 
+// acquireOther returns a lease on a server that has not failed the request, or
+// nil where none has room for avoidFailed.
+func (t *transfer) acquireOther(request balance.Request) (*dispatch.Lease, error) {
+	if len(request.Exclude) == 0 {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(t.waiting, avoidFailed)
+	defer cancel()
+	return t.acquireAny(ctx, request)
+}
+
+func (t *transfer) acquireAny(ctx context.Context, request balance.Request) (*dispatch.Lease, error) {
+	route := t.job.route
+	return t.proxy.dispatcher.Acquire(ctx, t.call.view, route.Pool, route.Model, request)
+}
+
 // sendFailed tells what follows from a server that did not begin to answer.
 func (t *transfer) sendFailed(lease *dispatch.Lease, err error) *failure {
 	var sent *sendError
