Give the two logs one framing; cut a last record that lost sectors

The control log took a last record whose header reached the disk only in part, with zeros behind it, as damage and refused to start: TestLastRecordWithLostSectorsIsCut failed with code 1006 from 1 kept byte on. The ledger's rule (torn, unless a whole record follows) covers both, so its frames moved to internal/durable and both logs use them.

Measured: the new test passes, every flipped bit before the last record is still refused.

--- a/internal/ledger/storage/frame.go
+++ b/internal/durable/frame.go
@@ -1,4 +1,4 @@
-package storage
+package durable
 
 import (
 	"bytes"
@@ -23,8 +23,8 @@
 	errFrame   = errors.New("not a whole frame")
 )
 
-// appendFrame appends the frame of a payload to buffer.
-func appendFrame(buffer, payload []byte) []byte {
+// AppendFrame appends the frame of a payload to buffer.
+func AppendFrame(buffer, payload []byte) []byte {
 	start := len(buffer)
 	buffer = append(buffer, frameMagic...)
 	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(payload)))
@@ -32,9 +32,9 @@
 	return append(buffer, payload...)
 }
 
-// readFrame returns the payload of the frame at the start of raw and the
-// frame's size. It fails with errFrame on anything but a whole, undamaged frame.
-func readFrame(raw []byte) (payload []byte, size int, err error) {
+// ReadFrame returns the payload of the frame at the start of raw and the
+// frame's size. It fails on anything but a whole, undamaged frame.
+func ReadFrame(raw []byte) (payload []byte, size int, err error) {
 	if len(raw) < frameHeaderBytes || string(raw[:frameLengthAt]) != frameMagic {
 		return nil, 0, errFrame
 	}
@@ -49,14 +49,14 @@
 	return payload, frameHeaderBytes + length, nil
 }
 
-// holdsFrame reports whether a whole frame starts anywhere in raw.
-func holdsFrame(raw []byte) bool {
+// HoldsFrame reports whether a whole frame starts anywhere in raw.
+func HoldsFrame(raw []byte) bool {
 	for {
 		at := bytes.Index(raw, []byte(frameMagic))
 		if at < 0 {
 			return false
 		}
-		if _, _, err := readFrame(raw[at:]); err == nil {
+		if _, _, err := ReadFrame(raw[at:]); err == nil {
 			return true
 		}
 		raw = raw[at+1:]
--- a/internal/durable/log_test.go
+++ b/internal/durable/log_test.go
@@ -27,7 +27,7 @@
 	fill(g, path, "first", "second", "last")
 	raw, err := os.ReadFile(path)
 	g.Expect(err).NotTo(HaveOccurred())
-	lastBytes := headerBytes + len("last")
+	lastBytes := frameHeaderBytes + len("last")
 	for lost := 1; lost <= lastBytes; lost++ {
 		g.Expect(os.WriteFile(path, raw[:len(raw)-lost], 0o644)).To(Succeed())
 		log, records, err := OpenLog(path)
@@ -46,7 +46,7 @@
 	fill(NewWithT(t), path, "first", "second", "last")
 	raw, err := os.ReadFile(path)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	for position := range len(raw) - headerBytes - len("last") {
+	for position := range len(raw) - frameHeaderBytes - len("last") {
 		for bit := range 8 {
 			g := NewWithT(t)
 			damaged := append([]byte(nil), raw...)
@@ -82,3 +82,22 @@
 		}
 	})
 }
+
+// TestLastRecordWithLostSectorsIsCut keeps only the start of the last record:
+// the file has its new length, but the rest of its bytes never reached the disk.
+func TestLastRecordWithLostSectorsIsCut(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "log")
+	fill(g, path, "first", "second", "last")
+	raw, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	lastBytes := frameHeaderBytes + len("last")
+	for kept := range lastBytes {
+		torn := append([]byte(nil), raw[:len(raw)-lastBytes+kept]...)
+		torn = append(torn, make([]byte, lastBytes-kept)...)
+		g.Expect(os.WriteFile(path, torn, 0o644)).To(Succeed())
+		_, records, err := OpenLog(path)
+		g.Expect(err).NotTo(HaveOccurred(), "%d bytes kept", kept)
+		g.Expect(records).To(HaveLen(2))
+	}
+}
--- a/internal/ledger/storage/files.go
+++ b/internal/ledger/storage/files.go
@@ -57,30 +57,3 @@
 	slices.Sort(out.snapshots)
 	return out, nil
 }
-
-// makeFolder creates a folder durably, with its parents.
-func makeFolder(dir string) error {
-	if _, err := os.Stat(dir); err == nil {
-		return nil
-	}
-	parent := filepath.Dir(dir)
-	if parent != dir {
-		if err := makeFolder(parent); err != nil {
-			return err
-		}
-	}
-	if err := os.Mkdir(dir, 0o755); err != nil && !os.IsExist(err) {
-		return errors.Wrap(err, "make a data folder")
-	}
-	return syncFolder(parent)
-}
-
-// syncFolder makes the creation, renaming and removal of files in a folder durable.
-func syncFolder(dir string) error {
-	folder, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "open a folder")
-	}
-	defer func() { _ = folder.Close() }()
-	return errors.Wrapf(folder.Sync(), "sync %s", dir)
-}
--- a/internal/ledger/storage/load.go
+++ b/internal/ledger/storage/load.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if whole < len(raw) && (!newest || holdsFrame(raw[whole+1:])) {
+	if whole < len(raw) && (!newest || durable.HoldsFrame(raw[whole+1:])) {
 		return damaged(path, "a record before the last one, at byte %d", whole)
 	}
 	if !newest {
@@ -106,7 +107,7 @@
 	if whole < len(raw) {
 		return damaged(path, "a record at byte %d", whole)
 	}
-	end := appendFrame(nil, nil)
+	end := durable.AppendFrame(nil, nil)
 	if len(raw) < len(end) || string(raw[len(raw)-len(end):]) != string(end) {
 		return damaged(path, "the end is missing")
 	}
@@ -117,7 +118,7 @@
 func replay(path string, raw []byte, apply func(ledger.Change)) (int, error) {
 	at := 0
 	for at < len(raw) {
-		payload, size, err := readFrame(raw[at:])
+		payload, size, err := durable.ReadFrame(raw[at:])
 		if err != nil {
 			return at, nil
 		}
--- a/internal/ledger/storage/log.go
+++ b/internal/ledger/storage/log.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/wire"
 	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
@@ -37,7 +38,7 @@
 // for appending. A torn end of the newest file is cut. It returns an api.Error
 // with CodeDataDamaged that names the file when anything else is damaged.
 func Open(dir string, options Options, apply func(ledger.Change)) (*Log, error) {
-	if err := makeFolder(dir); err != nil {
+	if err := durable.MakeFolder(dir); err != nil {
 		return nil, err
 	}
 	l := &Log{dir: dir, options: options}
@@ -68,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	frame := appendFrame(nil, payload)
+	frame := durable.AppendFrame(nil, payload)
 	if _, err := l.file.Write(frame); err != nil {
 		return errors.Wrap(err, "write the log")
 	}
@@ -105,7 +106,7 @@
 		return errors.Wrap(err, "create a log file")
 	}
 	l.file, l.number, l.size = file, number, 0
-	return syncFolder(l.dir)
+	return durable.SyncFolder(l.dir)
 }
 
 // Close closes the newest file.
--- a/internal/ledger/storage/log_test.go
+++ b/internal/ledger/storage/log_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
@@ -132,7 +133,7 @@
 	snapshot := filepath.Join(dir, fileName(2, snapshotSuffix))
 	raw, err := os.ReadFile(snapshot)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(os.WriteFile(snapshot, raw[:len(raw)-frameHeaderBytes], 0o644)).To(Succeed())
+	g.Expect(os.WriteFile(snapshot, raw[:len(raw)-len(durable.AppendFrame(nil, nil))], 0o644)).To(Succeed())
 	_, err = read(dir)
 	expectDamaged(g, err, snapshot)
 	g.Expect(os.WriteFile(snapshot, raw, 0o644)).To(Succeed())
--- a/internal/ledger/storage/snapshot.go
+++ b/internal/ledger/storage/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
@@ -20,7 +21,7 @@
 	if err := os.Rename(temporary, path); err != nil {
 		return errors.Wrap(err, "rename a snapshot")
 	}
-	if err := syncFolder(l.dir); err != nil {
+	if err := durable.SyncFolder(l.dir); err != nil {
 		return err
 	}
 	return l.removeBefore(number)
@@ -39,12 +40,12 @@
 		if err != nil {
 			return err
 		}
-		if _, err := writer.Write(appendFrame(nil, payload)); err != nil {
+		if _, err := writer.Write(durable.AppendFrame(nil, payload)); err != nil {
 			return errors.Wrap(err, "write a snapshot")
 		}
 		changes = changes[count:]
 	}
-	if _, err := writer.Write(appendFrame(nil, nil)); err != nil {
+	if _, err := writer.Write(durable.AppendFrame(nil, nil)); err != nil {
 		return errors.Wrap(err, "write a snapshot")
 	}
 	if err := writer.Flush(); err != nil {
