--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -40,8 +40,6 @@
 	// MaxInFlight bounds the requests in progress; arrivals beyond it are dropped
 	// and counted.
 	MaxInFlight int `json:"maxInFlight,omitempty"`
-	// DeadlineMS is the time to the first token that an admitted request must meet.
-	DeadlineMS int `json:"deadlineMs,omitempty"`
 }
 
 // Crest multiplies the arrival rate for some time.
@@ -82,6 +80,8 @@
 	PromptTokens int `json:"promptTokens"`
 	TurnTokens   int `json:"turnTokens,omitempty"`
 	AnswerTokens int `json:"answerTokens,omitempty"`
+	// DeadlineMS is the time to the first token that an admitted request must meet.
+	DeadlineMS int `json:"deadlineMs,omitempty"`
 }
 
 // Customer is who sends a share of the load.
@@ -99,7 +99,7 @@
 func (m *Mix) Warmup() time.Duration { return milliseconds(m.WarmupMS) }
 
 // Deadline returns the time to the first token that a request must meet, or zero.
-func (m *Mix) Deadline() time.Duration { return milliseconds(m.DeadlineMS) }
+func (s *Shape) Deadline() time.Duration { return milliseconds(s.DeadlineMS) }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -139,7 +139,6 @@
 	v.check(m.Chats.Turns > 0, "chats.turns", "below 1: %d", m.Chats.Turns)
 	v.check(m.Chats.PauseMS >= 0, "chats.pauseMs", "below 0: %d", m.Chats.PauseMS)
 	v.check(m.MaxInFlight >= 0, "maxInFlight", "below 0: %d", m.MaxInFlight)
-	v.check(m.DeadlineMS >= 0, "deadlineMs", "below 0: %d", m.DeadlineMS)
 	v.shapes(m.Shapes)
 	v.customers(m.Customers)
 	v.crest(m)
@@ -169,6 +168,7 @@
 		v.check(shape.PromptTokens > 0, field+".promptTokens", "below 1: %d", shape.PromptTokens)
 		v.check(shape.TurnTokens >= 0, field+".turnTokens", "below 0: %d", shape.TurnTokens)
 		v.check(shape.AnswerTokens >= 0, field+".answerTokens", "below 0: %d", shape.AnswerTokens)
+		v.check(shape.DeadlineMS >= 0, field+".deadlineMs", "below 0: %d", shape.DeadlineMS)
 	}
 }
 
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -96,7 +96,7 @@
 		return
 	}
 	t.addCache(reusable, r)
-	deadline := t.mix.Deadline()
+	deadline := c.shape.Deadline()
 	seriesOf(t.classes, c.shape.Name).add(r, deadline)
 	seriesOf(t.customers, c.customer.Name).add(r, deadline)
 	if t.mix.inCrest(a.at) {
