--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -30,7 +30,7 @@
 	Crest   []SeriesReport `json:"crest,omitempty"`
 	Cache   CacheReport    `json:"cache"`
 	Skew    *SkewReport    `json:"skew,omitempty"`
-	Routers []RouterReport `json:"routers,omitempty"`
+	Routers []DaemonReport `json:"routers,omitempty"`
 }
 
 // OutcomeCount counts the requests that ended in one way.
@@ -85,12 +85,13 @@
 	Highest   float64 `json:"highest"`
 }
 
-// RouterReport has a router's cost during the run.
-type RouterReport struct {
+// DaemonReport has a daemon's cost during the run.
+type DaemonReport struct {
 	Name                  string             `json:"name"`
 	Seconds               float64            `json:"seconds"`
 	CPUSeconds            float64            `json:"cpuSeconds"`
 	ResidentBytes         int64              `json:"residentBytes"`
+	HeapBytes             int64              `json:"heapBytes"`
 	ControlBytesPerSecond map[string]float64 `json:"controlBytesPerSecond"`
 	ControlTotal          float64            `json:"controlTotal"`
 }
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -17,6 +17,7 @@
 	at       time.Time
 	cpu      float64
 	resident float64
+	heap     float64
 	bytes    map[string]float64
 }
 
@@ -24,6 +25,7 @@
 const (
 	metricCPU      = "process_cpu_seconds_total"
 	metricResident = "process_resident_memory_bytes"
+	metricHeap     = "go_memstats_heap_inuse_bytes"
 )
 
 var controlBytes = regexp.MustCompile(`^peridotwinch_control_bytes_total\{(.*)\}$`)
@@ -64,6 +66,8 @@
 		c.cpu = value
 	case metricResident:
 		c.resident = value
+	case metricHeap:
+		c.heap = value
 	}
 	if labels := controlBytes.FindStringSubmatch(name); labels != nil {
 		c.bytes[purposeOf(labels[1])] += value
@@ -78,10 +82,10 @@
 }
 
 // Since returns what changed from an earlier reading.
-func (c *Counters) Since(before *Counters, name string) RouterReport {
+func (c *Counters) Since(before *Counters, name string) DaemonReport {
 	seconds := c.at.Sub(before.at).Seconds()
-	out := RouterReport{
-		Name: name, Seconds: seconds, CPUSeconds: c.cpu - before.cpu, ResidentBytes: int64(c.resident),
+	out := DaemonReport{
+		Name: name, Seconds: seconds, CPUSeconds: c.cpu - before.cpu, ResidentBytes: int64(c.resident), HeapBytes: int64(c.heap),
 		ControlBytesPerSecond: make(map[string]float64),
 	}
 	for purpose, bytes := range c.bytes {
--- a/test/measure/aim_test.go
+++ b/test/measure/aim_test.go
@@ -43,7 +43,7 @@
 	}
 	work()
 	fmt.Printf("%s: %s\n", title, cost(s.counters("control").Since(control, "control")))
-	highest := load.RouterReport{Name: "highest of the routers"}
+	highest := load.DaemonReport{Name: "highest of the routers"}
 	for i, router := range s.Routers() {
 		r := s.counters(router.Name).Since(before[i], router.Name)
 		if i == 0 {
@@ -52,13 +52,15 @@
 		highest.Seconds = r.Seconds
 		highest.CPUSeconds = max(highest.CPUSeconds, r.CPUSeconds)
 		highest.ResidentBytes = max(highest.ResidentBytes, r.ResidentBytes)
+		highest.HeapBytes = max(highest.HeapBytes, r.HeapBytes)
 		highest.ControlTotal = max(highest.ControlTotal, r.ControlTotal)
 	}
 	fmt.Printf("%s: %s\n", title, cost(highest))
 }
 
-func cost(r load.RouterReport) string {
-	return fmt.Sprintf("%s: %.2f%% of a core, %.1f MB, %.0f control B/s", r.Name, 100*perSecond(r), megabytes(r), r.ControlTotal)
+func cost(r load.DaemonReport) string {
+	return fmt.Sprintf("%s: %.2f%% of a core, %.1f MB (heap %.1f MB), %.0f control B/s",
+		r.Name, 100*perSecond(r), megabytes(r), float64(r.HeapBytes)/1e6, r.ControlTotal)
 }
 
 func (s *system) applyCustomers(count int) {
--- a/test/measure/slope_test.go
+++ b/test/measure/slope_test.go
@@ -120,15 +120,15 @@
 }
 
 // watch returns what a daemon spends while work runs.
-func (s *system) watch(name string, work func()) load.RouterReport {
+func (s *system) watch(name string, work func()) load.DaemonReport {
 	before := s.counters(name)
 	work()
 	return s.counters(name).Since(before, name)
 }
 
-func perSecond(r load.RouterReport) float64 { return r.CPUSeconds / r.Seconds }
+func perSecond(r load.DaemonReport) float64 { return r.CPUSeconds / r.Seconds }
 
-func megabytes(r load.RouterReport) float64 { return float64(r.ResidentBytes) / 1e6 }
+func megabytes(r load.DaemonReport) float64 { return float64(r.ResidentBytes) / 1e6 }
 
 // rest is work that only lets time pass.
 func rest() { time.Sleep(observe) }
@@ -209,7 +209,7 @@
 	for _, count := range []int{2, 4, 8, 16} {
 		system := slopeSystem(t, count)
 		system.fleet(t, 50, modelServer(64))
-		control := load.RouterReport{}
+		control := load.DaemonReport{}
 		r := system.watch("router-00", func() { control = system.watch("control", rest) })
 		s.add(float64(count), perSecond(r), r.ControlTotal, perSecond(control), control.ControlTotal, megabytes(r))
 		system.Close()
@@ -244,7 +244,7 @@
 	applied := 0
 	for _, count := range []int{500, 1000, 2000, 4000} {
 		added := float64(count - applied)
-		control := load.RouterReport{}
+		control := load.DaemonReport{}
 		router := system.watch("router-00", func() {
 			control = system.watch("control", func() {
 				for ; applied < count; applied++ {
@@ -265,7 +265,7 @@
 	s := &slope{name: "changes/s", columns: []string{"control cores", "router cores", "router config B/s"}}
 	system := slopeSystem(t, 1)
 	for _, rate := range []int{0, 5, 10, 20, 40} {
-		control := load.RouterReport{}
+		control := load.DaemonReport{}
 		router := system.watch("router-00", func() {
 			control = system.watch("control", func() { system.change(rate) })
 		})
