--- a/test/measure/deployment_test.go
+++ b/test/measure/deployment_test.go
@@ -58,6 +58,8 @@
 	g       *WithT
 	targets *load.Targets
 	models  []string
+	// changing is the version of the resource that change replaces.
+	changing uint64
 }
 
 // controlDomains is how many failure domains have a control and ledger instance.
@@ -153,17 +155,20 @@
 	return &api.Resource{Kind: kind, Names: api.Names{scheme: name}, Spec: raw}
 }
 
-// apply puts a resource through whichever control instance takes it.
-func (s *system) apply(resource *api.Resource) {
+// apply puts a resource through whichever control instance takes it and returns
+// it with its new version.
+func (s *system) apply(resource *api.Resource) (applied *api.Resource) {
 	controls := s.WithRole(settings.RoleControl)
 	try := 0
 	s.g.Expect(testbed.Eventually(func() error {
 		control := controls[try%len(controls)]
 		try++
 		client := api.NewClient(control.Settings.Listen.Operators, "measure")
-		_, err := client.Put(context.Background(), resource.Names.Refs()[0], resource, "")
+		var err error
+		applied, err = client.Put(context.Background(), resource.Names.Refs()[0], resource, "")
 		return err
 	})).To(Succeed())
+	return applied
 }
 
 // waitUntilServing waits until every router answers chats and calls.
--- a/test/measure/slope_test.go
+++ b/test/measure/slope_test.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/oklog/run"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"github.com/oklog/run"
-
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fake"
 	"peridotwinch.example/peridotwinch/internal/load"
@@ -56,16 +56,24 @@
 	}
 }
 
+// slopeDomain is the failure domain that a slope looks at.
+const slopeDomain = "a"
+
 // slopeSystem starts one control and ledger daemon and so many routers in one
 // failure domain.
 func slopeSystem(t *testing.T, routers int) *system {
+	return slopeSystemIn(t, slices.Repeat([]string{slopeDomain}, routers))
+}
+
+// slopeSystemIn starts a router in each of the failure domains.
+func slopeSystemIn(t *testing.T, domains []string) *system {
 	g := NewWithT(t)
 	spec := testbed.Spec{Daemons: []testbed.DaemonSpec{
-		{Instance: "control", FailureDomain: "a", Roles: []settings.Role{settings.RoleControl, settings.RoleLedger}},
+		{Instance: "control", FailureDomain: slopeDomain, Roles: []settings.Role{settings.RoleControl, settings.RoleLedger}},
 	}}
-	for i := range routers {
+	for i, domain := range domains {
 		spec.Daemons = append(spec.Daemons, testbed.DaemonSpec{
-			Instance: fmt.Sprintf("router-%02d", i), FailureDomain: "a", Roles: []settings.Role{settings.RoleRouter},
+			Instance: fmt.Sprintf("router-%02d", i), FailureDomain: domain, Roles: []settings.Role{settings.RoleRouter},
 		})
 	}
 	bed, err := testbed.New(t.TempDir(), spec)
@@ -92,10 +100,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group run.Group
 	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
+	routers := s.inDomain(slopeDomain)
 	for i := range count {
 		config := config
 		config.Listen, config.AnnounceEvery = "127.0.0.1:0", fake.DefaultAnnounceEvery
-		config.Announce = []string{s.Routers()[i%len(s.Routers())].Settings.Listen.Backends}
+		config.Announce = []string{routers[i%len(routers)].Settings.Listen.Backends}
 		server, err := fake.New(config, zerolog.Nop())
 		s.g.Expect(err).NotTo(HaveOccurred())
 		server.AddActors(&group)
@@ -109,6 +118,16 @@
 	time.Sleep(settle)
 }
 
+func (s *system) inDomain(domain string) []*testbed.Daemon {
+	var out []*testbed.Daemon
+	for _, router := range s.Routers() {
+		if router.Settings.FailureDomain == domain {
+			out = append(out, router)
+		}
+	}
+	return out
+}
+
 func modelServer(slots int) fake.Config {
 	return fake.Config{Pool: "engine:models", Slots: slots, TokenTime: 20 * time.Millisecond, CacheTokens: 1 << 20}
 }
@@ -217,6 +236,25 @@
 	s.print()
 }
 
+// TestSlopeDomains is what a router spends on so many other failure domains,
+// each with one router, beside the 50 backend servers of its own.
+func TestSlopeDomains(t *testing.T) {
+	needMeasure(t)
+	s := &slope{name: "other failure domains, 50 servers, idle", columns: []string{"router cores", "router control B/s", "router MB"}}
+	for _, count := range []int{0, 4, 8, 16} {
+		domains := []string{slopeDomain}
+		for i := range count {
+			domains = append(domains, fmt.Sprintf("other-%d", i))
+		}
+		system := slopeSystemIn(t, domains)
+		system.fleet(t, 50, modelServer(64))
+		r := system.watch("router-00", rest)
+		s.add(float64(count), perSecond(r), r.ControlTotal, megabytes(r))
+		system.Close()
+	}
+	s.print()
+}
+
 // TestSlopeRequestsByServers is how the cost of a request grows with the
 // servers that a decision looks at.
 func TestSlopeRequestsByServers(t *testing.T) {
@@ -276,14 +314,16 @@
 
 // change replaces a customer so many times a second.
 func (s *system) change(rate int) {
+	if rate == 0 {
+		rest()
+		return
+	}
 	end := time.Now().Add(observe)
 	for i := 0; time.Now().Before(end); i++ {
-		if rate == 0 {
-			rest()
-			return
-		}
 		next := time.Now().Add(time.Second / time.Duration(rate))
-		s.apply(customerResource(load.Customer{Name: "changing", Token: fmt.Sprintf("token-%d", i)}))
+		changed := customerResource(load.Customer{Name: "changing", Token: fmt.Sprintf("token-%d", i)})
+		changed.ResourceVersion = s.changing
+		s.changing = s.apply(changed).ResourceVersion
 		time.Sleep(time.Until(next))
 	}
 }
