--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -26,7 +26,6 @@
 	Retention time.Duration
 	// CompactBytes is the size of a log file that starts a snapshot.
 	CompactBytes int64
-	Storage      storage.Options
 }
 
 // batch is a group of changes that one sync makes durable.
@@ -63,7 +62,7 @@
 		options.CompactBytes = compactBytes
 	}
 	state := ledger.NewState(options.Retention)
-	files, err := storage.Open(dir, options.Storage, state.Apply)
+	files, err := storage.Open(dir, state.Apply)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/storage/log.go
+++ b/internal/ledger/storage/log.go
@@ -18,30 +18,23 @@
 // frameEntries bounds the changes of one frame.
 const frameEntries = 4096
 
-// Options change how a log writes.
-type Options struct {
-	// NoSync leaves out the sync after a write; only measurements use it.
-	NoSync bool
-}
-
 // Log appends changes to the newest log file. It is not safe for concurrent use.
 type Log struct {
-	dir     string
-	options Options
-	file    *os.File
-	number  uint64
-	size    int64
-	failed  error
+	dir    string
+	file   *os.File
+	number uint64
+	size   int64
+	failed error
 }
 
 // Open replays the folder's state through apply, in order, and opens the log
 // for appending. A torn end of the newest file is cut. It returns an api.Error
 // with CodeDataDamaged that names the file when anything else is damaged.
-func Open(dir string, options Options, apply func(ledger.Change)) (*Log, error) {
+func Open(dir string, apply func(ledger.Change)) (*Log, error) {
 	if err := durable.MakeFolder(dir); err != nil {
 		return nil, err
 	}
-	l := &Log{dir: dir, options: options}
+	l := &Log{dir: dir}
 	if err := l.load(apply); err != nil {
 		return nil, err
 	}
@@ -74,13 +67,11 @@
 		return errors.Wrap(err, "write the log")
 	}
 	l.size += int64(len(frame))
-	return l.sync(l.file)
+	return syncFile(l.file)
 }
 
-func (l *Log) sync(file *os.File) error {
-	if l.options.NoSync {
-		return nil
-	}
+// syncFile makes what was written to a file durable.
+func syncFile(file *os.File) error {
 	return errors.Wrapf(file.Sync(), "sync %s", file.Name())
 }
 
--- a/internal/ledger/storage/log_test.go
+++ b/internal/ledger/storage/log_test.go
@@ -21,7 +21,7 @@
 
 // fill writes one frame a change and returns the folder.
 func fill(g Gomega, dir string, from, to byte) {
-	log, err := Open(dir, Options{}, func(ledger.Change) {})
+	log, err := Open(dir, func(ledger.Change) {})
 	g.Expect(err).NotTo(HaveOccurred())
 	for n := from; n < to; n++ {
 		g.Expect(log.Append([]ledger.Change{change(n)})).To(Succeed())
@@ -31,7 +31,7 @@
 
 func read(dir string) (map[ledger.KeyHash]*ledger.Record, error) {
 	out := make(map[ledger.KeyHash]*ledger.Record)
-	log, err := Open(dir, Options{}, func(c ledger.Change) { out[c.Key] = c.Record })
+	log, err := Open(dir, func(c ledger.Change) { out[c.Key] = c.Record })
 	if err == nil {
 		_ = log.Close()
 	}
@@ -97,7 +97,7 @@
 
 // compact writes a snapshot of records 0 to 9 and logs 10 to 19 after it.
 func compact(g Gomega, dir string) {
-	log, err := Open(dir, Options{}, func(ledger.Change) {})
+	log, err := Open(dir, func(ledger.Change) {})
 	g.Expect(err).NotTo(HaveOccurred())
 	var all []ledger.Change
 	for n := range byte(10) {
--- a/internal/ledger/storage/snapshot.go
+++ b/internal/ledger/storage/snapshot.go
@@ -15,7 +15,7 @@
 func (l *Log) WriteSnapshot(number uint64, changes []ledger.Change) error {
 	path := l.path(number, snapshotSuffix)
 	temporary := path + temporarySuffix
-	if err := l.writeFrames(temporary, changes); err != nil {
+	if err := writeFrames(temporary, changes); err != nil {
 		return err
 	}
 	if err := os.Rename(temporary, path); err != nil {
@@ -27,7 +27,7 @@
 	return l.removeBefore(number)
 }
 
-func (l *Log) writeFrames(path string, changes []ledger.Change) error {
+func writeFrames(path string, changes []ledger.Change) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "create a snapshot")
@@ -51,5 +51,5 @@
 	if err := writer.Flush(); err != nil {
 		return errors.Wrap(err, "write a snapshot")
 	}
-	return l.sync(file)
+	return syncFile(file)
 }
--- /dev/null
+++ b/test/claims/silent_test.go
@@ -0,0 +1,45 @@
+package claims
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+// TestSilentConnectionsAreReplaced lets every connection to the replicas go
+// silent for good while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	g := NewWithT(t)
+	bed := ledgers(t)
+	g.Expect(waitAllActive(bed)).To(Succeed())
+	var relays []*testbed.Relay
+	var fleet []string
+	for _, d := range bed.WithRole(settings.RoleLedger) {
+		relay, err := testbed.NewRelay(d.Settings.Listen.Peers)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(relay.Close)
+		relays = append(relays, relay)
+		fleet = append(fleet, relay.Address())
+	}
+	c := quorum.New(quorum.Members{Domain: "pwani-a", Fleet: fleet})
+	_, decision := claim(c, customerKey("before"))
+	g.Expect(decision.Verdict).To(Equal(ledger.VerdictGranted))
+
+	setAll(relays, testbed.Swallow)
+	_, decision = claimFor(c, customerKey("swallowed"), heldTimeout)
+	g.Expect(decision.Verdict).To(Equal(ledger.VerdictUnavailable))
+	setAll(relays, testbed.Forward)
+	_, decision = claim(c, customerKey("after"))
+	g.Expect(decision.Verdict).To(Equal(ledger.VerdictGranted), "on new connections")
+}
+
+func setAll(relays []*testbed.Relay, mode testbed.Mode) {
+	for _, relay := range relays {
+		relay.Set(mode, mode)
+	}
+}
