Answer kept-alive connections for a while after the last request of a drain

Cause: a stream that begins before a shutdown does not announce that its connection closes. The listener now closes by itself, and Shutdown begins once no request has been in progress for 500 ms; the answers in between close their connections.

Ruled out: closing the idle connections at the announcement, which meets the same race earlier.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -41,6 +41,16 @@
 	return ids
 }
 
+// len returns the number of calls in progress.
+func (s *callSet) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// InProgress returns the number of requests in progress.
+func (p *Proxy) InProgress() int { return p.inProgress.len() }
+
 // AnnounceDrain makes each answer close its connection, so that callers move
 // to other routers. Requests are still served.
 func (p *Proxy) AnnounceDrain() { p.lastAnswers.Store(true) }
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -15,6 +15,15 @@
 // and to release their claims.
 const cutGrace = time.Second
 
+// Times of waiting for the last requests.
+const (
+	// quietTime is how long kept-alive connections stay open after the last
+	// request in progress. An answer that began before the drain did not announce
+	// that its connection closes, so its caller may send one more request on it.
+	quietTime = 500 * time.Millisecond
+	quietPoll = 20 * time.Millisecond
+)
+
 // serveCallers serves callers until ctx ends, then drains: the readiness probe
 // fails already, the listener stays open for the announce time, and then all
 // requests in progress finish. The drain timeout or a second signal ends that.
@@ -31,12 +40,26 @@
 	defer cancel()
 	r.proxy.AnnounceDrain()
 	wait(limit, r.settings.Timeouts.Announce())
+	_ = r.callers.Close()
+	r.awaitQuiet(limit)
 	if err := server.Shutdown(limit); err != nil {
 		r.cutOff(server)
 	}
 	return nil
 }
 
+// awaitQuiet returns once no request has been in progress for quietTime, or ctx
+// has ended.
+func (r *Router) awaitQuiet(ctx context.Context) {
+	quietSince := time.Now()
+	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
+		if r.proxy.InProgress() > 0 {
+			quietSince = time.Now()
+		}
+		wait(ctx, quietPoll)
+	}
+}
+
 // cutOff ends the requests in progress.
 func (r *Router) cutOff(server *http.Server) {
 	ids := r.proxy.CutOff()
--- a/test/testbed/caller.go
+++ b/test/testbed/caller.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 
@@ -63,7 +64,9 @@
 			continue
 		}
 		if data == api.StreamEnd {
-			return text.String(), nil
+			// Reading on lets the next request use the connection.
+			_, err := io.Copy(io.Discard, resp.Body)
+			return text.String(), err
 		}
 		if err := addChunk(&text, data); err != nil {
 			return text.String(), err
