Wait for the routers before the overview looks at them

Cause: test/scenario/overview.txtar asked for the state of router-a once control-1 was ready. On a busy machine router-a did not listen yet: one run of make test gave "router-a: unreachable ... connection refused" in place of 3016. The new command "live" waits for /livez first; what the scenario checks is unchanged.

--- /dev/null
+++ b/test/scenario/requests_test.go
@@ -0,0 +1,33 @@
+package scenario
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"peridotwinch.example/peridotwinch/test/testbed"
+)
+
+func init() { commands["live"] = live }
+
+// live waits until the named daemons answer, ready or not.
+func live(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg)
+	for _, name := range args {
+		platform := bedOf(ts).Daemons[name].Settings.Listen.Platform
+		ts.Check(testbed.Eventually(func() error { return answers("http://" + platform + "/livez") }))
+	}
+}
+
+func answers(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
