Send a replica again what it lost although it had confirmed it

Cutting 5 bytes off a log takes a confirmed record away. The leader kept its match and sent nothing, so the replica lagged for good: 'this control replica lags behind the leader' in TestConfirmedRecordThatIsLostComesBack. Heartbeat answers now carry the end of the log, and a leader lowers its match to it, which is always safe.

A watch copied all kept changes for each change that it followed; it takes the one now. An instance under a new name takes the place of one that left the settings, with its test. The tests of internal/control wait for the group; under load it formed after the client's two rounds.

--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -222,7 +222,10 @@
 		r.handleAppend(m)
 	case MessageHeartbeat:
 		r.commitTo(min(m.Commit, r.log.lastIndex()))
-		r.send(Message{Type: MessageHeartbeatResponse, To: m.From, ReadSequence: m.ReadSequence})
+		r.send(Message{
+			Type: MessageHeartbeatResponse, To: m.From,
+			LogIndex: r.log.lastIndex(), ReadSequence: m.ReadSequence,
+		})
 	case MessageSnapshot:
 		r.handleSnapshot(m)
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -149,10 +149,12 @@
 }
 
 func (r *Replica) handleRefusal(p *progress, m Message) {
-	if m.LogIndex <= p.match || m.LogIndex >= p.next {
+	if m.LogIndex >= p.next {
 		return // an answer to an earlier message
 	}
 	p.probing = true
+	// Where the replica lost what it had confirmed, its log ends below the match.
+	p.match = min(p.match, m.Hint)
 	p.next = max(min(m.LogIndex, m.Hint+1), p.match+1)
 	r.sendAppend(m.From)
 }
@@ -164,6 +166,10 @@
 	}
 	p.silentTicks = 0
 	p.readAck = max(p.readAck, m.ReadSequence)
+	if m.LogIndex < p.match {
+		// The replica lost the end of its log, although it had confirmed it.
+		p.match, p.next, p.probing = m.LogIndex, m.LogIndex+1, true
+	}
 	if p.match < r.log.lastIndex() {
 		r.sendAppend(m.From)
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -48,6 +48,7 @@
 }
 
 func serve(t *testing.T, c *Control) *api.Client {
+	NewWithT(t).Eventually(c.replica.Ready, patience).Should(Succeed())
 	server := httptest.NewServer(c.Handler())
 	t.Cleanup(func() { c.close(); server.Close() })
 	return api.NewClient(strings.TrimPrefix(server.URL, "http://"), "amina")
@@ -94,7 +95,6 @@
 	g := NewWithT(t)
 	c := newControl(t, t.TempDir())
 	client := serve(t, c)
-	g.Eventually(c.replica.Ready, patience).Should(Succeed())
 	for i := range keptChanges + 2 {
 		apply(c.store, putPool(fmt.Sprint(i), fmt.Sprint("p", i), 0, chatPool))
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -223,11 +223,13 @@
 
 // ChangeAt returns the change of a revision, or nil where it is no longer kept.
 func (s *Store) ChangeAt(revision uint64) *api.Change {
-	changes, _, err := s.Changes(revision - 1)
-	if err != nil || len(changes) == 0 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.revision - uint64(len(s.changes))
+	if revision <= oldest || revision > s.revision {
 		return nil
 	}
-	return changes[0]
+	return s.changes[revision-oldest-1]
 }
 
 // Subscribe returns a channel that gets a value after each change, and a
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -103,6 +103,16 @@
 	intent.RequestID, intent.Spec = "4", json.RawMessage(`{"pool":"swahili"}`)
 	g.Expect(codeOf(apply(s, intent))).To(Equal(api.CodeOK))
 
+	// A bare name that two pools have in different schemes.
+	apply(s, putPool("8", "b", 0, chatPool))
+	other := putPool("9", "c", 0, chatPool)
+	other.Names["model"] = "b"
+	g.Expect(codeOf(apply(s, other))).To(Equal(api.CodeOK))
+	_, err := s.Get(api.KindPools, "b")
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeNameAmbiguous))
+	_, err = s.Get(api.KindPools, "model:b")
+	g.Expect(err).NotTo(HaveOccurred())
+
 	// A change after which the reference leads nowhere, or to two pools.
 	g.Expect(codeOf(apply(s, putPool("5", "a", 1, chatPool)))).To(Equal(api.CodeStillReferenced))
 	g.Expect(codeOf(apply(s, putPool("6", "swahili", 0, chatPool)))).To(Equal(api.CodeStillReferenced))
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -9,8 +9,12 @@
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
-// maxPending bounds the changes of a watch whose status is followed.
-const maxPending = 1024
+const (
+	// maxPending bounds the changes of a watch whose status is followed.
+	maxPending = 1024
+	// reportDelay gathers routers' reports before a watch looks at the status.
+	reportDelay = 10 * time.Millisecond
+)
 
 // operatorWatch is an operator's watch in progress.
 type operatorWatch struct {
@@ -105,6 +109,7 @@
 			return
 		case <-changed:
 		case <-reported:
+			time.Sleep(reportDelay)
 		case <-ticker.C:
 			if o.send(&api.Event{Type: api.EventHeartbeat, Revision: o.revision}) != nil {
 				return
--- a/test/configfaults/files_test.go
+++ b/test/configfaults/files_test.go
@@ -1,10 +1,14 @@
 package configfaults
 
 import (
+	"encoding/json"
 	"os"
+	"path/filepath"
+	"slices"
 
 	. "github.com/onsi/gomega"
 
+	"peridotwinch.example/peridotwinch/internal/settings"
 	"peridotwinch.example/peridotwinch/test/testbed"
 )
 
@@ -36,6 +40,23 @@
 	return string(raw)
 }
 
+func (g *group) cutBytes(path string, count int64) {
+	g.t.Helper()
+	info, err := os.Stat(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.Truncate(path, info.Size()-count)).To(Succeed())
+}
+
+// withoutPeer takes a peer out of a daemon's settings file.
+func (g *group) withoutPeer(name, peer string) {
+	g.t.Helper()
+	s := g.bed.Daemons[name].Settings
+	s.Peers = slices.DeleteFunc(slices.Clone(s.Peers), func(p settings.Peer) bool { return p.Instance == peer })
+	raw, err := json.Marshal(&s)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(filepath.Join(g.bed.Dir, name+".json"), raw, 0o644)).To(Succeed())
+}
+
 func (g *group) logOf(d *testbed.Daemon) string {
 	g.t.Helper()
 	raw, err := os.ReadFile(d.LogPath())
--- a/test/configfaults/group_faults_test.go
+++ b/test/configfaults/group_faults_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/settings"
 	"peridotwinch.example/peridotwinch/test/testbed"
 )
 
@@ -216,3 +217,47 @@
 	g.ready(name)
 	g.Expect(g.readOnce(name, "meanwhile")).To(Equal(api.CodeOK))
 }
+
+// TestInstanceUnderANewName replaces a dead instance by one of another name.
+func TestInstanceUnderANewName(t *testing.T) {
+	t.Parallel()
+	g := &group{WithT: NewWithT(t), t: t, controls: []string{"control-1", "control-2", "control-3"}}
+	spec := testbed.Spec{}
+	for i, name := range append(g.controls, "control-4") {
+		spec.Daemons = append(spec.Daemons, daemon(name, domain(i), settings.RoleControl))
+	}
+	bed, err := testbed.New(t.TempDir(), spec)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.bed = bed
+	t.Cleanup(bed.Close)
+	for _, name := range g.controls {
+		g.withoutPeer(name, "control-4")
+		g.Expect(bed.Daemons[name].Start()).To(Succeed())
+	}
+	g.ready(g.controls...)
+	g.put(g.client(g.controls...), pool("kept", 2), "")
+
+	g.Expect(bed.Daemons["control-3"].Kill()).To(Succeed())
+	g.controls = []string{"control-1", "control-2", "control-4"}
+	for _, name := range g.controls {
+		g.withoutPeer(name, "control-3")
+	}
+	for _, name := range g.controls[:2] {
+		g.Expect(bed.Daemons[name].Stop()).To(Succeed())
+		g.Expect(bed.Daemons[name].Start()).To(Succeed())
+		g.ready(name)
+	}
+	g.Expect(bed.Daemons["control-4"].Start()).To(Succeed())
+	g.ready("control-4")
+	status, err := g.status("control-4")
+	g.Expect(err).NotTo(HaveOccurred())
+	var instances []string
+	for _, replica := range status.Replicas {
+		g.Expect(replica.Learner).To(BeFalse())
+		instances = append(instances, replica.Instance)
+	}
+	g.Expect(instances).To(ConsistOf(g.controls))
+
+	g.Expect(bed.Daemons["control-1"].Kill()).To(Succeed())
+	g.Expect(g.readOnce("control-4", "kept")).To(Equal(api.CodeOK))
+}
--- a/test/configfaults/router_test.go
+++ b/test/configfaults/router_test.go
@@ -104,3 +104,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(list.Revision).To(BeNumerically("==", 20))
 }
+
+// TestConfirmedRecordThatIsLostComesBack cuts the last bytes off a replica's
+// log, which damages a record that it had confirmed to the leader.
+func TestConfirmedRecordThatIsLostComesBack(t *testing.T) {
+	t.Parallel()
+	g := deploy(t, 0)
+	g.change(g.client(g.controls...), 20)
+	name := g.followers()[0]
+	g.Expect(g.bed.Daemons[name].Kill()).To(Succeed())
+	g.cutBytes(g.bed.Daemons[name].Settings.DataDir+"/control/log", 5)
+	g.Expect(g.bed.Daemons[name].Start()).To(Succeed())
+	g.ready(name)
+	list, err := g.client(name).List(context.Background(), api.KindPools)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Revision).To(BeNumerically("==", 20))
+}
