--- a/test/measure/deployment_test.go
+++ b/test/measure/deployment_test.go
@@ -25,18 +25,22 @@
 	routers             []int
 	models, apps        []int
 	short, long, appsOf string
+	// shortMS and longMS are the deadlines of the intents to the first token.
+	shortMS, longMS int
 }
 
 var kilindi = deployment{
 	name: "kilindi", domains: []string{"pwani-a", "pwani-b", "pwani-c"},
 	routers: []int{3, 2, 2}, models: []int{7, 7, 6}, apps: []int{1, 1, 1},
 	short: "toll-queries", long: "settlements", appsOf: "gates",
+	shortMS: 640, longMS: 5000,
 }
 
 var motagua = deployment{
 	name: "motagua", domains: []string{"oriente-a", "oriente-b", "oriente-c", "oriente-d"},
 	routers: []int{2, 2, 2, 1}, models: []int{3, 3, 2, 2}, apps: []int{1, 1, 1, 1},
 	short: "species-questions", long: "season-summaries", appsOf: "tallies",
+	shortMS: 640, longMS: 5000,
 }
 
 // modelFlags is a model worker: 27 ms between tokens with all slots taken, and a
@@ -54,6 +58,8 @@
 	g       *WithT
 	targets *load.Targets
 	models  []string
+	// changing is the version of the resource that change replaces.
+	changing uint64
 }
 
 // controlDomains is how many failure domains have a control and ledger instance.
@@ -129,8 +135,8 @@
 	out := []*api.Resource{
 		resource(api.KindPools, "engine", "models", &api.PoolSpec{Protocol: api.ProtocolChat}),
 		resource(api.KindPools, "engine", d.appsOf, &api.PoolSpec{Protocol: api.ProtocolService}),
-		resource(api.KindIntents, "model", d.short, &api.IntentSpec{Pool: "engine:models", Class: api.ClassShort}),
-		resource(api.KindIntents, "model", d.long, &api.IntentSpec{Pool: "engine:models", Class: api.ClassLong}),
+		resource(api.KindIntents, "model", d.short, &api.IntentSpec{Pool: "engine:models", Class: api.ClassShort, DeadlineMS: d.shortMS}),
+		resource(api.KindIntents, "model", d.long, &api.IntentSpec{Pool: "engine:models", Class: api.ClassLong, DeadlineMS: d.longMS}),
 	}
 	for _, customer := range customers {
 		out = append(out, customerResource(customer))
@@ -149,17 +155,20 @@
 	return &api.Resource{Kind: kind, Names: api.Names{scheme: name}, Spec: raw}
 }
 
-// apply puts a resource through whichever control instance takes it.
-func (s *system) apply(resource *api.Resource) {
+// apply puts a resource through whichever control instance takes it and returns
+// it with its new version.
+func (s *system) apply(resource *api.Resource) (applied *api.Resource) {
 	controls := s.WithRole(settings.RoleControl)
 	try := 0
 	s.g.Expect(testbed.Eventually(func() error {
 		control := controls[try%len(controls)]
 		try++
 		client := api.NewClient(control.Settings.Listen.Operators, "measure")
-		_, err := client.Put(context.Background(), resource.Names.Refs()[0], resource, "")
+		var err error
+		applied, err = client.Put(context.Background(), resource.Names.Refs()[0], resource, "")
 		return err
 	})).To(Succeed())
+	return applied
 }
 
 // waitUntilServing waits until every router answers chats and calls.
