--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -162,9 +162,11 @@
 	return total
 }
 
-// replaceEvery is the pause between two replaced servers of a churn run: with 20
-// model workers, 10% of them are replaced each minute.
-const replaceEvery = 6 * time.Second
+// Churn: a tenth of the model workers is replaced each minute.
+const (
+	churnShare  = 0.1
+	churnPeriod = time.Minute
+)
 
 func TestKilindiChurn(t *testing.T) {
 	needMeasure(t)
@@ -181,7 +183,7 @@
 	fmt.Println("| deployment | policy | reuse % without churn | with churn | ratio | refused |")
 	eachPolicy(func(policy settings.Policy) {
 		mix := readMix(t, d.name)
-		mix.DurationMS = 30_000
+		mix.DurationMS = int(churnPeriod.Milliseconds())
 		calm := d.run(t, trial{policy: policy, mix: mix})
 		churn := d.run(t, trial{policy: policy, mix: mix, during: replaceServers})
 		fmt.Printf("| %s | %s | %.1f | %.1f | %.3f | %d |\n", d.name, policyName(policy), 100*calm.Cache.Reuse, 100*churn.Cache.Reuse,
@@ -189,17 +191,24 @@
 	})
 }
 
+// replaceServers stops model workers at an even pace and starts each again with
+// an empty cache.
 func replaceServers(ctx context.Context, s *system) {
+	every := time.Duration(float64(churnPeriod) / (churnShare * float64(len(s.models))))
+	pause := every / 2
 	for _, name := range s.models {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(replaceEvery):
+		case <-time.After(pause):
 		}
+		pause = every
 		backend := s.Backends[name]
-		if backend.Stop() == nil {
-			_ = backend.Start()
+		if err := backend.Stop(); err != nil {
+			fmt.Printf("%s did not stop: %v\n", name, err)
+			continue
 		}
+		_ = backend.Start()
 	}
 }
 
