Measure routing policies in virtual time

The command 'experiment' drives balance's admission (the code that the dispatcher uses) over a queueing model of one failure domain's servers.

--- /dev/null
+++ b/internal/balance/admission.go
@@ -0,0 +1,78 @@
+package balance
+
+import "time"
+
+// Verdict tells what becomes of a request that asks for a server.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	// VerdictServe sends the request to the server now.
+	VerdictServe Verdict = iota
+	// VerdictWait lets the request wait for a slot.
+	VerdictWait
+	// VerdictRefuse refuses the request, which has not run.
+	VerdictRefuse
+)
+
+// Admission joins the balancer and the waiting queue of a pool. It is not safe
+// for concurrent use.
+type Admission struct {
+	balancer Balancer
+	queue    *Queue
+}
+
+// NewAdmission returns an admission without requests, whose waiters wait at most limit.
+func NewAdmission(balancer Balancer, limit time.Duration) *Admission {
+	return &Admission{balancer: balancer, queue: NewQueue(limit)}
+}
+
+// Waiting returns the number of waiters.
+func (a *Admission) Waiting() int { return a.queue.Len() }
+
+// Ask decides on a request. It returns the server of a request that is served,
+// and the waiter of one that waits.
+func (a *Admission) Ask(now time.Time, request Request, view *View) (Verdict, ServerID, *Waiter) {
+	a.queue.Arrived(now, &request)
+	if !a.queue.MustWait(&request) {
+		if id, ok := a.balancer.Pick(now, request, view); ok {
+			return VerdictServe, id, nil
+		}
+	}
+	waiter, ok := a.queue.Push(now, request, view.Slots())
+	if !ok {
+		return VerdictRefuse, "", nil
+	}
+	return VerdictWait, "", waiter
+}
+
+// Retry picks another server for a request that was admitted before.
+func (a *Admission) Retry(now time.Time, request Request, view *View) (ServerID, bool) {
+	return a.balancer.Pick(now, request, view)
+}
+
+// Release records that a request has left its server.
+func (a *Admission) Release(now time.Time, request Request, id ServerID, result Result) {
+	a.balancer.Done(now, request, id, result)
+	a.queue.Served(now)
+}
+
+// Serve offers free slots to the waiters, in the queue's order, and calls
+// granted for each that gets a server.
+func (a *Admission) Serve(now time.Time, viewOf func(*Waiter) *View, granted func(*Waiter, ServerID)) {
+	for a.queue.Len() > 0 {
+		var server ServerID
+		served := a.queue.Next(now, func(waiter *Waiter) bool {
+			id, ok := a.balancer.Pick(now, waiter.Request, viewOf(waiter))
+			server = id
+			return ok
+		})
+		if served == nil {
+			return
+		}
+		granted(served, server)
+	}
+}
+
+// Remove takes a waiter out that gave up.
+func (a *Admission) Remove(waiter *Waiter) { a.queue.Remove(waiter) }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,7 +38,7 @@
 	return []*command{
 		serveCommand(), devCommand(), checkCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
-		fakeBackendCommand(), versionCommand(),
+		fakeBackendCommand(), experimentCommand(), versionCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/cli/experiment.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"peridotwinch.example/peridotwinch/internal/experiment"
+)
+
+func experimentCommand() *command {
+	var output string
+	return &command{
+		name:     "experiment",
+		group:    groupTest,
+		synopsis: "Measures routing policies in virtual time",
+		usage:    "[-o text|json] FILE...",
+		setFlags: func(f *flag.FlagSet) { f.StringVar(&output, "o", "text", "output: text or json") },
+		run:      func(_ context.Context, args []string) error { return runExperiments(args, output) },
+	}
+}
+
+func runExperiments(paths []string, output string) error {
+	if len(paths) == 0 {
+		return usageError("name at least one description")
+	}
+	if output != "text" && output != "json" {
+		return usageError("unknown output %q", output)
+	}
+	for _, path := range paths {
+		description, err := experiment.Load(path)
+		if err != nil {
+			return err
+		}
+		results, err := experiment.Run(description)
+		if err != nil {
+			return err
+		}
+		write := experiment.WriteText
+		if output == "json" {
+			write = experiment.WriteJSON
+		}
+		if err := write(os.Stdout, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,27 +88,22 @@
 		d.mu.Unlock()
 		return nil, errNoServer()
 	}
-	p.queue.Arrived(now, &request)
-	if !p.queue.MustWait(&request) {
-		if lease := d.pick(now, p, request, servers); lease != nil {
-			d.mu.Unlock()
-			return lease, nil
-		}
-	}
-	w, ok := p.enqueue(now, request, key, servers.Slots())
-	d.mu.Unlock()
-	if !ok {
+	verdict, id, waiter := p.admission.Ask(now, request, servers)
+	switch verdict {
+	case balance.VerdictServe:
+		lease := d.lease(p, request, id, servers)
+		d.mu.Unlock()
+		return lease, nil
+	case balance.VerdictRefuse:
+		d.mu.Unlock()
 		return nil, errOverloaded("the request would wait too long for a slot")
 	}
+	w := p.enqueue(waiter, key)
+	d.mu.Unlock()
 	return d.wait(ctx, p, w)
 }
 
-// pick returns a lease where the balancer finds a server.
-func (d *Dispatcher) pick(now time.Time, p *pool, request balance.Request, servers *balance.View) *Lease {
-	id, ok := p.balancer.Pick(now, request, servers)
-	if !ok {
-		return nil
-	}
+func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
 	return &Lease{
 		Server:      id,
 		Incarnation: servers.Incarnation(id),
@@ -156,30 +151,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	p.balancer.Done(now, request, id, result)
-	p.queue.Served(now)
+	p.admission.Release(now, request, id, result)
 	d.serveQueue(now, p)
 }
 
 // serveQueue gives leases to waiters for as long as there is room.
 func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
-	for p.queue.Len() > 0 {
-		served := p.queue.Next(now, func(waiter *balance.Waiter) bool { return d.serve(now, p, waiter) })
-		if served == nil {
-			return
-		}
-	}
-}
-
-func (d *Dispatcher) serve(now time.Time, p *pool, waiter *balance.Waiter) bool {
-	w := p.waiters[waiter]
-	lease := d.pick(now, p, waiter.Request, p.cached(w.key))
-	if lease == nil {
-		return false
-	}
-	delete(p.waiters, waiter)
-	w.granted <- lease
-	return true
+	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
+		w := p.waiters[waiter]
+		delete(p.waiters, waiter)
+		w.granted <- d.lease(p, waiter.Request, id, p.views[w.key].view)
+	})
 }
 
 // Run looks at the queues regularly, because membership and load reports free
@@ -202,7 +184,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, p := range d.pools {
-		if p.queue.Len() > 0 {
+		if p.admission.Waiting() > 0 {
 			p.refresh(now, d.source)
 			d.serveQueue(now, p)
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -50,38 +50,34 @@
 
 // pool is the balancer and the queue of one pool.
 type pool struct {
-	balancer balance.Balancer
-	queue    *balance.Queue
-	waiters  map[*balance.Waiter]*waiting
-	views    map[candidateKey]*candidates
+	admission *balance.Admission
+	waiters   map[*balance.Waiter]*waiting
+	views     map[candidateKey]*candidates
 }
 
 func newPool(balancer balance.Balancer, queueLimit time.Duration) *pool {
 	return &pool{
-		balancer: balancer,
-		queue:    balance.NewQueue(queueLimit),
-		waiters:  make(map[*balance.Waiter]*waiting),
-		views:    make(map[candidateKey]*candidates),
+		admission: balance.NewAdmission(balancer, queueLimit),
+		waiters:   make(map[*balance.Waiter]*waiting),
+		views:     make(map[candidateKey]*candidates),
 	}
 }
 
-func (p *pool) enqueue(now time.Time, request balance.Request, key candidateKey, slots int) (*waiting, bool) {
-	waiter, ok := p.queue.Push(now, request, slots)
-	if !ok {
-		return nil, false
-	}
+func (p *pool) enqueue(waiter *balance.Waiter, key candidateKey) *waiting {
 	w := &waiting{waiter: waiter, key: key, granted: make(chan *Lease, 1)}
 	p.waiters[waiter] = w
-	return w, true
+	return w
 }
 
 func (p *pool) remove(w *waiting) {
-	p.queue.Remove(w.waiter)
+	p.admission.Remove(w.waiter)
 	delete(p.waiters, w.waiter)
 }
 
-// cached returns the newest view of a set of candidates.
-func (p *pool) cached(key candidateKey) *balance.View { return p.views[key].view }
+// viewOf returns the newest view of the candidates that a waiter waits for.
+func (p *pool) viewOf(waiter *balance.Waiter) *balance.View {
+	return p.views[p.waiters[waiter].key].view
+}
 
 // view returns the view of a set of candidates, made anew where it is outdated.
 func (p *pool) view(now time.Time, source Source, view *catalog.Catalog, target catalog.Pool, key candidateKey) *balance.View {
