--- a/api/code.go
+++ b/api/code.go
@@ -27,6 +27,9 @@
 	CodeNameAmbiguous    Code = 2006
 	CodeRevisionGone     Code = 2007
 	CodeNoQuorum         Code = 2008
+	CodeRequestIDReused  Code = 2010
+	CodeReferenceMissing Code = 2011
+	CodeStillReferenced  Code = 2012
 	CodeCustomerMissing  Code = 3001
 	CodeCustomerUnknown  Code = 3002
 	CodeModelUnknown     Code = 3003
@@ -43,7 +46,12 @@
 	CodeTimeout          Code = 3014
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
+	CodeDrainCut         Code = 3030
+	CodeAnswerNotKept    Code = 3031
 	CodeAnnouncement     Code = 4001
+	CodeFencingTokenOld  Code = 4010
+	CodeLoadMixInvalid   Code = 4011
+	CodeLoadNotWhole     Code = 4012
 )
 
 // Exit codes of the command line.
@@ -86,6 +94,9 @@
 	{CodeNameAmbiguous, "name_ambiguous", http.StatusConflict, ExitRefused, "A bare name stands in more than one scheme; write scheme:name."},
 	{CodeRevisionGone, "revision_gone", http.StatusGone, ExitRefused, "The watch revision has been compacted; list again and watch from there."},
 	{CodeNoQuorum, "no_quorum", http.StatusServiceUnavailable, ExitRefused, "No majority of the control replicas answers; send the same request ID again."},
+	{CodeRequestIDReused, "request_id_reused", http.StatusUnprocessableEntity, ExitRefused, "The request ID was used before for another write."},
+	{CodeReferenceMissing, "reference_missing", http.StatusUnprocessableEntity, ExitRefused, "The resource names another one that does not exist."},
+	{CodeStillReferenced, "still_referenced", http.StatusConflict, ExitRefused, "Another resource refers to this one by a name that the change would take away."},
 	{CodeCustomerMissing, "customer_missing", http.StatusUnauthorized, ExitRefused, "The request carries no bearer token."},
 	{CodeCustomerUnknown, "customer_unknown", http.StatusUnauthorized, ExitRefused, "The bearer token belongs to no customer."},
 	{CodeModelUnknown, "model_unknown", http.StatusNotFound, ExitRefused, "No intent, model version or pool has the requested name."},
@@ -102,7 +113,12 @@
 	{CodeTimeout, "timeout", http.StatusGatewayTimeout, ExitRefused, "The backend server made no progress in time."},
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
+	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown cut requests in progress off."},
+	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for a resend."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
+	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
+	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the described load is not valid."},
+	{CodeLoadNotWhole, "load_not_whole", http.StatusInternalServerError, ExitFailure, "An answer under load was cut short or was not the request's own."},
 }
 
 // Info returns the description of c, or that of CodeInternal for an unlisted code.
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -18,9 +18,13 @@
 	retryShare = 0.1
 	retryRate  = 0.5
 	retryBurst = 10
-	hedgeShare = 0.05
-	hedgeRate  = 0.2
-	hedgeBurst = 5
+	// A failed server breaks all its streams at once; each goes on at its offset.
+	resumeShare = 0.1
+	resumeRate  = 10
+	resumeBurst = 500
+	hedgeShare  = 0.05
+	hedgeRate   = 0.2
+	hedgeBurst  = 5
 )
 
 // NewRetryBudget returns the budget of retries.
@@ -28,6 +32,11 @@
 	return &Budget{share: retryShare, rate: retryRate, burst: retryBurst, tokens: retryBurst, filled: now}
 }
 
+// NewResumeBudget returns the budget of streams that go on at another server.
+func NewResumeBudget(now time.Time) *Budget {
+	return &Budget{share: resumeShare, rate: resumeRate, burst: resumeBurst, tokens: resumeBurst, filled: now}
+}
+
 // NewHedgeBudget returns the budget of hedged requests.
 func NewHedgeBudget(now time.Time) *Budget {
 	return &Budget{share: hedgeShare, rate: hedgeRate, burst: hedgeBurst, tokens: hedgeBurst, filled: now}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/membership"
 	"peridotwinch.example/peridotwinch/internal/proxy"
@@ -26,6 +27,8 @@
 // Router is the router role of a daemon.
 type Router struct {
 	settings *settings.Settings
+	log      zerolog.Logger
+	life     *lifecycle.Lifecycle
 	watcher  *configwatch.Watcher
 	members  *membership.Service
 	dispatch *dispatch.Dispatcher
@@ -52,15 +55,25 @@
 	life.AddCheck(members.Ready)
 	return &Router{
 		settings: s,
+		log:      log,
+		life:     life,
 		watcher:  watcher,
 		members:  members,
 		dispatch: dispatcher,
-		proxy:    proxy.New(s, log, watcher, dispatcher, ledger.Unavailable{}),
+		proxy:    proxy.New(s, log, watcher, dispatcher, newClaimer(s)),
 		callers:  callers,
 		backends: backends,
 	}, nil
 }
 
+// newClaimer returns the claimer of the ledger replicas that the settings name.
+func newClaimer(s *settings.Settings) ledger.Claimer {
+	if len(s.PeersWithRole(settings.RoleLedger)) == 0 {
+		return ledger.Unavailable{}
+	}
+	return quorum.New(quorum.MembersFrom(s))
+}
+
 // newPolicy returns the maker of the balancers that the settings select.
 func newPolicy(policy settings.Policy) func() balance.Balancer {
 	return func() balance.Balancer {
@@ -74,14 +87,20 @@
 }
 
 // Register adds the role's RPCs to a server.
-func (r *Router) Register(mux drpc.Mux) error { return r.members.Register(mux) }
+func (r *Router) Register(mux drpc.Mux) error {
+	// Where this process has the control role, that answers for the configuration.
+	if !r.settings.HasRole(settings.RoleControl) {
+		if err := r.watcher.Register(mux); err != nil {
+			return err
+		}
+	}
+	return r.members.Register(mux)
+}
 
 // AddForeground adds the actors that serve callers. Their interrupts wait until
 // the requests in progress have finished.
 func (r *Router) AddForeground(group *run.Group) {
-	actor.AddDraining(group, func(ctx context.Context) error {
-		return httpx.Serve(ctx, r.callers, r.proxy.Handler(), r.settings.Timeouts.Drain())
-	})
+	actor.AddDraining(group, r.serveCallers)
 }
 
 // AddBackground adds the actors that the requests in progress rely on.
