Bound the whole load of a server by the routers' word on their work

Now the routers of a failure domain tell each other their requests in flight on each server with every exchange; a server takes a request while its whole load is under 1.2 times the mean plus 0.75 and the router has not used up 1.5 equal parts of the free load since it heard last. Without a fresh word the staggered shares hold alone, as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,6 +23,11 @@
 	// ReportedLoad is the newest load report, and ReportedAt its local receipt time.
 	ReportedLoad int
 	ReportedAt   time.Time
+	// Others is the work in flight of the other routers, as they told it, and
+	// OthersAt the local receipt time of their newest word; zero while one of
+	// them has not told it lately.
+	Others   int
+	OthersAt time.Time
 	// Since is when this incarnation was first known; zero counts as long ago.
 	Since time.Time
 }
--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -11,6 +11,15 @@
 	// minMeanLoad is the load a server below which the relative bound does not
 	// tighten any more: there affinity counts for more.
 	minMeanLoad = 1.0
+	// boundMargin is taken off the bound on a server's whole load, and boundPlus
+	// is added, because the other routers' word on it is a little old.
+	boundMargin = 0.05
+	boundPlus   = 0.75
+	// leaseFactor is how many equal parts of a server's free load a router may
+	// take up before it hears of the other routers again.
+	leaseFactor = 1.5
+	// wordAge is the age at which the other routers' word counts no more.
+	wordAge = 3 * time.Second
 	// warmUp is the time over which a new server takes over chats.
 	warmUp = 10 * time.Second
 	// warmUpStart is the share of its weight that a new server starts with.
@@ -21,9 +30,9 @@
 	longServerShare = 0.5
 	// reportAge is the age at which a load report counts no more.
 	reportAge = 3 * time.Second
-	// shareReturn is the part of its surplus of slots that a router gives back
-	// with each load report, so that others can grow.
-	shareReturn = 0.1
+	// unexplainedShare is the share of a server's slots from which on a reported
+	// load that no router has told is believed.
+	unexplainedShare = 0.25
 )
 
 // longKey is the rendezvous key that orders the servers for long work.
@@ -49,7 +58,7 @@
 		return "", false
 	}
 	p := &pick{now: now, request: &request, view: view, states: b.bind(now, view)}
-	p.mean = p.ownMean()
+	p.mean, p.wholeMean = p.means()
 	p.longLimit = b.longLimit(p)
 	b.ejection.review(now, p.states)
 	chosen, ok := p.choose(b.random)
@@ -86,18 +95,41 @@
 	request *Request
 	view    *View
 	states  []*serverState
-	// mean is this router's requests in flight for each slot, the new one included.
+	// mean is this router's requests in flight for each slot, and wholeMean those
+	// of all routers, the new one included.
 	mean      float64
+	wholeMean float64
 	longLimit float64
 }
 
-func (p *pick) ownMean() float64 {
-	total := 1
-	for _, state := range p.states {
-		total += state.inFlight
+func (p *pick) means() (own, whole float64) {
+	ownTotal, wholeTotal := 1, 1
+	for i, state := range p.states {
+		ownTotal += state.inFlight
+		wholeTotal += p.whole(i)
 	}
-	least := minMeanLoad * float64(len(p.states)) / float64(p.view.place.Count)
-	return max(float64(total), least) / float64(p.view.slots)
+	least := minMeanLoad * float64(len(p.states))
+	own = max(float64(ownTotal), least/float64(p.view.place.Count))
+	whole = max(float64(wholeTotal), least)
+	return own / float64(p.view.slots), whole / float64(p.view.slots)
+}
+
+// whole is the load of the i-th server as far as this router knows it. A load
+// report is late, so it counts only where it tells of much that no router has
+// told, such as the work of one that has failed.
+func (p *pick) whole(i int) int {
+	server, state := &p.view.servers[i], p.states[i]
+	whole := state.inFlight + server.Others
+	believed := float64(state.unexplained) > unexplainedShare*float64(server.Slots)
+	if believed && p.now.Sub(state.reportedAt) <= reportAge {
+		whole += state.unexplained
+	}
+	return whole
+}
+
+// hasWord reports whether the other routers' word on the i-th server is fresh.
+func (p *pick) hasWord(i int) bool {
+	return p.view.place.Count == 1 || p.now.Sub(p.view.servers[i].OthersAt) <= wordAge
 }
 
 // choose returns the hinted server where it is under its bound, else the chat's
@@ -139,7 +171,7 @@
 	if p.request.excludes(server.ID) || state.latency.ejected {
 		return false
 	}
-	if state.inFlight >= p.slotLimit(i) {
+	if !p.hasSlot(i) {
 		return false
 	}
 	return !isLong(p.request) || p.allowedLong(i)
@@ -158,30 +190,41 @@
 // excess is by how much the request would exceed the bound on the i-th server's
 // load; it is at most zero while the server is under its bound.
 func (p *pick) excess(i int) float64 {
-	bound := p.view.loadBound * p.mean * float64(p.view.servers[i].Slots)
-	return float64(p.states[i].inFlight+1) - bound - p.view.offset(i)
+	slots := float64(p.view.servers[i].Slots)
+	own := p.view.loadBound * p.mean * slots
+	if !p.hasWord(i) {
+		return p.overShare(i, own)
+	}
+	limit := (p.view.loadBound-boundMargin)*p.wholeMean*slots + boundPlus
+	return max(float64(p.whole(i)+1)-limit, p.overLease(i, own, limit))
+}
+
+// overShare is by how much the request would exceed this router's share. The
+// shares are rounded by offsets that are spread over the routers, so that they
+// add up to the bound without any word between them.
+func (p *pick) overShare(i int, share float64) float64 {
+	return float64(p.states[i].inFlight+1) - share - p.view.offset(i)
 }
 
-// slotLimit is the number of the i-th server's slots that this router may hold.
-// A load report is split among the routers: each keeps what it held, gets a
-// part of the free slots, and gives a part of its surplus over an equal share
-// back. The limits of all routers add up to the server's slots.
-func (p *pick) slotLimit(i int) int {
+// overLease is by how much the request would exceed the larger of this router's
+// share and what it may take up of the free load since it last heard of the
+// other routers. It keeps them from rushing to the same server.
+func (p *pick) overLease(i int, share, limit float64) float64 {
 	server, state := &p.view.servers[i], p.states[i]
-	count := float64(p.view.place.Count)
+	free := limit - float64(state.ownThen+server.Others)
+	lease := float64(state.ownThen) + max(leaseFactor*free/float64(p.view.place.Count), 0)
+	return p.overShare(i, max(share, lease))
+}
+
+// hasSlot reports whether the i-th server has a slot for this router.
+func (p *pick) hasSlot(i int) bool {
+	server := &p.view.servers[i]
 	slots := float64(server.Slots)
-	if count == 1 {
-		return server.Slots
-	}
-	if p.now.Sub(state.reportedAt) > reportAge || server.ReportedLoad == 0 {
-		return int(slots/count + p.view.offset(i))
-	}
-	load := float64(max(server.ReportedLoad, state.ownAtReport))
-	own := float64(state.ownAtReport)
-	free := (slots - load) * (0.5/count + 0.5*own/load)
-	surplus := shareReturn * (own - load/count)
-	limit := int(own + free - surplus + p.view.offset(i))
-	return min(limit, server.Slots)
+	share := slots / float64(p.view.place.Count)
+	if !p.hasWord(i) {
+		return p.overShare(i, share) <= 0
+	}
+	return p.whole(i) < server.Slots && p.overLease(i, share, slots) <= 0
 }
 
 // weight is the rendezvous weight of the i-th server: its slots, less while it
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -75,10 +75,14 @@
 	inFlight    int
 	long        int
 	usedAt      time.Time
-	// reportedAt is the receipt time of the newest load report, and ownAtReport
-	// the requests of this router that it includes.
+	// othersAt is the receipt time of the other routers' newest word, and
+	// ownThen this router's requests in flight at that time.
+	othersAt time.Time
+	ownThen  int
+	// reportedAt is the receipt time of the newest load report, and unexplained
+	// the load that no router has told.
 	reportedAt  time.Time
-	ownAtReport int
+	unexplained int
 	latency     latencyScore
 }
 
@@ -116,9 +120,13 @@
 		state.incarnation = server.Incarnation
 		state.latency = latencyScore{}
 	}
+	if server.OthersAt.After(state.othersAt) {
+		state.othersAt = server.OthersAt
+		state.ownThen = state.inFlight
+	}
 	if server.ReportedAt.After(state.reportedAt) {
 		state.reportedAt = server.ReportedAt
-		state.ownAtReport = state.inFlight
+		state.unexplained = server.ReportedLoad - state.inFlight - server.Others
 	}
 	return state
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,8 +43,9 @@
 	queueLimit time.Duration
 	now        func() time.Time
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	mu       sync.Mutex
+	pools    map[string]*pool
+	inFlight map[balance.ServerID]int
 }
 
 // Option changes a dispatcher at its start.
@@ -63,6 +64,7 @@
 		queueLimit: settings.DefaultQueue,
 		now:        time.Now,
 		pools:      make(map[string]*pool),
+		inFlight:   make(map[balance.ServerID]int),
 	}
 	for _, option := range options {
 		option(d)
@@ -104,6 +106,7 @@
 }
 
 func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
+	d.inFlight[id]++
 	return &Lease{
 		Server:      id,
 		Incarnation: servers.Incarnation(id),
@@ -151,10 +154,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.inFlight[id]--
+	if d.inFlight[id] == 0 {
+		delete(d.inFlight, id)
+	}
 	p.admission.Release(now, request, id, result)
 	d.serveQueue(now, p)
 }
 
+// InFlight returns the requests in flight on each of the servers.
+func (d *Dispatcher) InFlight(addresses []string) []uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make([]uint32, len(addresses))
+	for i, address := range addresses {
+		counts[i] = uint32(d.inFlight[balance.ServerID(address)])
+	}
+	return counts
+}
+
 // serveQueue gives leases to waiters for as long as there is room.
 func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
 	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,7 +11,7 @@
 )
 
 // viewAge is the age at which a view is made anew for fresh load reports.
-const viewAge = 100 * time.Millisecond
+const viewAge = 25 * time.Millisecond
 
 // Versioned is a source that tells when its servers, other than their load,
 // have changed.
@@ -118,6 +118,7 @@
 		servers = append(servers, balance.Server{
 			ID: balance.ServerID(server.Address), Incarnation: server.Incarnation, Slots: server.Slots,
 			ReportedLoad: server.Load, ReportedAt: server.ReceivedAt, Since: server.Since,
+			Others: server.Others, OthersAt: server.OthersAt,
 		})
 	}
 	c.view = balance.NewView(servers, c.target.Spec.LoadBound, placeOf(source))
--- a/internal/experiment/domain.go
+++ b/internal/experiment/domain.go
@@ -7,6 +7,8 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/membership"
+	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
 // Times of the load reports.
@@ -14,6 +16,8 @@
 	reportEvery = time.Second
 	// reportLag is the longest time until a report reaches every router.
 	reportLag = 500 * time.Millisecond
+	// tellLag is the longest time between two routers of the failure domain.
+	tellLag = 5 * time.Millisecond
 )
 
 // chatState is a chat with its turns and the hint of its last answer.
@@ -67,6 +71,7 @@
 		out.routers = append(out.routers, &router{
 			domain: out, place: balance.Place{Rank: rank, Count: d.Routers},
 			admission: balance.NewAdmission(balancer, d.QueueMS.Duration()),
+			inFlight:  make(map[balance.ServerID]int),
 			waiters:   make(map[*balance.Waiter]*request),
 		})
 	}
@@ -92,12 +97,28 @@
 			r.serve()
 		})
 	}
+	for _, r := range d.routers {
+		d.every(d.delay(d.tellEvery()), d.tellEvery(), func() { d.tellAll(r) })
+	}
 	d.scheduleArrival()
 	d.scheduleReplacement()
 	d.after(d.description.WarmUpMS.Duration(), func() { d.tally.measuring = true })
 	d.runUntil(d.description.WarmUpMS.Duration() + d.description.MeasureMS.Duration())
 }
 
+func (d *domain) tellEvery() time.Duration {
+	return membership.ExchangeEvery(settings.DefaultHeartbeat, len(d.routers)-1)
+}
+
+// tellAll tells the other routers of a router's work in flight.
+func (d *domain) tellAll(r *router) {
+	for _, other := range d.routers {
+		if other != r {
+			d.after(d.delay(tellLag), func() { r.tell(other) })
+		}
+	}
+}
+
 // join adds a server that the routers learn of within disagree.
 func (d *domain) join(disagree time.Duration, since time.Duration) {
 	index := d.nextServer
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -11,7 +11,10 @@
 	server     *server
 	load       int
 	reportedAt time.Time
-	since      time.Time
+	// others is the work in flight of each other router, by its rank.
+	others   map[int]int
+	othersAt time.Time
+	since    time.Time
 }
 
 // router is a router with its own membership and its own decisions.
@@ -21,14 +24,31 @@
 	admission *balance.Admission
 	known     []*known
 	view      *balance.View
+	inFlight  map[balance.ServerID]int
 	waiters   map[*balance.Waiter]*request
 }
 
+func (k *known) sumOthers() int {
+	sum := 0
+	for _, count := range k.others {
+		sum += count
+	}
+	return sum
+}
+
 // viewEvery is the time between two views with fresh load reports.
-const viewEvery = 100 * time.Millisecond
+const viewEvery = 25 * time.Millisecond
+
+// tell tells another router of this one's work in flight.
+func (r *router) tell(other *router) {
+	for _, k := range other.known {
+		k.others[r.place.Rank] = r.inFlight[k.server.id]
+		k.othersAt = r.domain.clock()
+	}
+}
 
 func (r *router) learn(s *server) {
-	r.known = append(r.known, &known{server: s, since: r.domain.clock().Add(s.since - r.domain.now)})
+	r.known = append(r.known, &known{server: s, others: make(map[int]int), since: r.domain.clock().Add(s.since - r.domain.now)})
 	r.rebuild()
 }
 
@@ -57,6 +77,7 @@
 	for i, k := range r.known {
 		servers[i] = balance.Server{
 			ID: k.server.id, Incarnation: 1, Slots: k.server.slots,
+			Others: k.sumOthers(), OthersAt: k.othersAt,
 			ReportedLoad: k.load, ReportedAt: k.reportedAt, Since: k.since,
 		}
 	}
@@ -114,6 +135,7 @@
 		return
 	}
 	sent := r.domain.now
+	r.inFlight[id]++
 	var firstByte time.Duration
 	j := &job{chat: req.chat.id, class: req.ask.Class, prompt: req.prompt, answer: req.answer}
 	j.firstByte = func() {
@@ -121,6 +143,7 @@
 		r.domain.answered(req, j, target)
 	}
 	j.done = func() {
+		r.inFlight[id]--
 		result := balance.Result{FirstByte: firstByte}
 		r.admission.Release(r.domain.clock(), req.ask, id, result)
 		r.domain.finished(req, target)
--- /dev/null
+++ b/internal/membership/inflight.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// InFlight tells this router's work in flight.
+type InFlight interface {
+	// InFlight returns the requests in flight on each of the servers.
+	InFlight(addresses []string) []uint32
+}
+
+// WordAge is the age at which another router's word on its work counts no more.
+const WordAge = 3 * time.Second
+
+// word is what another router told of its work in flight, by address.
+type word struct {
+	at     time.Time
+	counts map[string]int
+}
+
+// UseInFlight sets what tells this router's work; it is called before Run.
+func (s *Service) UseInFlight(inFlight InFlight) { s.inFlight = inFlight }
+
+// present returns the addresses of the servers that are not silent, and a hash
+// of them. Routers that know the same servers agree on both.
+func (s *Service) present() ([]string, uint64) {
+	digest := xxhash.New()
+	var addresses []string
+	for _, server := range s.table.Servers() {
+		addresses = append(addresses, server.Address)
+		_, _ = digest.WriteString(server.Address + "\x00")
+	}
+	return addresses, digest.Sum64()
+}
+
+// hearWord takes another router's counts. Counts over other servers than this
+// router knows are dropped: the routers agree again within an exchange or two.
+func (s *Service) hearWord(now time.Time, instance string, of uint64, counts []uint32) {
+	addresses, digest := s.present()
+	if of != digest || len(counts) != len(addresses) {
+		return
+	}
+	heard := word{at: now, counts: make(map[string]int, len(counts))}
+	for i, address := range addresses {
+		heard.counts[address] = int(counts[i])
+	}
+	s.words[instance] = heard
+}
+
+// addOthers adds the other live routers' work in flight to the servers.
+func (s *Service) addOthers(now time.Time, servers []Server) {
+	newest := time.Time{}
+	for _, peer := range s.peers {
+		if !s.isLive(now, peer) {
+			continue
+		}
+		heard := s.words[peer.instance]
+		if now.Sub(heard.at) > WordAge {
+			return
+		}
+		if heard.at.After(newest) {
+			newest = heard.at
+		}
+	}
+	for i := range servers {
+		servers[i].OthersAt = newest
+		for _, peer := range s.peers {
+			if s.isLive(now, peer) {
+				servers[i].Others += s.words[peer.instance].counts[servers[i].Address]
+			}
+		}
+	}
+}
+
+// isLive reports whether a router has been heard lately.
+func (s *Service) isLive(now time.Time, peer *peerLink) bool {
+	return now.Sub(s.heard[peer.instance]) <= s.silence
+}
--- a/internal/membership/peer.go
+++ b/internal/membership/peer.go
@@ -82,20 +82,20 @@
 	}
 }
 
-// runPeer exchanges with a peer at each heartbeat, and at once where a server drains.
+// runPeer exchanges with a peer regularly, and at once where a server drains.
 func (s *Service) runPeer(ctx context.Context, peer *peerLink) error {
 	defer peer.client.Close()
-	ticker := time.NewTicker(s.heartbeat)
-	defer ticker.Stop()
 	reached := false
 	for {
+		timer := time.NewTimer(ExchangeEvery(s.heartbeat, len(s.peers)))
 		reached = s.exchange(ctx, peer, !reached)
 		peer.asked.Store(true)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-peer.urgent:
+			timer.Stop()
 		}
 	}
 }
@@ -135,12 +135,19 @@
 }
 
 func (s *Service) exchangeRequest(whole, liveness map[string]struct{}, wantAll bool) *memberpb.ExchangeRequest {
+	request, addresses := s.tableRequest(whole, liveness, wantAll)
+	if s.inFlight != nil {
+		request.InFlight = s.inFlight.InFlight(addresses)
+	}
+	return request
+}
+
+func (s *Service) tableRequest(whole, liveness map[string]struct{}, wantAll bool) (*memberpb.ExchangeRequest, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	request := &memberpb.ExchangeRequest{
 		Instance: s.instance, WantAll: wantAll,
-		Serving: &memberpb.Liveness{}, Draining: &memberpb.Liveness{},
 	}
 	for address := range whole {
 		if record, ok := s.table.Record(address); ok {
@@ -152,17 +159,23 @@
 			appendLiveness(request, &record)
 		}
 	}
-	return request
+	s.table.Advance(now)
+	addresses, digest := s.present()
+	request.InFlightOf = digest
+	return request, addresses
 }
 
 func appendLiveness(request *memberpb.ExchangeRequest, record *Server) {
-	batch := request.Serving
+	batch := &request.Serving
 	if record.State == api.ServerDraining {
-		batch = request.Draining
+		batch = &request.Draining
+	}
+	if *batch == nil {
+		*batch = &memberpb.Liveness{}
 	}
-	batch.Ids = append(batch.Ids, uint64(record.id()))
-	batch.Sequences = append(batch.Sequences, record.Sequence)
-	batch.Loads = append(batch.Loads, uint32(record.Load))
+	(*batch).Ids = append((*batch).Ids, uint64(record.id()))
+	(*batch).Sequences = append((*batch).Sequences, record.Sequence)
+	(*batch).Loads = append((*batch).Loads, uint32(record.Load))
 }
 
 // takeResponse merges a peer's table and notes the records that it lacks.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -32,12 +32,14 @@
 	domain    string
 	heartbeat time.Duration
 	silence   time.Duration
+	inFlight  InFlight
 	peers     []*peerLink
 	remotes   []*remoteLink
 
 	mu        sync.Mutex
 	table     *Table
 	heard     map[string]time.Time
+	words     map[string]word
 	summaries map[string]domainSummary
 }
 
@@ -51,6 +53,7 @@
 		silence:   s.Timeouts.Silence(),
 		table:     NewTable(s.Timeouts.Silence()),
 		heard:     make(map[string]time.Time),
+		words:     make(map[string]word),
 		summaries: make(map[string]domainSummary),
 	}
 	for _, peer := range s.PeersWithRole(settings.RoleRouter) {
@@ -105,8 +108,11 @@
 func (s *Service) Servers() []Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Advance(time.Now())
-	return s.table.Servers()
+	now := time.Now()
+	s.table.Advance(now)
+	servers := s.table.Servers()
+	s.addOthers(now, servers)
+	return servers
 }
 
 // Version changes whenever a server joins, leaves or changes another field
@@ -124,7 +130,7 @@
 	now := time.Now()
 	place := balance.Place{Count: 1}
 	for _, peer := range s.peers {
-		if now.Sub(s.heard[peer.instance]) > s.silence {
+		if !s.isLive(now, peer) {
 			continue
 		}
 		place.Count++
@@ -170,13 +176,14 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.table.Advance(now)
-	if slices.ContainsFunc(s.peers, func(p *peerLink) bool { return p.instance == request.GetInstance() }) {
-		s.heard[request.GetInstance()] = now
-	}
 	s.mergeEntries(now, request.GetEntries())
 	response := &memberpb.ExchangeResponse{}
 	response.Unknown = s.touch(now, request.GetServing(), api.ServerServing, response.Unknown)
 	response.Unknown = s.touch(now, request.GetDraining(), api.ServerDraining, response.Unknown)
+	if slices.ContainsFunc(s.peers, func(p *peerLink) bool { return p.instance == request.GetInstance() }) {
+		s.heard[request.GetInstance()] = now
+		s.hearWord(now, request.GetInstance(), request.GetInFlightOf(), request.GetInFlight())
+	}
 	if request.GetWantAll() {
 		for _, record := range s.table.Records() {
 			response.Entries = append(response.Entries, toEntry(now, record))
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -51,6 +51,11 @@
 	ReceivedAt time.Time
 	// Since is the local time at which this incarnation was first known.
 	Since time.Time
+	// Others is the work in flight of the other routers on the server, and
+	// OthersAt the local receipt time of their newest word; zero while a live
+	// router has not told it lately.
+	Others   int
+	OthersAt time.Time
 	// Life is the server's state in the backend chart.
 	Life statechart.State
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,7 @@
 	watcher := configwatch.New(s, log)
 	members := membership.NewService(s, log)
 	dispatcher := dispatch.New(members, newPolicy(s.Routing.Policy), dispatch.WithQueueLimit(s.Timeouts.Queue()))
+	members.UseInFlight(dispatcher)
 	life.AddCheck(watcher.Ready)
 	life.AddCheck(members.Ready)
 	return &Router{
