Admit by who surges, and know slow servers by their first bytes

Cause: the expected wait took all active customers for waiting ones, so a customer under its share was refused while the surging ones' requests waited, and a surging customer's estimate left no room for the others. Now the share counts the customers that wait, and one that asks for more than twice its share is admitted by a lower margin.

Cause: a result came only with the whole answer, which a slow server delays most, and three results were needed after each return. Of three servers one may be ejected: a fifth of three was none.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -57,6 +57,16 @@
 	a.queue.Served(now)
 }
 
+// FirstByte records the time that the first byte of an answer took, and reports
+// whether the balancer has taken it.
+func (a *Admission) FirstByte(now time.Time, request Request, id ServerID, took time.Duration) bool {
+	observer, ok := a.balancer.(FirstByteObserver)
+	if ok {
+		observer.FirstByte(now, request, id, took)
+	}
+	return ok
+}
+
 // Serve offers free slots to the waiters, in the queue's order, and calls
 // granted for each that gets a server.
 func (a *Admission) Serve(now time.Time, viewOf func(*Waiter) *View, granted func(*Waiter, ServerID)) {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -57,6 +57,14 @@
 	Failed    bool
 }
 
+// FirstByteObserver is a balancer that wants to know of a slow server before
+// the answer is whole.
+type FirstByteObserver interface {
+	// FirstByte tells the time that the first byte of an answer took. The result
+	// that Done gets for the request then has none.
+	FirstByte(now time.Time, request Request, server ServerID, took time.Duration)
+}
+
 // Balancer chooses among the servers of a pool. It is not safe for concurrent use.
 type Balancer interface {
 	// Pick returns the server that takes the request now, or false where none may.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -170,6 +170,63 @@
 		Expect(len(picked)).To(BeNumerically("<", 10))
 	})
 
+	It("learns of a slow server by its first bytes, and tries it with one request at a time", func() {
+		view := single(servers(10, 64))
+		slow := func(id balance.ServerID) time.Duration {
+			if id == serverID(0) {
+				return time.Second
+			}
+			return 100 * time.Millisecond
+		}
+		for i := range 400 {
+			now := at(float64(i) * 0.01)
+			id, _ := policy.Pick(now, chat(i), view)
+			policy.FirstByte(now, chat(i), id, slow(id))
+		}
+		counts := func(now time.Time) int {
+			count := 0
+			for i := range 100 {
+				if id, _ := policy.Pick(now, chat(1000+i), view); id == serverID(0) {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(counts(at(4.5))).To(BeZero())
+		for i := range 400 {
+			policy.Done(at(4.6), chat(i), serverID(i%10), balance.Result{})
+		}
+		for range 100 {
+			policy.Done(at(4.6), chat(0), serverID(0), balance.Result{})
+		}
+		Expect(counts(at(30))).To(Equal(1))
+	})
+
+	It("holds a server's whole load under the bound by the other routers' word", func() {
+		all := servers(10, 64)
+		for i := range all {
+			all[i].Others, all[i].OthersAt = 10, at(0)
+		}
+		all[3].Others = 40
+		view := balance.NewView(all, 0, balance.Place{Rank: 1, Count: 15})
+		for i := range 20 {
+			id, ok := policy.Pick(at(1), chat(i), view)
+			Expect(ok).To(BeTrue())
+			Expect(id).NotTo(Equal(serverID(3)))
+		}
+	})
+
+	It("leaves a warm server to its share where the other routers have long been silent", func() {
+		all := servers(10, 64)
+		for i := range all {
+			all[i].Others, all[i].OthersAt = 10, at(0)
+		}
+		view := balance.NewView(all, 0, balance.Place{Rank: 1, Count: 15})
+		first, _ := policy.Pick(at(10), chat(1), view)
+		second, _ := policy.Pick(at(10), chat(1), view)
+		Expect(second).NotTo(Equal(first))
+	})
+
 	It("holds the bound summed over routers that have equal parts of the work", func() {
 		for seed := range uint64(200) {
 			random := rand.New(rand.NewPCG(seed, 1))
--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -69,6 +69,13 @@
 	return view.servers[chosen].ID, true
 }
 
+// FirstByte implements FirstByteObserver.
+func (b *Bounded) FirstByte(_ time.Time, request Request, server ServerID, took time.Duration) {
+	if state := b.byID[server]; state != nil {
+		b.ejection.observeFirstByte(state, &request, took)
+	}
+}
+
 // Done implements Balancer.
 func (b *Bounded) Done(now time.Time, request Request, server ServerID, result Result) {
 	state := b.done(&request, server)
@@ -171,6 +178,9 @@
 	if p.request.excludes(server.ID) || state.latency.ejected {
 		return false
 	}
+	if state.latency.onTrial() && state.inFlight > 0 {
+		return false
+	}
 	if !p.hasSlot(i) {
 		return false
 	}
--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -15,6 +15,8 @@
 	ejectFailures = 3
 	// ejectShare bounds the share of the servers that are ejected at once.
 	ejectShare = 0.2
+	// ejectAtLeast is the number of servers from which on one may be ejected.
+	ejectAtLeast = 3
 	// ejectTime is the first ejection's length; it doubles up to ejectTimeMax.
 	ejectTime    = 10 * time.Second
 	ejectTimeMax = 2 * time.Minute
@@ -32,11 +34,14 @@
 	ejected  bool
 	until    time.Time
 	length   time.Duration
+	// fresh says that the next result replaces the average.
+	fresh bool
 }
 
 func (l *latencyScore) observe(firstByte float64) {
-	if l.samples == 0 {
+	if l.samples == 0 || l.fresh {
 		l.average = firstByte
+		l.fresh = false
 	}
 	l.samples++
 	l.average += latencyGain * (firstByte - l.average)
@@ -46,6 +51,18 @@
 	l.length = min(max(2*l.length, ejectTime), ejectTimeMax)
 	l.ejected = true
 	l.until = now.Add(l.length)
+	// One more bad result after its return ejects the server again.
+	l.samples = ejectSamples - 1
+	l.failures = ejectFailures - 1
+}
+
+// onTrial reports whether the server has returned from an ejection and has yet
+// to answer well; it gets one request at a time.
+func (l *latencyScore) onTrial() bool { return l.length > 0 }
+
+// clear ends a server's trial after a good result.
+func (l *latencyScore) clear() {
+	l.length = 0
 	l.samples = 0
 	l.failures = 0
 }
@@ -64,9 +81,15 @@
 		state.latency.failures++
 		return
 	}
-	state.latency.failures = 0
-	if !isLong(request) && result.FirstByte > 0 {
-		state.latency.observe(result.FirstByte.Seconds())
+	if !state.latency.onTrial() {
+		state.latency.failures = 0
+	}
+	e.observeFirstByte(state, request, result.FirstByte)
+}
+
+func (e *ejector) observeFirstByte(state *serverState, request *Request, took time.Duration) {
+	if !isLong(request) && took > 0 {
+		state.latency.observe(took.Seconds())
 	}
 }
 
@@ -78,10 +101,14 @@
 	}
 	e.reviewed = now
 	room := int(ejectShare * float64(len(states)))
+	if len(states) >= ejectAtLeast {
+		room = max(room, 1)
+	}
 	for _, state := range states {
 		latency := &state.latency
 		if latency.ejected && !now.Before(latency.until) {
 			latency.ejected = false
+			latency.fresh = true
 		}
 		if latency.ejected {
 			room--
@@ -89,6 +116,9 @@
 	}
 	median := e.median(states)
 	for _, state := range states {
+		if state.latency.passed(median) {
+			state.latency.clear()
+		}
 		if room <= 0 {
 			return
 		}
@@ -99,6 +129,11 @@
 	}
 }
 
+// passed reports whether a server on trial has answered well.
+func (l *latencyScore) passed(median float64) bool {
+	return l.onTrial() && !l.ejected && l.samples >= ejectSamples && l.average <= ejectFactor*median
+}
+
 func isOutlier(latency *latencyScore, median float64) bool {
 	if latency.failures >= ejectFailures {
 		return true
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,8 +11,14 @@
 // Parameters of the waiting queue.
 const (
 	// waitMargin is the share of the allowed time that a request may be expected
-	// to wait when it is admitted; the rest covers a falling rate of service.
-	waitMargin = 0.5
+	// to wait when it is admitted; the rest covers a falling rate of service and
+	// other customers that come to wait too.
+	waitMargin = 0.75
+	// surgeMargin is that share for a customer that asks for much more than its
+	// share of the service. Its waiters count with surgeSpread standard
+	// deviations of their number more.
+	surgeMargin = 0.35
+	surgeSpread = 2.0
 	// longAgeing is the share of the longest wait after which long work goes
 	// ahead of short work.
 	longAgeing = 0.5
@@ -21,8 +28,6 @@
 	maxSkipped = 8
 	// rateWindow is the time over which the rate of service is averaged.
 	rateWindow = 2 * time.Second
-	// activeTime is how long a customer counts as active after its last request.
-	activeTime = 2 * time.Second
 )
 
 // Waiter is a request that waits for a slot.
@@ -37,15 +42,15 @@
 // long work, with ageing, and within a class by deficit round robin over the
 // customers by weight. It is not safe for concurrent use.
 type Queue struct {
-	limit  time.Duration
-	short  classQueue
-	long   classQueue
-	rate   rateMeter
-	active activeCustomers
+	limit time.Duration
+	short classQueue
+	long  classQueue
+	rate  rateMeter
+	usage customerUsage
 }
 
 // NewQueue returns an empty queue whose waiters wait at most limit.
-func NewQueue(limit time.Duration) *Queue { return &Queue{limit: limit, active: newActiveCustomers()} }
+func NewQueue(limit time.Duration) *Queue { return &Queue{limit: limit, usage: newCustomerUsage()} }
 
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return q.short.len + q.long.len }
@@ -54,7 +59,7 @@
 func (q *Queue) MustWait(request *Request) bool { return q.class(request).len > 0 }
 
 // Arrived records a request, whether or not it has to wait.
-func (q *Queue) Arrived(now time.Time, request *Request) { q.active.touch(now, request) }
+func (q *Queue) Arrived(now time.Time, request *Request) { q.usage.add(now, request) }
 
 // Served records that a request has left a server, which frees a slot.
 func (q *Queue) Served(now time.Time) { q.rate.add(now) }
@@ -75,7 +80,8 @@
 }
 
 // admits compares the expected wait with the allowed one. The request waits for
-// those of its own customer, served at the customer's share of the rate.
+// those of its own customer, served at the customer's share of the rate among
+// the customers that wait.
 func (q *Queue) admits(now time.Time, request *Request, limit time.Duration, slots int) bool {
 	rate := q.rate.perSecond(now)
 	if rate == 0 {
@@ -85,9 +91,15 @@
 	if isLong(request) {
 		ahead += q.short.len
 	}
-	share := q.active.share(now, request)
-	expected := float64(ahead+1) / (rate * share)
-	return expected <= waitMargin*limit.Seconds()
+	share := q.class(request).share(request)
+	n := float64(ahead + 1)
+	margin := waitMargin
+	if q.usage.surges(request, rate) {
+		margin = surgeMargin
+		n += surgeSpread * math.Sqrt(n)
+	}
+	expected := n / (rate * share)
+	return expected <= margin*limit.Seconds()
 }
 
 // Next offers waiters to serve in their order until it takes one, and returns
@@ -149,6 +161,19 @@
 	return 0
 }
 
+// share returns the request's customer's part of the weights of the customers
+// that wait.
+func (c *classQueue) share(request *Request) float64 {
+	own := float64(max(request.Weight, 1))
+	total := own
+	for _, f := range c.flows {
+		if f.customer != request.Customer {
+			total += f.weight
+		}
+	}
+	return own / total
+}
+
 func (c *classQueue) push(waiter *Waiter) {
 	c.len++
 	i := c.find(waiter.Request.Customer)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,12 +29,29 @@
 	Incarnation uint64
 	// Remote says that Server is the callers' address of a router of another
 	// failure domain, which takes the caller's request as it came.
-	Remote  bool
-	release func(balance.Result)
+	Remote    bool
+	firstByte func(time.Duration) bool
+	release   func(balance.Result)
+	// observed says that the balancer has the time of the first byte.
+	observed bool
+}
+
+// FirstByte tells the time that the first byte of the answer took, so that a
+// slow server is known before the answer is whole. It is called at most once,
+// before Release.
+func (l *Lease) FirstByte(took time.Duration) {
+	if l.firstByte != nil {
+		l.observed = l.firstByte(took)
+	}
 }
 
 // Release gives the place on the server back.
-func (l *Lease) Release(result balance.Result) { l.release(result) }
+func (l *Lease) Release(result balance.Result) {
+	if l.observed {
+		result.FirstByte = 0
+	}
+	l.release(result)
+}
 
 // Dispatcher gives out leases. It is safe for concurrent use.
 type Dispatcher struct {
@@ -110,10 +127,17 @@
 	return &Lease{
 		Server:      id,
 		Incarnation: servers.Incarnation(id),
+		firstByte:   func(took time.Duration) bool { return d.firstByte(p, request, id, took) },
 		release:     func(result balance.Result) { d.release(p, request, id, result) },
 	}
 }
 
+func (d *Dispatcher) firstByte(p *pool, request balance.Request, id balance.ServerID, took time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return p.admission.FirstByte(d.now(), request, id, took)
+}
+
 // wait blocks until the waiter gets a lease, its time is over or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
 	timer := time.NewTimer(w.waiter.Deadline.Sub(d.now()))
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -140,6 +140,9 @@
 	j := &job{chat: req.chat.id, class: req.ask.Class, prompt: req.prompt, answer: req.answer}
 	j.firstByte = func() {
 		firstByte = r.domain.now - sent
+		if r.admission.FirstByte(r.domain.clock(), req.ask, id, firstByte) {
+			firstByte = 0
+		}
 		r.domain.answered(req, j, target)
 	}
 	j.done = func() {
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -102,6 +102,7 @@
 	}
 	defer ex.close()
 	result.FirstByte = time.Since(started)
+	lease.FirstByte(result.FirstByte)
 	failed = t.receive(ex, lease)
 	result.Failed = failed != nil && !failed.blameless
 	return failed
