--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,6 +63,10 @@
 	mu       sync.Mutex
 	pools    map[string]*pool
 	inFlight map[balance.ServerID]int
+	// overflowing counts the leases on routers of each other failure domain, and
+	// overflowed all that were ever given out.
+	overflowing map[string]int
+	overflowed  int
 }
 
 // Option changes a dispatcher at its start.
@@ -82,6 +86,8 @@
 		now:        time.Now,
 		pools:      make(map[string]*pool),
 		inFlight:   make(map[balance.ServerID]int),
+
+		overflowing: make(map[string]int),
 	}
 	for _, option := range options {
 		option(d)
@@ -92,9 +98,17 @@
 // Acquire returns a lease on a server of the pool and waits for a slot while
 // ctx lasts. It fails with CodeNoBackendServer where the pool has no serving
 // server, and with CodeOverloaded where none has room in time; both mean that
-// nothing has run.
+// nothing has run. Before that it tries another failure domain that has room.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	return d.acquireLocal(ctx, view, pool, model, request)
+	asked := d.now()
+	lease, err := d.acquireLocal(ctx, view, pool, model, request)
+	if err == nil || !mayOverflow(err, asked, d.now()) {
+		return lease, err
+	}
+	if remote := d.overflow(view, pool, request); remote != nil {
+		return remote, nil
+	}
+	return nil, err
 }
 
 func (d *Dispatcher) acquireLocal(ctx context.Context, view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, error) {
