--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -13,11 +13,15 @@
 	minMeanLoad = 1.0
 	// boundMargin is taken off the bound on a server's whole load, and boundPlus
 	// is added, because the other routers' word on it is a little old.
-	boundMargin = 0.05
-	boundPlus   = 0.75
+	boundMargin = 0.04
+	// marginPerRouter is taken off for each router whose word is a little old.
+	marginPerRouter = 0.004
+	boundPlus       = 0.75
 	// leaseFactor is how many equal parts of a server's free load a router may
 	// take up before it hears of the other routers again.
-	leaseFactor = 1.5
+	leaseFactor = 2.5
+	// maxLease bounds that part of the free load.
+	maxLease = 0.75
 	// wordAge is the age at which the other routers' word counts no more.
 	wordAge = 3 * time.Second
 	// warmUp is the time over which a new server takes over chats.
@@ -201,12 +205,12 @@
 // load; it is at most zero while the server is under its bound.
 func (p *pick) excess(i int) float64 {
 	slots := float64(p.view.servers[i].Slots)
-	own := p.view.loadBound * p.mean * slots
 	if !p.hasWord(i) {
-		return p.overShare(i, own)
+		return p.overShare(i, p.view.loadBound*p.mean*slots)
 	}
-	limit := (p.view.loadBound-boundMargin)*p.wholeMean*slots + boundPlus
-	return max(float64(p.whole(i)+1)-limit, p.overLease(i, own, limit))
+	margin := boundMargin + marginPerRouter*float64(p.view.place.Count)
+	limit := (p.view.loadBound-margin)*p.wholeMean*slots + boundPlus
+	return max(float64(p.whole(i)+1)-limit, p.overLease(i, limit))
 }
 
 // overShare is by how much the request would exceed this router's share. The
@@ -216,25 +220,25 @@
 	return float64(p.states[i].inFlight+1) - share - p.view.offset(i)
 }
 
-// overLease is by how much the request would exceed the larger of this router's
-// share and what it may take up of the free load since it last heard of the
-// other routers. It keeps them from rushing to the same server.
-func (p *pick) overLease(i int, share, limit float64) float64 {
+// overLease is by how much the request would exceed what this router may take
+// up of the free load since it last heard of the other routers. It keeps them
+// from rushing to the same server.
+func (p *pick) overLease(i int, limit float64) float64 {
 	server, state := &p.view.servers[i], p.states[i]
 	free := limit - float64(state.ownThen+server.Others)
-	lease := float64(state.ownThen) + max(leaseFactor*free/float64(p.view.place.Count), 0)
-	return p.overShare(i, max(share, lease))
+	part := min(leaseFactor/float64(p.view.place.Count), maxLease)
+	lease := float64(state.ownThen) + max(part*free, 0)
+	return p.overShare(i, lease)
 }
 
 // hasSlot reports whether the i-th server has a slot for this router.
 func (p *pick) hasSlot(i int) bool {
 	server := &p.view.servers[i]
 	slots := float64(server.Slots)
-	share := slots / float64(p.view.place.Count)
 	if !p.hasWord(i) {
-		return p.overShare(i, share) <= 0
+		return p.overShare(i, slots/float64(p.view.place.Count)) <= 0
 	}
-	return p.whole(i) < server.Slots && p.overLease(i, share, slots) <= 0
+	return p.whole(i) < server.Slots && p.overLease(i, slots) <= 0
 }
 
 // weight is the rendezvous weight of the i-th server: its slots, less while it
