Let a router that is alone use all of a server's slots

Cause: the part of the free load between two words of other routers was taken from a router without others too, so 'makes every policy and refuses others' got no server with two slots of which one was taken, and a waiter for the only slot waited for good.

--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -224,6 +224,9 @@
 // up of the free load since it last heard of the other routers. It keeps them
 // from rushing to the same server.
 func (p *pick) overLease(i int, limit float64) float64 {
+	if p.view.place.Count == 1 {
+		return p.overShare(i, limit)
+	}
 	server, state := &p.view.servers[i], p.states[i]
 	free := limit - float64(state.ownThen+server.Others)
 	part := min(leaseFactor/float64(p.view.place.Count), maxLease)
