Wait for the control group in its tests; run the walk-through one at a time

Cause: on a loaded machine two tests gave a wrong verdict. TestApplyLeavesEqualResourcesAlone wrote before the replica had formed its group (2008 no_quorum, as the code promises). TestWalkthrough met the daemons of another run of the same page, since the page has fixed ports. The first now waits for the group, the second holds a lock on the page's ports. No assertion changed.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -44,6 +44,7 @@
 		_ = c.replica.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-ended; c.close(); _ = c.operators.Close() })
+	NewWithT(t).Eventually(c.replica.Ready, patience).Should(Succeed())
 	return c
 }
 
--- a/test/operations/walkthrough_test.go
+++ b/test/operations/walkthrough_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +13,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/test/testbed"
 )
 
 // patience bounds the whole page; only a command that hangs reaches it.
@@ -29,6 +32,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	steps := parse(string(page))
 	g.Expect(steps).NotTo(BeEmpty())
+	release := reservePorts(g)
+	defer release()
 	root := prepare(g, t.TempDir())
 	output := runScript(g, root, steps)
 	parts := strings.Split(output, marker)
@@ -45,6 +50,19 @@
 
 const marker = "=== next step ===\n"
 
+// pageLock stands for the fixed ports of the page: two runs of the page on one
+// host go one after the other.
+const pageLock = "127.0.0.2:9100"
+
+func reservePorts(g *WithT) (release func()) {
+	var listener net.Listener
+	g.Expect(testbed.Eventually(func() (err error) {
+		listener, err = net.Listen("tcp", pageLock)
+		return err
+	})).To(Succeed())
+	return func() { _ = listener.Close() }
+}
+
 // parse returns the shell blocks with the text block that follows each.
 func parse(page string) []step {
 	var steps []step
