--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,6 +23,11 @@
 	// ReportedLoad is the newest load report, and ReportedAt its local receipt time.
 	ReportedLoad int
 	ReportedAt   time.Time
+	// Others is the work in flight of the other routers, as they told it, and
+	// OthersAt the local receipt time of their newest word; zero while one of
+	// them has not told it lately.
+	Others   int
+	OthersAt time.Time
 	// Since is when this incarnation was first known; zero counts as long ago.
 	Since time.Time
 }
@@ -52,6 +57,14 @@
 	Failed    bool
 }
 
+// FirstByteObserver is a balancer that wants to know of a slow server before
+// the answer is whole.
+type FirstByteObserver interface {
+	// FirstByte tells the time that the first byte of an answer took. The result
+	// that Done gets for the request then has none.
+	FirstByte(now time.Time, request Request, server ServerID, took time.Duration)
+}
+
 // Balancer chooses among the servers of a pool. It is not safe for concurrent use.
 type Balancer interface {
 	// Pick returns the server that takes the request now, or false where none may.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,7 @@
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
 		watchCommand(), auditCommand(),
 		ledgerStatusCommand(), ledgerRestartCommand(),
-		fakeBackendCommand(), loadCommand(), versionCommand(),
+		fakeBackendCommand(), loadCommand(), experimentCommand(), versionCommand(),
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,12 +29,29 @@
 	Incarnation uint64
 	// Remote says that Server is the callers' address of a router of another
 	// failure domain, which takes the caller's request as it came.
-	Remote  bool
-	release func(balance.Result)
+	Remote    bool
+	firstByte func(time.Duration) bool
+	release   func(balance.Result)
+	// observed says that the balancer has the time of the first byte.
+	observed bool
+}
+
+// FirstByte tells the time that the first byte of the answer took, so that a
+// slow server is known before the answer is whole. It is called at most once,
+// before Release.
+func (l *Lease) FirstByte(took time.Duration) {
+	if l.firstByte != nil {
+		l.observed = l.firstByte(took)
+	}
 }
 
 // Release gives the place on the server back.
-func (l *Lease) Release(result balance.Result) { l.release(result) }
+func (l *Lease) Release(result balance.Result) {
+	if l.observed {
+		result.FirstByte = 0
+	}
+	l.release(result)
+}
 
 // Dispatcher gives out leases. It is safe for concurrent use.
 type Dispatcher struct {
@@ -43,8 +60,13 @@
 	queueLimit time.Duration
 	now        func() time.Time
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	mu       sync.Mutex
+	pools    map[string]*pool
+	inFlight map[balance.ServerID]int
+	// overflowing counts the leases on routers of each other failure domain, and
+	// overflowed all that were ever given out.
+	overflowing map[string]int
+	overflowed  int
 }
 
 // Option changes a dispatcher at its start.
@@ -63,6 +85,9 @@
 		queueLimit: settings.DefaultQueue,
 		now:        time.Now,
 		pools:      make(map[string]*pool),
+		inFlight:   make(map[balance.ServerID]int),
+
+		overflowing: make(map[string]int),
 	}
 	for _, option := range options {
 		option(d)
@@ -73,9 +98,17 @@
 // Acquire returns a lease on a server of the pool and waits for a slot while
 // ctx lasts. It fails with CodeNoBackendServer where the pool has no serving
 // server, and with CodeOverloaded where none has room in time; both mean that
-// nothing has run.
+// nothing has run. Before that it tries another failure domain that has room.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	return d.acquireLocal(ctx, view, pool, model, request)
+	asked := d.now()
+	lease, err := d.acquireLocal(ctx, view, pool, model, request)
+	if err == nil || !mayOverflow(err, asked, d.now()) {
+		return lease, err
+	}
+	if remote := d.overflow(view, pool, request); remote != nil {
+		return remote, nil
+	}
+	return nil, err
 }
 
 func (d *Dispatcher) acquireLocal(ctx context.Context, view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, error) {
@@ -88,34 +121,37 @@
 		d.mu.Unlock()
 		return nil, errNoServer()
 	}
-	p.queue.Arrived(now, &request)
-	if !p.queue.MustWait(&request) {
-		if lease := d.pick(now, p, request, servers); lease != nil {
-			d.mu.Unlock()
-			return lease, nil
-		}
-	}
-	w, ok := p.enqueue(now, request, key, servers.Slots())
-	d.mu.Unlock()
-	if !ok {
+	verdict, id, waiter := p.admission.Ask(now, request, servers)
+	switch verdict {
+	case balance.VerdictServe:
+		lease := d.lease(p, request, id, servers)
+		d.mu.Unlock()
+		return lease, nil
+	case balance.VerdictRefuse:
+		d.mu.Unlock()
 		return nil, errOverloaded("the request would wait too long for a slot")
 	}
+	w := p.enqueue(waiter, key)
+	d.mu.Unlock()
 	return d.wait(ctx, p, w)
 }
 
-// pick returns a lease where the balancer finds a server.
-func (d *Dispatcher) pick(now time.Time, p *pool, request balance.Request, servers *balance.View) *Lease {
-	id, ok := p.balancer.Pick(now, request, servers)
-	if !ok {
-		return nil
-	}
+func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
+	d.inFlight[id]++
 	return &Lease{
 		Server:      id,
 		Incarnation: servers.Incarnation(id),
+		firstByte:   func(took time.Duration) bool { return d.firstByte(p, request, id, took) },
 		release:     func(result balance.Result) { d.release(p, request, id, result) },
 	}
 }
 
+func (d *Dispatcher) firstByte(p *pool, request balance.Request, id balance.ServerID, took time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return p.admission.FirstByte(d.now(), request, id, took)
+}
+
 // wait blocks until the waiter gets a lease, its time is over or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
 	timer := time.NewTimer(w.waiter.Deadline.Sub(d.now()))
@@ -156,30 +192,32 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	p.balancer.Done(now, request, id, result)
-	p.queue.Served(now)
+	d.inFlight[id]--
+	if d.inFlight[id] == 0 {
+		delete(d.inFlight, id)
+	}
+	p.admission.Release(now, request, id, result)
 	d.serveQueue(now, p)
 }
 
-// serveQueue gives leases to waiters for as long as there is room.
-func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
-	for p.queue.Len() > 0 {
-		served := p.queue.Next(now, func(waiter *balance.Waiter) bool { return d.serve(now, p, waiter) })
-		if served == nil {
-			return
-		}
+// InFlight returns the requests in flight on each of the servers.
+func (d *Dispatcher) InFlight(addresses []string) []uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make([]uint32, len(addresses))
+	for i, address := range addresses {
+		counts[i] = uint32(d.inFlight[balance.ServerID(address)])
 	}
+	return counts
 }
 
-func (d *Dispatcher) serve(now time.Time, p *pool, waiter *balance.Waiter) bool {
-	w := p.waiters[waiter]
-	lease := d.pick(now, p, waiter.Request, p.cached(w.key))
-	if lease == nil {
-		return false
-	}
-	delete(p.waiters, waiter)
-	w.granted <- lease
-	return true
+// serveQueue gives leases to waiters for as long as there is room.
+func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
+	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
+		w := p.waiters[waiter]
+		delete(p.waiters, waiter)
+		w.granted <- d.lease(p, waiter.Request, id, p.views[w.key].view)
+	})
 }
 
 // Run looks at the queues regularly, because membership and load reports free
@@ -202,7 +240,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, p := range d.pools {
-		if p.queue.Len() > 0 {
+		if p.admission.Waiting() > 0 {
 			p.refresh(now, d.source)
 			d.serveQueue(now, p)
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -50,6 +50,14 @@
 	s.version++
 }
 
+// remoteSource knows other failure domains too.
+type remoteSource struct {
+	source
+	summaries []membership.PoolSummary
+}
+
+func (s *remoteSource) Summaries() []membership.PoolSummary { return s.summaries }
+
 func server(i, slots int, state api.ServerState) membership.Server {
 	return membership.Server{Announcement: api.Announcement{
 		Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Incarnation: 1, Sequence: 1,
@@ -175,6 +183,30 @@
 		expectNotRun(err, api.CodeOverloaded)
 	})
 
+	It("overflows to the failure domain with the most room, once and within its room", func() {
+		remote := &remoteSource{summaries: []membership.PoolSummary{
+			{Domain: "full", Pool: "chat", Servers: 2, Slots: 20, Load: 19, Callers: []string{"127.0.0.1:1"}},
+			{Domain: "other", Pool: "services", Servers: 2, Slots: 99, Load: 0, Callers: []string{"127.0.0.1:2"}},
+			{Domain: "free", Pool: "chat", Servers: 1, Slots: 10, Load: 6, Callers: []string{"127.0.0.1:3", "127.0.0.1:4"}},
+		}}
+		d = dispatch.New(remote, func() balance.Balancer { return balance.NewBounded(rand.New(rand.NewPCG(1, 2))) })
+		first, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Remote).To(BeTrue())
+		second, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]balance.ServerID{first.Server, second.Server}).To(ConsistOf(balance.ServerID("127.0.0.1:3"), balance.ServerID("127.0.0.1:4")))
+		_, err = acquire(short)
+		expectNotRun(err, api.CodeNoBackendServer)
+		second.Release(balance.Result{})
+		hopped := short
+		hopped.NoOverflow = true
+		_, err = acquire(hopped)
+		expectNotRun(err, api.CodeNoBackendServer)
+		_, err = acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("loses no slot under concurrent use", func() {
 		members.set(server(1, 3, api.ServerServing), server(2, 3, api.ServerServing))
 		var group sync.WaitGroup
