Release the attempt that lost, not the one that follows it

Cause: giveBack sent the release from a goroutine that read the claim's request when it ran. By then the next round could have put its own attempt ID there, so that the release named an attempt that was about to be granted. Replicas that took its grant first then gave the key back while it ran: a second run was possible. The race detector had shown it in three runs of TestClaimsWhileReplicasAreKilledAndFrozen. Each round now has its own claim, and the release its own copy.

Failing first: TestGivingBackNamesTheAttemptThatLost, 3 of 3 runs, released the next round's attempt; passes with the change.

Also: the claimer remembered every attempt whose outcome stayed unknown for good. The proxy now tells it to forget an attempt at the end of its request; the new proxy test fails without the call.

Ruled out: handing the grant back to the caller in place of a table, which changes every fake for the same effect.

--- a/internal/ledger/claimer.go
+++ b/internal/ledger/claimer.go
@@ -77,6 +77,9 @@
 	Release(ctx context.Context, key Key, attempt AttemptID) error
 	// Complete stores the answer of a finished attempt.
 	Complete(ctx context.Context, key Key, attempt AttemptID, answer Answer) error
+	// Forget drops what the claimer remembers of an attempt. A key that it holds
+	// at the replicas stays held.
+	Forget(attempt AttemptID)
 	// Mint returns new keys bound to this failure domain.
 	Mint(ctx context.Context, count int) ([]string, error)
 }
--- a/internal/ledger/quorum/claim.go
+++ b/internal/ledger/quorum/claim.go
@@ -72,7 +72,8 @@
 		return
 	}
 	background := context.WithoutCancel(ctx)
-	go func() { _ = c.group.release(background, c.request) }()
+	lost := c.request
+	go func() { _ = c.group.release(background, lost) }()
 }
 
 // wait returns once ctx ends, or reports false once a replica has an answer or a
--- /dev/null
+++ b/internal/ledger/quorum/claim_test.go
@@ -0,0 +1,59 @@
+package quorum
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/rpc"
+	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
+)
+
+// releaseRecorder is a replica that records the attempts that release.
+type releaseRecorder struct {
+	ledgerpb.DRPCLedgerUnimplementedServer
+	released chan ledger.AttemptID
+}
+
+// Operate implements the RPC service.
+func (r *releaseRecorder) Operate(_ context.Context, request *ledgerpb.OperateRequest) (*ledgerpb.OperateResponse, error) {
+	response := &ledgerpb.OperateResponse{}
+	for _, operation := range request.GetOperations() {
+		r.released <- ledger.AttemptID(operation.GetAttempt())
+		response.Results = append(response.Results, &ledgerpb.Result{})
+	}
+	return response, nil
+}
+
+func startRecorder(t *testing.T) (*releaseRecorder, string) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	recorder := &releaseRecorder{released: make(chan ledger.AttemptID, 16)}
+	server := rpc.NewServer()
+	g.Expect(ledgerpb.DRPCRegisterLedger(server.Mux(), recorder)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx, listener) }()
+	return recorder, listener.Addr().String()
+}
+
+// TestGivingBackNamesTheAttemptThatLost lets the next round begin before the
+// release of the lost one is sent: the release must not take back what the next
+// round is granted.
+func TestGivingBackNamesTheAttemptThatLost(t *testing.T) {
+	g := NewWithT(t)
+	recorder, address := startRecorder(t)
+	lost, next := ledger.NewAttemptID(), ledger.NewAttemptID()
+	c := &claim{group: newGroup(ledger.FleetGroup, []string{address}), request: ledger.ClaimRequest{Attempt: lost}}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	c.giveBack(context.Background(), ledger.NewAttempt(lost, 1))
+	c.request.Attempt = next
+	var released ledger.AttemptID
+	g.Eventually(recorder.released, "60s").Should(Receive(&released))
+	g.Expect(released).To(Equal(lost))
+}
--- a/internal/ledger/quorum/claimer.go
+++ b/internal/ledger/quorum/claimer.go
@@ -76,12 +76,12 @@
 		return ledger.Decision{Verdict: ledger.VerdictUnavailable}
 	}
 	request.Digest = digest
-	claim := &claim{group: g, request: request}
 	for round := uint64(0); ; round++ {
-		claim.request.Attempt = derive(attempt, round)
+		request.Attempt = derive(attempt, round)
+		claim := &claim{group: g, request: request}
 		decision, decided := claim.round(ctx)
 		if decision.Verdict == ledger.VerdictGranted {
-			c.remember(attempt, claim.request)
+			c.remember(attempt, request)
 		}
 		if decided {
 			return decision
@@ -114,7 +114,8 @@
 	return g, request, ok && g != nil
 }
 
-func (c *Claimer) forget(attempt ledger.AttemptID) {
+// Forget implements ledger.Claimer.
+func (c *Claimer) Forget(attempt ledger.AttemptID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.granted, attempt)
@@ -130,7 +131,7 @@
 	if err := g.release(ctx, request); err != nil {
 		return err
 	}
-	c.forget(attempt)
+	c.Forget(attempt)
 	return nil
 }
 
@@ -144,7 +145,7 @@
 	if err := g.complete(ctx, request, answer); err != nil {
 		return err
 	}
-	c.forget(attempt)
+	c.Forget(attempt)
 	return nil
 }
 
--- a/internal/ledger/unavailable.go
+++ b/internal/ledger/unavailable.go
@@ -21,6 +21,9 @@
 // Complete implements Claimer.
 func (Unavailable) Complete(context.Context, Key, AttemptID, Answer) error { return nil }
 
+// Forget implements Claimer.
+func (Unavailable) Forget(AttemptID) {}
+
 // Mint implements Claimer.
 func (Unavailable) Mint(context.Context, int) ([]string, error) {
 	return nil, api.Errorf(api.CodeClaimUnavailable, "the settings name no ledger replica")
--- a/internal/proxy/claim.go
+++ b/internal/proxy/claim.go
@@ -19,6 +19,7 @@
 // runClaimed runs the job under a claim of its key.
 func (t *transfer) runClaimed() error {
 	t.attempt = ledger.NewAttemptID()
+	defer t.proxy.claimer.Forget(t.attempt)
 	decision := t.claim()
 	switch decision.Verdict {
 	case ledger.VerdictGranted:
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -108,6 +108,7 @@
 type memoryClaimer struct {
 	mu          sync.Mutex
 	holders     map[string]ledger.AttemptID
+	forgotten   []ledger.AttemptID
 	answers     map[string]ledger.Answer
 	verdict     ledger.Verdict
 	releases    int
@@ -156,6 +157,12 @@
 	return nil
 }
 
+func (m *memoryClaimer) Forget(attempt ledger.AttemptID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgotten = append(m.forgotten, attempt)
+}
+
 func (m *memoryClaimer) Mint(context.Context, int) ([]string, error) { return []string{"k"}, nil }
 
 func (m *memoryClaimer) holds(key string) bool {
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -197,6 +197,15 @@
 		Entry("reused", ledger.VerdictReused, api.CodeKeyReused),
 	)
 
+	It("is forgotten by the claimer, also where its outcome stays unknown", func() {
+		server := newRawServer(answerFirstOnly)
+		r := newRig(longProgress, server.address())
+		r.mustCall(http.MethodPost, "/services/gates/a", "first", api.HeaderIdempotencyKey, "a")
+		got := r.mustCall(http.MethodPost, "/services/gates/b", "second", api.HeaderIdempotencyKey, "b")
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeMayHaveRun))
+		Expect(r.claimer.forgotten).To(ContainElements(r.claimer.holders["a"], r.claimer.holders["b"]))
+	})
+
 	It("is not called not run where it is refused before its claim", func() {
 		r := newRig(longProgress)
 		got := r.mustCall(http.MethodPost, "/services/none/a", "charge", api.HeaderIdempotencyKey, "k")
