--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -18,7 +18,7 @@
 	"peridotwinch.example/peridotwinch/internal/membership"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // hour is a heartbeat that never comes within a test.
--- a/test/claims/bench_test.go
+++ b/test/claims/bench_test.go
@@ -17,7 +17,7 @@
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Setting of the measurements.
--- a/test/claims/domains_test.go
+++ b/test/claims/domains_test.go
@@ -8,7 +8,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // threeDomains starts three failure domains with a ledger replica each.
--- a/test/claims/faults_test.go
+++ b/test/claims/faults_test.go
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/internal/ledger"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Load of the fault tests.
--- a/test/claims/groups_test.go
+++ b/test/claims/groups_test.go
@@ -14,7 +14,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/replica"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // product runs a command of the product and returns its output and exit code.
--- a/test/claims/leader_test.go
+++ b/test/claims/leader_test.go
@@ -15,7 +15,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // BenchmarkLeaderBaseline writes through the configuration log's leader, as
--- a/test/claims/silent_test.go
+++ b/test/claims/silent_test.go
@@ -8,7 +8,7 @@
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // TestSilentConnectionsAreReplaced lets every connection to the replicas go
--- a/test/claims/stall_test.go
+++ b/test/claims/stall_test.go
@@ -10,7 +10,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Setting of the measurement of stalls.
--- a/test/configfaults/files_test.go
+++ b/test/configfaults/files_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 func (g *group) flipByte(path string, position int) {
--- a/test/configfaults/race_test.go
+++ b/test/configfaults/race_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 const (
--- a/test/configfaults/router_test.go
+++ b/test/configfaults/router_test.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // TestCutOffRouterGoesOn cuts a router off from control without closing a
--- a/test/faults/charge_test.go
+++ b/test/faults/charge_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // callTimeout bounds one call; only a frozen router reaches it.
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -19,7 +19,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fake"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Sizes that a full run sets on the command line.
--- a/test/faults/domain_test.go
+++ b/test/faults/domain_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // cutOffCharges is how many charges of each sort a cut-off domain gets.
--- a/test/faults/drain_test.go
+++ b/test/faults/drain_test.go
@@ -12,7 +12,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // TestKeptConnectionsAreAnsweredAfterAStream lets streams begin before a
--- a/test/faults/leaving_test.go
+++ b/test/faults/leaving_test.go
@@ -14,7 +14,7 @@
 	"peridotwinch.example/peridotwinch/internal/fake"
 	"peridotwinch.example/peridotwinch/internal/settings"
 	"peridotwinch.example/peridotwinch/internal/status"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // TestLeavingServersGetNoNewWork drains a server and freezes another one. Once
--- a/test/faults/schedule_test.go
+++ b/test/faults/schedule_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/internal/fake"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Times of the fault schedule.
--- a/test/measure/deployment_test.go
+++ b/test/measure/deployment_test.go
@@ -14,7 +14,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/load"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // deployment describes a system of one of the users' sizes.
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -17,7 +17,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/load"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 var (
--- a/test/measure/slope_test.go
+++ b/test/measure/slope_test.go
@@ -16,7 +16,7 @@
 	"peridotwinch.example/peridotwinch/internal/fake"
 	"peridotwinch.example/peridotwinch/internal/load"
 	"peridotwinch.example/peridotwinch/internal/settings"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // Times of a slope's measurement at one size.
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -9,7 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 // beds holds the deployment of each running script by its work folder.
--- a/test/scenario/requests_test.go
+++ b/test/scenario/requests_test.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 func init() { commands["live"] = live }
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -10,7 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"peridotwinch.example/peridotwinch/internal/cli"
-	"peridotwinch.example/peridotwinch/test/testbed"
+	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
 func TestMain(m *testing.M) {
