Let a pool take the load bound of its fleet

Cause: a fleet's loadBound was accepted, told to be in force, and read nowhere. A pool without an own bound takes that of its fleet now, also after a change of the fleet. TestPoolTakesTheLoadBoundOfItsFleet.

--- a/internal/catalog/apply_test.go
+++ b/internal/catalog/apply_test.go
@@ -117,3 +117,20 @@
 		Empty().Apply(1, true, all)
 	}
 }
+
+func TestPoolTakesTheLoadBoundOfItsFleet(t *testing.T) {
+	g := NewWithT(t)
+	fleet := &api.Resource{Kind: api.KindFleets, UID: "f", Names: api.Names{"engine": "coast"}, Spec: []byte(`{"loadBound":1.5}`)}
+	own, inherited := pool(1, "own", "x"), pool(2, "inherited", "y")
+	own.Spec = []byte(`{"protocol":"chat","fleet":"coast","loadBound":2}`)
+	inherited.Spec = []byte(`{"protocol":"chat","fleet":"engine:coast"}`)
+	c := Empty().Apply(1, false, []*api.Resource{fleet, own, inherited, pool(3, "none", "z")})
+	for ref, want := range map[api.Ref]float64{"own": 2, "inherited": 1.5, "none": 0} {
+		found, ok := c.Pool(ref)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(found.LoadBound()).To(Equal(want), string(ref))
+	}
+	c = c.Apply(2, false, []*api.Resource{{Kind: api.KindFleets, UID: "f", Names: fleet.Names, Spec: []byte(`{"loadBound":1.75}`)}})
+	found, _ := c.Pool("inherited")
+	g.Expect(found.LoadBound()).To(Equal(1.75))
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,8 +39,9 @@
 
 // Pool is a pool with its specification.
 type Pool struct {
-	UID  string
-	Spec *api.PoolSpec
+	UID   string
+	Spec  *api.PoolSpec
+	fleet *api.FleetSpec
 }
 
 // Route is where requests under a name go.
@@ -199,7 +200,23 @@
 	if e == nil {
 		return Pool{}, false
 	}
-	return Pool{UID: e.resource.UID, Spec: e.spec.(*api.PoolSpec)}, true
+	pool := Pool{UID: e.resource.UID, Spec: e.spec.(*api.PoolSpec)}
+	if pool.Spec.Fleet == "" {
+		return pool, true
+	}
+	if fleet := c.lookup(api.KindFleets, pool.Spec.Fleet); fleet != nil {
+		pool.fleet = fleet.spec.(*api.FleetSpec)
+	}
+	return pool, true
+}
+
+// LoadBound returns the pool's own bound or that of its fleet; zero means the
+// default.
+func (p Pool) LoadBound() float64 {
+	if p.Spec.LoadBound != 0 || p.fleet == nil {
+		return p.Spec.LoadBound
+	}
+	return p.fleet.LoadBound
 }
 
 // Route resolves the name that a caller asks for: an intent, else a model
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -121,7 +121,7 @@
 			Others: server.Others, OthersAt: server.OthersAt,
 		})
 	}
-	c.view = balance.NewView(servers, c.target.Spec.LoadBound, placeOf(source))
+	c.view = balance.NewView(servers, c.target.LoadBound(), placeOf(source))
 }
 
 func versionOf(source Source) uint64 {
