--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -4,11 +4,11 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/consensus"
 	"peridotwinch.example/peridotwinch/internal/rpc/consensuspb"
 	"peridotwinch.example/peridotwinch/internal/settings"
@@ -21,7 +21,7 @@
 	for ctx.Err() == nil {
 		id, found := r.findGroup(ctx)
 		if !found {
-			sleep(ctx, r.settings.Timeouts.Heartbeat())
+			actor.Sleep(ctx, r.settings.Timeouts.Heartbeat())
 			continue
 		}
 		if err := r.disk.joinGroup(id); err != nil {
@@ -35,13 +35,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // findGroup asks the other instances and returns the identity to go on with.
 func (r *Replica) findGroup(ctx context.Context) (identity, bool) {
 	answers := r.helloAll(ctx)
@@ -123,7 +116,7 @@
 // maintain keeps the membership in order until ctx ends.
 func (r *Replica) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, r.settings.Timeouts.Heartbeat())
+		actor.Sleep(ctx, r.settings.Timeouts.Heartbeat())
 		status := r.Status()
 		switch {
 		case status.Role == consensus.RoleLeader:
--- a/internal/control/replica/request.go
+++ b/internal/control/replica/request.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/consensus"
 	"peridotwinch.example/peridotwinch/internal/rpc/consensuspb"
 )
@@ -34,21 +35,12 @@
 		if outcome, err := r.attemptPropose(ctx, command); err == nil {
 			return outcome, nil
 		}
-		if !pause(ctx) {
+		if !actor.Sleep(ctx, retryDelay) {
 			return nil, api.Errorf(api.CodeNoQuorum, "no majority of the control replicas has answered in time")
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(retryDelay):
-		return true
-	}
-}
-
 func (r *Replica) attemptPropose(ctx context.Context, command []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
@@ -121,7 +113,7 @@
 		if err == nil {
 			return r.waitApplied(ctx, index)
 		}
-		if !pause(ctx) {
+		if !actor.Sleep(ctx, retryDelay) {
 			return api.Errorf(api.CodeNoQuorum, "no majority of the control replicas has answered in time")
 		}
 	}
@@ -188,7 +180,7 @@
 
 func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
 	for r.Status().Applied < index {
-		if !pause(ctx) {
+		if !actor.Sleep(ctx, retryDelay) {
 			return api.Errorf(api.CodeNoQuorum, "this control replica lags behind the leader")
 		}
 	}
--- a/internal/fake/control.go
+++ b/internal/fake/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
@@ -96,7 +97,7 @@
 	if faults.CloseBeforeAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	if faults.DelayMS > 0 && !sleepFor(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
+	if faults.DelayMS > 0 && !actor.Sleep(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
 		return false
 	}
 	return f.hold(r, 0)
--- a/internal/fake/driver.go
+++ b/internal/fake/driver.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
 )
 
 // driver runs an engine in real time. It is safe for concurrent use.
@@ -45,7 +46,7 @@
 		}
 		// Steps follow each other without the timer's lateness adding up.
 		next = next.Add(length)
-		if !sleepFor(ctx, time.Until(next)) {
+		if !actor.Sleep(ctx, time.Until(next)) {
 			return nil
 		}
 		d.finish(time.Now())
@@ -131,15 +132,3 @@
 	out.CacheTokens = d.engine.cache.tokens
 	return out
 }
-
-// sleepFor waits for a time and reports false where ctx ended first.
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
@@ -22,7 +23,7 @@
 		return
 	}
 	s.executions.began(r)
-	if !sleepFor(r.Context(), time.Duration(s.faults.slowFactor()*float64(s.config.ServiceTime))) {
+	if !actor.Sleep(r.Context(), time.Duration(s.faults.slowFactor()*float64(s.config.ServiceTime))) {
 		return
 	}
 	if !s.faults.beforeAnswer(r) {
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -72,7 +72,7 @@
 	defer stopServing()
 	context.AfterFunc(ctx, func() {
 		s.drain()
-		sleepFor(background, s.config.DrainGrace)
+		actor.Sleep(background, s.config.DrainGrace)
 		stopServing()
 	})
 	return httpx.Serve(serving, s.listener, s.handler(), DrainLimit)
--- a/internal/ledger/quorum/claim.go
+++ b/internal/ledger/quorum/claim.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
@@ -58,7 +59,7 @@
 			unavailable += time.Since(started) + delay
 		}
 		retry := outcome == ledger.OutcomeKeep || outcome == ledger.OutcomeUnavailable
-		if !retry || unavailable > unavailableAfter || !pause(ctx, jitter(delay)) {
+		if !retry || unavailable > unavailableAfter || !actor.Sleep(ctx, jitter(delay)) {
 			return outcome
 		}
 	}
@@ -80,7 +81,7 @@
 // majority sees the key free. The next round then claims it, so that the
 // replicas compare the request with the one that ran.
 func (c *claim) wait(ctx context.Context) (ledger.Decision, bool) {
-	for delay := minPause; pause(ctx, jitter(delay)); delay = min(2*delay, maxPause) {
+	for delay := minPause; actor.Sleep(ctx, jitter(delay)); delay = min(2*delay, maxPause) {
 		free, finished := c.group.read(ctx, c.request)
 		if finished || free >= c.group.majority() {
 			return ledger.Decision{}, false
--- a/internal/ledger/quorum/group.go
+++ b/internal/ledger/quorum/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/ledger"
@@ -142,18 +141,6 @@
 	return api.Errorf(api.CodeClaimUnavailable, "no majority of %d ledger replicas answered", len(g.replicas))
 }
 
-// pause waits and reports whether ctx still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // generation returns the newest one of a majority of active replicas.
 func (g *group) generation(ctx context.Context) (uint64, bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/ledger/quorum/spread.go
+++ b/internal/ledger/quorum/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/wire"
 	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
@@ -119,7 +120,7 @@
 		if err == nil && reply.Status != ledger.StatusInactive {
 			return reply, nil
 		}
-		if !pause(ctx, spreadRetry) {
+		if !actor.Sleep(ctx, spreadRetry) {
 			return reply, ctx.Err()
 		}
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
@@ -39,7 +40,7 @@
 	limit, cancel := context.WithTimeout(r.life.Forced(), r.settings.Timeouts.Drain())
 	defer cancel()
 	r.proxy.AnnounceDrain()
-	wait(limit, r.settings.Timeouts.Announce())
+	actor.Sleep(limit, r.settings.Timeouts.Announce())
 	_ = r.callers.Close()
 	r.awaitQuiet(limit)
 	if err := server.Shutdown(limit); err != nil {
@@ -56,7 +57,7 @@
 		if r.proxy.InProgress() > 0 {
 			quietSince = time.Now()
 		}
-		wait(ctx, quietPoll)
+		actor.Sleep(ctx, quietPoll)
 	}
 }
 
@@ -73,12 +74,3 @@
 	r.log.Error().Int("count", len(ids)).Strs("requestIds", ids).Msg("the shutdown cut requests off")
 	r.life.ReportCut(api.Errorf(api.CodeDrainCut, "%d requests in progress", len(ids)))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
