--- a/internal/ledger/replica/form.go
+++ b/internal/ledger/replica/form.go
@@ -14,15 +14,15 @@
 // form runs a formation as its coordinator: every member promises a new
 // generation durably, and only then the first one becomes active. A member that
 // misses the commit learns of it from an active one.
-func (k *keeper) form(ctx context.Context) error {
+func (j *joiner) form(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	generation := uint64(time.Now().UnixMilli())
-	request := &ledgerpb.FormRequest{Group: string(k.group), Generation: generation, Members: k.names}
+	request := &ledgerpb.FormRequest{Group: string(j.group), Generation: generation, Members: j.names}
 	accepted := false
-	err := k.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
+	err := j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		var changes []ledger.Change
-		accepted, changes = state.PrepareFormation(generation, k.names)
+		accepted, changes = state.PrepareFormation(generation, j.names)
 		return changes
 	})
 	if err != nil {
@@ -31,24 +31,24 @@
 	if !accepted {
 		return errors.New("this replica refuses the formation")
 	}
-	for _, other := range k.others {
-		if err := k.sendForm(ctx, other, request); err != nil {
+	for _, other := range j.others {
+		if err := j.sendForm(ctx, other, request); err != nil {
 			return err
 		}
 	}
-	if err := k.commit(ctx, generation); err != nil {
+	if err := j.commit(ctx, generation); err != nil {
 		return err
 	}
-	commit := &ledgerpb.FormRequest{Group: string(k.group), Generation: generation, Commit: true}
-	for _, other := range k.others {
-		if err := k.sendForm(ctx, other, commit); err != nil {
-			k.log.Debug().Err(err).Msg("a member learns of the formation later")
+	commit := &ledgerpb.FormRequest{Group: string(j.group), Generation: generation, Commit: true}
+	for _, other := range j.others {
+		if err := j.sendForm(ctx, other, commit); err != nil {
+			j.log.Debug().Err(err).Msg("a member learns of the formation later")
 		}
 	}
 	return nil
 }
 
-func (k *keeper) sendForm(ctx context.Context, other member, request *ledgerpb.FormRequest) error {
+func (j *joiner) sendForm(ctx context.Context, other member, request *ledgerpb.FormRequest) error {
 	return other.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		out, err := ledgerpb.NewDRPCLedgerClient(conn).Form(ctx, request)
 		if err == nil && !out.Accepted {
--- a/internal/ledger/replica/keeper.go
+++ b/internal/ledger/replica/joiner.go
@@ -17,9 +17,9 @@
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
-// Times of a keeper.
+// Times of a joiner.
 const (
-	keepEvery     = 200 * time.Millisecond
+	joinEvery     = 200 * time.Millisecond
 	statusTimeout = time.Second
 )
 
@@ -29,9 +29,9 @@
 	client   *rpc.Client
 }
 
-// keeper brings an inactive replica into its group: by forming the group with
+// joiner brings an inactive replica into its group: by forming the group with
 // the other members, or by recovering what they hold.
-type keeper struct {
+type joiner struct {
 	group   ledger.GroupID
 	self    string
 	names   []string
@@ -40,47 +40,47 @@
 	log     zerolog.Logger
 }
 
-func newKeeper(group ledger.GroupID, self string, members []settings.Peer, replica *Replica, log zerolog.Logger) *keeper {
-	k := &keeper{group: group, self: self, names: instances(members), replica: replica, log: log}
+func newJoiner(group ledger.GroupID, self string, members []settings.Peer, replica *Replica, log zerolog.Logger) *joiner {
+	j := &joiner{group: group, self: self, names: instances(members), replica: replica, log: log}
 	for _, peer := range members {
 		if peer.Instance != self {
-			k.others = append(k.others, member{peer.Instance, rpc.NewClient(peer.Address, rpc.PurposeLedger)})
+			j.others = append(j.others, member{peer.Instance, rpc.NewClient(peer.Address, rpc.PurposeLedger)})
 		}
 	}
 	name := fmt.Sprintf(`peridotwinch_ledger_active{group=%q}`, string(group))
 	metrics.GetOrCreateGauge(name, func() float64 {
-		if k.phase() == ledger.PhaseActive {
+		if j.phase() == ledger.PhaseActive {
 			return 1
 		}
 		return 0
 	})
-	return k
+	return j
 }
 
-func (k *keeper) phase() ledger.Phase {
-	meta, _ := k.replica.Meta()
+func (j *joiner) phase() ledger.Phase {
+	meta, _ := j.replica.Meta()
 	return meta.Phase
 }
 
 // run tries until the replica is active or ctx ends.
-func (k *keeper) run(ctx context.Context) {
-	ticker := time.NewTicker(keepEvery)
+func (j *joiner) run(ctx context.Context) {
+	ticker := time.NewTicker(joinEvery)
 	defer ticker.Stop()
-	for ctx.Err() == nil && k.phase() != ledger.PhaseActive {
-		if err := k.step(ctx); err != nil {
-			k.log.Debug().Err(err).Msg("the replica is not active yet")
+	for ctx.Err() == nil && j.phase() != ledger.PhaseActive {
+		if err := j.step(ctx); err != nil {
+			j.log.Debug().Err(err).Msg("the replica is not active yet")
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 		}
 	}
-	for _, other := range k.others {
+	for _, other := range j.others {
 		other.client.Close()
 	}
 	if ctx.Err() == nil {
-		meta, records := k.replica.Meta()
-		k.log.Info().Uint64("generation", meta.Generation).Uint64("epoch", meta.Epoch).
+		meta, records := j.replica.Meta()
+		j.log.Info().Uint64("generation", meta.Generation).Uint64("epoch", meta.Epoch).
 			Int("records", records).Msg("the replica is active")
 	}
 	<-ctx.Done()
@@ -92,8 +92,8 @@
 	meta   ledger.Meta
 }
 
-func (k *keeper) step(ctx context.Context) error {
-	statuses := k.statuses(ctx)
+func (j *joiner) step(ctx context.Context) error {
+	statuses := j.statuses(ctx)
 	var active []peerStatus
 	for _, status := range statuses {
 		if status.meta.Phase == ledger.PhaseActive {
@@ -101,22 +101,22 @@
 		}
 	}
 	if len(active) > 0 {
-		return k.join(ctx, active)
+		return j.join(ctx, active)
 	}
-	if len(statuses) == len(k.others) && k.names[0] == k.self {
-		return k.form(ctx)
+	if len(statuses) == len(j.others) && j.names[0] == j.self {
+		return j.form(ctx)
 	}
 	return nil
 }
 
 // statuses asks all other members and returns the answers.
-func (k *keeper) statuses(ctx context.Context) []peerStatus {
+func (j *joiner) statuses(ctx context.Context) []peerStatus {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	answers := make(chan *peerStatus, len(k.others))
-	for _, other := range k.others {
+	answers := make(chan *peerStatus, len(j.others))
+	for _, other := range j.others {
 		go func() {
-			out, err := k.status(ctx, other)
+			out, err := j.status(ctx, other)
 			if err != nil {
 				answers <- nil
 				return
@@ -125,7 +125,7 @@
 		}()
 	}
 	var all []peerStatus
-	for range k.others {
+	for range j.others {
 		if answer := <-answers; answer != nil {
 			all = append(all, *answer)
 		}
@@ -133,10 +133,10 @@
 	return all
 }
 
-func (k *keeper) status(ctx context.Context, other member) (ledger.Meta, error) {
+func (j *joiner) status(ctx context.Context, other member) (ledger.Meta, error) {
 	meta := ledger.Meta{}
 	err := other.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		out, err := ledgerpb.NewDRPCLedgerClient(conn).GetStatus(ctx, &ledgerpb.StatusRequest{Group: string(k.group)})
+		out, err := ledgerpb.NewDRPCLedgerClient(conn).GetStatus(ctx, &ledgerpb.StatusRequest{Group: string(j.group)})
 		meta = wire.ToMeta(out.GetMeta())
 		return err
 	})
@@ -144,17 +144,17 @@
 }
 
 // join makes the replica active in a group that others run already.
-func (k *keeper) join(ctx context.Context, active []peerStatus) error {
-	meta, _ := k.replica.Meta()
+func (j *joiner) join(ctx context.Context, active []peerStatus) error {
+	meta, _ := j.replica.Meta()
 	sameGeneration := func(s peerStatus) bool { return s.meta.Generation == meta.Generation }
 	if meta.Phase == ledger.PhaseForming && slices.ContainsFunc(active, sameGeneration) {
-		return k.commit(ctx, meta.Generation)
+		return j.commit(ctx, meta.Generation)
 	}
-	return k.recover(ctx, active)
+	return j.recover(ctx, active)
 }
 
-func (k *keeper) commit(ctx context.Context, generation uint64) error {
-	return k.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
+func (j *joiner) commit(ctx context.Context, generation uint64) error {
+	return j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		_, changes := state.CommitFormation(generation)
 		return changes
 	})
--- a/internal/ledger/replica/recover.go
+++ b/internal/ledger/replica/recover.go
@@ -18,22 +18,22 @@
 
 // recover raises the epoch at a majority that does not count this replica,
 // copies what those members hold, and takes the union.
-func (k *keeper) recover(ctx context.Context, active []peerStatus) error {
-	needed := ledger.Majority(len(k.names))
+func (j *joiner) recover(ctx context.Context, active []peerStatus) error {
+	needed := ledger.Majority(len(j.names))
 	if len(active) < needed {
-		return errors.Errorf("%d of %d members are active, a recovery needs %d others", len(active), len(k.names), needed)
+		return errors.Errorf("%d of %d members are active, a recovery needs %d others", len(active), len(j.names), needed)
 	}
 	var highest uint64
 	for _, status := range active {
 		highest = max(highest, status.meta.Epoch)
 	}
-	epoch := ledger.NextEpoch(highest, k.index())
-	k.log.Info().Uint64("epoch", epoch).Msg("recovering from the other members")
-	copies := k.copies(ctx, active, epoch, needed)
+	epoch := ledger.NextEpoch(highest, j.index())
+	j.log.Info().Uint64("epoch", epoch).Msg("recovering from the other members")
+	copies := j.copies(ctx, active, epoch, needed)
 	recovered := false
-	err := k.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
+	err := j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		var changes []ledger.Change
-		recovered, changes = state.Recover(epoch, k.names, copies)
+		recovered, changes = state.Recover(epoch, j.names, copies)
 		return changes
 	})
 	if err == nil && !recovered {
@@ -42,9 +42,9 @@
 	return err
 }
 
-func (k *keeper) index() int {
-	for i, name := range k.names {
-		if name == k.self {
+func (j *joiner) index() int {
+	for i, name := range j.names {
+		if name == j.self {
 			return i
 		}
 	}
@@ -52,15 +52,15 @@
 }
 
 // copies returns the first whole copies, as many as are needed if they come.
-func (k *keeper) copies(ctx context.Context, active []peerStatus, epoch uint64, needed int) []ledger.Copy {
+func (j *joiner) copies(ctx context.Context, active []peerStatus, epoch uint64, needed int) []ledger.Copy {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan *ledger.Copy, len(active))
 	for _, status := range active {
 		go func() {
-			one, err := copyFrom(ctx, k.group, status.member, epoch)
+			one, err := copyFrom(ctx, j.group, status.member, epoch)
 			if err != nil {
-				k.log.Debug().Err(err).Str("member", status.member.instance).Msg("no copy")
+				j.log.Debug().Err(err).Str("member", status.member.instance).Msg("no copy")
 			}
 			answers <- one
 		}()
--- a/internal/ledger/replica/report.go
+++ b/internal/ledger/replica/report.go
@@ -7,15 +7,15 @@
 
 // AddStatus implements status.Reporter.
 func (r *Role) AddStatus(status *api.DaemonStatus) {
-	for _, k := range r.keepers {
-		meta, records := k.replica.Meta()
+	for _, j := range r.joiners {
+		meta, records := j.replica.Meta()
 		active := meta.Phase == ledger.PhaseActive
 		status.Ledger = append(status.Ledger, api.LedgerReplicaStatus{
-			Group: string(k.group), Active: active, Generation: meta.Generation,
-			Epoch: meta.Epoch, Members: k.names, Records: records,
+			Group: string(j.group), Active: active, Generation: meta.Generation,
+			Epoch: meta.Epoch, Members: j.names, Records: records,
 		})
 		if !active {
-			status.Degrade(api.CodeClaimUnavailable, string(k.group), "the replica grants no key until its group has formed or it has recovered")
+			status.Degrade(api.CodeClaimUnavailable, string(j.group), "the replica grants no key until its group has formed or it has recovered")
 		}
 	}
 }
--- a/internal/ledger/replica/role.go
+++ b/internal/ledger/replica/role.go
@@ -25,7 +25,7 @@
 // the group of its failure domain.
 type Role struct {
 	service *service
-	keepers []*keeper
+	joiners []*joiner
 }
 
 // NewRole opens the replicas of the daemon. It fails with an api.Error when
@@ -57,7 +57,7 @@
 			"the group %s was formed by %v, the settings name %v", group, meta.Members, names)
 	}
 	r.service.replicas[group] = replica
-	r.keepers = append(r.keepers, newKeeper(group, s.Instance, members, replica, log))
+	r.joiners = append(r.joiners, newJoiner(group, s.Instance, members, replica, log))
 	return nil
 }
 
@@ -91,10 +91,10 @@
 
 // AddBackground adds the replicas' actors.
 func (r *Role) AddBackground(group *run.Group) {
-	for _, k := range r.keepers {
-		actor.Add(group, k.replica.Run)
+	for _, j := range r.joiners {
+		actor.Add(group, j.replica.Run)
 		actor.Add(group, func(ctx context.Context) error {
-			k.run(ctx)
+			j.run(ctx)
 			return nil
 		})
 	}
