--- a/test/operations/walkthrough_test.go
+++ b/test/operations/walkthrough_test.go
@@ -2,6 +2,7 @@
 package operations
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -139,11 +140,12 @@
 	for _, step := range steps {
 		fmt.Fprintf(&script, "%s\nprintf %%s '%s'\n", step.script, marker)
 	}
-	cmd := exec.Command("bash", "-c", script.String())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, "bash", "-c", script.String())
 	cmd.Dir = dir
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	timer := time.AfterFunc(patience, func() { _ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) })
-	defer timer.Stop()
+	cmd.Cancel = func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }
 	out, err := cmd.CombinedOutput()
 	_ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
