Eject a very slow server on fewer results

The number of results that ejects a server now falls with its slowness; a server that returns is judged by new results only.

Failing first: two entries of 'needs fewer results the slower a server is'. Ruled out: fewer results for all, which ejects on a hiccup. Without the guard for returning servers a server was ejected again by its old average: a spec failed.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -170,6 +170,30 @@
 		Expect(len(picked)).To(BeNumerically("<", 10))
 	})
 
+	DescribeTable("needs fewer results the slower a server is", func(slow time.Duration, results int, ejected bool) {
+		view := single(servers(10, 64))
+		pick := func(now time.Time) balance.ServerID {
+			id, _ := policy.Pick(now, chat(1), view)
+			policy.Done(now, chat(1), id, balance.Result{})
+			return id
+		}
+		home := pick(at(0))
+		for i := range 10 {
+			if serverID(i) != home {
+				policy.FirstByte(at(0), chat(1), serverID(i), 50*time.Millisecond)
+			}
+		}
+		for range results {
+			policy.FirstByte(at(0), chat(1), home, slow)
+		}
+		Expect(pick(at(1)) != home).To(Equal(ejected))
+	},
+		Entry("twelve times as slow, once", 600*time.Millisecond, 1, true),
+		Entry("five times as slow, once", 250*time.Millisecond, 1, false),
+		Entry("five times as slow, twice", 250*time.Millisecond, 2, true),
+		Entry("twice as slow, often", 100*time.Millisecond, 9, false),
+	)
+
 	It("learns of a slow server by its first bytes, and tries it with one request at a time", func() {
 		view := single(servers(10, 64))
 		slow := func(id balance.ServerID) time.Duration {
--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -9,7 +9,8 @@
 const (
 	// ejectFactor is the multiple of the median latency at which a server is slow.
 	ejectFactor = 3.0
-	// ejectSamples is the number of results that a score needs.
+	// ejectSamples is the number of results that eject a server at ejectFactor; a
+	// slower one, which answers seldom, is ejected on fewer.
 	ejectSamples = 3
 	// ejectFailures is the number of failures in a row that eject a server.
 	ejectFailures = 3
@@ -138,7 +139,11 @@
 	if latency.failures >= ejectFailures {
 		return true
 	}
-	return median > 0 && latency.samples >= ejectSamples && latency.average > ejectFactor*median
+	if median == 0 || latency.fresh {
+		return false
+	}
+	slowness := latency.average / median
+	return slowness > ejectFactor && float64(latency.samples)*slowness >= ejectFactor*ejectSamples
 }
 
 // median returns the median latency of the servers that have results, or zero
