Start test processes on a thread that lives as long as they do

Supposed cause: Pdeathsig, which the kernel sends when the thread that started a process ends; the daemons had no panic, no failure and no shutdown in their logs. Each process now has a locked thread of its own.

Measured: faults, claims, scenario, configfaults and operations pass with the race detector.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -60,12 +61,22 @@
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// A process ends with the test that started it.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return errors.Wrap(err, p.Name)
-	}
 	p.finished = make(chan struct{})
-	go p.wait(p.cmd, log, p.finished)
-	return nil
+	started := make(chan error, 1)
+	go p.run(p.cmd, log, started, p.finished)
+	return errors.Wrap(<-started, p.Name)
+}
+
+// run starts a command and waits for its end on one locked thread: the kernel
+// sends Pdeathsig when the thread that started the process ends, and not only
+// when the whole process does.
+func (p *Process) run(cmd *exec.Cmd, log *os.File, started chan<- error, finished chan struct{}) {
+	runtime.LockOSThread()
+	err := cmd.Start()
+	started <- err
+	if err == nil {
+		p.wait(cmd, log, finished)
+	}
 }
 
 func (p *Process) wait(cmd *exec.Cmd, log *os.File, finished chan struct{}) {
