--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -84,7 +84,7 @@
 func (b *Bounded) Done(now time.Time, request Request, server ServerID, result Result) {
 	state := b.done(&request, server)
 	if state != nil {
-		b.ejection.observe(now, state, &request, result)
+		b.ejection.observe(state, &request, result)
 	}
 }
 
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Budget bounds extra attempts, such as retries or hedges, to a share of the
+// Budget bounds extra attempts, such as retries, to a share of the
 // first attempts plus a small constant rate. It is not safe for concurrent use.
 type Budget struct {
 	share  float64
@@ -22,9 +22,6 @@
 	resumeShare = 0.1
 	resumeRate  = 10
 	resumeBurst = 500
-	hedgeShare  = 0.05
-	hedgeRate   = 0.2
-	hedgeBurst  = 5
 )
 
 // NewRetryBudget returns the budget of retries.
@@ -37,11 +34,6 @@
 	return &Budget{share: resumeShare, rate: resumeRate, burst: resumeBurst, tokens: resumeBurst, filled: now}
 }
 
-// NewHedgeBudget returns the budget of hedged requests.
-func NewHedgeBudget(now time.Time) *Budget {
-	return &Budget{share: hedgeShare, rate: hedgeRate, burst: hedgeBurst, tokens: hedgeBurst, filled: now}
-}
-
 // Earn records a first attempt.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, b.burst) }
 
--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -77,7 +77,7 @@
 func newEjector() *ejector { return &ejector{} }
 
 // observe records a result. Long work tells nothing of a server's speed.
-func (e *ejector) observe(_ time.Time, state *serverState, request *Request, result Result) {
+func (e *ejector) observe(state *serverState, request *Request, result Result) {
 	if result.Failed {
 		state.latency.failures++
 		return
