Promise a waiter its slot after 80 ms, or refuse it

Cause: a request was admitted by its expected wait when it came, and refused late when the rate of service fell afterwards; a customer that had begun to surge filled the queue before it was known as one; deficit round robin let a calm customer wait for a whole round.

Now a waiter is reviewed after 80 ms: refused, or promised a slot. The order is by deadline for those that have waited half their time, then by the customer's work in flight over its weight. The rate of service is the number in flight over the mean time of service, which knows of a full server before its requests leave. A surge is told within 2 s instead of 10. Long work counts on the room that the router has for it.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -36,6 +36,7 @@
 	a.queue.Arrived(now, &request)
 	if !a.queue.MustWait(&request) {
 		if id, ok := a.balancer.Pick(now, request, view); ok {
+			a.queue.Started(now, &request)
 			return VerdictServe, id, nil
 		}
 	}
@@ -48,13 +49,27 @@
 
 // Retry picks another server for a request that was admitted before.
 func (a *Admission) Retry(now time.Time, request Request, view *View) (ServerID, bool) {
-	return a.balancer.Pick(now, request, view)
+	id, ok := a.balancer.Pick(now, request, view)
+	if ok {
+		a.queue.Started(now, &request)
+	}
+	return id, ok
+}
+
+// Review decides on a waiter whose time Due has come: whether it goes on
+// waiting, then until its new Due, or is refused and has to be removed.
+func (a *Admission) Review(now time.Time, waiter *Waiter, view *View) bool {
+	room := 0
+	if balancer, ok := a.balancer.(longRoomer); ok && isLong(&waiter.Request) {
+		room = balancer.longRoom(now, &waiter.Request, view)
+	}
+	return a.queue.Review(now, waiter, room)
 }
 
 // Release records that a request has left its server.
 func (a *Admission) Release(now time.Time, request Request, id ServerID, result Result) {
 	a.balancer.Done(now, request, id, result)
-	a.queue.Served(now)
+	a.queue.Served(now, &request)
 }
 
 // FirstByte records the time that the first byte of an answer took, and reports
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -10,47 +9,63 @@
 
 // Parameters of the waiting queue.
 const (
-	// waitMargin is the share of the allowed time that a request may be expected
-	// to wait when it is admitted; the rest covers a falling rate of service and
-	// other customers that come to wait too.
-	waitMargin = 0.75
-	// surgeMargin is that share for a customer that asks for much more than its
-	// share of the service. Its waiters count with surgeSpread standard
-	// deviations of their number more.
-	surgeMargin = 0.35
-	surgeSpread = 2.0
-	// longAgeing is the share of the longest wait after which long work goes
-	// ahead of short work.
-	longAgeing = 0.5
-	// maxWaitersPerSlot bounds the queue while its rate of service is unknown.
+	// reviewAfter is the time after which a waiter is either refused or promised
+	// a slot before its deadline.
+	reviewAfter = 80 * time.Millisecond
+	// promiseMargin is the share of its time left that a waiter may be expected to
+	// wait still when it is promised a slot.
+	promiseMargin = 0.75
+	// promiseSpread is by how many standard deviations of the number of waiters
+	// ahead a promise allows for a falling rate of service.
+	promiseSpread = 1.0
+	// ageing is the share of its longest wait after which a waiter goes ahead of
+	// all that have waited less, whatever their class and customer.
+	ageing = 0.5
+	// maxWaitersPerSlot bounds the waiters.
 	maxWaitersPerSlot = 1
 	// maxSkipped bounds the waiters that are tried in one pass over a class.
 	maxSkipped = 8
-	// rateWindow is the time over which the rate of service is averaged.
-	rateWindow = 2 * time.Second
 )
 
 // Waiter is a request that waits for a slot.
 type Waiter struct {
 	Request  Request
 	Enqueued time.Time
+	// Deadline is the end of the longest wait.
 	Deadline time.Time
+	// Due is when Review has to be called while the request waits.
+	Due time.Time
+	// promised says that the request is not refused before its deadline.
+	promised bool
 	removed  bool
 }
 
-// Queue orders the requests that wait for a slot of a pool: short work ahead of
-// long work, with ageing, and within a class by deficit round robin over the
-// customers by weight. It is not safe for concurrent use.
+// agedAt is when the waiter goes ahead of those that have waited less.
+func (w *Waiter) agedAt() time.Time {
+	return w.Enqueued.Add(time.Duration(ageing * float64(w.Deadline.Sub(w.Enqueued))))
+}
+
+// Queue orders the requests that wait for a slot of a pool: those that have
+// waited long by their deadlines, then short work ahead of long work, and within
+// a class the customer with the least work in flight by its weight. It is not
+// safe for concurrent use.
 type Queue struct {
 	limit time.Duration
 	short classQueue
 	long  classQueue
-	rate  rateMeter
 	usage customerUsage
 }
 
 // NewQueue returns an empty queue whose waiters wait at most limit.
-func NewQueue(limit time.Duration) *Queue { return &Queue{limit: limit, usage: newCustomerUsage()} }
+func NewQueue(limit time.Duration) *Queue {
+	inFlight := make(shares)
+	return &Queue{
+		limit: limit,
+		short: classQueue{inFlight: inFlight},
+		long:  classQueue{inFlight: inFlight},
+		usage: newCustomerUsage(),
+	}
+}
 
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return q.short.len + q.long.len }
@@ -61,62 +76,88 @@
 // Arrived records a request, whether or not it has to wait.
 func (q *Queue) Arrived(now time.Time, request *Request) { q.usage.add(now, request) }
 
+// Started records that a request has got a slot.
+func (q *Queue) Started(now time.Time, request *Request) {
+	class := q.class(request)
+	class.inFlight.add(request.Customer, 1)
+	class.rate.started(now)
+}
+
 // Served records that a request has left a server, which frees a slot.
-func (q *Queue) Served(now time.Time) { q.rate.add(now) }
+func (q *Queue) Served(now time.Time, request *Request) {
+	class := q.class(request)
+	class.inFlight.add(request.Customer, -1)
+	class.rate.served(now)
+}
 
-// Push adds a request. It returns false where the request would most likely not
-// be served in time; then it is refused at once.
+// Push adds a request. It returns false where too many wait; then it is refused
+// at once.
 func (q *Queue) Push(now time.Time, request Request, slots int) (*Waiter, bool) {
 	limit := q.limit
 	if request.FirstByteWithin > 0 {
 		limit = min(limit, request.FirstByteWithin)
 	}
-	if !q.admits(now, &request, limit, slots) {
+	if q.Len() >= maxWaitersPerSlot*slots {
 		return nil, false
 	}
-	waiter := &Waiter{Request: request, Enqueued: now, Deadline: now.Add(limit)}
+	waiter := &Waiter{Request: request, Enqueued: now, Deadline: now.Add(limit), Due: now.Add(min(limit, reviewAfter))}
 	q.class(&request).push(waiter)
 	return waiter, true
 }
 
-// admits compares the expected wait with the allowed one. The request waits for
-// those of its own customer, served at the customer's share of the rate among
-// the customers that wait.
-func (q *Queue) admits(now time.Time, request *Request, limit time.Duration, slots int) bool {
-	rate := q.rate.perSecond(now)
-	if rate == 0 {
-		return q.Len() < maxWaitersPerSlot*slots
+// Review decides on a waiter whose time Due has come. It returns whether the
+// request goes on waiting, then with a new Due; otherwise it is refused. The
+// router may have longRoom more long requests in flight.
+func (q *Queue) Review(now time.Time, waiter *Waiter, longRoom int) bool {
+	if waiter.promised || !q.mayPromise(now, waiter, longRoom) {
+		return false
 	}
-	ahead := q.class(request).waiting(request.Customer)
-	if isLong(request) {
-		ahead += q.short.len
+	waiter.promised = true
+	waiter.Due = waiter.Deadline
+	return true
+}
+
+// mayPromise reports whether a waiter most likely gets a slot in time. A customer
+// that surges gets no promise.
+func (q *Queue) mayPromise(now time.Time, waiter *Waiter, longRoom int) bool {
+	class := q.class(&waiter.Request)
+	if !class.rate.known() {
+		return true
 	}
-	share := q.class(request).share(request)
-	n := float64(ahead + 1)
-	margin := waitMargin
-	if q.usage.surges(request, rate) {
-		margin = surgeMargin
-		n += surgeSpread * math.Sqrt(n)
+	rate := q.short.rate.perSecond(now) + q.long.rate.perSecond(now)
+	if q.usage.surges(&waiter.Request, rate) {
+		return false
 	}
-	expected := n / (rate * share)
-	return expected <= margin*limit.Seconds()
+	place := class.ahead(waiter) + 1
+	if isLong(&waiter.Request) && place <= longRoom {
+		// Once it has aged, it gets the next free slot of a server for long work.
+		return inTime(place, longServerShare*rate, waiter.Deadline.Sub(waiter.agedAt()))
+	}
+	return inTime(place, class.rate.perSecond(now), waiter.Deadline.Sub(now))
+}
+
+// inTime reports whether the waiter at a place, from 1, most likely gets one of
+// the slots that come free at a rate a second within the time left.
+func inTime(place int, rate float64, left time.Duration) bool {
+	n := float64(place)
+	return n+promiseSpread*math.Sqrt(n) <= promiseMargin*rate*left.Seconds()
 }
 
 // Next offers waiters to serve in their order until it takes one, and returns
 // that one, or nil where none was taken.
 func (q *Queue) Next(now time.Time, serve func(*Waiter) bool) *Waiter {
 	first, second := &q.short, &q.long
-	if oldest := q.long.oldest(); oldest != nil && now.Sub(oldest.Enqueued) >= q.ageing(oldest) {
+	if oldest := q.long.oldest(); oldest != nil && !now.Before(oldest.agedAt()) {
 		first, second = second, first
 	}
-	if waiter := first.next(serve); waiter != nil {
-		return waiter
+	waiter := first.next(now, serve)
+	if waiter == nil {
+		waiter = second.next(now, serve)
 	}
-	return second.next(serve)
-}
-
-func (q *Queue) ageing(waiter *Waiter) time.Duration {
-	return time.Duration(longAgeing * float64(waiter.Deadline.Sub(waiter.Enqueued)))
+	if waiter != nil {
+		q.Started(now, &waiter.Request)
+	}
+	return waiter
 }
 
 // Remove takes a waiter out that gave up.
@@ -133,137 +174,3 @@
 	}
 	return &q.short
 }
-
-// flow is the queue of one customer within a class.
-type flow struct {
-	customer string
-	weight   float64
-	deficit  float64
-	waiters  []*Waiter
-}
-
-// classQueue serves its flows by deficit round robin. A request costs 1, and a
-// flow's quantum is its weight relative to the lightest flow's.
-type classQueue struct {
-	flows []*flow
-	turn  int
-	len   int
-}
-
-func (c *classQueue) find(customer string) int {
-	return slices.IndexFunc(c.flows, func(f *flow) bool { return f.customer == customer })
-}
-
-func (c *classQueue) waiting(customer string) int {
-	if i := c.find(customer); i >= 0 {
-		return len(c.flows[i].waiters)
-	}
-	return 0
-}
-
-// share returns the request's customer's part of the weights of the customers
-// that wait.
-func (c *classQueue) share(request *Request) float64 {
-	own := float64(max(request.Weight, 1))
-	total := own
-	for _, f := range c.flows {
-		if f.customer != request.Customer {
-			total += f.weight
-		}
-	}
-	return own / total
-}
-
-func (c *classQueue) push(waiter *Waiter) {
-	c.len++
-	i := c.find(waiter.Request.Customer)
-	if i < 0 {
-		c.flows = append(c.flows, &flow{customer: waiter.Request.Customer})
-		i = len(c.flows) - 1
-	}
-	c.flows[i].weight = float64(max(waiter.Request.Weight, 1))
-	c.flows[i].waiters = append(c.flows[i].waiters, waiter)
-}
-
-func (c *classQueue) remove(waiter *Waiter) {
-	i := c.find(waiter.Request.Customer)
-	if i < 0 {
-		return
-	}
-	at := slices.Index(c.flows[i].waiters, waiter)
-	if at < 0 {
-		return
-	}
-	waiter.removed = true
-	c.len--
-	c.flows[i].waiters = slices.Delete(c.flows[i].waiters, at, at+1)
-	c.dropIfEmpty(i)
-}
-
-// dropIfEmpty removes a flow without waiters; an idle flow saves no deficit.
-func (c *classQueue) dropIfEmpty(i int) {
-	if len(c.flows[i].waiters) > 0 {
-		return
-	}
-	c.flows = slices.Delete(c.flows, i, i+1)
-	if i < c.turn {
-		c.turn--
-	}
-}
-
-func (c *classQueue) oldest() *Waiter {
-	var oldest *Waiter
-	for _, f := range c.flows {
-		if oldest == nil || f.waiters[0].Enqueued.Before(oldest.Enqueued) {
-			oldest = f.waiters[0]
-		}
-	}
-	return oldest
-}
-
-// next offers the head of each flow, in the order of the round robin, and
-// charges the flow whose head is taken.
-func (c *classQueue) next(serve func(*Waiter) bool) *Waiter {
-	for range min(len(c.flows), maxSkipped) {
-		f := c.current()
-		waiter := f.waiters[0]
-		if serve(waiter) {
-			c.take(f)
-			return waiter
-		}
-		c.turn++
-	}
-	return nil
-}
-
-// current returns the flow whose turn it is, with a deficit of at least 1.
-func (c *classQueue) current() *flow {
-	c.turn %= len(c.flows)
-	f := c.flows[c.turn]
-	if f.deficit < 1 {
-		f.deficit += f.weight / c.lightest()
-	}
-	return f
-}
-
-func (c *classQueue) lightest() float64 {
-	lightest := c.flows[0].weight
-	for _, f := range c.flows {
-		lightest = min(lightest, f.weight)
-	}
-	return lightest
-}
-
-// take removes the head of the current flow.
-func (c *classQueue) take(f *flow) {
-	f.waiters[0].removed = true
-	f.waiters[0] = nil
-	f.waiters = f.waiters[1:]
-	f.deficit--
-	c.len--
-	turn := c.turn
-	if f.deficit < 1 {
-		c.turn++
-	}
-	c.dropIfEmpty(turn)
-}
--- a/internal/balance/rate.go
+++ b/internal/balance/rate.go
@@ -1,50 +1,54 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// rateBuckets is the number of parts of the rate window.
-const rateBuckets = 8
+// rateTime is the time constant of the average time of service.
+const rateTime = 4 * time.Second
 
-const bucketLength = rateWindow / rateBuckets
-
-// rateMeter counts events over a sliding window: its whole buckets and the
-// one that is being filled.
+// rateMeter estimates the rate at which the requests in flight leave, as their
+// number over the mean time of service. The mean follows from the time that
+// requests were in flight and the number that left, both decaying.
 type rateMeter struct {
-	counts  [rateBuckets + 1]int
-	bucket  int64
-	started time.Time
+	inFlight int
+	// busy is the time in flight of all requests, in seconds, and left their number.
+	busy float64
+	left float64
+	seen time.Time
 }
 
 func (r *rateMeter) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(bucketLength)
-	if r.started.IsZero() {
-		r.started = now
-		r.bucket = bucket
-	}
-	steps := min(bucket-r.bucket, int64(len(r.counts)))
-	for i := range max(steps, 0) {
-		r.counts[(r.bucket+1+i)%int64(len(r.counts))] = 0
+	if !r.seen.IsZero() {
+		elapsed := max(now.Sub(r.seen), 0)
+		keep := math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+		r.busy = r.busy*keep + float64(r.inFlight)*rateTime.Seconds()*(1-keep)
+		r.left *= keep
 	}
-	r.bucket = max(bucket, r.bucket)
+	r.seen = now
+}
+
+func (r *rateMeter) started(now time.Time) {
+	r.advance(now)
+	r.inFlight++
 }
 
-func (r *rateMeter) add(now time.Time) {
+func (r *rateMeter) served(now time.Time) {
 	r.advance(now)
-	r.counts[r.bucket%int64(len(r.counts))]++
+	r.left++
+	r.inFlight = max(r.inFlight-1, 0)
 }
 
-// perSecond returns the events a second over the window, or over the shorter
-// time since the first event.
+// known reports whether a request has left.
+func (r *rateMeter) known() bool { return r.left > 0 && r.busy > 0 }
+
+// perSecond returns the rate at which the requests in flight leave, or zero
+// where none has left yet. A router without requests in flight counts one.
 func (r *rateMeter) perSecond(now time.Time) float64 {
-	if r.started.IsZero() {
-		return 0
-	}
 	r.advance(now)
-	total := 0
-	for _, count := range r.counts {
-		total += count
+	if !r.known() {
+		return 0
 	}
-	window := rateWindow + time.Duration(now.UnixNano()%int64(bucketLength))
-	window = min(max(now.Sub(r.started), bucketLength), window)
-	return float64(total) / window.Seconds()
+	return float64(max(r.inFlight, 1)) * r.left / r.busy
 }
--- a/internal/balance/usage.go
+++ b/internal/balance/usage.go
@@ -7,11 +7,13 @@
 
 const (
 	// usageTime is the time constant of a customer's average rate of requests.
-	usageTime = 10 * time.Second
-	// surgeFactor is the multiple of its share from which on a customer surges.
+	usageTime = 2 * time.Second
+	// surgeFactor is the multiple of its share from which on a customer surges,
+	// with surgeBurst requests more than that.
 	surgeFactor = 2.0
+	surgeBurst  = 2.0
 	// usageKeep is the time after its last request at which a customer is forgotten.
-	usageKeep = 2 * usageTime
+	usageKeep = 20 * time.Second
 )
 
 // customerUsage tracks how much each customer asks for at present.
@@ -52,7 +54,7 @@
 	if u == nil {
 		return false
 	}
-	return u.count/usageTime.Seconds() > surgeFactor*rate*u.weight/c.weights
+	return u.count > surgeFactor*rate*usageTime.Seconds()*u.weight/c.weights+surgeBurst
 }
 
 func (c *customerUsage) forget(now time.Time) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,18 +152,37 @@
 	return p.admission.FirstByte(d.now(), request, id, took)
 }
 
-// wait blocks until the waiter gets a lease, its time is over or ctx ends.
+// wait blocks until the waiter gets a lease, is refused or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
-	timer := time.NewTimer(w.waiter.Deadline.Sub(d.now()))
+	timer := time.NewTimer(w.waiter.Due.Sub(d.now()))
 	defer timer.Stop()
-	select {
-	case lease := <-w.granted:
-		return lease, nil
-	case <-timer.C:
-		return d.giveUp(p, w, errOverloaded("no slot came free in time"))
-	case <-ctx.Done():
-		return d.giveUp(p, w, errOverloaded("the caller left before a slot came free"))
+	for {
+		select {
+		case lease := <-w.granted:
+			return lease, nil
+		case <-timer.C:
+			due, ok := d.review(p, w)
+			if !ok {
+				return d.giveUp(p, w, errOverloaded("no slot comes free in time"))
+			}
+			timer.Reset(due.Sub(d.now()))
+		case <-ctx.Done():
+			return d.giveUp(p, w, errOverloaded("the caller left before a slot came free"))
+		}
+	}
+}
+
+// review returns the time until which a waiter goes on waiting, or false where
+// it is refused.
+func (d *Dispatcher) review(p *pool, w *waiting) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.waiters[w.waiter] == nil {
+		// It has just got a lease.
+		return time.Time{}, false
 	}
+	ok := p.admission.Review(d.now(), w.waiter, p.viewOf(w.waiter))
+	return w.waiter.Due, ok
 }
 
 // giveUp takes a waiter out of the queue, unless it has just got a lease.
