Leave time for the first byte, and overflow before the wait

A request refused after its wait went to another failure domain, waited there too, and was tried up to three times.

Now the allowed wait leaves the likely time to the first byte (average and three mean deviations, at most half of the deadline). A request that has to wait overflows at once where another failure domain has room, and a router there that refuses it as overloaded is the last one asked.

Failed first: 'overflows before it waits' (dispatch: nothing received in a trial with 3 s), 'is asked once' (proxy: asked 3 times).

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -75,6 +75,7 @@
 // FirstByte records the time that the first byte of an answer took, and reports
 // whether the balancer has taken it.
 func (a *Admission) FirstByte(now time.Time, request Request, id ServerID, took time.Duration) bool {
+	a.queue.FirstByte(&request, took)
 	observer, ok := a.balancer.(FirstByteObserver)
 	if ok {
 		observer.FirstByte(now, request, id, took)
--- a/internal/balance/fairness.go
+++ b/internal/balance/fairness.go
@@ -31,6 +31,7 @@
 	len      int
 	inFlight shares
 	rate     rateMeter
+	latency  latencyMeter
 }
 
 func (c *classQueue) find(customer string) int {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -93,10 +93,7 @@
 // Push adds a request. It returns false where too many wait; then it is refused
 // at once.
 func (q *Queue) Push(now time.Time, request Request, slots int) (*Waiter, bool) {
-	limit := q.limit
-	if request.FirstByteWithin > 0 {
-		limit = min(limit, request.FirstByteWithin)
-	}
+	limit := q.allowed(&request)
 	if q.Len() >= maxWaitersPerSlot*slots {
 		return nil, false
 	}
@@ -105,6 +102,21 @@
 	return waiter, true
 }
 
+// allowed returns how long a request may wait. It leaves time for the first byte
+// before the request's own deadline, up to half of that.
+func (q *Queue) allowed(request *Request) time.Duration {
+	if request.FirstByteWithin == 0 {
+		return q.limit
+	}
+	rest := request.FirstByteWithin - q.class(request).latency.likely()
+	return min(q.limit, max(rest, request.FirstByteWithin/2))
+}
+
+// FirstByte records the time from a request's start to its first byte.
+func (q *Queue) FirstByte(request *Request, took time.Duration) {
+	q.class(request).latency.observe(took)
+}
+
 // Review decides on a waiter whose time Due has come. It returns whether the
 // request goes on waiting, then with a new Due; otherwise it is refused. The
 // router may have longRoom more long requests in flight.
--- a/internal/balance/queue_test.go
+++ b/internal/balance/queue_test.go
@@ -106,6 +106,19 @@
 		Expect(review(at(21.08), push(at(21), r, 10), 0)).To(Equal(1))
 	})
 
+	It("leaves time for the first byte before the deadline, up to half of it", func() {
+		r := request("a", 1, api.ClassShort)
+		r.FirstByteWithin = time.Second
+		queue.FirstByte(&r, 300*time.Millisecond)
+		waiter, _ := queue.Push(at(0), r, slots)
+		Expect(waiter.Deadline).To(Equal(at(0.7)))
+		for range 200 {
+			queue.FirstByte(&r, 800*time.Millisecond)
+		}
+		waiter, _ = queue.Push(at(0), r, slots)
+		Expect(waiter.Deadline).To(Equal(at(0.5)))
+	})
+
 	It("promises nothing twice and refuses at the deadline", func() {
 		waiters := push(at(0), request("a", 1, api.ClassShort), 1)
 		Expect(queue.Review(at(0.08), waiters[0], 0)).To(BeTrue())
--- a/internal/balance/rate.go
+++ b/internal/balance/rate.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// rateTime is the time constant of the average time of service.
-const rateTime = 4 * time.Second
+const (
+	// rateTime is the time constant of the average time of service.
+	rateTime = 4 * time.Second
+	// firstByteGain is the weight of a new time to the first byte in its average.
+	firstByteGain = 0.05
+	// firstByteDeviations is how many mean deviations above the average the time
+	// to the first byte is expected to be.
+	firstByteDeviations = 3.0
+)
 
 // rateMeter estimates the rate at which the requests in flight leave, as their
 // number over the mean time of service. The mean follows from the time that
@@ -52,3 +59,23 @@
 	}
 	return float64(max(r.inFlight, 1)) * r.left / r.busy
 }
+
+// latencyMeter averages the time to the first byte and its deviation.
+type latencyMeter struct {
+	mean      float64
+	deviation float64
+}
+
+func (l *latencyMeter) observe(took time.Duration) {
+	seconds := took.Seconds()
+	if l.mean == 0 {
+		l.mean = seconds
+	}
+	l.deviation += firstByteGain * (math.Abs(seconds-l.mean) - l.deviation)
+	l.mean += firstByteGain * (seconds - l.mean)
+}
+
+// likely returns the time within which most first bytes come.
+func (l *latencyMeter) likely() time.Duration {
+	return time.Duration((l.mean + firstByteDeviations*l.deviation) * float64(time.Second))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -98,42 +98,56 @@
 // Acquire returns a lease on a server of the pool and waits for a slot while
 // ctx lasts. It fails with CodeNoBackendServer where the pool has no serving
 // server, and with CodeOverloaded where none has room in time; both mean that
-// nothing has run. Before that it tries another failure domain that has room.
+// nothing has run. Before it waits or fails it tries another failure domain that
+// has room.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	asked := d.now()
-	lease, err := d.acquireLocal(ctx, view, pool, model, request)
-	if err == nil || !mayOverflow(err, asked, d.now()) {
-		return lease, err
+	lease, w, err := d.acquireLocal(view, pool, model, request)
+	if lease != nil {
+		return lease, nil
 	}
-	if remote := d.overflow(view, pool, request); remote != nil {
+	remote := d.overflow(view, pool, request)
+	switch {
+	case w == nil && remote == nil:
+		return nil, err
+	case w == nil:
 		return remote, nil
+	case remote == nil:
+		return d.wait(ctx, w)
 	}
-	return nil, err
+	return d.goRemote(w, remote)
 }
 
-func (d *Dispatcher) acquireLocal(ctx context.Context, view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, error) {
+// acquireLocal returns a lease on a server of this failure domain, or the waiter
+// where the request has to wait.
+func (d *Dispatcher) acquireLocal(view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, *waiting, error) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.now()
 	p := d.pool(target.UID)
 	key := candidateKey{pool: target.UID, model: model}
 	servers := p.view(now, d.source, view, target, key)
 	if servers.Len() == 0 {
-		d.mu.Unlock()
-		return nil, errNoServer()
+		return nil, nil, errNoServer()
 	}
 	verdict, id, waiter := p.admission.Ask(now, request, servers)
 	switch verdict {
 	case balance.VerdictServe:
-		lease := d.lease(p, request, id, servers)
-		d.mu.Unlock()
-		return lease, nil
+		return d.lease(p, request, id, servers), nil, nil
 	case balance.VerdictRefuse:
-		d.mu.Unlock()
-		return nil, errOverloaded("the request would wait too long for a slot")
+		return nil, nil, errOverloaded("too many requests wait for a slot")
+	}
+	return nil, p.enqueue(waiter, key), nil
+}
+
+// goRemote takes a waiter out of the queue for a lease on another failure
+// domain's router, unless it has just got one here.
+func (d *Dispatcher) goRemote(w *waiting, remote *Lease) (*Lease, error) {
+	local, _ := d.giveUp(w, nil)
+	if local == nil {
+		return remote, nil
 	}
-	w := p.enqueue(waiter, key)
-	d.mu.Unlock()
-	return d.wait(ctx, p, w)
+	remote.Release(balance.Result{})
+	return local, nil
 }
 
 func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
@@ -153,7 +167,7 @@
 }
 
 // wait blocks until the waiter gets a lease, is refused or ctx ends.
-func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
+func (d *Dispatcher) wait(ctx context.Context, w *waiting) (*Lease, error) {
 	timer := time.NewTimer(w.waiter.Due.Sub(d.now()))
 	defer timer.Stop()
 	for {
@@ -161,32 +175,32 @@
 		case lease := <-w.granted:
 			return lease, nil
 		case <-timer.C:
-			due, ok := d.review(p, w)
+			due, ok := d.review(w)
 			if !ok {
-				return d.giveUp(p, w, errOverloaded("no slot comes free in time"))
+				return d.giveUp(w, errOverloaded("no slot comes free in time"))
 			}
 			timer.Reset(due.Sub(d.now()))
 		case <-ctx.Done():
-			return d.giveUp(p, w, errOverloaded("the caller left before a slot came free"))
+			return d.giveUp(w, errOverloaded("the caller left before a slot came free"))
 		}
 	}
 }
 
 // review returns the time until which a waiter goes on waiting, or false where
 // it is refused.
-func (d *Dispatcher) review(p *pool, w *waiting) (time.Time, bool) {
+func (d *Dispatcher) review(w *waiting) (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p.waiters[w.waiter] == nil {
+	if w.pool.waiters[w.waiter] == nil {
 		// It has just got a lease.
 		return time.Time{}, false
 	}
-	ok := p.admission.Review(d.now(), w.waiter, p.viewOf(w.waiter))
+	ok := w.pool.admission.Review(d.now(), w.waiter, w.pool.viewOf(w.waiter))
 	return w.waiter.Due, ok
 }
 
 // giveUp takes a waiter out of the queue, unless it has just got a lease.
-func (d *Dispatcher) giveUp(p *pool, w *waiting, err error) (*Lease, error) {
+func (d *Dispatcher) giveUp(w *waiting, err error) (*Lease, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	select {
@@ -194,7 +208,7 @@
 		return lease, nil
 	default:
 	}
-	p.remove(w)
+	w.pool.remove(w)
 	return nil, err
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -207,6 +207,25 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("overflows before it waits", func() {
+		remote := &remoteSource{summaries: []membership.PoolSummary{
+			{Domain: "free", Pool: "chat", Servers: 1, Slots: 10, Load: 1, Callers: []string{"127.0.0.1:3"}},
+		}}
+		remote.set(server(1, 1, api.ServerServing))
+		d = dispatch.New(remote, func() balance.Balancer { return balance.NewBounded(rand.New(rand.NewPCG(1, 2))) },
+			dispatch.WithQueueLimit(time.Hour))
+		local, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(local.Remote).To(BeFalse())
+		var lease *dispatch.Lease
+		Eventually(acquireLater(short), "60s").Should(Receive(&lease))
+		Expect(lease.Remote).To(BeTrue())
+		local.Release(balance.Result{})
+		local, err = acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(local.Remote).To(BeFalse())
+	})
+
 	It("loses no slot under concurrent use", func() {
 		members.set(server(1, 3, api.ServerServing), server(2, 3, api.ServerServing))
 		var group sync.WaitGroup
--- a/internal/dispatch/overflow.go
+++ b/internal/dispatch/overflow.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
-	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/membership"
@@ -67,16 +64,3 @@
 		},
 	}
 }
-
-// mayOverflow reports whether a refusal leaves the request to another failure
-// domain: nothing has run, and no time was spent waiting.
-func mayOverflow(err error, asked, now time.Time) bool {
-	code := api.AsError(err).Code
-	if code != api.CodeNoBackendServer && code != api.CodeOverloaded {
-		return false
-	}
-	return now.Sub(asked) < overflowWithin
-}
-
-// overflowWithin is the time after which a refused request goes nowhere else.
-const overflowWithin = 100 * time.Millisecond
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,6 +43,7 @@
 
 // waiting is a request that waits for a lease.
 type waiting struct {
+	pool    *pool
 	waiter  *balance.Waiter
 	key     candidateKey
 	granted chan *Lease
@@ -64,7 +65,7 @@
 }
 
 func (p *pool) enqueue(waiter *balance.Waiter, key candidateKey) *waiting {
-	w := &waiting{waiter: waiter, key: key, granted: make(chan *Lease, 1)}
+	w := &waiting{pool: p, waiter: waiter, key: key, granted: make(chan *Lease, 1)}
 	p.waiters[waiter] = w
 	return w
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -82,7 +82,10 @@
 	if a.refusedAsNotRun() {
 		t.decline()
 		t.exclude = append(t.exclude, lease.Server)
-		return &failure{err: a.err(), answer: a, repeatable: true, blameless: true}
+		err := a.err()
+		// The request has waited here and there; a third place would make it late.
+		overloaded := lease.Remote && err.Code == api.CodeOverloaded
+		return &failure{err: err, answer: a, repeatable: !overloaded, blameless: true}
 	}
 	if err := t.check(a); err != nil {
 		return t.lost(lease, err)
--- a/internal/proxy/remote_test.go
+++ b/internal/proxy/remote_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
@@ -51,6 +53,21 @@
 	})
 })
 
+var _ = Describe("A router of another failure domain that is overloaded", func() {
+	It("is asked once, so that the refusal comes early", func() {
+		var asked atomic.Int32
+		r := newRig(longProgress)
+		r.dispatcher.remote = httpServer(func(w http.ResponseWriter, _ *http.Request) {
+			asked.Add(1)
+			httpx.WriteError(w, api.Errorf(api.CodeOverloaded, "full").NotRun())
+		})
+		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge")
+		Expect(got.refusal().Code).To(Equal(api.CodeOverloaded))
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(asked.Load()).To(Equal(int32(1)))
+	})
+})
+
 var _ = Describe("A stored answer that was too large to keep", func() {
 	It("is told as run, with its digest", func() {
 		r := newRig(longProgress)
