Judge a stream by its first event, not by its head

Cause: the time to the first byte was taken at the head of the answer, and the deadline to the first token ended there too. An engine that sends the head of a stream before it works would look fast, so that a straggler is not ejected, and could stay silent past the deadline until the progress timeout.

Now both end with the stream's first event; other answers with their head as before. The stand-in has -early-head to act so.

Failed first, against the old proxy: 'is judged by its first event' (0.3 ms for an event after 50 ms) and 'is left for another one where the first event misses the deadline' (the caller got no token within 60 s).

--- a/internal/cli/fakebackend.go
+++ b/internal/cli/fakebackend.go
@@ -56,6 +56,7 @@
 	f.Float64Var(&config.SlowFactor, "slow-factor", 1, "how many times as long work takes on a straggler")
 	f.DurationVar(&config.SlowEvery, "slow-every", 0, "mean pause between slow periods; zero for always slow")
 	f.DurationVar(&config.SlowFor, "slow-for", 0, "length of a slow period")
+	f.BoolVar(&config.EarlyHead, "early-head", false, "send the head of a stream before its first token")
 	f.BoolVar(&config.NoResume, "no-resume", false, "ignore the resume header")
 	f.BoolVar(&config.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing token")
 	f.DurationVar(&config.DrainGrace, "drain-grace", fake.DefaultDrainGrace, "time that a draining server still takes new requests")
--- a/internal/fake/chat.go
+++ b/internal/fake/chat.go
@@ -157,6 +157,9 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	if s.config.EarlyHead {
+		_ = controller.Flush()
+	}
 	for i, token := range g.tokens {
 		if !s.faults.betweenTokens(r, i) || !g.waitToken(r) {
 			return false
--- a/internal/fake/config.go
+++ b/internal/fake/config.go
@@ -39,6 +39,8 @@
 	SlowFactor float64
 	SlowEvery  time.Duration
 	SlowFor    time.Duration
+	// EarlyHead makes the server send the head of a stream before its first token.
+	EarlyHead bool
 	// NoResume makes the server ignore the resume header.
 	NoResume bool
 	// ChecksFencing makes the server refuse orders with an old fencing token.
--- a/internal/fake/server_test.go
+++ b/internal/fake/server_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -68,6 +69,15 @@
 	}
 }
 
+func TestHeadBeforeTheFirstToken(t *testing.T) {
+	s := start(t, Config{EarlyHead: true, TokenTime: time.Hour})
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	resp, err := s.send(ctx, "/v1/chat/completions", question(true, 5), nil)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
 func TestResumeStartsAtTheOffset(t *testing.T) {
 	s := start(t, Config{})
 	headers := map[string]string{api.HeaderResumeOffset: "3", api.HeaderIdempotencyKey: "k"}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -54,9 +54,11 @@
 // receive takes a server's answer and passes it to the caller.
 func (t *transfer) receive(ex *exchange, lease *dispatch.Lease) *failure {
 	t.setAffinity(ex, lease)
-	if t.job.stream && ex.StatusCode == http.StatusOK && isType(ex.Header.Get("Content-Type"), typeEventStream) {
+	if t.job.stream && ex.isStream() {
 		return t.relay(ex, lease)
 	}
+	ex.begin()
+	ex.progressed()
 	answer, err := readAnswer(ex)
 	if err != nil {
 		return t.lost(lease, ex.failure(err))
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -59,6 +59,7 @@
 	add("exact", api.KindModelVersions, &api.ModelVersionSpec{Pool: "chat", Model: "m", Deterministic: true})
 	add("summary", api.KindIntents, &api.IntentSpec{Pool: "chat", NonIdempotent: true})
 	add("patient", api.KindIntents, &api.IntentSpec{Pool: "chat", DeadlineMS: int(longProgress.Milliseconds())})
+	add("hurried", api.KindIntents, &api.IntentSpec{Pool: "chat", DeadlineMS: int(shortProgress.Milliseconds())})
 	return catalog.New(1, resources)
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -46,6 +46,7 @@
 			lateAnswers.Inc()
 			continue
 		}
+		ex.begin()
 		// The time that the caller takes is not the server's.
 		ex.pause()
 		if skip, failed = t.pass(chunk, data, skip); failed != nil {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -45,8 +45,8 @@
 	silentEnd bool
 	// lateEnd ends the response some time after the explicit end.
 	lateEnd bool
-	asked     atomic.Int32
-	offset    atomic.Int32
+	asked   atomic.Int32
+	offset  atomic.Int32
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -101,7 +101,6 @@
 	result := balance.Result{}
 	defer func() { lease.Release(result) }()
 	t.proxy.fire(t.call, eventDispatch)
-	started := time.Now()
 	firstByte := t.job.firstByte(t.proxy.progress)
 	ex, err := t.proxy.upstream.send(t.running, t.outgoing(lease), string(lease.Server), firstByte)
 	if err != nil {
@@ -110,8 +109,10 @@
 		return failed
 	}
 	defer ex.close()
-	result.FirstByte = time.Since(started)
-	lease.FirstByte(result.FirstByte)
+	ex.began = func(took time.Duration) {
+		result.FirstByte = took
+		lease.FirstByte(took)
+	}
 	failed = t.receive(ex, lease)
 	result.Failed = failed != nil && !failed.blameless
 	return failed
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -88,6 +88,10 @@
 	address  string
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
+	// sent is when the request was sent, and began runs with the time that the
+	// answer took to begin.
+	sent  time.Time
+	began func(took time.Duration)
 }
 
 // sendError tells why a server did not begin to answer.
@@ -105,8 +109,9 @@
 // Unwrap returns the cause.
 func (e *sendError) Unwrap() error { return e.cause }
 
-// send sends a request once and waits up to firstByte for the head of the
-// answer. It never repeats a request. Errors are *sendError.
+// send sends a request once and waits up to firstByte for the answer to begin: a
+// stream with its first event, another answer with its head. It never repeats a
+// request. Errors are *sendError.
 func (u *upstream) send(ctx context.Context, out outgoing, address string, firstByte time.Duration) (*exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracker := &writeTracker{}
@@ -118,6 +123,7 @@
 		cancel(errFinished)
 		return nil, &sendError{cause: err}
 	}
+	sent := time.Now()
 	watchdog := time.AfterFunc(firstByte, func() { cancel(errNoProgress) })
 	resp, err := u.transport(address).RoundTrip(req)
 	if err != nil {
@@ -126,8 +132,21 @@
 		cancel(errFinished)
 		return nil, &sendError{cause: cause, written: tracker.giveUp(), stale: tracker.wasReused()}
 	}
-	watchdog.Reset(u.progress)
-	return &exchange{Response: resp, upstream: u, address: address, cancel: cancel, watchdog: watchdog}, nil
+	return &exchange{Response: resp, upstream: u, address: address, cancel: cancel, watchdog: watchdog, sent: sent}, nil
+}
+
+// isStream reports whether the answer is a stream of server-sent events.
+func (e *exchange) isStream() bool {
+	return e.StatusCode == http.StatusOK && isType(e.Header.Get("Content-Type"), typeEventStream)
+}
+
+// begin tells that the answer has begun, the first time that it is called.
+func (e *exchange) begin() {
+	if e.began == nil {
+		return
+	}
+	e.began(time.Since(e.sent))
+	e.began = nil
 }
 
 // cause returns why an exchange failed. After a time without progress, the
