Share the catalog's indexes between revisions and keep customers encoded

Cause: each change copied four maps over all resources, 2.3 MB of garbage and 1.8 ms at 4,700 customers, and the catalog kept each customer decoded, with its names in two indexes that no request ever reads.

The indexes are maps in 256 parts; a change copies the parts that it touches. A customer is kept as its JSON, which peers and the cache on disk take as it is, and under its tokens' binary digests.

--- a/internal/catalog/apply_test.go
+++ b/internal/catalog/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -89,8 +90,9 @@
 	moved := customer(1, 2)
 	moved.Spec = customer(3, 1).Spec
 	c = c.Apply(2, false, []*api.Resource{moved})
-	g.Expect(c.tokens).To(HaveLen(2))
-	g.Expect(c.tokens[fmt.Sprintf("%064x", 3)].UID).To(Equal("uid-1"))
+	g.Expect(c.tokens.count).To(Equal(2))
+	g.Expect(c.tokens.get(tokenDigest{31: 3}).UID).To(Equal("uid-1"))
+	g.Expect(c.tokens.get(tokenDigest{31: 1})).To(BeNil())
 	g.Expect(c.Len()).To(Equal(2))
 }
 
@@ -107,15 +109,26 @@
 	}
 }
 
-// BenchmarkSnapshotAtTargetSize builds the whole catalog.
+// BenchmarkSnapshotAtTargetSize builds the whole catalog and reports what is kept
+// of a customer.
 func BenchmarkSnapshotAtTargetSize(b *testing.B) {
-	var all []*api.Resource
-	for i := range targetCustomers {
-		all = append(all, customer(i, 1))
-	}
+	var kept *Catalog
+	before := liveBytes()
 	for b.Loop() {
-		Empty().Apply(1, true, all)
+		var all []*api.Resource
+		for i := range targetCustomers {
+			all = append(all, customer(i, 1))
+		}
+		kept = Empty().Apply(1, true, all)
 	}
+	b.ReportMetric(float64(liveBytes()-before)/float64(kept.Len()), "kept-B/customer")
+}
+
+func liveBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
 }
 
 func TestPoolTakesTheLoadBoundOfItsFleet(t *testing.T) {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,20 +5,23 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"maps"
+	"encoding/json"
 	"slices"
 
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// Catalog is an immutable set of resources at a revision. It is safe for
-// concurrent use.
+// Catalog is an immutable set of resources at a revision, which shares what has
+// not changed with the catalogs of earlier revisions. It is safe for concurrent
+// use.
 type Catalog struct {
 	revision  uint64
-	resources map[string]*entry
-	names     map[nameKey]*entry
-	bare      map[nameKey][]*entry
-	tokens    map[string]*Customer
+	resources *shardedMap[string, *entry]
+	// names and bare find the resources that others or callers refer to; no
+	// request names a customer.
+	names  *shardedMap[nameKey, *entry]
+	bare   *shardedMap[nameKey, []*entry]
+	tokens *shardedMap[tokenDigest, *Customer]
 }
 
 type nameKey struct {
@@ -26,10 +29,8 @@
 	ref  api.Ref
 }
 
-type entry struct {
-	resource *api.Resource
-	spec     api.Spec
-}
+// tokenDigest is the SHA-256 digest of a bearer token.
+type tokenDigest [sha256.Size]byte
 
 // Customer is a customer as requests see it.
 type Customer struct {
@@ -59,32 +60,32 @@
 
 // New returns a catalog of the given resources by UID.
 func New(revision uint64, resources map[string]*api.Resource) *Catalog {
-	c := &Catalog{
-		revision:  revision,
-		resources: make(map[string]*entry, len(resources)),
-		names:     make(map[nameKey]*entry),
-		bare:      make(map[nameKey][]*entry),
-		tokens:    make(map[string]*Customer),
-	}
+	c := &Catalog{revision: revision}
+	c.share(&Catalog{})
 	for _, resource := range resources {
 		c.add(resource)
 	}
 	return c
 }
 
+// share makes the catalog hold what another one does.
+func (c *Catalog) share(other *Catalog) {
+	c.resources = other.resources.clone()
+	c.names = other.names.clone()
+	c.bare = other.bare.clone()
+	c.tokens = other.tokens.clone()
+}
+
 // Apply returns a catalog with the changes of a higher revision. A snapshot
-// replaces all resources. The cost of a change is a copy of the indexes; only
-// the changed resources are decoded.
+// replaces all resources. Only the changed resources are decoded, and only the
+// parts of the indexes that they stand in are copied.
 func (c *Catalog) Apply(revision uint64, snapshot bool, changes []*api.Resource) *Catalog {
 	if revision <= c.revision {
 		return c
 	}
 	next := New(revision, nil)
 	if !snapshot {
-		next.resources = maps.Clone(c.resources)
-		next.names = maps.Clone(c.names)
-		next.bare = maps.Clone(c.bare)
-		next.tokens = maps.Clone(c.tokens)
+		next.share(c)
 	}
 	for _, change := range changes {
 		next.remove(change.UID)
@@ -95,13 +96,17 @@
 	return next
 }
 
-// Resources returns all resources, those changed first first.
-func (c *Catalog) Resources() []*api.Resource {
-	out := make([]*api.Resource, 0, len(c.resources))
-	for _, e := range c.resources {
-		out = append(out, e.resource)
+// Resources returns all resources encoded as JSON, those changed first first.
+func (c *Catalog) Resources() []json.RawMessage {
+	entries := make([]*entry, 0, c.Len())
+	for _, e := range c.resources.all {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.version, b.version) })
+	out := make([]json.RawMessage, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, e.encoded)
 	}
-	slices.SortFunc(out, func(a, b *api.Resource) int { return cmp.Compare(a.ResourceVersion, b.ResourceVersion) })
 	return out
 }
 
@@ -109,77 +114,100 @@
 func (c *Catalog) Revision() uint64 { return c.revision }
 
 // Len returns the number of resources.
-func (c *Catalog) Len() int { return len(c.resources) }
+func (c *Catalog) Len() int { return c.resources.count }
 
 func (c *Catalog) add(resource *api.Resource) {
-	e := &entry{resource: resource}
-	c.resources[resource.UID] = e
+	e := newEntry(resource)
+	c.resources.set(resource.UID, e)
 	spec, err := api.DecodeSpec(resource.Kind, resource.Spec)
 	if err != nil {
 		return
 	}
-	e.spec = spec
+	if customer, ok := spec.(*api.CustomerSpec); ok {
+		c.addTokens(resource, customer)
+		return
+	}
+	e.uid, e.spec = resource.UID, spec
 	for scheme, name := range resource.Names {
-		c.names[nameKey{resource.Kind, api.Ref(string(scheme) + ":" + name)}] = e
+		c.names.set(nameKey{resource.Kind, api.Ref(string(scheme) + ":" + name)}, e)
 		bare := nameKey{resource.Kind, api.Ref(name)}
-		c.bare[bare] = append(slices.Clip(c.bare[bare]), e)
-	}
-	if customer, ok := spec.(*api.CustomerSpec); ok {
-		c.indexTokens(resource, customer)
+		c.bare.set(bare, append(slices.Clip(c.bare.get(bare)), e))
 	}
 }
 
 // remove takes a resource out of the indexes. The lists of bare names are
 // shared with earlier catalogs and therefore copied.
 func (c *Catalog) remove(uid string) {
-	e := c.resources[uid]
+	e := c.resources.get(uid)
 	if e == nil {
 		return
 	}
-	delete(c.resources, uid)
-	for scheme, name := range e.resource.Names {
-		key := nameKey{e.resource.Kind, api.Ref(string(scheme) + ":" + name)}
-		if c.names[key] == e {
-			delete(c.names, key)
-		}
-		c.removeBare(nameKey{e.resource.Kind, api.Ref(name)}, e)
+	c.resources.remove(uid)
+	resource, err := e.decode()
+	if err != nil {
+		return
 	}
-	if customer, ok := e.spec.(*api.CustomerSpec); ok {
+	spec, err := api.DecodeSpec(resource.Kind, resource.Spec)
+	if err != nil {
+		return
+	}
+	if customer, ok := spec.(*api.CustomerSpec); ok {
 		c.removeTokens(uid, customer)
+		return
+	}
+	for scheme, name := range resource.Names {
+		key := nameKey{resource.Kind, api.Ref(string(scheme) + ":" + name)}
+		if c.names.get(key) == e {
+			c.names.remove(key)
+		}
+		c.removeBare(nameKey{resource.Kind, api.Ref(name)}, e)
 	}
 }
 
 func (c *Catalog) removeBare(key nameKey, gone *entry) {
-	rest := slices.DeleteFunc(slices.Clone(c.bare[key]), func(e *entry) bool { return e == gone })
+	rest := slices.DeleteFunc(slices.Clone(c.bare.get(key)), func(e *entry) bool { return e == gone })
 	if len(rest) == 0 {
-		delete(c.bare, key)
+		c.bare.remove(key)
 		return
 	}
-	c.bare[key] = rest
+	c.bare.set(key, rest)
 }
 
 func (c *Catalog) removeTokens(uid string, spec *api.CustomerSpec) {
-	for _, digest := range spec.TokenDigests {
-		if c.tokens[digest] != nil && c.tokens[digest].UID == uid {
-			delete(c.tokens, digest)
+	for _, digest := range digestsOf(spec) {
+		if known := c.tokens.get(digest); known != nil && known.UID == uid {
+			c.tokens.remove(digest)
 		}
 	}
 }
 
-func (c *Catalog) indexTokens(resource *api.Resource, spec *api.CustomerSpec) {
+func (c *Catalog) addTokens(resource *api.Resource, spec *api.CustomerSpec) {
 	customer := &Customer{UID: resource.UID, Weight: max(spec.Weight, 1)}
-	for _, digest := range spec.TokenDigests {
-		c.tokens[digest] = customer
+	for _, digest := range digestsOf(spec) {
+		c.tokens.set(digest, customer)
+	}
+}
+
+// digestsOf returns the digests of a customer's tokens; what is none is left out.
+func digestsOf(spec *api.CustomerSpec) []tokenDigest {
+	out := make([]tokenDigest, 0, len(spec.TokenDigests))
+	for _, encoded := range spec.TokenDigests {
+		var digest tokenDigest
+		n, err := hex.Decode(digest[:], []byte(encoded[:min(len(encoded), 2*len(digest))]))
+		if err == nil && n == len(digest) {
+			out = append(out, digest)
+		}
 	}
+	return out
 }
 
 // lookup returns the resource that ref names, or nil where none or several do.
 func (c *Catalog) lookup(kind api.Kind, ref api.Ref) *entry {
-	if e := c.names[nameKey{kind, ref}]; e != nil {
+	if e := c.names.get(nameKey{kind, ref}); e != nil {
 		return e
 	}
 	var found *entry
-	for _, e := range c.bare[nameKey{kind, ref}] {
+	for _, e := range c.bare.get(nameKey{kind, ref}) {
 		if found != nil && found != e {
 			return nil
 		}
@@ -190,8 +218,7 @@
 
 // Customer returns the customer that holds the bearer token, or nil.
 func (c *Catalog) Customer(token string) *Customer {
-	digest := sha256.Sum256([]byte(token))
-	return c.tokens[hex.EncodeToString(digest[:])]
+	return c.tokens.get(sha256.Sum256([]byte(token)))
 }
 
 // Pool returns the pool that ref names under any scheme.
@@ -200,7 +227,7 @@
 	if e == nil {
 		return Pool{}, false
 	}
-	pool := Pool{UID: e.resource.UID, Spec: e.spec.(*api.PoolSpec)}
+	pool := Pool{UID: e.uid, Spec: e.spec.(*api.PoolSpec)}
 	if pool.Spec.Fleet == "" {
 		return pool, true
 	}
--- a/internal/configwatch/cache.go
+++ b/internal/configwatch/cache.go
@@ -9,6 +9,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/durable"
+	"peridotwinch.example/peridotwinch/internal/rpc/configpb"
 )
 
 // maxCacheRecords bounds the changes in the cache before it is written anew.
@@ -22,9 +23,9 @@
 
 // cacheRecord is a step from one revision to the next.
 type cacheRecord struct {
-	Revision  uint64          `json:"revision"`
-	Snapshot  bool            `json:"snapshot,omitempty"`
-	Resources []*api.Resource `json:"resources"`
+	Revision  uint64            `json:"revision"`
+	Snapshot  bool              `json:"snapshot,omitempty"`
+	Resources []json.RawMessage `json:"resources"`
 }
 
 // openCache returns the cache and the catalog in it. A damaged cache is begun
@@ -44,7 +45,11 @@
 		if err := json.Unmarshal(raw, record); err != nil {
 			return nil, nil, errors.Wrap(err, "decode a cached change")
 		}
-		current = current.Apply(record.Revision, record.Snapshot, record.Resources)
+		resources, err := configpb.DecodeAll(record.Resources)
+		if err != nil {
+			return nil, nil, err
+		}
+		current = current.Apply(record.Revision, record.Snapshot, resources)
 	}
 	return &cache{log: log, records: len(records)}, current, nil
 }
@@ -52,10 +57,16 @@
 // save makes a step to the next catalog durable.
 func (c *cache) save(next *catalog.Catalog, snapshot bool, changes []*api.Resource) error {
 	c.records++
-	record := &cacheRecord{Revision: next.Revision(), Snapshot: snapshot, Resources: changes}
+	record := &cacheRecord{Revision: next.Revision(), Snapshot: snapshot}
 	whole := snapshot || c.records > maxCacheRecords
+	var err error
 	if whole {
 		record.Snapshot, record.Resources = true, next.Resources()
+	} else {
+		record.Resources, err = configpb.EncodeAll(changes)
+	}
+	if err != nil {
+		return err
 	}
 	raw, err := json.Marshal(record)
 	if err != nil {
--- a/internal/configwatch/service.go
+++ b/internal/configwatch/service.go
@@ -28,7 +28,7 @@
 	if current.Revision() <= request.GetRevision() {
 		return configpb.SendParts(stream, current.Revision(), false, nil)
 	}
-	return configpb.SendParts(stream, current.Revision(), true, current.Resources())
+	return configpb.SendEncoded(stream, current.Revision(), true, current.Resources())
 }
 
 // Report implements the RPC service: routers take no reports.
--- a/internal/rpc/configpb/parts.go
+++ b/internal/rpc/configpb/parts.go
@@ -13,13 +13,18 @@
 
 // SendParts sends the resources of a revision as one event in parts.
 func SendParts(stream DRPCConfig_WatchStream, revision uint64, snapshot bool, resources []*api.Resource) error {
+	encoded, err := EncodeAll(resources)
+	if err != nil {
+		return err
+	}
+	return SendEncoded(stream, revision, snapshot, encoded)
+}
+
+// SendEncoded sends encoded resources of a revision as one event in parts.
+func SendEncoded(stream DRPCConfig_WatchStream, revision uint64, snapshot bool, resources []json.RawMessage) error {
 	event := &WatchEvent{Revision: revision, Snapshot: snapshot}
 	size := 0
-	for _, resource := range resources {
-		raw, err := json.Marshal(resource)
-		if err != nil {
-			return errors.Wrap(err, "encode a resource")
-		}
+	for _, raw := range resources {
 		if size+len(raw) > partBytes && size > 0 {
 			event.More = true
 			if err := stream.Send(event); err != nil {
@@ -35,9 +40,25 @@
 }
 
 // DecodeResources returns the resources of a part.
-func (e *WatchEvent) DecodeResources() ([]*api.Resource, error) {
-	out := make([]*api.Resource, 0, len(e.GetResources()))
-	for _, raw := range e.GetResources() {
+func (e *WatchEvent) DecodeResources() ([]*api.Resource, error) { return DecodeAll(e.GetResources()) }
+
+// EncodeAll encodes resources as JSON.
+func EncodeAll(resources []*api.Resource) ([]json.RawMessage, error) {
+	out := make([]json.RawMessage, 0, len(resources))
+	for _, resource := range resources {
+		raw, err := json.Marshal(resource)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode a resource")
+		}
+		out = append(out, raw)
+	}
+	return out, nil
+}
+
+// DecodeAll decodes resources from JSON.
+func DecodeAll[T ~[]byte](encoded []T) ([]*api.Resource, error) {
+	out := make([]*api.Resource, 0, len(encoded))
+	for _, raw := range encoded {
 		resource := &api.Resource{}
 		if err := json.Unmarshal(raw, resource); err != nil {
 			return nil, errors.Wrap(err, "decode a resource")
