Share only what changes in the set of routers; answer heartbeats in their call

A replica now names the routers that are new, gone, silent or apply another revision, and covers the rest by a hash of its set and one age; a receiver with another set asks for the whole. A report of a known revision wakes nobody. A call that carries heartbeats only returns the response; entries are answered on their own as before, so that a sync holds no later batch back.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,6 +33,7 @@
 	replica   *replica.Replica
 	leases    *leases
 	sharing   *sharing
+	heardBy   *heardBy
 	operators net.Listener
 	// closing ends the operators' watches on a shutdown.
 	closing context.Context
@@ -56,7 +57,8 @@
 	}
 	c := &Control{
 		log: log, settings: s, store: store, replica: r, operators: operators,
-		leases: newLeases(s.PeersWithRole(settings.RoleRouter), time.Now()),
+		leases:  newLeases(s.PeersWithRole(settings.RoleRouter), time.Now()),
+		heardBy: newHeardBy(),
 	}
 	c.sharing = newSharing(s, c.leases)
 	c.closing, c.close = context.WithCancel(context.Background())
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -51,11 +51,13 @@
 	l.since = now
 }
 
-// report takes a router's own report.
-func (l *leases) report(now time.Time, instance string, revision uint64) {
+// report takes a router's own report, and reports whether its revision is new.
+func (l *leases) report(now time.Time, instance string, revision uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	last := l.reports[instance]
 	l.set(instance, report{revision: revision, at: now, direct: true})
+	return last.revision != revision
 }
 
 // record takes a report that another replica heard.
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -68,6 +68,7 @@
 	proposals map[uint64]*proposal
 	reads     map[uint64]chan<- uint64
 	lastRead  uint64
+	answers   []heartbeatAnswer
 }
 
 // Status describes a replica as of its last event.
@@ -96,6 +97,7 @@
 		proposals: make(map[uint64]*proposal),
 		reads:     make(map[uint64]chan<- uint64),
 	}
+	r.transport.answered = r.stepAnswer
 	r.status.Store(&Status{})
 	var err error
 	if r.identity, err = r.disk.loadIdentity(); err != nil {
@@ -202,13 +204,14 @@
 		ready := r.core.Ready()
 		if ready.IsEmpty() {
 			r.publish()
+			r.endAnswers()
 			return nil
 		}
 		if err := r.persist(&ready); err != nil {
 			return err
 		}
 		r.transport.learnMembers(r.core.Membership())
-		r.transport.send(ready.Messages)
+		r.transport.send(r.answerHeartbeats(ready.Messages))
 		for i := range ready.Committed {
 			r.apply(&ready.Committed[i])
 		}
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -24,13 +25,42 @@
 	replica *Replica
 }
 
-// Send implements the RPC service.
-func (s *service) Send(ctx context.Context, envelope *consensuspb.Envelope) (*consensuspb.Empty, error) {
-	return &consensuspb.Empty{}, s.replica.step(ctx, envelope.GetGroup(), envelope.GetInstance(), envelope.GetMessages())
+// Send implements the RPC service. Heartbeats are answered at once, which saves
+// their answers a call of their own; entries are answered once they are durable.
+func (s *service) Send(ctx context.Context, envelope *consensuspb.Envelope) (*consensuspb.SendResponse, error) {
+	answer := make(chan consensus.Message, 1)
+	response := &consensuspb.SendResponse{}
+	if !isHeartbeat(envelope) {
+		return response, s.replica.step(ctx, envelope.GetGroup(), envelope.GetInstance(), envelope.GetMessages(), nil)
+	}
+	if err := s.replica.step(ctx, envelope.GetGroup(), envelope.GetInstance(), envelope.GetMessages(), answer); err != nil {
+		return nil, err
+	}
+	select {
+	case m, ok := <-answer:
+		if ok {
+			response.Message = toMessage(m)
+		}
+		return response, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
-// step feeds messages of the own group to the core.
-func (r *Replica) step(ctx context.Context, group, instance string, messages []*consensuspb.Message) error {
+// isHeartbeat reports whether an envelope holds heartbeats of one replica only.
+func isHeartbeat(envelope *consensuspb.Envelope) bool {
+	messages := envelope.GetMessages()
+	if len(messages) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(messages, func(m *consensuspb.Message) bool {
+		return consensus.MessageType(m.GetType()) != consensus.MessageHeartbeat || m.GetFrom() != messages[0].GetFrom()
+	})
+}
+
+// step feeds messages of the own group to the core. The heartbeat response that
+// they lead to goes to answer, if it is not nil; it is closed where there is none.
+func (r *Replica) step(ctx context.Context, group, instance string, messages []*consensuspb.Message, answer chan<- consensus.Message) error {
 	if group == "" || group != r.transport.currentGroup() {
 		return errors.Errorf("the message is for group %q", group)
 	}
@@ -40,6 +70,9 @@
 		r.transport.learn(consensus.ReplicaID(m.GetFrom()), instance)
 	}
 	accepted := r.do(ctx, func() {
+		if answer != nil {
+			r.answers = append(r.answers, heartbeatAnswer{to: typed[0].From, answer: answer})
+		}
 		for _, m := range typed {
 			r.core.Step(m)
 		}
@@ -74,7 +107,7 @@
 		}
 	}
 	first.Message.Snapshot.Data = data
-	if err := s.replica.step(stream.Context(), first.GetGroup(), first.GetInstance(), []*consensuspb.Message{first.Message}); err != nil {
+	if err := s.replica.step(stream.Context(), first.GetGroup(), first.GetInstance(), []*consensuspb.Message{first.Message}, nil); err != nil {
 		return err
 	}
 	return stream.SendAndClose(&consensuspb.Empty{})
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -35,6 +35,8 @@
 	log      zerolog.Logger
 	instance string
 	peers    map[string]*peer
+	// answered takes the answers to heartbeats.
+	answered func(context.Context, *consensuspb.Message)
 
 	mu        sync.Mutex
 	group     string
@@ -174,10 +176,16 @@
 func (t *transport) sendBatch(ctx context.Context, p *peer, envelope *consensuspb.Envelope) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	return p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := consensuspb.NewDRPCConsensusClient(conn).Send(ctx, envelope)
+	var response *consensuspb.SendResponse
+	err := p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
+		var err error
+		response, err = consensuspb.NewDRPCConsensusClient(conn).Send(ctx, envelope)
 		return err
 	})
+	if err == nil && response.GetMessage() != nil {
+		t.answered(ctx, response.GetMessage())
+	}
+	return err
 }
 
 func (t *transport) installAll(ctx context.Context, p *peer) {
--- a/internal/control/routers.go
+++ b/internal/control/routers.go
@@ -52,16 +52,14 @@
 
 // Report implements the RPC service: it renews a router's lease.
 func (c *Control) Report(_ context.Context, request *configpb.ReportRequest) (*configpb.ReportResponse, error) {
-	c.leases.report(time.Now(), request.GetInstance(), request.GetRevision())
-	c.sharing.wake()
+	if c.leases.report(time.Now(), request.GetInstance(), request.GetRevision()) {
+		c.sharing.wake()
+	}
 	return &configpb.ReportResponse{Revision: c.store.Revision()}, nil
 }
 
 // Share implements the RPC service: it takes reports that another replica heard.
 func (c *Control) Share(_ context.Context, request *configpb.ShareRequest) (*configpb.ShareResponse, error) {
-	now := time.Now()
-	for _, r := range request.GetReports() {
-		c.leases.record(r.GetInstance(), r.GetRevision(), now.Add(-time.Duration(r.GetAgeMs())*time.Millisecond))
-	}
-	return &configpb.ShareResponse{}, nil
+	known := c.heardBy.take(time.Now(), request, c.leases)
+	return &configpb.ShareResponse{Unknown: !known}, nil
 }
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -15,88 +15,108 @@
 const (
 	// shareDelay gathers reports of a new revision before they are shared.
 	shareDelay = 50 * time.Millisecond
-	// heartbeatsPerShare is the number of heartbeats after which all live
-	// reports are shared again.
+	// heartbeatsPerShare is the number of heartbeats after which the set of live
+	// routers is confirmed.
 	heartbeatsPerShare = 2
+	// promptAge is the age up to which a report counts as one of the last round,
+	// in rounds.
+	promptAge = 1.1
 )
 
 // sharing passes the reports that this replica hears on to the others, so that
 // each of them can tell what is in force.
 type sharing struct {
-	leases    *leases
-	heartbeat time.Duration
-	peers     []*rpc.Client
-	woken     chan struct{}
+	instance string
+	leases   *leases
+	every    time.Duration
+	timeout  time.Duration
+	peers    []*sharePeer
+}
 
-	mu     sync.Mutex
-	shared map[string]uint64
+// sharePeer is another replica with the set of routers that it was told of.
+type sharePeer struct {
+	client *rpc.Client
+	woken  chan struct{}
+	// told is nil while the replica has to be told the whole set.
+	told routerSet
 }
 
 func newSharing(s *settings.Settings, l *leases) *sharing {
 	out := &sharing{
-		leases: l, heartbeat: s.Timeouts.Heartbeat(),
-		woken: make(chan struct{}, 1), shared: make(map[string]uint64),
+		instance: s.Instance, leases: l,
+		every: heartbeatsPerShare * s.Timeouts.Heartbeat(), timeout: s.Timeouts.Heartbeat(),
 	}
 	for _, peer := range s.PeersWithRole(settings.RoleControl) {
 		if peer.Instance != s.Instance {
-			out.peers = append(out.peers, rpc.NewClient(peer.Address, rpc.PurposeConfig))
+			client := rpc.NewClient(peer.Address, rpc.PurposeConfig)
+			out.peers = append(out.peers, &sharePeer{client: client, woken: make(chan struct{}, 1)})
 		}
 	}
 	return out
 }
 
-// wake shares soon if a router has reported a new revision.
+// wake shares soon what a router has reported.
 func (s *sharing) wake() {
-	select {
-	case s.woken <- struct{}{}:
-	default:
+	for _, peer := range s.peers {
+		select {
+		case peer.woken <- struct{}{}:
+		default:
+		}
 	}
 }
 
 func (s *sharing) run(ctx context.Context) error {
-	ticker := time.NewTicker(heartbeatsPerShare * s.heartbeat)
+	var wait sync.WaitGroup
+	for _, peer := range s.peers {
+		wait.Go(func() { s.runPeer(ctx, peer) })
+	}
+	wait.Wait()
+	<-ctx.Done()
+	return nil
+}
+
+func (s *sharing) runPeer(ctx context.Context, peer *sharePeer) {
+	ticker := time.NewTicker(s.every)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			peer.client.Close()
+			return
 		case <-ticker.C:
-			s.share(ctx, false)
-		case <-s.woken:
-			s.share(ctx, true)
+			s.share(ctx, peer, true)
+		case <-peer.woken:
+			s.share(ctx, peer, false)
 			time.Sleep(shareDelay)
 		}
 	}
 }
 
-// share sends all live reports, or only those of a new revision.
-func (s *sharing) share(ctx context.Context, onlyNew bool) {
-	now := time.Now()
-	request := &configpb.ShareRequest{}
-	s.mu.Lock()
-	for instance, r := range s.leases.heard(now) {
-		if onlyNew && s.shared[instance] == r.revision {
-			continue
-		}
-		s.shared[instance] = r.revision
-		request.Reports = append(request.Reports, &configpb.RouterReport{
-			Instance: instance, Revision: r.revision, AgeMs: uint32(now.Sub(r.at).Milliseconds()),
-		})
-	}
-	s.mu.Unlock()
-	if len(request.GetReports()) == 0 {
+// share tells a replica what changed in the set. Without a change it does so
+// only to confirm the set.
+func (s *sharing) share(ctx context.Context, peer *sharePeer, confirm bool) {
+	heard := s.leases.heard(time.Now())
+	prompt := time.Duration(promptAge * float64(s.every))
+	request, set := shareRequest(time.Now(), heard, peer.told, prompt)
+	if !confirm && set.digest() == peer.told.digest() {
 		return
 	}
-	for _, peer := range s.peers {
-		go s.send(ctx, peer, request)
+	request.From = s.instance
+	response, err := s.send(ctx, peer, request)
+	peer.told = set
+	if err != nil || response.GetUnknown() {
+		peer.told = nil
 	}
 }
 
-func (s *sharing) send(ctx context.Context, peer *rpc.Client, request *configpb.ShareRequest) {
-	ctx, cancel := context.WithTimeout(ctx, s.heartbeat)
+func (s *sharing) send(ctx context.Context, peer *sharePeer, request *configpb.ShareRequest) (*configpb.ShareResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	_ = peer.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := configpb.NewDRPCConfigClient(conn).Share(ctx, request)
+	var response *configpb.ShareResponse
+	err := peer.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
+		var err error
+		response, err = configpb.NewDRPCConfigClient(conn).Share(ctx, request)
 		return err
 	})
+	return response, err
 }
