--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -149,9 +149,5 @@
 
 // status tells how far a revision has spread.
 func (c *Control) status(now time.Time, revision uint64) *api.Status {
-	var changed time.Time
-	if change := c.store.ChangeAt(revision); change != nil {
-		changed = change.Time
-	}
-	return c.leases.status(now, revision, changed)
+	return c.leases.status(now, revision, c.store.ChangedAt(revision))
 }
--- a/internal/control/index.go
+++ b/internal/control/index.go
@@ -1,49 +1,99 @@
 package control
 
 import (
+	"encoding/json"
 	"slices"
 
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// nameKey is a name of a kind in a scheme; the empty scheme stands for any.
+// nameKey is a name of a kind in a scheme.
 type nameKey struct {
 	kind   api.Kind
 	scheme api.Scheme
 	name   string
 }
 
+// stored is a resource as the store keeps it. Decoded resources take several
+// times the memory, and few are read.
+type stored struct {
+	encoded json.RawMessage
+	kind    api.Kind
+	version uint64
+}
+
+// decode returns the resource. What the store encoded can be decoded.
+func (s stored) decode() *api.Resource { return decodeResource(s.encoded) }
+
+func decodeResource(encoded json.RawMessage) *api.Resource {
+	if encoded == nil {
+		return nil
+	}
+	resource := &api.Resource{}
+	if err := json.Unmarshal(encoded, resource); err != nil {
+		return nil
+	}
+	return resource
+}
+
+func encodeResource(resource *api.Resource) json.RawMessage {
+	raw, err := json.Marshal(resource)
+	if err != nil {
+		return nil
+	}
+	return append(make(json.RawMessage, 0, len(raw)), raw...)
+}
+
 // index finds resources by name and knows which refer to which.
 type index struct {
-	resources map[string]*api.Resource
-	// names holds the UIDs under each name; a name in a scheme has one.
-	names map[nameKey][]string
+	resources map[string]stored
+	// names holds the UID under each name; a name in a scheme has one.
+	names map[nameKey]string
+	// schemes are those of the names, each once.
+	schemes []api.Scheme
 	// references holds the references of the resources that have any.
 	references map[string][]api.Reference
 }
 
 func newIndex() *index {
 	return &index{
-		resources:  make(map[string]*api.Resource),
-		names:      make(map[nameKey][]string),
+		resources:  make(map[string]stored),
+		names:      make(map[nameKey]string),
 		references: make(map[string][]api.Reference),
 	}
 }
 
-func keysOf(resource *api.Resource) []nameKey {
-	keys := make([]nameKey, 0, 2*len(resource.Names))
+// keysOf returns the keys of a resource's names, with the strings that the index
+// has already.
+func (x *index) keysOf(resource *api.Resource) []nameKey {
+	keys := make([]nameKey, 0, len(resource.Names))
 	for scheme, name := range resource.Names {
-		keys = append(keys, nameKey{resource.Kind, scheme, name}, nameKey{resource.Kind, "", name})
+		keys = append(keys, nameKey{sharedKind(resource.Kind), x.sharedScheme(scheme), name})
 	}
 	return keys
 }
 
-func (x *index) add(resource *api.Resource) {
-	x.resources[resource.UID] = resource
-	for _, key := range keysOf(resource) {
-		if !slices.Contains(x.names[key], resource.UID) {
-			x.names[key] = append(x.names[key], resource.UID)
-		}
+func sharedKind(kind api.Kind) api.Kind {
+	if i := slices.Index(api.Kinds, kind); i >= 0 {
+		return api.Kinds[i]
+	}
+	return kind
+}
+
+func (x *index) sharedScheme(scheme api.Scheme) api.Scheme {
+	i := slices.Index(x.schemes, scheme)
+	if i < 0 {
+		x.schemes = append(x.schemes, scheme)
+		return scheme
+	}
+	return x.schemes[i]
+}
+
+// add puts a resource with its encoding into the index.
+func (x *index) add(resource *api.Resource, encoded json.RawMessage) {
+	x.resources[resource.UID] = stored{encoded: encoded, kind: sharedKind(resource.Kind), version: resource.ResourceVersion}
+	for _, key := range x.keysOf(resource) {
+		x.names[key] = resource.UID
 	}
 	spec, err := api.DecodeSpec(resource.Kind, resource.Spec)
 	if err != nil {
@@ -57,13 +107,10 @@
 func (x *index) remove(resource *api.Resource) {
 	delete(x.resources, resource.UID)
 	delete(x.references, resource.UID)
-	for _, key := range keysOf(resource) {
-		uids := slices.DeleteFunc(x.names[key], func(uid string) bool { return uid == resource.UID })
-		if len(uids) == 0 {
+	for _, key := range x.keysOf(resource) {
+		if x.names[key] == resource.UID {
 			delete(x.names, key)
-			continue
 		}
-		x.names[key] = uids
 	}
 }
 
@@ -73,7 +120,7 @@
 		x.remove(before)
 	}
 	if after != nil && !after.Deleted {
-		x.add(after)
+		x.add(after, encodeResource(after))
 	}
 }
 
@@ -81,25 +128,41 @@
 	if !slices.Contains(api.Kinds, kind) {
 		return nil, api.FieldErrorf(api.CodeKindUnknown, "kind", "%q", kind)
 	}
-	scheme, name := ref.Split()
-	uids := x.names[nameKey{kind, scheme, name}]
+	uids := x.uidsOf(kind, ref)
 	switch len(uids) {
 	case 0:
 		return nil, api.FieldErrorf(api.CodeResourceNotFound, "name", "%q", ref)
 	case 1:
-		return x.resources[uids[0]], nil
+		return x.resources[uids[0]].decode(), nil
 	}
 	return nil, api.FieldErrorf(api.CodeNameAmbiguous, "name", "%q", ref)
 }
 
+// uidsOf returns the UIDs of the resources that ref names. A bare name stands for
+// that name in any scheme.
+func (x *index) uidsOf(kind api.Kind, ref api.Ref) []string {
+	scheme, name := ref.Split()
+	schemes := x.schemes
+	if scheme != "" {
+		schemes = []api.Scheme{scheme}
+	}
+	var out []string
+	for _, scheme := range schemes {
+		uid := x.names[nameKey{kind, scheme, name}]
+		if uid != "" && !slices.Contains(out, uid) {
+			out = append(out, uid)
+		}
+	}
+	return out
+}
+
 // checkNames refuses names that another resource has in the same scheme.
 func (x *index) checkNames(resource *api.Resource) error {
 	for _, ref := range resource.Names.Refs() {
 		scheme, name := ref.Split()
-		for _, uid := range x.names[nameKey{resource.Kind, scheme, name}] {
-			if uid != resource.UID {
-				return api.FieldErrorf(api.CodeNameTaken, "names."+string(scheme), "%q is taken", name)
-			}
+		uid := x.names[nameKey{resource.Kind, scheme, name}]
+		if uid != "" && uid != resource.UID {
+			return api.FieldErrorf(api.CodeNameTaken, "names."+string(scheme), "%q is taken", name)
 		}
 	}
 	return nil
@@ -128,9 +191,10 @@
 			if reference.Kind != kind {
 				continue
 			}
-			if _, err := x.find(kind, reference.Ref); err != nil {
+			if len(x.uidsOf(kind, reference.Ref)) != 1 {
+				referring := x.resources[uid].decode()
 				return api.FieldErrorf(api.CodeStillReferenced, "names", "%s %v refers to %q",
-					x.resources[uid].Kind, x.resources[uid].Names.Refs(), reference.Ref)
+					referring.Kind, referring.Names.Refs(), reference.Ref)
 			}
 		}
 	}
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -30,7 +30,7 @@
 func (s *service) Send(ctx context.Context, envelope *consensuspb.Envelope) (*consensuspb.SendResponse, error) {
 	answer := make(chan consensus.Message, 1)
 	response := &consensuspb.SendResponse{}
-	if !isHeartbeat(envelope) {
+	if !envelope.GetTakesAnswers() || !isHeartbeat(envelope) {
 		return response, s.replica.step(ctx, envelope.GetGroup(), envelope.GetInstance(), envelope.GetMessages(), nil)
 	}
 	if err := s.replica.step(ctx, envelope.GetGroup(), envelope.GetInstance(), envelope.GetMessages(), answer); err != nil {
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -144,7 +144,7 @@
 
 // collect takes what waits behind the first message.
 func (t *transport) collect(p *peer, first consensus.Message) *consensuspb.Envelope {
-	envelope := &consensuspb.Envelope{Group: t.currentGroup(), Instance: t.instance}
+	envelope := &consensuspb.Envelope{Group: t.currentGroup(), Instance: t.instance, TakesAnswers: true}
 	size := 0
 	for m := first; ; {
 		envelope.Messages = append(envelope.Messages, toMessage(m))
--- a/internal/control/routers.go
+++ b/internal/control/routers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -38,16 +39,16 @@
 // sendChanges sends what came above a revision, as changes or, where these are
 // no longer kept or the router is new, as a snapshot.
 func (c *Control) sendChanges(stream configpb.DRPCConfig_WatchStream, above uint64) (uint64, error) {
-	changes, revision, err := c.store.Changes(above)
+	changes, revision, err := c.store.changesAbove(above)
 	if err != nil || above == 0 {
-		list := c.store.List("")
-		return list.Revision, configpb.SendParts(stream, list.Revision, true, list.Items)
+		resources, revision := c.store.Encoded("")
+		return revision, configpb.SendEncoded(stream, revision, true, resources)
 	}
-	resources := make([]*api.Resource, 0, len(changes))
+	resources := make([]json.RawMessage, 0, len(changes))
 	for _, change := range changes {
 		resources = append(resources, change.After)
 	}
-	return max(above, revision), configpb.SendParts(stream, revision, false, resources)
+	return max(above, revision), configpb.SendEncoded(stream, revision, false, resources)
 }
 
 // Report implements the RPC service: it renews a router's lease.
@@ -61,5 +62,5 @@
 // Share implements the RPC service: it takes reports that another replica heard.
 func (c *Control) Share(_ context.Context, request *configpb.ShareRequest) (*configpb.ShareResponse, error) {
 	known := c.heardBy.take(time.Now(), request, c.leases)
-	return &configpb.ShareResponse{Unknown: !known}, nil
+	return &configpb.ShareResponse{Known: known}, nil
 }
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -104,7 +104,7 @@
 	request.From = s.instance
 	response, err := s.send(ctx, peer, request)
 	peer.told = set
-	if err != nil || response.GetUnknown() {
+	if err != nil || !response.GetKnown() {
 		peer.told = nil
 	}
 }
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -1,13 +1,12 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
-	"sort"
 	"sync"
-
-	"github.com/pkg/errors"
+	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 )
@@ -22,7 +21,7 @@
 	mu       sync.Mutex
 	revision uint64
 	index    *index
-	changes  []*api.Change
+	changes  []*keptChange
 	// outcomes are in the order of the log, and by request ID.
 	outcomes  []*Outcome
 	byRequest map[string]*Outcome
@@ -60,7 +59,7 @@
 	digest := command.digest()
 	if first := s.byRequest[command.RequestID]; first != nil {
 		if first.Digest == digest {
-			return first
+			return s.withResource(first)
 		}
 		return &Outcome{Error: api.FieldErrorf(api.CodeRequestIDReused, "requestId", "%q", command.RequestID)}
 	}
@@ -70,10 +69,20 @@
 		outcome.Error = api.AsError(err)
 	} else {
 		outcome.Revision = change.Revision
-		outcome.Resource = change.After
 	}
 	s.remember(outcome)
-	return outcome
+	return s.withResource(outcome)
+}
+
+// withResource returns an outcome with the resource that a success left, which
+// stands in the change of its revision.
+func (s *Store) withResource(outcome *Outcome) *Outcome {
+	if outcome.Revision == 0 {
+		return outcome
+	}
+	whole := *outcome
+	whole.Resource = decodeResource(s.changeAt(outcome.Revision).After)
+	return &whole
 }
 
 func (s *Store) remember(outcome *Outcome) {
@@ -86,7 +95,7 @@
 }
 
 // change carries out a command that was not seen before.
-func (s *Store) change(command *Command) (*api.Change, error) {
+func (s *Store) change(command *Command) (*keptChange, error) {
 	before, err := s.index.find(command.Kind, command.Ref)
 	if err != nil && (command.Verb == api.VerbDelete || api.AsError(err).Code != api.CodeResourceNotFound) {
 		return nil, err
@@ -95,14 +104,18 @@
 		return nil, err
 	}
 	after := command.after(before)
+	after.ResourceVersion = s.revision + 1
+	var encodedBefore json.RawMessage
+	if before != nil {
+		encodedBefore = s.index.resources[before.UID].encoded
+	}
 	if err := s.checkChange(before, after, command.Ref); err != nil {
 		return nil, err
 	}
 	s.revision++
-	after.ResourceVersion = s.revision
-	change := &api.Change{
+	change := &keptChange{
 		Revision: s.revision, Time: command.Time, Operator: command.Operator, RequestID: command.RequestID,
-		Verb: command.Verb, Before: before, After: after,
+		Verb: command.Verb, Before: encodedBefore, After: s.encodedAfter(after),
 	}
 	s.changes = append(s.changes, change)
 	if len(s.changes) > keptChanges {
@@ -178,18 +191,31 @@
 // List returns all resources of a kind, oldest change first; the empty kind
 // stands for all kinds.
 func (s *Store) List(kind api.Kind) *api.ResourceList {
+	encoded, revision := s.Encoded(kind)
+	list := &api.ResourceList{Revision: revision, Items: make([]*api.Resource, 0, len(encoded))}
+	for _, raw := range encoded {
+		list.Items = append(list.Items, decodeResource(raw))
+	}
+	return list
+}
+
+// Encoded returns the resources that List does, each encoded as JSON, and the
+// current revision.
+func (s *Store) Encoded(kind api.Kind) ([]json.RawMessage, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := &api.ResourceList{Revision: s.revision, Items: []*api.Resource{}}
+	var found []stored
 	for _, resource := range s.index.resources {
-		if kind == "" || resource.Kind == kind {
-			list.Items = append(list.Items, resource)
+		if kind == "" || resource.kind == kind {
+			found = append(found, resource)
 		}
 	}
-	sort.Slice(list.Items, func(i, j int) bool {
-		return list.Items[i].ResourceVersion < list.Items[j].ResourceVersion
-	})
-	return list
+	slices.SortFunc(found, func(a, b stored) int { return cmp.Compare(a.version, b.version) })
+	out := make([]json.RawMessage, 0, len(found))
+	for _, resource := range found {
+		out = append(out, resource.encoded)
+	}
+	return out, s.revision
 }
 
 // Revision returns the current revision.
@@ -202,6 +228,11 @@
 // Changes returns the changes above a revision and the current revision, or
 // CodeRevisionGone where some of them are no longer kept.
 func (s *Store) Changes(above uint64) ([]*api.Change, uint64, error) {
+	kept, revision, err := s.changesAbove(above)
+	return decodeChanges(kept), revision, err
+}
+
+func (s *Store) changesAbove(above uint64) ([]*keptChange, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldest := s.revision - uint64(len(s.changes))
@@ -217,14 +248,24 @@
 // KeptChanges returns all changes that are kept and the current revision.
 func (s *Store) KeptChanges() ([]*api.Change, uint64) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.changes), s.revision
+	kept, revision := slices.Clone(s.changes), s.revision
+	s.mu.Unlock()
+	return decodeChanges(kept), revision
 }
 
-// ChangeAt returns the change of a revision, or nil where it is no longer kept.
-func (s *Store) ChangeAt(revision uint64) *api.Change {
+// ChangedAt returns when a revision was made, or the zero time where it is no
+// longer kept.
+func (s *Store) ChangedAt(revision uint64) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if change := s.changeAt(revision); change != nil {
+		return change.Time
+	}
+	return time.Time{}
+}
+
+// changeAt returns the change of a revision, or nil where it is no longer kept.
+func (s *Store) changeAt(revision uint64) *keptChange {
 	oldest := s.revision - uint64(len(s.changes))
 	if revision <= oldest || revision > s.revision {
 		return nil
@@ -246,54 +287,4 @@
 	}
 }
 
-// storeSnapshot is the encoded state of a store.
-type storeSnapshot struct {
-	Revision  uint64          `json:"revision"`
-	Resources []*api.Resource `json:"resources"`
-	Changes   []*api.Change   `json:"changes"`
-	Outcomes  []*Outcome      `json:"outcomes"`
-}
-
-// Snapshot implements replica.StateMachine.
-func (s *Store) Snapshot() ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	snapshot := &storeSnapshot{Revision: s.revision, Changes: s.changes}
-	for _, outcome := range s.outcomes {
-		// The resource of a success stands in the change of its revision.
-		lean := *outcome
-		lean.Resource = nil
-		snapshot.Outcomes = append(snapshot.Outcomes, &lean)
-	}
-	for _, uid := range sortedKeys(s.index.resources) {
-		snapshot.Resources = append(snapshot.Resources, s.index.resources[uid])
-	}
-	raw, err := json.Marshal(snapshot)
-	return raw, errors.Wrap(err, "encode the store")
-}
-
-// Restore implements replica.StateMachine.
-func (s *Store) Restore(raw []byte) error {
-	snapshot := &storeSnapshot{}
-	if err := json.Unmarshal(raw, snapshot); err != nil {
-		return errors.Wrap(err, "decode the store")
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision, s.changes, s.outcomes = snapshot.Revision, snapshot.Changes, snapshot.Outcomes
-	s.index = newIndex()
-	for _, resource := range snapshot.Resources {
-		s.index.add(resource)
-	}
-	s.byRequest = make(map[string]*Outcome, len(s.outcomes))
-	for _, outcome := range s.outcomes {
-		if outcome.Revision > 0 {
-			outcome.Resource = s.changes[len(s.changes)-1-int(s.revision-outcome.Revision)].After
-		}
-		s.byRequest[outcome.RequestID] = outcome
-	}
-	s.notify()
-	return nil
-}
-
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/test/measure/watches_test.go
@@ -0,0 +1,115 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/internal/configwatch"
+	"peridotwinch.example/peridotwinch/internal/load"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/testbed"
+)
+
+// controlReplicas is the size of the control group of the target.
+const controlReplicas = 5
+
+// TestSlopeWatches is what a group of five control replicas spends on so many
+// routers that watch it and report to it. The routers are watchers in the test
+// process.
+func TestSlopeWatches(t *testing.T) {
+	needMeasure(t)
+	s := &slope{name: "routers that watch five control replicas", columns: []string{
+		"highest replica cores", "mean replica cores", "highest replica control B/s", "mean replica control B/s",
+		"highest consensus B/s", "highest replica MB",
+	}}
+	for _, count := range []int{45, 90, 180, 357} {
+		system := controlGroup(t)
+		stop := system.watchers(count)
+		s.add(float64(count), system.controlCosts()...)
+		stop()
+		system.Close()
+	}
+	s.print()
+}
+
+// controlGroup starts five control replicas, each in its own failure domain.
+func controlGroup(t *testing.T) *system {
+	g := NewWithT(t)
+	spec := testbed.Spec{}
+	for i := range controlReplicas {
+		spec.Daemons = append(spec.Daemons, testbed.DaemonSpec{
+			Instance: fmt.Sprint("control-", i), FailureDomain: fmt.Sprint("domain-", i), Roles: []settings.Role{settings.RoleControl},
+		})
+	}
+	bed, err := testbed.New(t.TempDir(), spec)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(bed.Close)
+	g.Expect(bed.Start()).To(Succeed())
+	s := &system{Bed: bed, g: g, targets: &load.Targets{}}
+	for _, daemon := range s.WithRole(settings.RoleControl) {
+		g.Expect(daemon.WaitReady()).To(Succeed())
+	}
+	d := deployment{short: "short", long: "long", appsOf: "calls"}
+	for _, resource := range d.resources([]load.Customer{slopeCustomer}) {
+		s.apply(resource)
+	}
+	return s
+}
+
+// watchers runs so many routers' watches, as many in each of the replicas'
+// failure domains, and waits until all have the configuration.
+func (s *system) watchers(count int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	var all []*configwatch.Watcher
+	var peers []settings.Peer
+	for _, daemon := range s.WithRole(settings.RoleControl) {
+		peers = append(peers, settings.Peer{
+			Instance: daemon.Name, FailureDomain: daemon.Settings.FailureDomain,
+			Address: daemon.Settings.Listen.Peers, Roles: daemon.Settings.Roles,
+		})
+	}
+	for i := range count {
+		watcher := configwatch.New(&settings.Settings{
+			Instance: fmt.Sprintf("router-%03d", i), FailureDomain: fmt.Sprint("domain-", i%controlReplicas), Peers: peers,
+		}, zerolog.Nop())
+		all = append(all, watcher)
+		wait.Go(func() { _ = watcher.Run(ctx) })
+	}
+	for _, watcher := range all {
+		s.g.Expect(testbed.Eventually(func() error {
+			if watcher.IsCutOff() {
+				return errors.New("not watching yet")
+			}
+			return watcher.Ready()
+		})).To(Succeed())
+	}
+	return func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+// controlCosts returns the cost of the control replicas at rest.
+func (s *system) controlCosts() []float64 {
+	before := make(map[string]*load.Counters)
+	for _, daemon := range s.WithRole(settings.RoleControl) {
+		before[daemon.Name] = s.counters(daemon.Name)
+	}
+	rest()
+	var cores, mean, bytes, meanBytes, consensus, memory float64
+	for name, counters := range before {
+		r := s.counters(name).Since(counters, name)
+		cores, mean = max(cores, perSecond(r)), mean+perSecond(r)/controlReplicas
+		bytes, meanBytes = max(bytes, r.ControlTotal), meanBytes+r.ControlTotal/controlReplicas
+		consensus = max(consensus, r.ControlBytesPerSecond["consensus"])
+		memory = max(memory, megabytes(r))
+	}
+	return []float64{cores, mean, bytes, meanBytes, consensus, memory}
+}
