--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -228,7 +228,7 @@
 	if node.down || node.applied < node.durable.Snapshot.Index+testSnapshotEvery {
 		return
 	}
-	snapshot, ok := node.replica.Compact(node.applied, []byte("state"), uint64(n.random.IntN(testSnapshotEvery)))
+	snapshot, ok := node.replica.Compact(node.applied, uint64(n.random.IntN(testSnapshotEvery)))
 	if ok {
 		node.durable.Snapshot = snapshot
 		node.durable.Entries = slices.Clone(node.replica.Entries())
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -37,7 +37,7 @@
 type Replica struct {
 	config Config
 	log    *entryLog
-	// snapshot is the newest one; the log may still hold entries below it.
+	// snapshot is the newest one, without its data; the log may still hold entries below it.
 	snapshot Snapshot
 
 	term   uint64
@@ -70,7 +70,7 @@
 	r := &Replica{
 		config:    config,
 		log:       newEntryLog(withoutData(state.Snapshot), state.Entries),
-		snapshot:  state.Snapshot,
+		snapshot:  withoutData(state.Snapshot),
 		term:      state.HardState.Term,
 		vote:      state.HardState.Vote,
 		commit:    state.Snapshot.Index,
@@ -261,16 +261,17 @@
 
 const unlimitedBytes = int(^uint(0) >> 1)
 
-// Compact takes a snapshot of the state machine at an applied index. Entries
-// below it stay in memory as far as keep says, so that a replica which is only
-// a little behind needs no snapshot. An index that is not above the last
-// snapshot's or not yet applied changes nothing.
-func (r *Replica) Compact(index uint64, data []byte, keep uint64) (Snapshot, bool) {
+// Compact notes that the driver has a snapshot of the state machine at an applied
+// index, and returns it without data: the driver keeps that, and puts it into the
+// messages that carry a snapshot. Entries below it stay in memory as far as keep
+// says, so that a replica which is only a little behind needs no snapshot. An
+// index that is not above the last snapshot's or not yet applied changes nothing.
+func (r *Replica) Compact(index, keep uint64) (Snapshot, bool) {
 	if index <= r.snapshot.Index || index > r.applied {
 		return Snapshot{}, false
 	}
 	term, _ := r.log.term(index)
-	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index), Data: data}
+	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index)}
 	if base := index - min(keep, index); base > r.log.base.Index {
 		r.log.compact(base)
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -118,7 +118,7 @@
 	}
 	if snapshot.Index > r.commit {
 		r.log = newEntryLog(withoutData(*snapshot), nil)
-		r.snapshot = *snapshot
+		r.snapshot = withoutData(*snapshot)
 		r.commit, r.applied, r.stable = snapshot.Index, snapshot.Index, snapshot.Index
 		r.restored = snapshot
 	}
--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -20,6 +21,9 @@
 	snapshotFile = "snapshot"
 )
 
+// snapshotDataField is the number of the field of a snapshot that holds its data.
+const snapshotDataField = 4
+
 // disk keeps the durable state of a replica.
 type disk struct {
 	dir           string
@@ -57,17 +61,26 @@
 }
 
 func (d *disk) loadSnapshot(state *consensus.State) error {
+	snapshot, err := d.readSnapshot()
+	if err != nil || snapshot == nil {
+		return err
+	}
+	state.Snapshot = *fromSnapshot(snapshot)
+	d.snapshotBytes = int64(proto.Size(snapshot))
+	return nil
+}
+
+// readSnapshot returns the newest durable snapshot, or nil where there is none.
+func (d *disk) readSnapshot() (*consensuspb.Snapshot, error) {
 	raw, err := durable.ReadRecord(d.path(snapshotFile))
 	if err != nil || raw == nil {
-		return err
+		return nil, err
 	}
 	snapshot := &consensuspb.Snapshot{}
 	if err := proto.Unmarshal(raw, snapshot); err != nil {
-		return d.damaged(snapshotFile, "%v", err)
+		return nil, d.damaged(snapshotFile, "%v", err)
 	}
-	state.Snapshot = *fromSnapshot(snapshot)
-	d.snapshotBytes = int64(len(raw))
-	return nil
+	return snapshot, nil
 }
 
 // fold replays the records of the log.
@@ -137,14 +150,19 @@
 // saveSnapshot makes a snapshot durable and then shortens the log to the
 // entries above it.
 func (d *disk) saveSnapshot(snapshot consensus.Snapshot, above []consensus.Entry) error {
-	raw, err := proto.Marshal(toSnapshot(&snapshot))
+	lean := snapshot
+	lean.Data = nil
+	head, err := proto.Marshal(toSnapshot(&lean))
 	if err != nil {
 		return errors.Wrap(err, "encode a snapshot")
 	}
-	if err := durable.WriteRecord(d.path(snapshotFile), raw); err != nil {
+	// The data follows as the last field, without a copy of it.
+	head = protowire.AppendTag(head, snapshotDataField, protowire.BytesType)
+	head = protowire.AppendVarint(head, uint64(len(snapshot.Data)))
+	if err := durable.WriteRecord(d.path(snapshotFile), head, snapshot.Data); err != nil {
 		return err
 	}
-	d.snapshotBytes = int64(len(raw))
+	d.snapshotBytes = int64(len(head) + len(snapshot.Data))
 	rest, err := proto.Marshal(&consensuspb.Record{HardState: toHardState(d.hard), Entries: toEntries(above)})
 	if err != nil {
 		return errors.Wrap(err, "encode a record")
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -98,6 +98,7 @@
 		reads:     make(map[uint64]chan<- uint64),
 	}
 	r.transport.answered = r.stepAnswer
+	r.transport.readSnapshot = r.disk.readSnapshot
 	r.status.Store(&Status{})
 	var err error
 	if r.identity, err = r.disk.loadIdentity(); err != nil {
@@ -261,10 +262,11 @@
 	if err != nil {
 		return err
 	}
-	snapshot, ok := r.core.Compact(r.applied, data, keptEntries)
+	snapshot, ok := r.core.Compact(r.applied, keptEntries)
 	if !ok {
 		return nil
 	}
+	snapshot.Data = data
 	return r.disk.saveSnapshot(snapshot, r.core.Entries())
 }
 
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -37,6 +37,8 @@
 	peers    map[string]*peer
 	// answered takes the answers to heartbeats.
 	answered func(context.Context, *consensuspb.Message)
+	// readSnapshot returns the newest durable snapshot.
+	readSnapshot func() (*consensuspb.Snapshot, error)
 
 	mu        sync.Mutex
 	group     string
@@ -201,13 +203,22 @@
 	}
 }
 
-// install sends a message with a snapshot in parts.
+// install sends a message with the newest snapshot, which may have come after
+// the one that the message names, in parts.
 func (t *transport) install(ctx context.Context, p *peer, m consensus.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, installTimeout)
 	defer cancel()
-	data := m.Snapshot.Data
+	snapshot, err := t.readSnapshot()
+	if err != nil {
+		return err
+	}
+	if snapshot.GetIndex() < m.Snapshot.Index {
+		return errors.Errorf("the snapshot at %d is not on disk", m.Snapshot.Index)
+	}
 	first := toMessage(m)
-	first.Snapshot.Data = nil
+	first.Snapshot = snapshot
+	data := snapshot.GetData()
+	snapshot.Data = nil
 	return p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		stream, err := consensuspb.NewDRPCConsensusClient(conn).Install(ctx)
 		if err != nil {
--- a/internal/durable/file.go
+++ b/internal/durable/file.go
@@ -9,15 +9,15 @@
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// WriteFile replaces a file at once: after a crash it holds the old content or
-// the new one. It creates the folder where it is missing.
-func WriteFile(path string, content []byte) error {
+// WriteFile replaces a file at once by the parts of its content: after a crash it
+// holds the old content or the new one. It creates the folder where it is missing.
+func WriteFile(path string, parts ...[]byte) error {
 	dir := filepath.Dir(path)
 	if err := MakeFolder(dir); err != nil {
 		return err
 	}
 	temporary := path + ".tmp"
-	if err := writeSynced(temporary, content); err != nil {
+	if err := writeSynced(temporary, parts); err != nil {
 		return err
 	}
 	if err := os.Rename(temporary, path); err != nil {
@@ -26,21 +26,24 @@
 	return SyncFolder(dir)
 }
 
-func writeSynced(path string, content []byte) error {
+func writeSynced(path string, parts [][]byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "create a file")
 	}
 	defer func() { _ = file.Close() }()
-	if _, err := file.Write(content); err != nil {
-		return errors.Wrap(err, "write a file")
+	for _, part := range parts {
+		if _, err := file.Write(part); err != nil {
+			return errors.Wrap(err, "write a file")
+		}
 	}
 	return errors.Wrap(file.Sync(), "sync a file")
 }
 
-// WriteRecord replaces a file by one record with its checksum.
-func WriteRecord(path string, payload []byte) error {
-	return WriteFile(path, AppendFrame(nil, payload))
+// WriteRecord replaces a file by one record with its checksum. The payload comes
+// in parts, so that a large one need not be copied together.
+func WriteRecord(path string, parts ...[]byte) error {
+	return WriteFile(path, append([][]byte{frameHeader(parts)}, parts...)...)
 }
 
 // ReadRecord reads a file that WriteRecord wrote. A missing file gives nil; a
--- a/internal/durable/frame.go
+++ b/internal/durable/frame.go
@@ -25,13 +25,20 @@
 
 // AppendFrame appends the frame of a payload to buffer.
 func AppendFrame(buffer, payload []byte) []byte {
-	start := len(buffer)
-	buffer = append(buffer, frameMagic...)
-	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(payload)))
-	buffer = binary.BigEndian.AppendUint32(buffer, frameChecksum(buffer[start:], payload))
+	buffer = append(buffer, frameHeader([][]byte{payload})...)
 	return append(buffer, payload...)
 }
 
+// frameHeader returns what stands before a payload that comes in parts.
+func frameHeader(parts [][]byte) []byte {
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
+	header := binary.BigEndian.AppendUint32([]byte(frameMagic), uint32(length))
+	return binary.BigEndian.AppendUint32(header, frameChecksum(header, parts...))
+}
+
 // ReadFrame returns the payload of the frame at the start of raw and the
 // frame's size. It fails on anything but a whole, undamaged frame.
 func ReadFrame(raw []byte) (payload []byte, size int, err error) {
@@ -63,7 +70,10 @@
 	}
 }
 
-func frameChecksum(header, payload []byte) uint32 {
+func frameChecksum(header []byte, parts ...[]byte) uint32 {
 	sum := crc32.Update(0, castagnoli, header[frameLengthAt:frameChecksumAt])
-	return crc32.Update(sum, castagnoli, payload)
+	for _, part := range parts {
+		sum = crc32.Update(sum, castagnoli, part)
+	}
+	return sum
 }
