--- a/api/code.go
+++ b/api/code.go
@@ -47,6 +47,10 @@
 	CodePoolUnknown      Code = 3015
 	CodeNotConfigured    Code = 3016
 	CodeLedgerMajority   Code = 3020
+	CodeLedgerView       Code = 3021
+	CodeLedgerChange     Code = 3022
+	CodeLedgerMember     Code = 3023
+	CodeLedgerNoMajority Code = 3024
 	CodeDrainCut         Code = 3030
 	CodeAnswerNotKept    Code = 3031
 	CodeAnnouncement     Code = 4001
@@ -115,6 +119,10 @@
 	{CodePoolUnknown, "pool_unknown", http.StatusNotFound, ExitRefused, "No pool of plain services has this name."},
 	{CodeNotConfigured, "not_configured", http.StatusServiceUnavailable, ExitRefused, "The router has no configuration yet."},
 	{CodeLedgerMajority, "ledger_has_majority", http.StatusConflict, ExitRefused, "A majority of the group's ledger replicas is active; the others recover by themselves."},
+	{CodeLedgerView, "ledger_view_differs", http.StatusServiceUnavailable, ExitRefused, "The settings name other shards or members than the ledger group was formed with; the request may have run."},
+	{CodeLedgerChange, "ledger_change_pending", http.StatusConflict, ExitRefused, "Another change of the group's members is under way or came first; finish it with its own command."},
+	{CodeLedgerMember, "ledger_member_invalid", http.StatusUnprocessableEntity, ExitRefused, "The member to replace is not in the group, or the new one is, or has no empty ledger replica."},
+	{CodeLedgerNoMajority, "ledger_no_majority", http.StatusServiceUnavailable, ExitUnreachable, "No majority of the group's old members is active; nothing was decided, run the command again."},
 	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown cut requests in progress off."},
 	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for a resend."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
--- a/internal/cli/ledger.go
+++ b/internal/cli/ledger.go
@@ -20,7 +20,7 @@
 
 func (l *ledgerFlags) set(f *flag.FlagSet) {
 	f.StringVar(&l.settings, "settings", "", "settings file whose peers make up the group")
-	f.StringVar(&l.group, "group", string(ledger.FleetGroup), "fleet, or domain/NAME")
+	f.StringVar(&l.group, "group", string(ledger.FleetGroup), "fleet, shard/NUMBER, or domain/NAME")
 	f.StringVar(&l.output, "o", "text", "output format: text or json")
 }
 
@@ -63,12 +63,24 @@
 			fmt.Printf("%s %s unreachable: %s\n", m.Instance, m.Address, m.Error)
 			continue
 		}
-		fmt.Printf("%s %s %s generation %d epoch %d records %d\n",
-			m.Instance, m.Address, m.Phase, m.Generation, m.Epoch, m.Records)
+		fmt.Printf("%s %s %s generation %d epoch %d records %d members %v since %d%s\n",
+			m.Instance, m.Address, m.Phase, m.Generation, m.Epoch, m.Records, m.Members, m.Since, memberNote(m))
 	}
 	return nil
 }
 
+// memberNote says what is unusual about a replica's membership.
+func memberNote(m replica.MemberStatus) string {
+	note := ""
+	if !m.Member {
+		note = ", not a member"
+	}
+	if m.Pending != nil {
+		note += fmt.Sprintf(", changing to %v", m.Pending)
+	}
+	return note
+}
+
 func ledgerRestartCommand() *command {
 	var flags ledgerFlags
 	var quarantine time.Duration
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -40,7 +40,10 @@
 	NameSchemes []api.Scheme      `json:"nameSchemes"`
 	DataRoot    string            `json:"dataRoot"`
 	Timeouts    settings.Timeouts `json:"timeouts"`
-	Instances   []Instance        `json:"instances"`
+	// LedgerShards divides customers' keys among the ledger replicas; without it
+	// all replicas are one group.
+	LedgerShards LedgerShards `json:"ledgerShards"`
+	Instances    []Instance   `json:"instances"`
 }
 
 // Load reads an inventory and refuses unknown fields.
@@ -64,9 +67,14 @@
 	if err != nil {
 		return nil, err
 	}
+	shards, err := v.shards(peers)
+	if err != nil {
+		return nil, err
+	}
 	out := make([]*settings.Settings, 0, len(v.Instances))
 	for i, instance := range v.Instances {
 		s := v.settingsOf(instance, peers)
+		s.LedgerShards = shards
 		if errs := s.Validate(); len(errs) > 0 {
 			return nil, errors.Wrapf(errs, "instances[%d]", i)
 		}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -1,12 +1,14 @@
 package layout_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/layout"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
@@ -39,3 +41,38 @@
 	_, err = inventory.Settings()
 	g.Expect(err).To(MatchError(ContainSubstring("1001 settings_invalid: instances[0].ip")))
 }
+
+// TestShardsSpreadOverFailureDomains lays out 8 shards of 3 over 24 failure domains.
+func TestShardsSpreadOverFailureDomains(t *testing.T) {
+	g := NewWithT(t)
+	inventory := &layout.Inventory{
+		NameSchemes: []api.Scheme{"engine"}, DataRoot: "data",
+		LedgerShards: layout.LedgerShards{Count: 8, Replicas: 3},
+	}
+	for i := range 24 {
+		inventory.Instances = append(inventory.Instances, layout.Instance{
+			Instance: fmt.Sprintf("l-%02d", i), FailureDomain: fmt.Sprintf("d-%02d", i), IP: "127.0.0.1",
+			FirstPort: uint16(9000 + 10*i), Roles: []settings.Role{settings.RoleLedger},
+		})
+	}
+	all, err := inventory.Settings()
+	g.Expect(err).NotTo(HaveOccurred())
+	load := make(map[string]int)
+	for _, shard := range all[0].LedgerShards {
+		g.Expect(shard).To(HaveLen(3))
+		for _, instance := range shard {
+			load[instance]++
+		}
+	}
+	g.Expect(load).To(HaveLen(24), "each replica has one shard")
+	for _, s := range all {
+		g.Expect(s.LedgerShards).To(Equal(all[0].LedgerShards))
+	}
+	inventory.LedgerShards.Replicas = 4
+	_, err = inventory.Settings()
+	g.Expect(err).To(MatchError(ContainSubstring("ledgerShards[0]")))
+	inventory.LedgerShards.Replicas = 5
+	inventory.Instances = inventory.Instances[:4]
+	_, err = inventory.Settings()
+	g.Expect(err).To(MatchError(ContainSubstring("ledgerShards.replicas")))
+}
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -23,6 +23,9 @@
 	OutcomeExpired
 	// OutcomeReused says that the key stands for another request.
 	OutcomeReused
+	// OutcomeViewDiffers says that the replicas have other shards or members
+	// than the claimer believes.
+	OutcomeViewDiffers
 )
 
 // Attempt counts the replies of a group's replicas to one attempt: a
@@ -84,7 +87,8 @@
 	if a.count(StatusCompleted) > 0 {
 		return OutcomeCompleted
 	}
-	refusals := a.count(StatusHeld) + a.count(StatusReleased) + a.count(StatusExpired) + a.count(StatusReused)
+	refusals := a.count(StatusHeld) + a.count(StatusReleased) + a.count(StatusExpired) + a.count(StatusReused) +
+		a.count(StatusViewDiffers)
 	canWin := len(a.replies)-refusals >= a.majority()
 	if canWin && a.isOpen() {
 		return OutcomeOpen
@@ -98,6 +102,8 @@
 		return OutcomeExpired
 	case a.count(StatusReused) > 0:
 		return OutcomeReused
+	case len(a.replies)-a.count(StatusViewDiffers) < a.majority():
+		return OutcomeViewDiffers
 	case a.isOpen():
 		return OutcomeYield
 	case a.takingPart() < a.majority():
@@ -158,7 +164,7 @@
 
 // takingPart counts the members that answered as active replicas.
 func (a *Attempt) takingPart() int {
-	return len(a.replies) - a.count(0) - a.count(StatusInactive)
+	return len(a.replies) - a.count(0) - a.count(StatusInactive) - a.count(StatusViewDiffers)
 }
 
 func (a *Attempt) count(status Status) int {
--- a/internal/ledger/claimer.go
+++ b/internal/ledger/claimer.go
@@ -58,6 +58,9 @@
 	VerdictExpired
 	// VerdictReused says that the key was used with another request.
 	VerdictReused
+	// VerdictViewDiffers says that the replicas were formed with another number
+	// of shards than this router's settings name.
+	VerdictViewDiffers
 )
 
 // Decision is the result of a claim.
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -1,10 +1,8 @@
 package ledger
 
-import "slices"
-
-// maxMembers bounds the members of a group; it makes epochs unique to the
+// MaxMembers bounds the members of a group; it makes epochs unique to the
 // replica that raised them.
-const maxMembers = 64
+const MaxMembers = 64
 
 // Majority returns how many of n replicas are a majority.
 func Majority(n int) int { return n/2 + 1 }
@@ -12,25 +10,34 @@
 // NextEpoch returns the epoch that the member with this index raises after it
 // has seen the highest one of others.
 func NextEpoch(highest uint64, member int) uint64 {
-	return (highest/maxMembers+1)*maxMembers + uint64(member)
+	return (highest/MaxMembers+1)*MaxMembers + uint64(member)
 }
 
 // OperatorEpoch returns the epoch of a restart; no member raises the same one.
-func OperatorEpoch(highest uint64) uint64 { return NextEpoch(highest, maxMembers-1) }
+func OperatorEpoch(highest uint64) uint64 { return NextEpoch(highest, MaxMembers-1) }
 
 // firstEpoch is the epoch of a new group.
-const firstEpoch uint64 = maxMembers
+const firstEpoch uint64 = MaxMembers
+
+// Formation is what the members of a new group promise.
+type Formation struct {
+	Generation uint64
+	List       MemberList
+	Shards     int
+	Layout     uint64
+}
 
 // PrepareFormation promises to take part in a formation. Only a replica that
 // has never been active accepts.
-func (s *State) PrepareFormation(generation uint64, members []string) (bool, []Change) {
-	if s.meta.Phase == PhaseActive || generation < s.meta.Generation {
+func (s *State) PrepareFormation(f Formation) (bool, []Change) {
+	if s.meta.Phase == PhaseActive || f.Generation < s.meta.Generation {
 		return false, nil
 	}
-	if s.meta.Phase == PhaseForming && s.meta.Generation == generation {
+	if s.meta.Phase == PhaseForming && s.meta.Generation == f.Generation {
 		return true, nil
 	}
-	meta := Meta{Phase: PhaseForming, Generation: generation, Epoch: firstEpoch, Members: slices.Clone(members)}
+	meta := Meta{Phase: PhaseForming, Generation: f.Generation, Epoch: firstEpoch, Shards: f.Shards, Layout: f.Layout}
+	meta.setList(f.List)
 	return true, []Change{s.setMeta(meta)}
 }
 
@@ -66,24 +73,47 @@
 
 // Recover fills an empty replica from copies that other replicas made after
 // they raised the epoch. It refuses with less than a majority of all members,
-// which does not count the recovering replica itself.
-func (s *State) Recover(epoch uint64, members []string, copies []Copy) (bool, []Change) {
-	if s.meta.Phase == PhaseActive || len(copies) < Majority(len(members)) {
+// which does not count the recovering replica itself, and with copies of members
+// that neither follow the list nor have accepted it. The list must be the chosen
+// one; it may be new, and the replica a new member.
+func (s *State) Recover(epoch uint64, list MemberList, copies []Copy) (bool, []Change) {
+	if s.meta.Phase == PhaseActive || len(copies) < Majority(len(list.Members)) {
 		return false, nil
 	}
-	meta := Meta{Phase: PhaseActive, Epoch: epoch, Members: slices.Clone(members)}
+	meta := Meta{Phase: PhaseActive, Epoch: max(epoch, list.Since)}
+	meta.setList(list)
 	for _, one := range copies {
-		if one.Meta.Epoch < epoch {
+		if one.Meta.Epoch < epoch || !one.Meta.Keeps(list) {
 			return false, nil
 		}
-		meta.Generation = max(meta.Generation, one.Meta.Generation)
-		meta.QuarantineUntil = max(meta.QuarantineUntil, one.Meta.QuarantineUntil)
+		meta.take(one.Meta)
 	}
 	// The meta comes last: a replica that crashes before it is still empty.
 	changes := s.replaceRecords(UnionCopies(copies))
 	return true, append(changes, s.setMeta(meta))
 }
 
+// Keeps reports whether the replica grants only to claims of this list: it
+// follows it, or has accepted it and grants nothing.
+func (m Meta) Keeps(list MemberList) bool {
+	return m.Since == list.Since || (m.Pending != nil && m.Pending.Since == list.Since)
+}
+
+// take merges what a recovering replica needs of another one's meta. A change
+// that the other one has accepted counts as accepted here too.
+func (m *Meta) take(other Meta) {
+	m.Generation = max(m.Generation, other.Generation)
+	m.QuarantineUntil = max(m.QuarantineUntil, other.QuarantineUntil)
+	m.Shards, m.Layout = other.Shards, other.Layout
+	pending := other.Pending
+	if pending == nil || pending.Since <= m.Since {
+		return
+	}
+	if m.Pending == nil || pending.Since > m.Pending.Since {
+		m.Pending = pending
+	}
+}
+
 // UnionCopies merges the records of several copies.
 func UnionCopies(copies []Copy) map[KeyHash]*Record {
 	union := make(map[KeyHash]*Record)
@@ -105,6 +135,7 @@
 	meta.Phase = PhaseActive
 	// A member that recovers from the restarted ones may have raised the epoch.
 	meta.Epoch = max(meta.Epoch, s.meta.Epoch)
+	meta.Layout = s.meta.Layout
 	union := UnionCopies([]Copy{{Records: s.records}, {Records: records}})
 	for key, record := range union {
 		if record.Answer == nil && len(record.Holders) > 0 {
--- a/internal/ledger/memory_test.go
+++ b/internal/ledger/memory_test.go
@@ -11,7 +11,7 @@
 	s := activeState(3)
 	before := heapBytes()
 	for i := range b.N {
-		claim := ClaimRequest{Attempt: attemptID(1), Digest: Digest{1}}
+		claim := ClaimRequest{View: testView, Attempt: attemptID(1), Digest: Digest{1}}
 		binary.BigEndian.PutUint64(claim.Key[:], uint64(i))
 		s.Claim(testNow, claim)
 	}
--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -31,6 +31,7 @@
 type bench struct {
 	t         *rapid.T
 	n         int
+	view      uint64
 	replicas  []*State
 	attempts  []*Attempt
 	released  []bool
@@ -59,7 +60,7 @@
 }
 
 func newBench(t *rapid.T, replicas, attempts int) *bench {
-	b := &bench{t: t, n: replicas, released: make([]bool, attempts), ran: make([]bool, attempts)}
+	b := &bench{t: t, n: replicas, view: View(0, testList(replicas).Members), released: make([]bool, attempts), ran: make([]bool, attempts)}
 	for range replicas {
 		b.replicas = append(b.replicas, activeState(replicas))
 	}
@@ -81,7 +82,7 @@
 	attempt, _ := b.draw(t)
 	order := rapid.Permutation(b.indices()).Draw(t, "order")
 	for _, replica := range order[:rapid.IntRange(1, b.n).Draw(t, "count")] {
-		request := ClaimRequest{Attempt: attemptID(attempt), Epoch: b.attempts[attempt].Epoch()}
+		request := ClaimRequest{View: b.view, Attempt: attemptID(attempt), Epoch: b.attempts[attempt].Epoch()}
 		reply, _ := b.replicas[replica].Claim(testNow, request)
 		b.attempts[attempt].Add(replica, reply)
 	}
@@ -117,10 +118,10 @@
 	}
 	state := b.replicas[m.replica]
 	if m.release {
-		state.Release(testNow, ClaimRequest{Attempt: attemptID(m.attempt), Epoch: m.epoch})
+		state.Release(testNow, ClaimRequest{View: b.view, Attempt: attemptID(m.attempt), Epoch: m.epoch})
 		return
 	}
-	reply, _ := state.Claim(testNow, ClaimRequest{Attempt: attemptID(m.attempt), Epoch: m.epoch})
+	reply, _ := state.Claim(testNow, ClaimRequest{View: b.view, Attempt: attemptID(m.attempt), Epoch: m.epoch})
 	b.replies = append(b.replies, answer{m.attempt, m.replica, reply})
 }
 
@@ -160,7 +161,7 @@
 		t.Skip("not dispatched")
 	}
 	replica := rapid.IntRange(0, b.n-1).Draw(t, "replica")
-	b.replicas[replica].Complete(testNow, ClaimRequest{Attempt: attemptID(attempt)}, Answer{Status: 200})
+	b.replicas[replica].Complete(testNow, ClaimRequest{View: b.view, Attempt: attemptID(attempt)}, Answer{Status: 200})
 }
 
 // loseDisk empties a replica while the others can still recover it.
@@ -219,7 +220,7 @@
 			copies = append(copies, one)
 		}
 	}
-	state.Recover(r.epoch, make([]string, b.n), copies)
+	state.Recover(r.epoch, testList(b.n), copies)
 }
 
 // startRecovery learns the highest epoch of a majority of the others.
--- a/internal/ledger/quorum/claim.go
+++ b/internal/ledger/quorum/claim.go
@@ -11,7 +11,7 @@
 
 // claim is a claim in progress.
 type claim struct {
-	group   *group
+	view    *view
 	request ledger.ClaimRequest
 	// contended is set once a rival was ahead.
 	contended bool
@@ -20,12 +20,15 @@
 // round runs one attempt ID to its end. It reports false when the key came free
 // again and the claim goes on under a new ID.
 func (c *claim) round(ctx context.Context) (ledger.Decision, bool) {
-	attempt := ledger.NewAttempt(c.request.Attempt, len(c.group.replicas))
+	attempt := ledger.NewAttempt(c.request.Attempt, len(c.view.replicas))
 	outcome := c.ask(ctx, attempt)
 	if outcome == ledger.OutcomeGranted {
 		return ledger.Decision{Verdict: ledger.VerdictGranted}, true
 	}
 	c.giveBack(ctx, attempt)
+	if !c.view.isCurrent() {
+		return ledger.Decision{Verdict: ledger.VerdictUnavailable}, ctx.Err() != nil
+	}
 	switch outcome {
 	case ledger.OutcomeCompleted:
 		return completed(attempt.Answer()), true
@@ -33,6 +36,8 @@
 		return ledger.Decision{Verdict: ledger.VerdictReused}, true
 	case ledger.OutcomeExpired:
 		return ledger.Decision{Verdict: ledger.VerdictExpired}, true
+	case ledger.OutcomeViewDiffers:
+		return ledger.Decision{Verdict: ledger.VerdictViewDiffers}, true
 	case ledger.OutcomeUnavailable:
 		return ledger.Decision{Verdict: c.unavailable(ctx)}, true
 	}
@@ -54,12 +59,12 @@
 	var unavailable time.Duration
 	for delay := minPause; ; delay = min(2*delay, maxPause) {
 		started := time.Now()
-		outcome := c.group.round(ctx, c.request, attempt)
+		outcome := c.view.round(ctx, c.request, attempt)
 		if outcome == ledger.OutcomeUnavailable {
 			unavailable += time.Since(started) + delay
 		}
 		retry := outcome == ledger.OutcomeKeep || outcome == ledger.OutcomeUnavailable
-		if !retry || unavailable > unavailableAfter || !actor.Sleep(ctx, jitter(delay)) {
+		if !retry || !c.view.isCurrent() || unavailable > unavailableAfter || !actor.Sleep(ctx, jitter(delay)) {
 			return outcome
 		}
 	}
@@ -74,7 +79,7 @@
 	}
 	background := context.WithoutCancel(ctx)
 	lost := c.request
-	go func() { _ = c.group.release(background, lost) }()
+	go func() { _ = c.view.group.release(background, lost) }()
 }
 
 // wait returns once ctx ends, or reports false once a replica has an answer or a
@@ -82,8 +87,8 @@
 // replicas compare the request with the one that ran.
 func (c *claim) wait(ctx context.Context) (ledger.Decision, bool) {
 	for delay := minPause; actor.Sleep(ctx, jitter(delay)); delay = min(2*delay, maxPause) {
-		free, finished := c.group.read(ctx, c.request)
-		if finished || free >= c.group.majority() {
+		free, finished := c.view.read(ctx, c.request)
+		if finished || free >= c.view.majority() {
 			return ledger.Decision{}, false
 		}
 	}
--- a/internal/ledger/quorum/claim_test.go
+++ b/internal/ledger/quorum/claim_test.go
@@ -49,7 +49,8 @@
 	g := NewWithT(t)
 	recorder, address := startRecorder(t)
 	lost, next := ledger.NewAttemptID(), ledger.NewAttemptID()
-	c := &claim{group: newGroup(ledger.FleetGroup, []string{address}), request: ledger.ClaimRequest{Attempt: lost}}
+	list := ledger.MemberList{Members: []string{"one"}, Addresses: []string{address}}
+	c := &claim{view: newGroup(ledger.FleetGroup, 0, list, nil).now(), request: ledger.ClaimRequest{Attempt: lost}}
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	c.giveBack(context.Background(), ledger.NewAttempt(lost, 1))
 	c.request.Attempt = next
--- a/internal/ledger/quorum/claimer.go
+++ b/internal/ledger/quorum/claimer.go
@@ -20,21 +20,12 @@
 	mintTimeout      = 2 * time.Second
 )
 
-// Members gives the addresses of the groups' replicas.
-type Members struct {
-	// Domain is the failure domain of this daemon.
-	Domain string
-	// Fleet holds the addresses of all replicas.
-	Fleet []string
-	// Domains holds the addresses of the replicas of each failure domain.
-	Domains map[string][]string
-}
-
 // Claimer implements ledger.Claimer with majorities of replicas.
 type Claimer struct {
-	domain  string
-	fleet   *group
-	domains map[string]*group
+	domain string
+	// customers holds the groups of customers' own keys: one a shard, or one.
+	customers []*group
+	domains   map[string]*group
 
 	mu sync.Mutex
 	// granted holds what each attempt that may dispatch has claimed.
@@ -45,12 +36,21 @@
 func New(members Members) *Claimer {
 	c := &Claimer{
 		domain:  members.Domain,
-		fleet:   newGroup(ledger.FleetGroup, members.Fleet),
 		domains: make(map[string]*group),
 		granted: make(map[ledger.AttemptID]ledger.ClaimRequest),
 	}
-	for domain, addresses := range members.Domains {
-		c.domains[domain] = newGroup(ledger.DomainGroup(domain), addresses)
+	addresses := make(map[string]string)
+	for _, one := range members.Fleet {
+		addresses[one.Instance] = one.Address
+	}
+	for domain, replicas := range members.Domains {
+		c.domains[domain] = newGroup(ledger.DomainGroup(domain), 0, listOf(replicas), addresses)
+	}
+	for i, replicas := range members.Shards {
+		c.customers = append(c.customers, newGroup(ledger.ShardGroup(i), len(members.Shards), listOf(replicas), addresses))
+	}
+	if len(members.Shards) == 0 {
+		c.customers = []*group{newGroup(ledger.FleetGroup, 0, listOf(members.Fleet), addresses)}
 	}
 	return c
 }
@@ -61,7 +61,7 @@
 	request := ledger.ClaimRequest{Key: key.Hash()}
 	minted, ok := ledger.ParseMintedKey(key.Value)
 	if !ok {
-		return c.fleet, request
+		return c.customers[request.Key.Shard(len(c.customers))], request
 	}
 	request.Generation = minted.Generation
 	request.MintedAt = minted.MintedAt.Unix()
@@ -78,7 +78,7 @@
 	request.Digest = digest
 	for round := uint64(0); ; round++ {
 		request.Attempt = derive(attempt, round)
-		claim := &claim{group: g, request: request}
+		claim := &claim{view: g.now(), request: request}
 		decision, decided := claim.round(ctx)
 		if decision.Verdict == ledger.VerdictGranted {
 			c.remember(attempt, request)
@@ -161,7 +161,7 @@
 	if own == nil {
 		return nil, api.Errorf(api.CodeClaimUnavailable, "the failure domain %s has no ledger replica", c.domain)
 	}
-	generation, ok := own.generation(ctx)
+	generation, ok := own.now().generation(ctx)
 	if !ok {
 		return nil, api.Errorf(api.CodeClaimUnavailable, "no ledger replica of %s is active", c.domain)
 	}
--- a/internal/ledger/quorum/group.go
+++ b/internal/ledger/quorum/group.go
@@ -1,29 +1,44 @@
 package quorum
 
 import (
-	"context"
+	"sync"
 	"sync/atomic"
 
-	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/ledger"
-	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
 )
 
-// group claims keys at the replicas of one group.
+// group knows the members of one group.
 type group struct {
-	replicas []*replicaClient
+	id     ledger.GroupID
+	shards int
+	// addresses has the settings' addresses, which go before those of lists.
+	addresses map[string]string
 	// epoch is the highest one seen.
 	epoch atomic.Uint64
+
+	mu      sync.Mutex
+	current *view
+	// learned is set once current comes from a replica and not from the settings.
+	learned bool
+	// clients holds the client of each address.
+	clients map[string]*replicaClient
 }
 
-func newGroup(id ledger.GroupID, addresses []string) *group {
-	g := &group{}
-	for _, address := range addresses {
-		g.replicas = append(g.replicas, newReplicaClient(id, address))
-	}
+// newGroup returns a group with the member list of the settings. addresses holds
+// those of all instances in the settings.
+func newGroup(id ledger.GroupID, shards int, list ledger.MemberList, addresses map[string]string) *group {
+	g := &group{id: id, shards: shards, addresses: addresses, clients: make(map[string]*replicaClient)}
+	g.current = g.viewOf(list)
 	return g
 }
 
+// now returns the newest view of the group.
+func (g *group) now() *view {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.current
+}
+
 // learn notes an epoch of a reply.
 func (g *group) learn(epoch uint64) {
 	for {
@@ -34,136 +49,36 @@
 	}
 }
 
-func (g *group) majority() int { return ledger.Majority(len(g.replicas)) }
-
-// message returns the operation of a claim at the known epoch.
-func (g *group) message(kind ledgerpb.OperationKind, r ledger.ClaimRequest) *ledgerpb.Operation {
-	return &ledgerpb.Operation{
-		Kind: kind, Key: r.Key[:], Attempt: r.Attempt[:], RequestDigest: r.Digest[:],
-		Epoch: g.epoch.Load(), Generation: r.Generation, MintedAt: r.MintedAt,
-	}
-}
-
-// memberReply is a member's reply, or an error.
-type memberReply struct {
-	member int
-	reply  ledger.Reply
-	err    error
-}
-
-// round asks the replicas for the key until the attempt is decided, every
-// replica has answered, or ctx ends.
-func (g *group) round(ctx context.Context, r ledger.ClaimRequest, attempt *ledger.Attempt) ledger.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	replies := make(chan memberReply)
-	ask := func(member int) {
-		message := g.message(ledgerpb.OperationKind_CLAIM, r)
-		go func() {
-			reply, err := g.replicas[member].do(ctx, message)
-			select {
-			case replies <- memberReply{member, reply, err}:
-			case <-ctx.Done():
-			}
-		}()
-	}
-	for member := range g.replicas {
-		attempt.AskAgain(member)
-		ask(member)
-	}
-	for {
-		select {
-		case got := <-replies:
-			g.take(attempt, got, ask)
-		case <-ctx.Done():
-			return g.giveUp(attempt)
-		}
-		if outcome := attempt.Outcome(); outcome != ledger.OutcomeOpen {
-			return outcome
-		}
-	}
-}
-
-func (g *group) take(attempt *ledger.Attempt, got memberReply, ask func(member int)) {
-	if got.err != nil {
-		attempt.Fail(got.member)
+// learnList takes a member list that a replica follows, if it is newer. A list
+// of the settings is older than any.
+func (g *group) learnList(shards int, list ledger.MemberList) {
+	if shards != g.shards || len(list.Members) == 0 {
 		return
 	}
-	attempt.Add(got.member, got.reply)
-	g.learn(got.reply.Epoch)
-	if attempt.Outcome() != ledger.OutcomeOpen {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.learned && list.Since <= g.current.list.Since {
 		return
 	}
-	for member := range g.replicas {
-		if attempt.Outdated(member) && attempt.IsAnswered(member) {
-			attempt.AskAgain(member)
-			ask(member)
-		}
-	}
-}
-
-// giveUp counts the members that did not answer in time as failed.
-func (g *group) giveUp(attempt *ledger.Attempt) ledger.Outcome {
-	for member := range g.replicas {
-		attempt.Fail(member)
-	}
-	return attempt.Outcome()
-}
-
-// read returns how many replicas see the key free, and whether one has an answer.
-func (g *group) read(ctx context.Context, r ledger.ClaimRequest) (free int, finished bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	replies := make(chan ledger.Reply, len(g.replicas))
-	message := &ledgerpb.Operation{Kind: ledgerpb.OperationKind_READ, Key: r.Key[:], Generation: r.Generation}
-	for _, replica := range g.replicas {
-		go func() {
-			reply, _ := replica.do(ctx, message)
-			replies <- reply
-		}()
-	}
-	for range g.replicas {
-		reply := <-replies
-		if reply.Status == ledger.StatusCompleted {
-			return free, true
-		}
-		if reply.Status == ledger.StatusFree {
-			free++
-		}
-		if free >= g.majority() {
-			return free, false
-		}
+	g.learned = true
+	if ledger.View(shards, list.Members) == g.current.fingerprint {
+		g.current.list.Since = list.Since
+		return
 	}
-	return free, false
-}
-
-func (g *group) noMajority() error {
-	return api.Errorf(api.CodeClaimUnavailable, "no majority of %d ledger replicas answered", len(g.replicas))
+	g.current = g.viewOf(list)
 }
 
-// generation returns the newest one of a majority of active replicas.
-func (g *group) generation(ctx context.Context) (uint64, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	metas := make(chan ledger.Meta, len(g.replicas))
-	for _, replica := range g.replicas {
-		go func() {
-			meta, _ := replica.meta(ctx)
-			metas <- meta
-		}()
-	}
-	var newest uint64
-	active := 0
-	for range g.replicas {
-		meta := <-metas
-		if meta.Phase != ledger.PhaseActive {
-			continue
+func (g *group) viewOf(list ledger.MemberList) *view {
+	out := &view{group: g, list: list, fingerprint: ledger.View(g.shards, list.Members)}
+	for _, member := range list.Members {
+		address := g.addresses[member]
+		if address == "" {
+			address = list.AddressOf(member)
 		}
-		active++
-		newest = max(newest, meta.Generation)
-		if active == g.majority() {
-			return newest, true
+		if g.clients[address] == nil {
+			g.clients[address] = newReplicaClient(g.id, address)
 		}
+		out.replicas = append(out.replicas, g.clients[address])
 	}
-	return 0, false
+	return out
 }
--- a/internal/ledger/replica/form.go
+++ b/internal/ledger/replica/form.go
@@ -17,12 +17,17 @@
 func (j *joiner) form(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	generation := uint64(time.Now().UnixMilli())
-	request := &ledgerpb.FormRequest{Group: string(j.group), Generation: generation, Members: j.names}
+	formation := j.formation
+	formation.Generation = uint64(time.Now().UnixMilli())
+	generation := formation.Generation
+	request := &ledgerpb.FormRequest{
+		Group: string(j.group), Generation: generation, Members: formation.List.Members,
+		Addresses: formation.List.Addresses, Shards: uint32(formation.Shards), Layout: formation.Layout,
+	}
 	accepted := false
 	err := j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		var changes []ledger.Change
-		accepted, changes = state.PrepareFormation(generation, j.names)
+		accepted, changes = state.PrepareFormation(formation)
 		return changes
 	})
 	if err != nil {
@@ -31,7 +36,8 @@
 	if !accepted {
 		return errors.New("this replica refuses the formation")
 	}
-	for _, other := range j.others {
+	others := j.others()
+	for _, other := range others {
 		if err := j.sendForm(ctx, other, request); err != nil {
 			return err
 		}
@@ -40,7 +46,7 @@
 		return err
 	}
 	commit := &ledgerpb.FormRequest{Group: string(j.group), Generation: generation, Commit: true}
-	for _, other := range j.others {
+	for _, other := range others {
 		if err := j.sendForm(ctx, other, commit); err != nil {
 			j.log.Debug().Err(err).Msg("a member learns of the formation later")
 		}
--- a/internal/ledger/replica/recover.go
+++ b/internal/ledger/replica/recover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,24 +18,29 @@
 // copyProgressTimeout bounds the time between two messages of a copy.
 const copyProgressTimeout = 5 * time.Second
 
-// recover raises the epoch at a majority that does not count this replica,
-// copies what those members hold, and takes the union.
-func (j *joiner) recover(ctx context.Context, active []peerStatus) error {
-	needed := ledger.Majority(len(j.names))
-	if len(active) < needed {
-		return errors.Errorf("%d of %d members are active, a recovery needs %d others", len(active), len(j.names), needed)
+// recoveryRange is the range of the random part of a recovery's epoch: members
+// of an old and a new list may have the same place in theirs.
+const recoveryRange = 1 << 16
+
+// recover raises the epoch at a majority of the list that does not count this
+// replica, copies what those members hold, and takes the union.
+func (j *joiner) recover(ctx context.Context, list ledger.MemberList, metas map[string]ledger.Meta) error {
+	needed := ledger.Majority(len(list.Members))
+	sources := j.sources(list, metas)
+	if len(sources) < needed {
+		return errors.Errorf("%d of %d members can be copied, a recovery needs %d others", len(sources), len(list.Members), needed)
 	}
 	var highest uint64
-	for _, status := range active {
-		highest = max(highest, status.meta.Epoch)
+	for _, meta := range metas {
+		highest = max(highest, meta.Epoch)
 	}
-	epoch := ledger.NextEpoch(highest, j.index())
-	j.log.Info().Uint64("epoch", epoch).Msg("recovering from the other members")
-	copies := j.copies(ctx, active, epoch, needed)
+	epoch := ledger.NextEpoch(highest+rand.Uint64N(recoveryRange)*ledger.MaxMembers, slices.Index(list.Members, j.self))
+	j.log.Info().Uint64("epoch", epoch).Strs("members", list.Members).Msg("recovering from the other members")
+	copies := j.copies(ctx, sources, epoch, needed)
 	recovered := false
 	err := j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		var changes []ledger.Change
-		recovered, changes = state.Recover(epoch, j.names, copies)
+		recovered, changes = state.Recover(epoch, list, copies)
 		return changes
 	})
 	if err == nil && !recovered {
@@ -42,31 +49,38 @@
 	return err
 }
 
-func (j *joiner) index() int {
-	for i, name := range j.names {
-		if name == j.self {
-			return i
+// sources returns the other members of the list that are active and grant to
+// claims of no older list.
+func (j *joiner) sources(list ledger.MemberList, metas map[string]ledger.Meta) []member {
+	var out []member
+	for _, instance := range list.Members {
+		meta := metas[instance]
+		if meta.Phase != ledger.PhaseActive || !meta.Keeps(list) {
+			continue
+		}
+		if one, ok := j.directory.reach(list, instance); ok {
+			out = append(out, one)
 		}
 	}
-	return 0
+	return out
 }
 
 // copies returns the first whole copies, as many as are needed if they come.
-func (j *joiner) copies(ctx context.Context, active []peerStatus, epoch uint64, needed int) []ledger.Copy {
+func (j *joiner) copies(ctx context.Context, sources []member, epoch uint64, needed int) []ledger.Copy {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan *ledger.Copy, len(active))
-	for _, status := range active {
+	answers := make(chan *ledger.Copy, len(sources))
+	for _, source := range sources {
 		go func() {
-			one, err := copyFrom(ctx, j.group, status.member, epoch)
+			one, err := copyFrom(ctx, j.group, source, epoch)
 			if err != nil {
-				j.log.Debug().Err(err).Str("member", status.member.instance).Msg("no copy")
+				j.log.Debug().Err(err).Str("member", source.instance).Msg("no copy")
 			}
 			answers <- one
 		}()
 	}
 	var copies []ledger.Copy
-	for range active {
+	for range sources {
 		if one := <-answers; one != nil {
 			copies = append(copies, *one)
 		}
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -32,13 +32,13 @@
 }
 
 func form(state *ledger.State) []ledger.Change {
-	_, prepared := state.PrepareFormation(1, []string{"one"})
+	_, prepared := state.PrepareFormation(ledger.Formation{Generation: 1, List: ledger.MemberList{Members: []string{"one"}}})
 	_, committed := state.CommitFormation(1)
 	return append(prepared, committed...)
 }
 
 func claimKey(n int) func(*ledger.State) []ledger.Change {
-	request := ledger.ClaimRequest{Attempt: ledger.AttemptID{1}}
+	request := ledger.ClaimRequest{View: ledger.View(0, []string{"one"}), Attempt: ledger.AttemptID{1}}
 	binary.BigEndian.PutUint64(request.Key[:], uint64(n))
 	return func(state *ledger.State) []ledger.Change {
 		_, changes := state.Claim(time.Now(), request)
--- a/internal/ledger/replica/report.go
+++ b/internal/ledger/replica/report.go
@@ -2,17 +2,16 @@
 
 import (
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/internal/ledger"
 )
 
 // AddStatus implements status.Reporter.
 func (r *Role) AddStatus(status *api.DaemonStatus) {
-	for _, j := range r.joiners {
+	for _, j := range r.all {
 		meta, records := j.replica.Meta()
-		active := meta.Phase == ledger.PhaseActive
+		active := j.isActive()
 		status.Ledger = append(status.Ledger, api.LedgerReplicaStatus{
 			Group: string(j.group), Active: active, Generation: meta.Generation,
-			Epoch: meta.Epoch, Members: j.names, Records: records,
+			Epoch: meta.Epoch, Members: meta.Members, Records: records,
 		})
 		if !active {
 			status.Degrade(api.CodeClaimUnavailable, string(j.group), "the replica grants no key until its group has formed or it has recovered")
--- a/internal/ledger/replica/restart.go
+++ b/internal/ledger/replica/restart.go
@@ -9,73 +9,12 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/wire"
-	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/ledgerpb"
-	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
 // restartTimeout bounds a restart of a group.
 const restartTimeout = time.Minute
 
-// MemberStatus is what a member of a group says of itself.
-type MemberStatus struct {
-	Instance   string `json:"instance"`
-	Address    string `json:"address"`
-	Phase      string `json:"phase"`
-	Generation uint64 `json:"generation"`
-	Epoch      uint64 `json:"epoch"`
-	Records    uint64 `json:"records"`
-	Error      string `json:"error,omitempty"`
-}
-
-// Operator reaches all members of a group on an operator's behalf.
-type Operator struct {
-	group   ledger.GroupID
-	members []member
-}
-
-// NewOperator returns an operator of the group that the settings' peers make up.
-func NewOperator(s *settings.Settings, group ledger.GroupID) *Operator {
-	o := &Operator{group: group}
-	for _, peer := range MembersOf(s, group) {
-		o.members = append(o.members, member{peer.Instance, rpc.NewClient(peer.Address, rpc.PurposeLedger)})
-	}
-	return o
-}
-
-// Status returns the status of each member.
-func (o *Operator) Status(ctx context.Context) []MemberStatus {
-	out := make([]MemberStatus, len(o.members))
-	for i, m := range o.members {
-		out[i] = o.statusOf(ctx, m)
-	}
-	return out
-}
-
-func (o *Operator) statusOf(ctx context.Context, m member) MemberStatus {
-	out := MemberStatus{Instance: m.instance, Address: m.client.Address()}
-	response, err := o.ask(ctx, m)
-	if err != nil {
-		out.Error = err.Error()
-		return out
-	}
-	meta := wire.ToMeta(response.Meta)
-	out.Phase, out.Generation, out.Epoch = meta.Phase.String(), meta.Generation, meta.Epoch
-	out.Records = response.Records
-	return out
-}
-
-func (o *Operator) ask(ctx context.Context, m member) (*ledgerpb.StatusResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	var out *ledgerpb.StatusResponse
-	err := m.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) (err error) {
-		out, err = ledgerpb.NewDRPCLedgerClient(conn).GetStatus(ctx, &ledgerpb.StatusRequest{Group: string(o.group)})
-		return err
-	})
-	return out, err
-}
-
 // Restart starts the group again after a majority of its members lost their
 // disks. Every member must answer. The members get the union of what is left, a
 // higher epoch, and a new generation, which refuses all keys minted before. No
@@ -105,12 +44,11 @@
 
 func (o *Operator) metas(ctx context.Context) ([]ledger.Meta, error) {
 	out := make([]ledger.Meta, len(o.members))
-	for i, m := range o.members {
-		response, err := o.ask(ctx, m)
-		if err != nil {
-			return nil, api.Errorf(api.CodeUnreachable, "%s: %v", m.instance, err)
+	for i, response := range askAll(ctx, o.group, o.members) {
+		if response.err != nil {
+			return nil, api.Errorf(api.CodeUnreachable, "%s: %v", response.member.instance, response.err)
 		}
-		out[i] = wire.ToMeta(response.Meta)
+		out[i] = wire.ToMeta(response.status.Meta)
 	}
 	return out, nil
 }
@@ -162,9 +100,9 @@
 		Generation:      uint64(time.Now().UnixMilli()),
 		Epoch:           ledger.OperatorEpoch(epoch),
 		QuarantineUntil: time.Now().Add(quarantine).Unix(),
-	}
-	for _, m := range o.members {
-		request.Members = append(request.Members, m.instance)
+		Members:         o.formation.List.Members,
+		Addresses:       o.formation.List.Addresses,
+		Shards:          uint32(o.formation.Shards),
 	}
 	for key, record := range records {
 		request.Entries = append(request.Entries, wire.FromChange(ledger.Change{Key: key, Record: record}))
--- a/internal/ledger/replica/role.go
+++ b/internal/ledger/replica/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -21,18 +22,22 @@
 // dataFolder is the folder of the role under the daemon's data folder.
 const dataFolder = "ledger"
 
-// Role is the ledger role of a daemon: a replica in the fleet's group and one in
-// the group of its failure domain.
+// Role is the ledger role of a daemon: a replica in each of its groups.
 type Role struct {
 	service *service
-	joiners []*joiner
+	// all holds the joiner of each group; that of the fleet comes first.
+	all []*joiner
 }
 
 // NewRole opens the replicas of the daemon. It fails with an api.Error when
-// their files are damaged or belong to other members.
+// their files are damaged, or belong to a ledger of other shards.
 func NewRole(s *settings.Settings, log zerolog.Logger) (*Role, error) {
-	role := &Role{service: &service{replicas: make(map[ledger.GroupID]*Replica)}}
-	for _, group := range []ledger.GroupID{ledger.FleetGroup, ledger.DomainGroup(s.FailureDomain)} {
+	role := &Role{service: &service{joiners: make(map[ledger.GroupID]*joiner)}}
+	groups, err := groupsOf(s)
+	if err != nil {
+		return nil, err
+	}
+	for _, group := range groups {
 		if err := role.open(s, group, log); err != nil {
 			return nil, err
 		}
@@ -40,45 +45,80 @@
 	return role, nil
 }
 
+// groupsOf returns the groups that the settings name and those that the daemon
+// has files of: a member list may name it where its settings do not.
+func groupsOf(s *settings.Settings) ([]ledger.GroupID, error) {
+	groups := Groups(s)
+	folders, err := os.ReadDir(filepath.Join(s.DataDir, dataFolder))
+	if err != nil && !os.IsNotExist(err) {
+		return nil, errors.Wrap(err, "list the ledger's folders")
+	}
+	for _, folder := range folders {
+		group := ledger.GroupID(strings.Replace(folder.Name(), "-", "/", 1))
+		if folder.IsDir() && !slices.Contains(groups, group) {
+			groups = append(groups, group)
+		}
+	}
+	return groups, nil
+}
+
+func folderOf(s *settings.Settings, group ledger.GroupID) string {
+	return filepath.Join(s.DataDir, dataFolder, strings.ReplaceAll(string(group), "/", "-"))
+}
+
 func (r *Role) open(s *settings.Settings, group ledger.GroupID, log zerolog.Logger) error {
 	log = log.With().Str("group", string(group)).Logger()
-	members := MembersOf(s, group)
-	names := instances(members)
-	if !slices.Contains(names, s.Instance) {
+	formation := formationOf(s, group)
+	if slices.Contains(Groups(s), group) && !formation.List.Has(s.Instance) {
 		return api.FieldErrorf(api.CodeSettingsInvalid, "peers", "%q is not listed with the role ledger", s.Instance)
 	}
-	dir := filepath.Join(s.DataDir, dataFolder, strings.ReplaceAll(string(group), "/", "-"))
-	replica, err := Open(dir, log, Options{Retention: s.Timeouts.Retention()})
+	replica, err := Open(folderOf(s, group), log, Options{Retention: s.Timeouts.Retention()})
 	if err != nil {
 		return err
 	}
-	if meta, _ := replica.Meta(); meta.Phase != ledger.PhaseEmpty && !slices.Equal(meta.Members, names) {
-		return api.FieldErrorf(api.CodeSettingsInvalid, "peers",
-			"the group %s was formed by %v, the settings name %v", group, meta.Members, names)
+	if err := checkFormed(replica, group, formation); err != nil {
+		return err
+	}
+	j := &joiner{
+		group: group, self: s.Instance, formation: formation, mayForm: r.mayForm(group, formation),
+		directory: newDirectory(s), replica: replica, log: log,
 	}
-	r.service.replicas[group] = replica
-	r.joiners = append(r.joiners, newJoiner(group, s.Instance, members, replica, log))
+	j.register()
+	r.service.joiners[group] = j
+	r.all = append(r.all, j)
 	return nil
 }
 
-// MembersOf returns the peers of a group in ascending order of their instance.
-func MembersOf(s *settings.Settings, group ledger.GroupID) []settings.Peer {
-	var out []settings.Peer
-	for _, peer := range s.PeersWithRole(settings.RoleLedger) {
-		if group == ledger.FleetGroup || group == ledger.DomainGroup(peer.FailureDomain) {
-			out = append(out, peer)
-		}
+// checkFormed refuses settings that a group was not formed with. The members of
+// an active group may have changed since; the settings then only help to find
+// them.
+func checkFormed(replica *Replica, group ledger.GroupID, formation ledger.Formation) error {
+	meta, _ := replica.Meta()
+	if meta.Phase == ledger.PhaseEmpty {
+		return nil
 	}
-	slices.SortFunc(out, func(a, b settings.Peer) int { return strings.Compare(a.Instance, b.Instance) })
-	return out
+	if meta.Shards != formation.Shards {
+		return api.FieldErrorf(api.CodeLedgerView, "ledgerShards",
+			"the group %s was formed with %d shards, the settings name %d", group, meta.Shards, formation.Shards)
+	}
+	same := slices.Equal(meta.Members, formation.List.Members) && meta.Layout == formation.Layout
+	if meta.Phase == ledger.PhaseForming && !same {
+		return api.FieldErrorf(api.CodeLedgerView, "ledgerShards",
+			"the group %s is being formed by %v, the settings name %v or other shards", group, meta.Members, formation.List.Members)
+	}
+	return nil
 }
 
-func instances(members []settings.Peer) []string {
-	out := make([]string, len(members))
-	for i, member := range members {
-		out[i] = member.Instance
+// mayForm lets a shard form only once all replicas of the fleet have promised
+// the same members of all shards, so that no key ever belongs to two groups.
+func (r *Role) mayForm(group ledger.GroupID, formation ledger.Formation) func() bool {
+	if group == ledger.FleetGroup || formation.Layout == 0 {
+		return func() bool { return true }
+	}
+	return func() bool {
+		meta, _ := r.service.joiners[ledger.FleetGroup].replica.Meta()
+		return meta.Phase == ledger.PhaseActive && meta.Layout == formation.Layout
 	}
-	return out
 }
 
 // Register adds the role's RPCs to a server.
@@ -91,7 +131,7 @@
 
 // AddBackground adds the replicas' actors.
 func (r *Role) AddBackground(group *run.Group) {
-	for _, j := range r.joiners {
+	for _, j := range r.all {
 		actor.Add(group, j.replica.Run)
 		actor.Add(group, func(ctx context.Context) error {
 			j.run(ctx)
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,12 +17,20 @@
 
 // service answers the RPCs for all groups of the daemon.
 type service struct {
-	replicas map[ledger.GroupID]*Replica
+	joiners map[ledger.GroupID]*joiner
 }
 
 func (s *service) replica(group string) (*Replica, error) {
-	if r := s.replicas[ledger.GroupID(group)]; r != nil {
-		return r, nil
+	j, err := s.joiner(group)
+	if err != nil {
+		return nil, err
+	}
+	return j.replica, nil
+}
+
+func (s *service) joiner(group string) (*joiner, error) {
+	if j := s.joiners[ledger.GroupID(group)]; j != nil {
+		return j, nil
 	}
 	return nil, errors.Errorf("no replica of the group %q", group)
 }
@@ -109,18 +118,54 @@
 
 // Form implements ledgerpb.DRPCLedgerServer.
 func (s *service) Form(ctx context.Context, in *ledgerpb.FormRequest) (*ledgerpb.FormResponse, error) {
-	r, err := s.replica(in.Group)
+	j, err := s.joiner(in.Group)
 	if err != nil {
 		return nil, err
 	}
 	out := &ledgerpb.FormResponse{}
-	err = r.Update(ctx, func(state *ledger.State) []ledger.Change {
+	formation, agreed := j.agree(in)
+	if !agreed {
+		return out, nil
+	}
+	err = j.replica.Update(ctx, func(state *ledger.State) []ledger.Change {
 		var changes []ledger.Change
 		if in.Commit {
 			out.Accepted, changes = state.CommitFormation(in.Generation)
 		} else {
-			out.Accepted, changes = state.PrepareFormation(in.Generation, in.Members)
+			out.Accepted, changes = state.PrepareFormation(formation)
+		}
+		return changes
+	})
+	return out, err
+}
+
+// agree returns the formation that a coordinator proposes, if the settings of
+// this daemon name the same members and shards.
+func (j *joiner) agree(in *ledgerpb.FormRequest) (ledger.Formation, bool) {
+	if in.Commit {
+		return ledger.Formation{}, true
+	}
+	formation := j.formation
+	formation.Generation = in.Generation
+	same := slices.Equal(in.Members, formation.List.Members)
+	return formation, same && int(in.Shards) == formation.Shards && in.Layout == formation.Layout
+}
+
+// Change implements ledgerpb.DRPCLedgerServer.
+func (s *service) Change(ctx context.Context, in *ledgerpb.ChangeRequest) (*ledgerpb.ChangeResponse, error) {
+	r, err := s.replica(in.Group)
+	if err != nil {
+		return nil, err
+	}
+	out := &ledgerpb.ChangeResponse{}
+	err = r.Update(ctx, func(state *ledger.State) []ledger.Change {
+		var changes []ledger.Change
+		if next := wire.ToList(in.Next); next != nil {
+			out.Accepted, changes = state.AcceptChange(in.Epoch, in.Base, *next)
+		} else {
+			out.Accepted, changes = state.PromiseChange(in.Epoch, in.Base)
 		}
+		out.Meta = wire.FromMeta(state.Meta())
 		return changes
 	})
 	return out, err
@@ -140,6 +185,9 @@
 		Generation:      in.Generation,
 		Epoch:           in.Epoch,
 		Members:         in.Members,
+		Addresses:       in.Addresses,
+		Since:           in.Epoch,
+		Shards:          int(in.Shards),
 		QuarantineUntil: in.QuarantineUntil,
 	}
 	out := &ledgerpb.RestartResponse{}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -38,11 +38,35 @@
 	Epoch uint64
 	// Members are the instances of the group in ascending order.
 	Members []string
+	// Addresses has the RPC address of each member.
+	Addresses []string
+	// Since is the epoch that the member list came with, 0 for the first one.
+	Since uint64
+	// Pending is a list that the replica has accepted and does not follow yet.
+	// Until it does, it grants nothing.
+	Pending *MemberList
+	// Shards is the number of shards of customers' own keys, 0 for one group of all.
+	Shards int
+	// Layout is the fingerprint of the first members of all shards.
+	Layout uint64
 	// QuarantineUntil is the Unix time in seconds until which no customer's own
 	// key is granted, because what a majority had granted is lost.
 	QuarantineUntil int64
 }
 
+// List returns the member list.
+func (m Meta) List() MemberList {
+	return MemberList{Since: m.Since, Members: m.Members, Addresses: m.Addresses}
+}
+
+// setList takes a member list; a pending one is settled by it.
+func (m *Meta) setList(list MemberList) {
+	m.Since = list.Since
+	m.Members = slices.Clone(list.Members)
+	m.Addresses = slices.Clone(list.Addresses)
+	m.Pending = nil
+}
+
 // Change is one durable change: a meta, a record, or the removal of a record
 // where both are nil.
 type Change struct {
@@ -74,6 +98,9 @@
 	StatusStale
 	// StatusFree says that nobody holds the key.
 	StatusFree
+	// StatusViewDiffers says that the claimer believes in another number of
+	// shards or other members, so that its majorities need not meet the group's.
+	StatusViewDiffers
 )
 
 // Reply is a replica's answer to an operation.
@@ -84,6 +111,9 @@
 	Holder AttemptID
 	// Answer is set with StatusCompleted.
 	Answer *Answer
+	// Shards and List are set with StatusViewDiffers.
+	Shards int
+	List   *MemberList
 }
 
 // ClaimRequest asks a replica for a key.
@@ -93,6 +123,8 @@
 	Digest  Digest
 	// Epoch is the highest one that the claimer knows.
 	Epoch uint64
+	// View is the fingerprint of the shards and members that the claimer asks.
+	View uint64
 	// Generation is that of a minted key, 0 for a customer's own.
 	Generation uint64
 	// MintedAt is the Unix time in seconds of a minted key.
@@ -103,7 +135,9 @@
 // without I/O. Each method returns the changes that have to be durable before
 // its reply may be sent.
 type State struct {
-	meta      Meta
+	meta Meta
+	// view is the fingerprint of the meta's shards and members.
+	view      uint64
 	records   map[KeyHash]*Record
 	retention time.Duration
 }
@@ -123,7 +157,7 @@
 func (s *State) Apply(change Change) {
 	switch {
 	case change.Meta != nil:
-		s.meta = *change.Meta
+		s.setMeta(*change.Meta)
 	case change.Record != nil:
 		s.records[change.Key] = change.Record
 	default:
@@ -142,8 +176,8 @@
 
 // Claim asks for a key.
 func (s *State) Claim(now time.Time, r ClaimRequest) (Reply, []Change) {
-	if s.meta.Phase != PhaseActive {
-		return s.reply(StatusInactive), nil
+	if refusal, refused := s.outside(r); refused {
+		return refusal, nil
 	}
 	changes := s.adopt(r.Epoch)
 	if s.isExpired(now, r) {
@@ -165,6 +199,21 @@
 	return s.reply(StatusGranted), append(changes, s.grant(now, record, r))
 }
 
+// outside returns the reply to an operation of another view of the group, or to
+// any while the replica takes no part.
+func (s *State) outside(r ClaimRequest) (Reply, bool) {
+	if s.meta.Phase != PhaseActive {
+		return s.reply(StatusInactive), true
+	}
+	if r.View != s.view {
+		reply := s.reply(StatusViewDiffers)
+		list := s.meta.List()
+		reply.Shards, reply.List = s.meta.Shards, &list
+		return reply, true
+	}
+	return s.reply(StatusInactive), s.meta.Pending != nil
+}
+
 // refusal returns the reply to a claim that cannot be granted.
 func (s *State) refusal(record *Record, r ClaimRequest) (Reply, bool) {
 	if record == nil {
@@ -197,8 +246,8 @@
 // Release gives a key back and leaves a tombstone, also where the claim has not
 // arrived yet.
 func (s *State) Release(now time.Time, r ClaimRequest) (Reply, []Change) {
-	if s.meta.Phase != PhaseActive {
-		return s.reply(StatusInactive), nil
+	if refusal, refused := s.outside(r); refused {
+		return refusal, nil
 	}
 	changes := s.adopt(r.Epoch)
 	record := s.records[r.Key]
@@ -220,8 +269,8 @@
 // Complete stores the answer of an attempt that had a majority, also at a
 // replica that did not grant it.
 func (s *State) Complete(now time.Time, r ClaimRequest, answer Answer) (Reply, []Change) {
-	if s.meta.Phase != PhaseActive {
-		return s.reply(StatusInactive), nil
+	if refusal, refused := s.outside(r); refused {
+		return refusal, nil
 	}
 	changes := s.adopt(r.Epoch)
 	record := s.records[r.Key]
@@ -310,6 +359,7 @@
 
 func (s *State) setMeta(meta Meta) Change {
 	s.meta = meta
+	s.view = View(meta.Shards, meta.Members)
 	return Change{Meta: &meta}
 }
 
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -14,9 +15,22 @@
 
 func attemptID(n int) AttemptID { return AttemptID{15: byte(n + 1)} }
 
+// testView is the view of a group of three.
+var testView = View(0, testList(3).Members)
+
+// testList returns the list of members "0" and up.
+func testList(members int) MemberList {
+	list := MemberList{}
+	for i := range members {
+		list.Members = append(list.Members, strconv.Itoa(i))
+		list.Addresses = append(list.Addresses, "")
+	}
+	return list
+}
+
 func activeState(members int) *State {
 	s := NewState(testRetention)
-	s.PrepareFormation(1, make([]string, members))
+	s.PrepareFormation(Formation{Generation: 1, List: testList(members)})
 	s.CommitFormation(1)
 	return s
 }
@@ -51,39 +65,39 @@
 func TestReleaseTellsTheEpoch(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	reply, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0), Epoch: 130})
+	reply, _ := s.Release(testNow, ClaimRequest{View: testView, Attempt: attemptID(0), Epoch: 130})
 	g.Expect(reply.Epoch).To(Equal(uint64(130)))
-	reply, _ = s.Complete(testNow, ClaimRequest{Attempt: attemptID(1), Epoch: 200}, Answer{})
+	reply, _ = s.Complete(testNow, ClaimRequest{View: testView, Attempt: attemptID(1), Epoch: 200}, Answer{})
 	g.Expect(reply.Epoch).To(Equal(uint64(200)))
 }
 
 func TestReleasedKeyIsFreeAndItsLateClaimRefused(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	release, _ := s.Release(testNow, ClaimRequest{Attempt: attemptID(0)})
+	release, _ := s.Release(testNow, ClaimRequest{View: testView, Attempt: attemptID(0)})
 	g.Expect(release.Status).To(Equal(StatusReleased))
-	late, _ := s.Claim(testNow, ClaimRequest{Attempt: attemptID(0)})
+	late, _ := s.Claim(testNow, ClaimRequest{View: testView, Attempt: attemptID(0)})
 	g.Expect(late.Status).To(Equal(StatusReleased))
-	next, _ := s.Claim(testNow, ClaimRequest{Attempt: attemptID(1)})
+	next, _ := s.Claim(testNow, ClaimRequest{View: testView, Attempt: attemptID(1)})
 	g.Expect(next.Status).To(Equal(StatusGranted))
 }
 
 func TestHeldKeyNeverExpires(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	s.Claim(testNow, ClaimRequest{Key: KeyHash{1}, Attempt: attemptID(0)})
-	s.Claim(testNow, ClaimRequest{Key: KeyHash{2}, Attempt: attemptID(0)})
-	s.Complete(testNow, ClaimRequest{Key: KeyHash{2}, Attempt: attemptID(0)}, Answer{Status: 200})
+	s.Claim(testNow, ClaimRequest{View: testView, Key: KeyHash{1}, Attempt: attemptID(0)})
+	s.Claim(testNow, ClaimRequest{View: testView, Key: KeyHash{2}, Attempt: attemptID(0)})
+	s.Complete(testNow, ClaimRequest{View: testView, Key: KeyHash{2}, Attempt: attemptID(0)}, Answer{Status: 200})
 	g.Expect(s.Expire(testNow.Add(testRetention))).To(BeEmpty())
 	g.Expect(s.Expire(testNow.Add(1000 * testRetention))).To(HaveLen(1))
-	reply, _ := s.Claim(testNow, ClaimRequest{Key: KeyHash{1}, Attempt: attemptID(1)})
+	reply, _ := s.Claim(testNow, ClaimRequest{View: testView, Key: KeyHash{1}, Attempt: attemptID(1)})
 	g.Expect(reply.Status).To(Equal(StatusHeld))
 }
 
 func TestMintedKeyIsRefusedBeforeItsRecordGoes(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	claim := ClaimRequest{Attempt: attemptID(0), Generation: 1, MintedAt: testNow.Unix()}
+	claim := ClaimRequest{View: testView, Attempt: attemptID(0), Generation: 1, MintedAt: testNow.Unix()}
 	reply, _ := s.Claim(testNow, claim)
 	g.Expect(reply.Status).To(Equal(StatusGranted))
 	late := testNow.Add(testRetention + time.Second)
@@ -100,12 +114,12 @@
 func TestQuarantinedKeyIsHeldForClaimsAndReads(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(1)
-	s.Restart(Meta{Generation: 2, Epoch: 1000, QuarantineUntil: testNow.Unix() + 1}, nil)
-	own := ClaimRequest{Attempt: attemptID(0)}
+	s.Restart(Meta{Members: testList(3).Members, Generation: 2, Epoch: 1000, QuarantineUntil: testNow.Unix() + 1}, nil)
+	own := ClaimRequest{View: testView, Attempt: attemptID(0)}
 	reply, _ := s.Claim(testNow, own)
 	g.Expect(reply.Status).To(Equal(StatusHeld))
 	g.Expect(s.Read(testNow, own).Status).To(Equal(StatusHeld))
-	minted := ClaimRequest{Attempt: attemptID(0), Key: KeyHash{1}, Generation: 2, MintedAt: testNow.Unix()}
+	minted := ClaimRequest{View: testView, Attempt: attemptID(0), Key: KeyHash{1}, Generation: 2, MintedAt: testNow.Unix()}
 	g.Expect(s.Read(testNow, minted).Status).To(Equal(StatusFree))
 	reply, _ = s.Claim(testNow, minted)
 	g.Expect(reply.Status).To(Equal(StatusGranted))
@@ -117,7 +131,7 @@
 	g := NewWithT(t)
 	s := activeState(3)
 	s.RaiseEpoch(2000)
-	ok, _ := s.Restart(Meta{Generation: 2, Epoch: 1000}, nil)
+	ok, _ := s.Restart(Meta{Members: testList(3).Members, Generation: 2, Epoch: 1000}, nil)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(s.Meta().Generation).To(Equal(uint64(2)))
 	g.Expect(s.Meta().Epoch).To(Equal(uint64(2000)))
@@ -126,9 +140,9 @@
 func TestRestartKeepsHeldKeysHeld(t *testing.T) {
 	g := NewWithT(t)
 	s := activeState(3)
-	claim := ClaimRequest{Attempt: attemptID(0)}
+	claim := ClaimRequest{View: testView, Attempt: attemptID(0)}
 	s.Claim(testNow, claim)
-	s.Restart(Meta{Generation: 2, Epoch: 1000}, copyOf(s).Records)
+	s.Restart(Meta{Members: testList(3).Members, Generation: 2, Epoch: 1000}, copyOf(s).Records)
 	reply, _ := s.Claim(testNow, claim)
 	g.Expect(reply.Status).To(Equal(StatusHeld), "a rival may have had the lost majority")
 }
@@ -137,10 +151,10 @@
 	g := NewWithT(t)
 	s := activeState(1)
 	body := make([]byte, MaxAnswerBytes+1)
-	reply, _ := s.Complete(testNow, ClaimRequest{Attempt: attemptID(0)}, Answer{Status: 200, Body: body})
+	reply, _ := s.Complete(testNow, ClaimRequest{View: View(0, testList(1).Members), Attempt: attemptID(0)}, Answer{Status: 200, Body: body})
 	g.Expect(reply.Answer.Body).To(BeEmpty())
 	g.Expect(reply.Answer.BodyDigest).NotTo(BeNil())
-	again, _ := s.Claim(testNow, ClaimRequest{Attempt: attemptID(1), Digest: Digest{1}})
+	again, _ := s.Claim(testNow, ClaimRequest{View: View(0, testList(1).Members), Attempt: attemptID(1), Digest: Digest{1}})
 	g.Expect(again.Status).To(Equal(StatusReused))
 }
 
@@ -149,11 +163,11 @@
 	source := activeState(3)
 	source.RaiseEpoch(200)
 	s := NewState(testRetention)
-	ok, _ := s.Recover(200, make([]string, 3), []Copy{copyOf(source)})
+	ok, _ := s.Recover(200, testList(3), []Copy{copyOf(source)})
 	g.Expect(ok).To(BeFalse())
-	ok, _ = s.Recover(200, make([]string, 3), []Copy{copyOf(source), copyOf(activeState(3))})
+	ok, _ = s.Recover(200, testList(3), []Copy{copyOf(source), copyOf(activeState(3))})
 	g.Expect(ok).To(BeFalse(), "one source has not raised its epoch")
-	ok, _ = s.Recover(200, make([]string, 3), []Copy{copyOf(source), copyOf(source)})
+	ok, _ = s.Recover(200, testList(3), []Copy{copyOf(source), copyOf(source)})
 	g.Expect(ok).To(BeTrue())
 }
 
--- a/internal/ledger/wire/wire.go
+++ b/internal/ledger/wire/wire.go
@@ -46,9 +46,30 @@
 		Epoch:           meta.Epoch,
 		Members:         meta.Members,
 		QuarantineUntil: meta.QuarantineUntil,
+		Shards:          uint32(meta.Shards),
+		Layout:          meta.Layout,
+		Since:           meta.Since,
+		Addresses:       meta.Addresses,
+		Pending:         FromList(meta.Pending),
 	}
 }
 
+// FromList returns the message of a member list, or nil for none.
+func FromList(list *ledger.MemberList) *ledgerpb.MemberList {
+	if list == nil {
+		return nil
+	}
+	return &ledgerpb.MemberList{Since: list.Since, Members: list.Members, Addresses: list.Addresses}
+}
+
+// ToList returns the member list of a message, or nil for none.
+func ToList(message *ledgerpb.MemberList) *ledger.MemberList {
+	if message == nil {
+		return nil
+	}
+	return &ledger.MemberList{Since: message.Since, Members: message.Members, Addresses: message.Addresses}
+}
+
 // ToMeta returns the meta of a message; nil gives an empty replica's.
 func ToMeta(message *ledgerpb.Meta) ledger.Meta {
 	return ledger.Meta{
@@ -57,6 +78,11 @@
 		Epoch:           message.GetEpoch(),
 		Members:         message.GetMembers(),
 		QuarantineUntil: message.GetQuarantineUntil(),
+		Shards:          int(message.GetShards()),
+		Layout:          message.GetLayout(),
+		Since:           message.GetSince(),
+		Addresses:       message.GetAddresses(),
+		Pending:         ToList(message.GetPending()),
 	}
 }
 
@@ -126,7 +152,9 @@
 
 // ToClaim returns the claim of an operation.
 func ToClaim(message *ledgerpb.Operation) (ledger.ClaimRequest, error) {
-	out := ledger.ClaimRequest{Epoch: message.Epoch, Generation: message.Generation, MintedAt: message.MintedAt}
+	out := ledger.ClaimRequest{
+		Epoch: message.Epoch, View: message.View, Generation: message.Generation, MintedAt: message.MintedAt,
+	}
 	if err := fill(out.Key[:], message.Key, "key"); err != nil {
 		return out, err
 	}
@@ -148,6 +176,8 @@
 		Status: ledgerpb.Status(reply.Status),
 		Epoch:  reply.Epoch,
 		Answer: FromAnswer(reply.Answer),
+		Shards: uint32(reply.Shards),
+		List:   FromList(reply.List),
 	}
 	if reply.Status == ledger.StatusHeld {
 		out.Holder = reply.Holder[:]
@@ -157,7 +187,10 @@
 
 // ToReply returns the reply of a message.
 func ToReply(message *ledgerpb.Result) (ledger.Reply, error) {
-	out := ledger.Reply{Status: ledger.Status(message.Status), Epoch: message.Epoch}
+	out := ledger.Reply{
+		Status: ledger.Status(message.Status), Epoch: message.Epoch,
+		Shards: int(message.Shards), List: ToList(message.List),
+	}
 	if len(message.Holder) > 0 {
 		if err := fill(out.Holder[:], message.Holder, "holder"); err != nil {
 			return out, err
--- a/internal/proxy/claim.go
+++ b/internal/proxy/claim.go
@@ -105,6 +105,8 @@
 		return api.Errorf(api.CodeKeyExpired, "the key belongs to an earlier epoch")
 	case ledger.VerdictReused:
 		return api.Errorf(api.CodeKeyReused, "the key was used with another request")
+	case ledger.VerdictViewDiffers:
+		return api.Errorf(api.CodeLedgerView, "the settings name other shards than the ledger was formed with")
 	default:
 		return api.Errorf(api.CodeClaimUnavailable, "ask again with the same key")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,8 +44,11 @@
 	NameSchemes []api.Scheme `json:"nameSchemes"`
 	Listen      Listen       `json:"listen"`
 	Peers       []Peer       `json:"peers"`
-	Timeouts    Timeouts     `json:"timeouts"`
-	Routing     Routing      `json:"routing"`
+	// LedgerShards names the ledger replicas of each shard of customers' keys, 3
+	// or 5 in different failure domains; without any, all replicas are one group.
+	LedgerShards [][]string `json:"ledgerShards,omitempty"`
+	Timeouts     Timeouts   `json:"timeouts"`
+	Routing      Routing    `json:"routing"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -238,6 +241,7 @@
 	v.listen(s)
 	v.dataDir(s)
 	v.peers(s.Peers)
+	v.ledgerShards(s)
 	v.timeouts(s.Timeouts)
 	v.policy(s.Routing.Policy)
 	v.logLevel(s.LogLevel)
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -23,6 +23,8 @@
 	Instance      string          `json:"instance"`
 	FailureDomain string          `json:"failureDomain"`
 	Roles         []settings.Role `json:"roles"`
+	// Late leaves the daemon out of the settings of those that are not late.
+	Late bool `json:"late,omitempty"`
 }
 
 // BackendSpec describes a stand-in backend server of a deployment.
@@ -39,6 +41,8 @@
 	Backends []BackendSpec     `json:"backends"`
 	Timeouts settings.Timeouts `json:"timeouts"`
 	Routing  settings.Routing  `json:"routing"`
+	// LedgerShards names the ledger replicas of each shard.
+	LedgerShards [][]string `json:"ledgerShards,omitempty"`
 }
 
 // Daemon is a daemon with its addresses.
@@ -85,7 +89,10 @@
 		}
 	}
 	for _, d := range spec.Daemons {
-		if err := b.writeSettings(b.Daemons[d.Instance], spec.Daemons); err != nil {
+		if err := b.addPeers(b.Daemons[d.Instance], d.Late, spec.Daemons); err != nil {
+			return nil, err
+		}
+		if err := b.WriteSettings(d.Instance); err != nil {
 			return nil, err
 		}
 	}
@@ -117,7 +124,7 @@
 				Callers: addresses[0], Backends: addresses[1], Operators: addresses[2],
 				Peers: addresses[3], Platform: addresses[4],
 			},
-			Timeouts: all.Timeouts, Routing: all.Routing,
+			Timeouts: all.Timeouts, Routing: all.Routing, LedgerShards: all.LedgerShards,
 		},
 	}
 	return nil
@@ -127,9 +134,12 @@
 	return filepath.Join(b.Dir, instance+".json")
 }
 
-// writeSettings gives the daemon a relay towards each other daemon.
-func (b *Bed) writeSettings(d *Daemon, all []DaemonSpec) error {
+// addPeers gives the daemon a relay towards each other daemon.
+func (b *Bed) addPeers(d *Daemon, late bool, all []DaemonSpec) error {
 	for _, other := range all {
+		if other.Late && !late {
+			continue
+		}
 		listen := b.Daemons[other.Instance].Settings.Listen
 		address, err := b.relayed(link{d.Name, other.Instance, portPeers}, listen.Peers)
 		if err != nil {
@@ -144,6 +154,12 @@
 			Address: address, Callers: callers, Roles: other.Roles,
 		})
 	}
+	return nil
+}
+
+// WriteSettings writes a daemon's settings to the file that it reads when it starts.
+func (b *Bed) WriteSettings(name string) error {
+	d := b.Daemons[name]
 	raw, err := json.MarshalIndent(&d.Settings, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode settings")
@@ -229,8 +245,11 @@
 
 // SetLink sets what happens on every connection that from opens to to.
 func (b *Bed) SetLink(from, to string, out, back Mode) {
-	b.relays[link{from, to, portPeers}].Set(out, back)
-	b.relays[link{from, to, portCallers}].Set(out, back)
+	for _, port := range []port{portPeers, portCallers} {
+		if relay := b.relays[link{from, to, port}]; relay != nil {
+			relay.Set(out, back)
+		}
+	}
 }
 
 // SetDelay delays every read's bytes on every connection between daemons.
--- a/test/claims/bench_test.go
+++ b/test/claims/bench_test.go
@@ -38,7 +38,7 @@
 		b.Run(storage.name, func(b *testing.B) {
 			bed := benchBed(b, storage.dir, "pwani-a", "pwani-a", "pwani-a")
 			c := quorum.New(quorum.Members{Domain: "pwani-a", Fleet: addresses(bed, nil),
-				Domains: map[string][]string{"pwani-a": addresses(bed, nil)}})
+				Domains: map[string][]quorum.Member{"pwani-a": addresses(bed, nil)}})
 			runClaims(b, bed, c)
 		})
 	}
@@ -91,14 +91,14 @@
 }
 
 // addresses returns the replicas' addresses; relay changes all but the first.
-func addresses(bed *testbed.Bed, relay func(target string) string) []string {
-	var out []string
+func addresses(bed *testbed.Bed, relay func(target string) string) []quorum.Member {
+	var out []quorum.Member
 	for i, d := range bed.WithRole(settings.RoleLedger) {
 		address := d.Settings.Listen.Peers
 		if i > 0 && relay != nil {
 			address = relay(address)
 		}
-		out = append(out, address)
+		out = append(out, quorum.Member{Instance: d.Name, Address: address})
 	}
 	return out
 }
--- /dev/null
+++ b/test/claims/shards_bench_test.go
@@ -0,0 +1,154 @@
+package claims
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/layout"
+	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
+	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/testbed"
+)
+
+// Sizes of the comparison of shards.
+const (
+	fleetDomains = 24
+	shardCallers = 64
+	fleetShards  = 8
+)
+
+// BenchmarkShards claims customers' keys at 24 replicas in as many failure
+// domains, all behind links of 5 ms each way: in one group of all, and in
+// shards of 3 and of 5.
+func BenchmarkShards(b *testing.B) {
+	for _, replicas := range []int{0, 3, 5} {
+		name := "one-group"
+		if replicas > 0 {
+			name = fmt.Sprintf("replicas=%d", replicas)
+		}
+		b.Run(name, func(b *testing.B) {
+			bed := fleetBed(b, replicas)
+			members := quorum.MembersFrom(&bed.Daemons["l-00"].Settings)
+			relayMembers(b, &members)
+			c := quorum.New(members)
+			for shard := range max(len(members.Shards), 1) {
+				if err := testbed.Eventually(func() error { return grantedInShard(c, shard, len(members.Shards)) }); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runShardClaims(b, bed, c)
+		})
+	}
+}
+
+func fleetBed(b *testing.B, replicas int) *testbed.Bed {
+	b.Helper()
+	spec := testbed.Spec{}
+	inventory := &layout.Inventory{NameSchemes: []api.Scheme{"engine"}, DataRoot: b.TempDir()}
+	for i := range fleetDomains {
+		name, domain := fmt.Sprintf("l-%02d", i), fmt.Sprintf("d-%02d", i)
+		roles := []settings.Role{settings.RoleLedger}
+		spec.Daemons = append(spec.Daemons, testbed.DaemonSpec{Instance: name, FailureDomain: domain, Roles: roles})
+		inventory.Instances = append(inventory.Instances, layout.Instance{
+			Instance: name, FailureDomain: domain, IP: "127.0.0.1", FirstPort: 9000, Roles: roles,
+		})
+	}
+	if replicas > 0 {
+		inventory.LedgerShards = layout.LedgerShards{Count: fleetShards, Replicas: replicas}
+	}
+	all, err := inventory.Settings()
+	if err != nil {
+		b.Fatal(err)
+	}
+	spec.LedgerShards = all[0].LedgerShards
+	bed, err := testbed.New(b.TempDir(), spec)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(bed.Close)
+	if err := bed.Start(); err != nil {
+		b.Fatal(err)
+	}
+	return bed
+}
+
+// relayMembers delays the link to each replica.
+func relayMembers(b *testing.B, members *quorum.Members) {
+	addresses := make(map[string]string)
+	for i, one := range members.Fleet {
+		members.Fleet[i].Address = delayed(b)(one.Address)
+		addresses[one.Instance] = members.Fleet[i].Address
+	}
+	for _, shard := range members.Shards {
+		for i, one := range shard {
+			shard[i].Address = addresses[one.Instance]
+		}
+	}
+}
+
+func grantedInShard(c ledger.Claimer, shard, shards int) error {
+	for i := 0; ; i++ {
+		key := customerKey(fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), i))
+		if key.Hash().Shard(max(shards, 1)) == shard {
+			return grantedOnce(c, key)
+		}
+	}
+}
+
+func runShardClaims(b *testing.B, bed *testbed.Bed, c ledger.Claimer) {
+	for run, callers := range []int{1, shardCallers} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			// All replicas take each claim, also those beyond the majority.
+			time.Sleep(time.Second)
+			wire, disk, replicas, client := wireBytes(), diskBytes(b, bed), cpuSeconds(b, bed), ownCPUSeconds()
+			started := time.Now()
+			histogram := claimNew(b, c, fmt.Sprintf("run-%d-%d", run, b.N), b.N, callers)
+			elapsed := time.Since(started)
+			ownCPU := ownCPUSeconds() - client
+			time.Sleep(time.Second)
+			report(b, histogram, elapsed)
+			n := float64(b.N)
+			b.ReportMetric(float64(wireBytes()-wire)/n, "wire-B/claim")
+			b.ReportMetric(float64(diskBytes(b, bed)-disk)/n, "disk-B/claim")
+			b.ReportMetric((cpuSeconds(b, bed)-replicas)/n*1e6, "replicas-us/claim")
+			b.ReportMetric(ownCPU/n*1e6, "client-us/claim")
+		})
+	}
+}
+
+var cpuPattern = regexp.MustCompile(`(?m)^process_cpu_seconds_total (\S+)`)
+
+// cpuSeconds returns the processor time of all replicas.
+func cpuSeconds(b *testing.B, bed *testbed.Bed) float64 {
+	total := 0.0
+	for _, d := range bed.Daemons {
+		resp, err := http.Get("http://" + d.Settings.Listen.Platform + "/metrics")
+		if err != nil {
+			b.Fatal(err)
+		}
+		raw, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		found := cpuPattern.FindSubmatch(raw)
+		if err != nil || found == nil {
+			b.Fatal("no processor time", err)
+		}
+		seconds, _ := strconv.ParseFloat(string(found[1]), 64)
+		total += seconds
+	}
+	return total
+}
+
+// ownCPUSeconds returns the processor time of this process: the client and the relays.
+func ownCPUSeconds() float64 {
+	usage := syscall.Rusage{}
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
--- a/test/claims/silent_test.go
+++ b/test/claims/silent_test.go
@@ -18,13 +18,13 @@
 	bed := ledgers(t)
 	g.Expect(waitAllActive(bed)).To(Succeed())
 	var relays []*testbed.Relay
-	var fleet []string
+	var fleet []quorum.Member
 	for _, d := range bed.WithRole(settings.RoleLedger) {
 		relay, err := testbed.NewRelay(d.Settings.Listen.Peers)
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(relay.Close)
 		relays = append(relays, relay)
-		fleet = append(fleet, relay.Address())
+		fleet = append(fleet, quorum.Member{Instance: d.Name, Address: relay.Address()})
 	}
 	c := quorum.New(quorum.Members{Domain: "pwani-a", Fleet: fleet})
 	_, decision := claim(c, customerKey("before"))
