Keep the whole audit trail, in files

Complete blocks of 1,024 changes go to files under control/audit, written beside the state machine. Equal logs give equal files; a replica that joined fetches those that it lacks over a new RPC. The audit trail and the operators' watches read on from the files, block by block, and the client asks for the next part.

TestWatchAndRoutersAfterCompaction stands: without an archive a revision that is too old is still refused.

--- a/api/client.go
+++ b/api/client.go
@@ -84,11 +84,23 @@
 	return out, c.call(ctx, http.MethodGet, "/apis/v1/"+string(kind), "", nil, out)
 }
 
-// Audit returns the changes above a revision; zero returns all that are kept.
-func (c *Client) Audit(ctx context.Context, above uint64) (*ChangeList, error) {
-	out := &ChangeList{}
-	path := "/apis/v1/audit?revision=" + strconv.FormatUint(above, 10)
-	return out, c.call(ctx, http.MethodGet, path, "", nil, out)
+// Audit calls take with the audit trail above a revision, part by part; zero
+// stands for the oldest change that is kept.
+func (c *Client) Audit(ctx context.Context, above uint64, take func(*ChangeList) error) error {
+	for {
+		part := &ChangeList{}
+		path := "/apis/v1/audit?revision=" + strconv.FormatUint(above, 10)
+		if err := c.call(ctx, http.MethodGet, path, "", nil, part); err != nil {
+			return err
+		}
+		if err := take(part); err != nil || len(part.Items) == 0 {
+			return err
+		}
+		above = part.Items[len(part.Items)-1].Revision
+		if above >= part.Revision {
+			return nil
+		}
+	}
 }
 
 // ControlStatus returns what the first control instance that answers knows of
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -22,21 +22,33 @@
 			f.Uint64Var(&revision, "revision", 0, "revision after which to start; 0 for all that are kept")
 		},
 		run: func(ctx context.Context, _ []string) error {
-			changes, err := client.client().Audit(ctx, revision)
-			if err != nil {
-				return err
-			}
 			if client.output == "json" {
-				return printJSON(changes)
-			}
-			for _, change := range changes.Items {
-				printChange(change)
+				return printAuditJSON(ctx, client.client(), revision)
 			}
-			return nil
+			return client.client().Audit(ctx, revision, func(part *api.ChangeList) error {
+				for _, change := range part.Items {
+					printChange(change)
+				}
+				return nil
+			})
 		},
 	}
 }
 
+// printAuditJSON prints the audit trail as one list.
+func printAuditJSON(ctx context.Context, client *api.Client, revision uint64) error {
+	whole := &api.ChangeList{Items: []*api.Change{}}
+	err := client.Audit(ctx, revision, func(part *api.ChangeList) error {
+		whole.Revision = part.Revision
+		whole.Items = append(whole.Items, part.Items...)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return printJSON(whole)
+}
+
 func printChange(change *api.Change) {
 	fmt.Printf("%d\t%s\t%s\t%s\t%s %s %v\n", change.Revision, change.Time.Format(time.RFC3339Nano),
 		change.Operator, change.RequestID, change.Verb, change.After.Kind, change.After.Names.Refs())
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -84,6 +84,10 @@
 	return &configpb.ReportResponse{}, nil
 }
 
+func (s *source) History(*configpb.HistoryRequest, configpb.DRPCConfig_HistoryStream) error {
+	return api.Errorf(api.CodeNoQuorum, "no history")
+}
+
 func (s *source) Share(context.Context, *configpb.ShareRequest) (*configpb.ShareResponse, error) {
 	return &configpb.ShareResponse{}, nil
 }
--- a/internal/configwatch/service.go
+++ b/internal/configwatch/service.go
@@ -40,3 +40,8 @@
 func (s *service) Share(context.Context, *configpb.ShareRequest) (*configpb.ShareResponse, error) {
 	return nil, api.Errorf(api.CodeNoQuorum, "a router is no control replica")
 }
+
+// History implements the RPC service: routers keep no audit trail.
+func (s *service) History(*configpb.HistoryRequest, configpb.DRPCConfig_HistoryStream) error {
+	return api.Errorf(api.CodeNoQuorum, "a router is no control replica")
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/oklog/run"
@@ -34,6 +35,8 @@
 	leases    *leases
 	sharing   *sharing
 	heardBy   *heardBy
+	archive   *archive
+	archiver  *archiver
 	operators net.Listener
 	// closing ends the operators' watches on a shutdown.
 	closing context.Context
@@ -61,6 +64,8 @@
 		heardBy: newHeardBy(),
 	}
 	c.sharing = newSharing(s, c.leases)
+	c.archive = &archive{dir: filepath.Join(s.DataDir, "control", "audit")}
+	c.archiver = newArchiver(s, store, c.archive, log)
 	c.closing, c.close = context.WithCancel(context.Background())
 	c.addMetrics()
 	return c, nil
@@ -76,6 +81,7 @@
 		return httpx.Serve(ctx, c.operators, c.Handler(), httpx.ReadHeaderTimeout)
 	})
 	actor.Add(group, c.sharing.run)
+	actor.Add(group, c.archiver.run)
 	actor.Add(group, c.watchQuorum)
 	actor.Add(group, c.replica.Run)
 }
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -114,9 +114,10 @@
 		Str("requestId", command.RequestID).Msg("configuration change")
 }
 
-// audit answers with the changes above a revision that are still kept.
+// audit answers with the next changes above a revision; zero stands for the
+// oldest that is kept. The changes go on above the last one of an answer.
 func (c *Control) audit(w http.ResponseWriter, r *http.Request) {
-	above, err := revisionOf(r, 0)
+	revision, err := revisionOf(r, 0)
 	if err == nil {
 		err = c.current(r.Context())
 	}
@@ -124,15 +125,15 @@
 		httpx.WriteError(w, err)
 		return
 	}
-	changes, revision, err := c.store.Changes(above)
-	if err != nil && above > 0 {
-		httpx.WriteError(w, err)
-		return
+	if revision == 0 {
+		revision = c.oldestRevision()
 	}
+	changes, _, err := c.changesAbove(revision)
 	if err != nil {
-		changes, revision = c.store.KeptChanges()
+		httpx.WriteError(w, err)
+		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, &api.ChangeList{Revision: revision, Items: changes})
+	httpx.WriteJSON(w, http.StatusOK, &api.ChangeList{Revision: c.store.Revision(), Items: changes})
 }
 
 // revisionOf reads the query's revision, or returns def where it has none.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -245,6 +245,13 @@
 	return slices.Clone(s.changes[above-oldest:]), s.revision, nil
 }
 
+// oldestRevision returns the revision above which all changes are kept.
+func (s *Store) oldestRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision - uint64(len(s.changes))
+}
+
 // KeptChanges returns all changes that are kept and the current revision.
 func (s *Store) KeptChanges() ([]*api.Change, uint64) {
 	s.mu.Lock()
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -48,7 +48,7 @@
 	}
 	revision, err := revisionOf(r, c.store.Revision())
 	if err == nil {
-		_, _, err = c.store.Changes(revision)
+		_, _, err = c.changesAbove(revision)
 	}
 	if err != nil {
 		httpx.WriteError(w, err)
@@ -118,13 +118,25 @@
 	}
 }
 
-// sendChanges sends what came above the watch's revision. A replica that hears
-// no leader ends the watch instead: the operator is to ask another one.
+// sendChanges sends all that came above the watch's revision.
 func (o *operatorWatch) sendChanges() error {
+	for {
+		if err := o.sendNext(); err != nil {
+			return err
+		}
+		if o.revision >= o.control.store.Revision() {
+			return nil
+		}
+	}
+}
+
+// sendNext sends the next changes. A replica that hears no leader ends the watch
+// instead: the operator is to ask another one.
+func (o *operatorWatch) sendNext() error {
 	if !o.control.replica.Status().Current {
 		return api.Errorf(api.CodeNoQuorum, "this control replica is cut off")
 	}
-	changes, revision, err := o.control.store.Changes(o.revision)
+	changes, upTo, err := o.control.changesAbove(o.revision)
 	if err != nil {
 		return err
 	}
@@ -138,7 +150,7 @@
 		}
 		o.follow(change)
 	}
-	o.revision = max(o.revision, revision)
+	o.revision = max(o.revision, upTo)
 	return nil
 }
 
--- a/internal/settings/memory.go
+++ b/internal/settings/memory.go
@@ -13,7 +13,7 @@
 // Defaults of the growth of the heap, in percent. A daemon without the role
 // router allocates so little that collecting twice as often costs nothing.
 const (
-	defaultGCPercent       = 100
+	defaultGCPercent         = 100
 	defaultGCPercentNoRouter = 50
 )
 
--- a/test/configfaults/race_test.go
+++ b/test/configfaults/race_test.go
@@ -235,10 +235,13 @@
 	result, _ := porcupine.CheckOperationsVerbose(raceModel, r.history, testbed.Patience)
 	r.t.Logf("%d operations, %d writes acknowledged, judged %s", len(r.history), len(r.writes), result)
 	r.Expect(result).To(Equal(porcupine.Ok))
-	changes, err := r.client(r.controls...).Audit(context.Background(), 0)
-	r.Expect(err).NotTo(HaveOccurred())
+	var changes []*api.Change
+	r.Expect(r.client(r.controls...).Audit(context.Background(), 0, func(part *api.ChangeList) error {
+		changes = append(changes, part.Items...)
+		return nil
+	})).To(Succeed())
 	applied := map[string]uint64{}
-	for i, change := range changes.Items {
+	for i, change := range changes {
 		r.Expect(change.Revision).To(BeNumerically("==", i+1))
 		r.Expect(applied).NotTo(HaveKey(change.RequestID), "a resend was applied twice")
 		applied[change.RequestID] = change.Revision
