--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,7 @@
 	LedgerShards [][]string `json:"ledgerShards,omitempty"`
 	Timeouts     Timeouts   `json:"timeouts"`
 	Routing      Routing    `json:"routing"`
+	Memory       Memory     `json:"memory"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -244,6 +245,8 @@
 	v.ledgerShards(s)
 	v.timeouts(s.Timeouts)
 	v.policy(s.Routing.Policy)
+	v.notNegative("memory.gcPercent", s.Memory.GCPercent)
+	v.notNegative("memory.limitMb", s.Memory.LimitMB)
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
