Prove overflow, a cut between regions and five control replicas

Cause: no test had overflow between failure domains on real processes, two regions, or more than three control replicas.

Overflow: a failure domain without servers sends charges and chats to another one over one hop; cut off without servers it refuses them as not run, and those did not run; with servers again it serves. A full one sends some elsewhere.

--- a/test/configfaults/group_test.go
+++ b/test/configfaults/group_test.go
@@ -44,10 +44,16 @@
 // deploy starts three control instances in failure domains of their own and
 // waits until each is a voter with a leader.
 func deploy(t *testing.T, routers int) *group {
+	t.Helper()
+	return deployGroup(t, 3, routers)
+}
+
+// deployGroup is deploy with a number of control instances.
+func deployGroup(t *testing.T, controls, routers int) *group {
 	t.Helper()
 	g := &group{WithT: NewWithT(t), t: t}
 	spec := testbed.Spec{}
-	for i := range 3 {
+	for i := range controls {
 		name := fmt.Sprint("control-", i+1)
 		g.controls = append(g.controls, name)
 		spec.Daemons = append(spec.Daemons, daemon(name, domain(i), settings.RoleControl))
--- a/test/configfaults/race_test.go
+++ b/test/configfaults/race_test.go
@@ -83,18 +83,24 @@
 
 func TestOperatorsRaceThroughFaults(t *testing.T) {
 	t.Parallel()
-	g := deploy(t, 2)
+	runRace(deploy(t, 2), func(r *race) {
+		random := rand.New(rand.NewPCG(*seedFlag, 0))
+		for round := range *roundsFlag {
+			time.Sleep(healthyTime)
+			r.fault(random, round)
+		}
+	})
+}
+
+// runRace lets operators race while bring brings faults about, and judges the history.
+func runRace(g *group, bring func(r *race)) {
 	r := &race{group: g, stop: make(chan struct{}), writes: map[string]uint64{}, begun: time.Now()}
 	watchers := r.startWatchers()
 	var operators sync.WaitGroup
 	for i := range racers {
 		operators.Go(func() { r.operate(i) })
 	}
-	random := rand.New(rand.NewPCG(*seedFlag, 0))
-	for round := range *roundsFlag {
-		time.Sleep(healthyTime)
-		r.fault(random, round)
-	}
+	bring(r)
 	close(r.stop)
 	operators.Wait()
 	for _, check := range watchers {
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -8,8 +8,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"flag"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,7 +83,7 @@
 }
 
 func (d deployed) apply(all []*api.Resource) {
-	client := api.NewClient(d.Daemons[control.Instance].Settings.Listen.Operators, "test")
+	client := d.operators()
 	for _, resource := range all {
 		requestID := uuid.NewString()
 		d.Expect(testbed.Eventually(func() error {
@@ -121,10 +123,16 @@
 
 // executions returns how often the requests under each key ran on all servers.
 func (d deployed) executions() map[string]int {
+	return d.executionsOf(slices.Collect(maps.Keys(d.Backends)))
+}
+
+// executionsOf returns how often the requests under each key ran on the named servers.
+func (d deployed) executionsOf(backends []string) map[string]int {
 	counts := map[string]int{}
-	for name, backend := range d.Backends {
+	for _, name := range backends {
 		var list []fake.Execution
-		d.Expect(testbed.Eventually(func() error { return getJSON(backend.Address, "/executions", &list) })).To(Succeed(), name)
+		address := d.Backends[name].Address
+		d.Expect(testbed.Eventually(func() error { return getJSON(address, "/executions", &list) })).To(Succeed(), name)
 		for _, execution := range list {
 			counts[execution.Key] += execution.Count
 		}
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -20,7 +20,7 @@
 	"deploy":   deploy,
 	"ready":    ready,
 	"start":    onProcess((*testbed.Process).Start),
-	"shutdown": onProcess((*testbed.Process).Stop),
+	"shutdown": shutdown,
 	"sigkill":  onProcess((*testbed.Process).Kill),
 	"freeze":   onProcess((*testbed.Process).Freeze),
 	"thaw":     onProcess((*testbed.Process).Thaw),
@@ -56,6 +56,19 @@
 	}
 }
 
+// shutdown stops the named processes side by side, each with exit code 0.
+func shutdown(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg)
+	ended := make(chan error, len(args))
+	for _, name := range args {
+		stopped := process(ts, name)
+		go func() { ended <- stopped.Stop() }()
+	}
+	for range args {
+		ts.Check(<-ended)
+	}
+}
+
 // ready waits until the named daemons are ready.
 func ready(ts *testscript.TestScript, neg bool, args []string) {
 	refuseNegation(ts, neg)
