--- a/internal/configwatch/service.go
+++ b/internal/configwatch/service.go
@@ -28,7 +28,7 @@
 	if current.Revision() <= request.GetRevision() {
 		return configpb.SendParts(stream, current.Revision(), false, nil)
 	}
-	return configpb.SendParts(stream, current.Revision(), true, current.Resources())
+	return configpb.SendEncoded(stream, current.Revision(), true, current.Resources())
 }
 
 // Report implements the RPC service: routers take no reports.
@@ -40,3 +40,8 @@
 func (s *service) Share(context.Context, *configpb.ShareRequest) (*configpb.ShareResponse, error) {
 	return nil, api.Errorf(api.CodeNoQuorum, "a router is no control replica")
 }
+
+// History implements the RPC service: routers keep no audit trail.
+func (s *service) History(*configpb.HistoryRequest, configpb.DRPCConfig_HistoryStream) error {
+	return api.Errorf(api.CodeNoQuorum, "a router is no control replica")
+}
