Count all promises of a slot together

Cause: a waiter was promised a slot by its place in the order, which puts a customer with little in flight first; where all customers bring the crest, each was promised its place before the others and together they were promised more than the router serves in time.

--- a/internal/balance/fairness.go
+++ b/internal/balance/fairness.go
@@ -31,6 +31,8 @@
 	len      int
 	inFlight shares
 	rate     rateMeter
+	// promises counts the waiters that were promised a slot.
+	promises int
 	latency  latencyMeter
 }
 
@@ -67,6 +69,9 @@
 		return
 	}
 	waiter.removed = true
+	if waiter.promised {
+		c.promises--
+	}
 	c.len--
 	c.flows[i].waiters = slices.Delete(c.flows[i].waiters, at, at+1)
 	if len(c.flows[i].waiters) == 0 {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -125,12 +125,14 @@
 		return false
 	}
 	waiter.promised = true
+	q.class(&waiter.Request).promises++
 	waiter.Due = waiter.Deadline
 	return true
 }
 
 // mayPromise reports whether a waiter most likely gets a slot in time. A customer
-// that surges gets no promise.
+// that surges gets no promise. Earlier promises count also where they come later
+// in the order, which changes as others get slots.
 func (q *Queue) mayPromise(now time.Time, waiter *Waiter, longRoom int) bool {
 	class := q.class(&waiter.Request)
 	if !class.rate.known() {
@@ -145,6 +147,7 @@
 		// Once it has aged, it gets the next free slot of a server for long work.
 		return inTime(place, longServerShare*rate, waiter.Deadline.Sub(waiter.agedAt()))
 	}
+	place = max(place, class.promises+1)
 	return inTime(place, class.rate.perSecond(now), waiter.Deadline.Sub(now))
 }
 
