--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -54,9 +54,11 @@
 // receive takes a server's answer and passes it to the caller.
 func (t *transfer) receive(ex *exchange, lease *dispatch.Lease) *failure {
 	t.setAffinity(ex, lease)
-	if t.job.stream && ex.StatusCode == http.StatusOK && isType(ex.Header.Get("Content-Type"), typeEventStream) {
+	if t.job.stream && ex.isStream() {
 		return t.relay(ex, lease)
 	}
+	ex.begin()
+	ex.progressed()
 	answer, err := readAnswer(ex)
 	if err != nil {
 		return t.lost(lease, ex.failure(err))
@@ -82,7 +84,10 @@
 	if a.refusedAsNotRun() {
 		t.decline()
 		t.exclude = append(t.exclude, lease.Server)
-		return &failure{err: a.err(), answer: a, repeatable: true, blameless: true}
+		err := a.err()
+		// The request has waited here and there; a third place would make it late.
+		overloaded := lease.Remote && err.Code == api.CodeOverloaded
+		return &failure{err: err, answer: a, repeatable: !overloaded, blameless: true}
 	}
 	if err := t.check(a); err != nil {
 		return t.lost(lease, err)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -31,7 +31,9 @@
 			return t.streamLost(lease, ex.failure(err))
 		}
 		if string(data) == api.StreamEnd {
-			return t.endStream(lease, skip)
+			failed := t.endStream(lease, skip)
+			ex.drain()
+			return failed
 		}
 		chunk, refusal, err := decodeEvent(data)
 		if err != nil {
@@ -44,6 +46,7 @@
 			lateAnswers.Inc()
 			continue
 		}
+		ex.begin()
 		// The time that the caller takes is not the server's.
 		ex.pause()
 		if skip, failed = t.pass(chunk, data, skip); failed != nil {
