--- a/spec/config_test.go
+++ b/spec/config_test.go
@@ -8,6 +8,7 @@
 const configDepth = 1_000_000
 
 func TestConfigHolds(t *testing.T) {
+	t.Parallel()
 	for _, defines := range [][]string{
 		{"TERMS=4", "ENTRIES=1", "CRASHES=2"},
 		{"TERMS=3", "ENTRIES=2", "CRASHES=1"},
@@ -19,6 +20,7 @@
 
 // TestConfigNeedsEachRule removes one rule at a time.
 func TestConfigNeedsEachRule(t *testing.T) {
+	t.Parallel()
 	writes := []string{"TERMS=4", "ENTRIES=1", "CRASHES=2"}
 	reads := []string{"TERMS=3", "ENTRIES=2", "CRASHES=0", "READS"}
 	for _, variant := range []struct {
--- /dev/null
+++ b/spec/members.pml
@@ -0,0 +1,256 @@
+/* Replacing a replica of the configuration's group: replica 3 learns, replica 2
+ * is removed, and then 3 votes. Elections and replication are those of
+ * config.pml; a replica uses the newest membership in its log, committed or not.
+ * Replica 2 may be lost or only cut off: a replica may stop acting at any step.
+ *
+ * Each of these names removes one rule and must be refuted:
+ *   TWO_AT_ONCE      a change is proposed while another one is not committed
+ *   SWAP_IN_ONE      one entry removes the one replica and lets the other vote
+ *   NOT_CAUGHT_UP    a learner votes before it has what is committed
+ */
+#ifndef TERMS
+#define TERMS 3
+#endif
+#ifndef ENTRIES
+#define ENTRIES 3
+#endif
+/* A log has data up to here, and a change of the membership above it. */
+#ifndef DATA_ENTRIES
+#define DATA_ENTRIES (ENTRIES - 1)
+#endif
+#define REPLICAS 4
+#define NONE 7
+
+#define FOLLOWER 0
+#define CANDIDATE 1
+#define LEADER 2
+
+/* Kinds of entries. */
+#define DATA 0
+#define REMOVE 1
+#define PROMOTE 2
+
+/* Sets of voters. */
+#define INITIAL 7
+#define REMOVED 3
+#define REPLACED 11
+
+#define AT(r, n) ((r) * ENTRIES + (n) - 1)
+#define TERM_AT(r, n) (entry[AT(r, n)] >> 2)
+#define KIND_AT(r, n) (entry[AT(r, n)] & 3)
+
+byte term[REPLICAS];
+byte vote[REPLICAS];
+byte role[REPLICAS];
+byte votes[REPLICAS];             /* bit set, of a candidate */
+byte length[REPLICAS];
+byte entry[REPLICAS * ENTRIES];   /* term and kind of each entry */
+byte match[REPLICAS * REPLICAS];  /* of a leader: what each replica has */
+byte commit[REPLICAS];            /* of a leader */
+
+/* What a checker outside sees. */
+byte decided[ENTRIES + 1];        /* each committed entry */
+byte decided_in[ENTRIES + 1];     /* the term in which it was committed */
+byte highest;
+byte promised;                    /* what was committed when 3 got its vote */
+
+hidden byte i, set, members;
+
+#define BIT(r) (1 << (r))
+#define HAS(s, r) (((s) >> (r)) & 1)
+#define COUNT(s) (HAS(s, 0) + HAS(s, 1) + HAS(s, 2) + HAS(s, 3))
+#define IS_MAJORITY(s, v) (2 * COUNT((s) & (v)) > COUNT(v))
+
+#define KIND_OR_DATA(r, n) (length[r] >= (n) -> KIND_AT(r, n) : DATA)
+#if ENTRIES == 3
+#define HAS_KIND(r, k) (KIND_OR_DATA(r, 1) == (k) || KIND_OR_DATA(r, 2) == (k) || KIND_OR_DATA(r, 3) == (k))
+#else
+#define HAS_KIND(r, k) (KIND_OR_DATA(r, 1) == (k) || KIND_OR_DATA(r, 2) == (k) || KIND_OR_DATA(r, 3) == (k) || KIND_OR_DATA(r, 4) == (k))
+#endif
+#define VOTERS(r) (HAS_KIND(r, PROMOTE) -> REPLACED : (HAS_KIND(r, REMOVE) -> REMOVED : INITIAL))
+#define LAST_TERM(r) (length[r] == 0 -> 0 : TERM_AT(r, length[r]))
+#define UP_TO_DATE(c, v) (LAST_TERM(c) > LAST_TERM(v) || (LAST_TERM(c) == LAST_TERM(v) && length[c] >= length[v]))
+
+inline step_down(r) {
+	role[r] = FOLLOWER;
+	votes[r] = 0;
+	commit[r] = 0;
+	match[r * REPLICAS] = 0;
+	match[r * REPLICAS + 1] = 0;
+	match[r * REPLICAS + 2] = 0;
+	match[r * REPLICAS + 3] = 0
+}
+
+inline adopt(r, t) {
+	if
+	:: term[r] < t -> term[r] = t; vote[r] = NONE; step_down(r)
+	:: else
+	fi
+}
+
+inline campaign(r) {
+	d_step {
+		step_down(r);
+		term[r]++;
+		vote[r] = r;
+		role[r] = CANDIDATE;
+		votes[r] = BIT(r)
+	}
+}
+
+inline ask_vote(c, v) {
+	d_step {
+		adopt(v, term[c]);
+		if
+		:: term[v] == term[c] && (vote[v] == NONE || vote[v] == c) && UP_TO_DATE(c, v) -> vote[v] = c; votes[c] = votes[c] | BIT(v)
+		:: else
+		fi
+	}
+}
+
+inline win(c) {
+	d_step {
+		role[c] = LEADER;
+		votes[c] = 0;
+		match[c * REPLICAS + c] = length[c];
+		/* Leader completeness: it has all that was committed in earlier terms. */
+		i = 1;
+		do
+		:: i <= highest ->
+			assert(decided_in[i] >= term[c] || (length[c] >= i && entry[AT(c, i)] == decided[i]));
+			i++
+		:: else -> break
+		od;
+		i = 0
+	}
+}
+
+inline propose(l, kind) {
+	d_step {
+		length[l]++;
+		entry[AT(l, length[l])] = (term[l] << 2) + kind;
+		match[l * REPLICAS + l] = length[l];
+		if
+		:: kind == PROMOTE -> promised = commit[l]
+		:: else
+		fi
+	}
+}
+
+/* The leader sends entry n after the one before it. */
+inline replicate(l, f, n) {
+	d_step {
+		adopt(f, term[l]);
+		if
+		:: term[f] == term[l] && length[f] >= n - 1 && (n == 1 || entry[AT(f, n - 1)] == entry[AT(l, n - 1)]) ->
+			if
+			:: role[f] == CANDIDATE -> step_down(f)
+			:: else
+			fi;
+			if
+			:: length[f] >= n && entry[AT(f, n)] != entry[AT(l, n)] ->
+				do
+				:: length[f] >= n -> entry[AT(f, length[f])] = 0; length[f]--
+				:: else -> break
+				od
+			:: else
+			fi;
+			if
+			:: length[f] < n -> length[f] = n; entry[AT(f, n)] = entry[AT(l, n)]
+			:: else
+			fi;
+			if
+			:: match[l * REPLICAS + f] < n -> match[l * REPLICAS + f] = n
+			:: else
+			fi
+		:: else
+		fi
+	}
+}
+
+#define HOLDERS(l, n) ((match[(l) * REPLICAS] >= n -> 1 : 0) + (match[(l) * REPLICAS + 1] >= n -> 2 : 0) + (match[(l) * REPLICAS + 2] >= n -> 4 : 0) + (match[(l) * REPLICAS + 3] >= n -> 8 : 0))
+
+inline decide(l, n) {
+	d_step {
+		commit[l] = n;
+		i = 1;
+		do
+		:: i <= n ->
+			/* State-machine safety: an index is decided once. */
+			assert(i > highest || decided[i] == entry[AT(l, i)]);
+			if
+			:: i > highest -> decided[i] = entry[AT(l, i)]; decided_in[i] = term[l]
+			:: else
+			fi;
+			/* The repair is reported done: 3 has what was committed before its vote. */
+			assert(KIND_AT(l, i) != PROMOTE || length[3] >= promised);
+			i++
+		:: else -> break
+		od;
+		i = 0;
+		if
+		:: n > highest -> highest = n
+		:: else
+		fi
+	}
+}
+
+/* A leader changes the membership after it has committed an entry of its term. */
+#define SETTLED(l) (commit[l] > 0 && TERM_AT(l, commit[l]) == term[l])
+
+#ifdef TWO_AT_ONCE
+#define NO_PENDING(l) true
+#else
+#define NO_PENDING(l) (commit[l] == length[l] || (KIND_AT(l, length[l]) == DATA && (commit[l] + 1 >= length[l] || KIND_AT(l, length[l] - 1) == DATA)))
+#endif
+
+#ifdef NOT_CAUGHT_UP
+#define CAUGHT_UP(l) true
+#else
+#define CAUGHT_UP(l) (match[(l) * REPLICAS + 3] >= commit[l])
+#endif
+
+#ifdef SWAP_IN_ONE
+#define MAY_REMOVE(l) false
+#define MAY_PROMOTE(l) (!HAS_KIND(l, PROMOTE))
+#else
+#define MAY_REMOVE(l) (!HAS_KIND(l, REMOVE))
+#define MAY_PROMOTE(l) (HAS_KIND(l, REMOVE) && !HAS_KIND(l, PROMOTE))
+#endif
+
+#define TO(l, f) \
+	:: role[l] == LEADER && term[f] <= term[l] && match[l * REPLICAS + f] < length[l] -> replicate(l, f, 1) \
+	:: role[l] == LEADER && length[l] >= 2 && term[f] <= term[l] && match[l * REPLICAS + f] < length[l] -> replicate(l, f, 2) \
+	:: role[l] == LEADER && length[l] >= 3 && term[f] <= term[l] && match[l * REPLICAS + f] < length[l] -> replicate(l, f, 3)
+
+#define ASK(c, v) \
+	:: role[c] == CANDIDATE && HAS(VOTERS(c), v) && !HAS(votes[c], v) && term[v] <= term[c] -> ask_vote(c, v)
+
+#define COMMIT(l, n) \
+	:: role[l] == LEADER && length[l] >= n && commit[l] < n && TERM_AT(l, n) == term[l] && IS_MAJORITY(HOLDERS(l, n), VOTERS(l)) -> decide(l, n)
+
+/* Replicas 0 and 1 play the same part, so that 1 does not campaign first. */
+#define MAY_CAMPAIGN(r) (role[r] != LEADER && term[r] < TERMS && HAS(VOTERS(r), r) && (r != 1 || term[0] + term[2] > 0))
+
+#define STEPS(r, x, y, z) \
+	:: MAY_CAMPAIGN(r) -> campaign(r) \
+	:: role[r] == CANDIDATE && IS_MAJORITY(votes[r], VOTERS(r)) -> win(r) \
+	ASK(r, x) ASK(r, y) ASK(r, z) \
+	:: role[r] == LEADER && length[r] < DATA_ENTRIES -> propose(r, DATA) \
+	:: role[r] == LEADER && length[r] < ENTRIES && SETTLED(r) && NO_PENDING(r) && CAUGHT_UP(r) && MAY_REMOVE(r) -> propose(r, REMOVE) \
+	:: role[r] == LEADER && length[r] < ENTRIES && SETTLED(r) && NO_PENDING(r) && CAUGHT_UP(r) && MAY_PROMOTE(r) -> propose(r, PROMOTE) \
+	TO(r, x) TO(r, y) TO(r, z) \
+	COMMIT(r, 1) COMMIT(r, 2) COMMIT(r, 3)
+
+init {
+	d_step {
+		vote[0] = NONE; vote[1] = NONE; vote[2] = NONE; vote[3] = NONE
+	}
+end:
+	do
+	STEPS(0, 1, 2, 3)
+	STEPS(1, 0, 2, 3)
+	STEPS(2, 0, 1, 3)
+	STEPS(3, 0, 1, 2)
+	od
+}
--- /dev/null
+++ b/spec/members_test.go
@@ -0,0 +1,38 @@
+package spec
+
+import "testing"
+
+// Models of what the configuration's group does besides replicating its log.
+const (
+	membersModel   = "members.pml"
+	snapshotsModel = "snapshots.pml"
+)
+
+func TestConfigMembersHold(t *testing.T) {
+	t.Parallel()
+	expectHolds(t, run{model: membersModel, depth: configDepth})
+}
+
+func TestConfigMembersNeedEachRule(t *testing.T) {
+	t.Parallel()
+	expectEachRefuted(t, membersModel, "TWO_AT_ONCE", "SWAP_IN_ONE", "NOT_CAUGHT_UP")
+}
+
+func TestConfigSnapshotsHold(t *testing.T) {
+	t.Parallel()
+	expectHolds(t, run{model: snapshotsModel, depth: configDepth})
+}
+
+func TestConfigSnapshotsNeedEachRule(t *testing.T) {
+	t.Parallel()
+	expectEachRefuted(t, snapshotsModel, "NO_REQUESTS", "NO_REVISION", "LATE_STATE", "CUT_FIRST")
+}
+
+// expectEachRefuted removes one rule of a model at a time.
+func expectEachRefuted(t *testing.T, model string, rules ...string) {
+	for _, rule := range rules {
+		t.Run(rule, func(t *testing.T) {
+			expectRefuted(t, run{model: model, depth: configDepth, defines: []string{rule}})
+		})
+	}
+}
