Check that a keyed request without a slot frees its key

Why: refusals at the crest that said may_have_run were suspected to come from claims held while a request waits. They do not: they were idempotent chats, which carry no claim. The test shows that a keyed request that gets no slot is not_run and that a resend under the key runs. It passed as the code stood.

--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -103,6 +103,16 @@
 		Expect(r.claimer.releases).To(Equal(1))
 	})
 
+	It("is not run, and runs on a resend, where it got no slot", func() {
+		r := newRig(longProgress)
+		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge", api.HeaderIdempotencyKey, "k")
+		Expect(got.refusal().Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(r.claimer.releases).To(Equal(1))
+		r.dispatcher.servers = []string{newRawServer(answerFirstOnly).address()}
+		got = r.mustCall(http.MethodPost, "/services/gates/a", "charge", api.HeaderIdempotencyKey, "k")
+		Expect(got.outcome).To(Equal(api.OutcomeRan))
+	})
+
 	It("is unknown where its claim could not be released", func() {
 		r := newRig(longProgress, deadAddress())
 		r.claimer.releaseErr = errors.New("no quorum")
