Take the configuration from one source at the start

Cause: a restarted router asked each router of its failure domain and each control replica for the whole configuration at once.

The router now asks all for their revisions, and then one of those with the highest for the resources. A source of an earlier version sends everything when asked for its revision, which is not used. TestStartTakesTheConfigurationOnce counts the copies. What is asked of the sources while the router is cut off goes the same way.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -30,8 +30,10 @@
 	// heartbeatsPerReport is the number of heartbeats between two reports
 	// without news; a lease outlasts two of them.
 	heartbeatsPerReport = 2
-	// askTimeout bounds the question to all sources at the start and while the
-	// router is cut off.
+	// peekTimeout bounds the question to all sources for their revisions, at the
+	// start and while the router is cut off.
+	peekTimeout = time.Second
+	// askTimeout bounds the transfer of the highest revision.
 	askTimeout = 2 * time.Second
 	// askPeersEvery is the time between two questions to the peers while the
 	// router is cut off.
@@ -225,25 +227,6 @@
 	}
 }
 
-// askAll asks sources at once for what they have and takes the highest.
-func (w *Watcher) askAll(ctx context.Context, sources []*rpc.Client) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for _, source := range sources {
-		wait.Go(func() {
-			_ = source.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-				stream, err := configpb.NewDRPCConfigClient(conn).Watch(ctx, w.request(true))
-				if err != nil {
-					return err
-				}
-				return w.receive(stream, func() {})
-			})
-		})
-	}
-	wait.Wait()
-}
-
 // askPeers asks the other routers of the failure domain while control is silent.
 func (w *Watcher) askPeers(ctx context.Context) {
 	ticker := time.NewTicker(askPeersEvery)
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -39,6 +39,10 @@
 	// onlyOnce refuses lasting watches, as a cut-off replica or a router does.
 	onlyOnce atomic.Bool
 	revision atomic.Uint64
+	// old sources know no peek and send the whole configuration instead.
+	old atomic.Bool
+	// wholes counts the times that the resources were sent.
+	wholes atomic.Int32
 }
 
 func newSource(t *testing.T, revision uint64) *source {
@@ -68,6 +72,10 @@
 			return api.Errorf(api.CodeNoQuorum, "cut off")
 		}
 		revision := s.revision.Load()
+		if request.GetPeek() && !s.old.Load() {
+			return stream.Send(&configpb.WatchEvent{Revision: revision})
+		}
+		s.wholes.Add(1)
 		resources := []*api.Resource{customer(1, revision)}
 		if err := configpb.SendParts(stream, revision, true, resources); err != nil || request.GetOnce() {
 			return err
@@ -165,6 +173,28 @@
 	g.Eventually(revisionOf(w), patience).Should(BeNumerically("==", 6))
 }
 
+func TestStartTakesTheConfigurationOnce(t *testing.T) {
+	g := NewWithT(t)
+	control, old := newSource(t, 3), newSource(t, 2)
+	control.onlyOnce.Store(true)
+	old.onlyOnce.Store(true)
+	old.old.Store(true)
+	var peers []*source
+	for range 5 {
+		peer := newSource(t, 3)
+		peer.onlyOnce.Store(true)
+		peers = append(peers, peer)
+	}
+	w := start(t, "", []*source{control}, append(peers, old))
+	g.Eventually(w.Ready, patience).Should(Succeed())
+	g.Expect(w.Catalog().Revision()).To(BeNumerically("==", 3))
+	wholes := control.wholes.Load()
+	for _, peer := range peers {
+		wholes += peer.wholes.Load()
+	}
+	g.Expect(wholes).To(BeNumerically("==", 1))
+}
+
 func TestCacheHoldsWhatWasApplied(t *testing.T) {
 	g := NewWithT(t)
 	path := filepath.Join(t.TempDir(), "catalog")
--- a/internal/configwatch/service.go
+++ b/internal/configwatch/service.go
@@ -25,7 +25,7 @@
 		return api.Errorf(api.CodeNoQuorum, "a router is no control replica")
 	}
 	current := s.watcher.Catalog()
-	if current.Revision() <= request.GetRevision() {
+	if request.GetPeek() || current.Revision() <= request.GetRevision() {
 		return configpb.SendParts(stream, current.Revision(), false, nil)
 	}
 	return configpb.SendEncoded(stream, current.Revision(), true, current.Resources())
--- a/internal/control/routers.go
+++ b/internal/control/routers.go
@@ -11,6 +11,9 @@
 
 // Watch implements the RPC service: it streams changes and heartbeats to a router.
 func (c *Control) Watch(request *configpb.WatchRequest, stream configpb.DRPCConfig_WatchStream) error {
+	if request.GetPeek() {
+		return stream.Send(&configpb.WatchEvent{Revision: c.store.Revision()})
+	}
 	changed, cancel := c.store.Subscribe()
 	defer cancel()
 	ticker := time.NewTicker(c.settings.Timeouts.Heartbeat())
