Send the configuration in parts of 32 KB; measure control at the target

A drpc connection keeps a buffer of the largest message that it carried, 512 KB for each router's watch.

--- a/internal/control/archiver.go
+++ b/internal/control/archiver.go
@@ -21,8 +21,9 @@
 	heartbeatsPerArchive = 10
 	// fetchTimeout bounds the transfer of a block from another replica.
 	fetchTimeout = 10 * time.Second
-	// historyPartBytes is the size of a part of a block, below drpc's message limit.
-	historyPartBytes = 512 << 10
+	// historyPartBytes is the size of a part of a block. A connection keeps a
+	// buffer of its largest message.
+	historyPartBytes = 32 << 10
 	// maxBlockBytes bounds the block that a replica takes from another.
 	maxBlockBytes = 256 << 20
 )
--- a/internal/rpc/configpb/parts.go
+++ b/internal/rpc/configpb/parts.go
@@ -8,8 +8,9 @@
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// partBytes is the size of a part of an event, below drpc's message limit.
-const partBytes = 512 << 10
+// partBytes is the size of a part of an event. A connection keeps a buffer of its
+// largest message on both ends, which is held for each router's watch.
+const partBytes = 32 << 10
 
 // SendParts sends the resources of a revision as one event in parts.
 func SendParts(stream DRPCConfig_WatchStream, revision uint64, snapshot bool, resources []*api.Resource) error {
--- a/test/measure/watches_test.go
+++ b/test/measure/watches_test.go
@@ -38,6 +38,19 @@
 	s.print()
 }
 
+// TestAimControl measures five control replicas with the customers and the routers
+// of the target, right after all routers have taken the configuration.
+func TestAimControl(t *testing.T) {
+	needMeasure(t)
+	const routers = 357
+	system := controlGroup(t)
+	system.applyCustomers(aimCustomers)
+	defer system.watchers(routers)()
+	c := system.controlCosts()
+	fmt.Printf("%d customers, %d watches on %d replicas: highest %.2f%% of a core, %.0f control B/s (mean %.0f, consensus %.0f), %.1f MB\n",
+		aimCustomers, routers, controlReplicas, 100*c[0], c[2], c[3], c[4], c[5])
+}
+
 // controlGroup starts five control replicas, each in its own failure domain.
 func controlGroup(t *testing.T) *system {
 	g := NewWithT(t)
