--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/oklog/run"
@@ -33,6 +34,9 @@
 	replica   *replica.Replica
 	leases    *leases
 	sharing   *sharing
+	heardBy   *heardBy
+	archive   *archive
+	archiver  *archiver
 	operators net.Listener
 	// closing ends the operators' watches on a shutdown.
 	closing context.Context
@@ -56,9 +60,12 @@
 	}
 	c := &Control{
 		log: log, settings: s, store: store, replica: r, operators: operators,
-		leases: newLeases(s.PeersWithRole(settings.RoleRouter), time.Now()),
+		leases:  newLeases(s.PeersWithRole(settings.RoleRouter), time.Now()),
+		heardBy: newHeardBy(),
 	}
 	c.sharing = newSharing(s, c.leases)
+	c.archive = &archive{dir: filepath.Join(s.DataDir, "control", "audit")}
+	c.archiver = newArchiver(s, store, c.archive, log)
 	c.closing, c.close = context.WithCancel(context.Background())
 	c.addMetrics()
 	return c, nil
@@ -74,6 +81,7 @@
 		return httpx.Serve(ctx, c.operators, c.Handler(), httpx.ReadHeaderTimeout)
 	})
 	actor.Add(group, c.sharing.run)
+	actor.Add(group, c.archiver.run)
 	actor.Add(group, c.watchQuorum)
 	actor.Add(group, c.replica.Run)
 }
@@ -147,9 +155,5 @@
 
 // status tells how far a revision has spread.
 func (c *Control) status(now time.Time, revision uint64) *api.Status {
-	var changed time.Time
-	if change := c.store.ChangeAt(revision); change != nil {
-		changed = change.Time
-	}
-	return c.leases.status(now, revision, changed)
+	return c.leases.status(now, revision, c.store.ChangedAt(revision))
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -35,11 +35,15 @@
 	inFlight  InFlight
 	peers     []*peerLink
 	remotes   []*remoteLink
+	outgoing  outgoingSummary
+
+	mu    sync.Mutex
+	table *Table
+	heard map[string]time.Time
+	words map[string]word
+	// presentNow is what present worked out last.
+	presentNow presentServers
 
-	mu        sync.Mutex
-	table     *Table
-	heard     map[string]time.Time
-	words     map[string]word
 	summaries map[string]domainSummary
 }
 
@@ -164,9 +168,7 @@
 	for _, peer := range s.peers {
 		actor.Add(&group, func(ctx context.Context) error { return s.runPeer(ctx, peer) })
 	}
-	for _, remote := range s.remotes {
-		actor.Add(&group, func(ctx context.Context) error { return s.runRemote(ctx, remote) })
-	}
+	actor.Add(&group, s.runRemotes)
 	return group.Run()
 }
 
@@ -184,6 +186,7 @@
 		s.heard[request.GetInstance()] = now
 		s.hearWord(now, request.GetInstance(), request.GetInFlightOf(), request.GetInFlight())
 	}
+	response.UnknownSummaries = s.hearSummaries(now, request.GetSummaries(), fromPeer)
 	if request.GetWantAll() {
 		for _, record := range s.table.Records() {
 			response.Entries = append(response.Entries, toEntry(now, record))
