Close the connections over which a router asked for revisions

Cause: a router kept a connection to each control replica and peer that it had asked at the start, more than half of the connections at a replica of the target.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -120,6 +120,7 @@
 // replicas for what they have although they may be cut off themselves.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.askAll(ctx, slices.Concat(w.peers, w.controls))
+	w.closeIdle()
 	w.asked.Store(true)
 	go w.reportAll(ctx)
 	go w.askPeers(ctx)
@@ -132,6 +133,7 @@
 		if next == len(w.controls) {
 			next = 0
 			w.askAll(ctx, w.controls)
+			w.closeIdle()
 		}
 		select {
 		case <-ctx.Done():
@@ -141,6 +143,14 @@
 	return nil
 }
 
+// closeIdle closes the connections over which sources were asked. Kept open, those
+// of all routers would take more memory at a control replica than their watches.
+func (w *Watcher) closeIdle() {
+	for _, source := range slices.Concat(w.peers, w.controls) {
+		source.Close()
+	}
+}
+
 // watchOnce follows one control replica and reports whether that worked for a while.
 func (w *Watcher) watchOnce(ctx context.Context, replica *rpc.Client) bool {
 	ctx, cancel := context.WithCancel(ctx)
