--- a/test/faults/domain_test.go
+++ b/test/faults/domain_test.go
@@ -16,6 +16,7 @@
 const cutOffCharges = 10
 
 func TestCutOffFailureDomain(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, campaignSpec())
 	own, err := mintKeys(d.callers("router-c"), cutOffCharges)
 	d.Expect(err).NotTo(HaveOccurred())
--- a/test/faults/drain_test.go
+++ b/test/faults/drain_test.go
@@ -20,6 +20,7 @@
 // announce that the connection closes, so that each caller sends its next
 // request on it: it must be answered, whole or with a numbered refusal.
 func TestKeptConnectionsAreAnsweredAfterAStream(t *testing.T) {
+	t.Parallel()
 	const callers = 20
 	d := deploy(t, chatSpec(1, 2, settings.Timeouts{AnnounceMS: 50, SilenceMS: patientSilenceMS}, "-token-time", "10ms"))
 	d.firstAnswer("router-1")
--- a/test/faults/leaving_test.go
+++ b/test/faults/leaving_test.go
@@ -20,6 +20,7 @@
 // TestLeavingServersGetNoNewWork drains a server and freezes another one. Once
 // every router knows, no request goes to them; -v prints how long that took.
 func TestLeavingServersGetNoNewWork(t *testing.T) {
+	t.Parallel()
 	routers := []string{"router-1", "router-2", "router-3"}
 	d := deploy(t, chatSpec(len(routers), 3, settings.Timeouts{}, "-token-time", "1ms"))
 	d.firstAnswer(routers...)
--- a/test/faults/swallow_test.go
+++ b/test/faults/swallow_test.go
@@ -80,6 +80,7 @@
 }
 
 func TestSwallowedConnection(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, testbed.Spec{
 		Daemons:  []testbed.DaemonSpec{control, {Instance: "router-1", FailureDomain: domainA, Roles: routerRoles}},
 		Timeouts: settings.Timeouts{ProgressMS: 2000, HeartbeatMS: 200},
