Reserve places with the router that owns a server

Cause: the routers told each other their work in flight every 100 to 750 ms, so two of them placed on the same server within one interval. Margins that made up for it cost cache reuse.

Each server now has one owner among the live routers of its failure domain, by rendezvous hashing; up to 32 servers, one router owns the whole pool, so that the mean is exact too. The others ask it for a place with a message of some ten bytes on a stream, with their absolute count, and try the next server when it refuses. Without an answer the former rule holds.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,10 +28,26 @@
 	// them has not told it lately.
 	Others   int
 	OthersAt time.Time
+	// Owner tells who grants places on the server.
+	Owner Ownership
 	// Since is when this incarnation was first known; zero counts as long ago.
 	Since time.Time
 }
 
+// Ownership tells which router grants places on a server.
+type Ownership int
+
+// Ownerships of a server.
+const (
+	// OwnerNone is a server without a reachable owner.
+	OwnerNone Ownership = iota
+	// OwnerSelf is a server that this router owns: Server.Others is exact.
+	OwnerSelf
+	// OwnerPeer is a server whose owner another router is: a picked place counts
+	// once that one has granted it.
+	OwnerPeer
+)
+
 // Request is what a decision knows of a request.
 type Request struct {
 	// Chat identifies the chat; empty for a request without one.
@@ -49,6 +65,12 @@
 	NoOverflow bool
 	// Exclude lists servers that this request has already failed on.
 	Exclude []ServerID
+	// Refused lists servers whose owners have just refused a place.
+	Refused []ServerID
+	// Unreserved says that the servers' owners do not answer, so that none is asked.
+	Unreserved bool
+	// Firm says that only a lack of slots keeps the request from a server.
+	Firm bool
 }
 
 // Result tells how a server handled a request.
@@ -97,7 +119,9 @@
 	return ServerID(id), incarnation
 }
 
-func (r *Request) excludes(id ServerID) bool { return slices.Contains(r.Exclude, id) }
+func (r *Request) excludes(id ServerID) bool {
+	return slices.Contains(r.Exclude, id) || slices.Contains(r.Refused, id)
+}
 
 func (r *Request) hints(server *Server) bool {
 	if r.Hint != server.ID {
--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -10,7 +10,10 @@
 const (
 	// minMeanLoad is the load a server below which the relative bound does not
 	// tighten any more: there affinity counts for more.
-	minMeanLoad = 1.0
+	minMeanLoad = 2.0
+	// peerOptimism is how far over its bound, as far as known, a server may be
+	// whose owner is asked for a place: the owner knows better.
+	peerOptimism = 1.5
 	// boundMargin is taken off the bound on a server's whole load, and boundPlus
 	// is added, because the other routers' word on it is a little old.
 	boundMargin = 0.04
@@ -22,6 +25,16 @@
 	leaseFactor = 2.5
 	// maxLease bounds that part of the free load.
 	maxLease = 0.75
+	// maxAffine is how many refusals a request takes from the owners of its
+	// chat's first servers before it asks for those with the least load, and
+	// maxRefusals how many before it asks firmly.
+	maxAffine   = 3
+	maxRefusals = 5
+	// exactSlack is how many requests may have ended that the owner of a whole
+	// pool has not heard of, and wordSlack how many more, in square roots of all
+	// requests, where it has other owners' servers by the routers' word.
+	exactSlack = 1.0
+	wordSlack  = 1.0
 	// wordAge is the age at which the other routers' word counts no more.
 	wordAge = 3 * time.Second
 	// warmUp is the time over which a new server takes over chats.
@@ -73,6 +86,39 @@
 	return view.servers[chosen].ID, true
 }
 
+// Grants reports whether another router may have a further place on a server
+// that this router owns. A firm question is refused for lack of a slot only.
+func (b *Bounded) Grants(now time.Time, id ServerID, firm bool, view *View) bool {
+	i, found := view.index(id)
+	if !found {
+		return false
+	}
+	p := &pick{now: now, request: &Request{}, view: view, states: b.bind(now, view)}
+	p.mean, p.wholeMean = p.means()
+	return p.whole(i) < view.servers[i].Slots && (firm || p.overReserved(i) <= 0)
+}
+
+// AfterRefusal returns how a request goes on whose place a server's owner has
+// refused: it tries other servers, in the end those with the least load, and
+// once all have refused it asks firmly.
+func AfterRefusal(request Request, server ServerID) Request {
+	request.Refused = append(request.Refused, server)
+	if len(request.Refused) >= maxRefusals {
+		return Firm(request)
+	}
+	return request
+}
+
+// Firm returns a request that only a lack of slots keeps from a server.
+func Firm(request Request) Request {
+	request.Refused = nil
+	request.Firm = true
+	return request
+}
+
+// Unpick takes a pick back whose place the server's owner has refused.
+func (b *Bounded) Unpick(request Request, server ServerID) { b.done(&request, server) }
+
 // FirstByte implements FirstByteObserver.
 func (b *Bounded) FirstByte(_ time.Time, request Request, server ServerID, took time.Duration) {
 	if state := b.byID[server]; state != nil {
@@ -131,13 +177,22 @@
 func (p *pick) whole(i int) int {
 	server, state := &p.view.servers[i], p.states[i]
 	whole := state.inFlight + server.Others
-	believed := float64(state.unexplained) > unexplainedShare*float64(server.Slots)
+	mayHide := p.owner(i) == OwnerNone || p.view.place.Missing > 0
+	believed := mayHide && float64(state.unexplained) > unexplainedShare*float64(server.Slots)
 	if believed && p.now.Sub(state.reportedAt) <= reportAge {
 		whole += state.unexplained
 	}
 	return whole
 }
 
+// owner returns who grants places on the i-th server to this request.
+func (p *pick) owner(i int) Ownership {
+	if p.request.Unreserved {
+		return OwnerNone
+	}
+	return p.view.servers[i].Owner
+}
+
 // hasWord reports whether the other routers' word on the i-th server is fresh.
 func (p *pick) hasWord(i int) bool {
 	return p.view.place.Count == 1 || p.now.Sub(p.view.servers[i].OthersAt) <= wordAge
@@ -151,16 +206,11 @@
 		chat = random.Uint64()
 	}
 	best, bestScore := -1, 0.0
-	least, leastExcess := -1, 0.0
 	for i := range p.view.servers {
 		if !p.allowed(i) {
 			continue
 		}
-		excess := p.excess(i)
-		if excess > 0 {
-			if least < 0 || excess < leastExcess {
-				least, leastExcess = i, excess
-			}
+		if p.excess(i) > 0 {
 			continue
 		}
 		if p.request.hints(&p.view.servers[i]) {
@@ -170,12 +220,26 @@
 			best, bestScore = i, score
 		}
 	}
-	if best < 0 {
-		best = least
+	if best < 0 || p.request.Firm || len(p.request.Refused) >= maxAffine {
+		best = p.leastLoaded()
 	}
 	return best, best >= 0
 }
 
+// leastLoaded returns the server with the least load for its bound, or -1.
+func (p *pick) leastLoaded() int {
+	least, leastExcess := -1, 0.0
+	for i := range p.view.servers {
+		if !p.allowed(i) {
+			continue
+		}
+		if excess := p.excess(i); least < 0 || excess < leastExcess {
+			least, leastExcess = i, excess
+		}
+	}
+	return least
+}
+
 // allowed reports whether the i-th server may take the request at all.
 func (p *pick) allowed(i int) bool {
 	server, state := &p.view.servers[i], p.states[i]
@@ -204,6 +268,9 @@
 // excess is by how much the request would exceed the bound on the i-th server's
 // load; it is at most zero while the server is under its bound.
 func (p *pick) excess(i int) float64 {
+	if p.owner(i) != OwnerNone {
+		return p.overReserved(i)
+	}
 	slots := float64(p.view.servers[i].Slots)
 	if !p.hasWord(i) {
 		return p.overShare(i, p.view.loadBound*p.mean*slots)
@@ -213,6 +280,27 @@
 	return max(float64(p.whole(i)+1)-limit, p.overLease(i, limit))
 }
 
+// overReserved is by how much the request would exceed the bound on a server
+// whose owner knows its whole load. Requests that have ended unheard lower the
+// mean, so the owner takes some off.
+func (p *pick) overReserved(i int) float64 {
+	server := &p.view.servers[i]
+	mean := p.wholeMean
+	if p.view.place.Count > 1 {
+		total := p.wholeMean * float64(p.view.slots)
+		slack := exactSlack
+		if !p.view.exact {
+			slack += wordSlack * math.Sqrt(total)
+		}
+		mean = max(total-slack, minMeanLoad*float64(len(p.states))) / float64(p.view.slots)
+	}
+	limit := p.view.loadBound*mean*float64(server.Slots) + 1
+	if p.owner(i) == OwnerPeer {
+		limit += peerOptimism
+	}
+	return float64(p.whole(i)+1) - limit
+}
+
 // overShare is by how much the request would exceed this router's share. The
 // shares are rounded by offsets that are spread over the routers, so that they
 // add up to the bound without any word between them.
@@ -237,6 +325,9 @@
 // hasSlot reports whether the i-th server has a slot for this router.
 func (p *pick) hasSlot(i int) bool {
 	server := &p.view.servers[i]
+	if p.owner(i) != OwnerNone {
+		return p.whole(i) < server.Slots
+	}
 	slots := float64(server.Slots)
 	if !p.hasWord(i) {
 		return p.overShare(i, slots/float64(p.view.place.Count)) <= 0
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -14,6 +14,8 @@
 	// Rank is at least 0 and below Count.
 	Rank  int
 	Count int
+	// Missing is the number of routers of the failure domain that are not live.
+	Missing int
 }
 
 // View is the set of servers that a decision chooses from, as one router sees
@@ -23,7 +25,9 @@
 	loadBound float64
 	place     Place
 	slots     int
-	states    []*serverState
+	// exact says that this router owns all of the servers.
+	exact  bool
+	states []*serverState
 }
 
 // NewView returns a view of servers. A load bound of zero takes the default.
@@ -36,8 +40,10 @@
 	}
 	v := &View{servers: slices.Clone(servers), loadBound: loadBound, place: place}
 	slices.SortFunc(v.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	v.exact = true
 	for i := range v.servers {
 		v.slots += v.servers[i].Slots
+		v.exact = v.exact && v.servers[i].Owner == OwnerSelf
 	}
 	return v
 }
@@ -48,9 +54,28 @@
 // Slots returns the sum of the servers' slots.
 func (v *View) Slots() int { return v.slots }
 
+// SetOthers updates the other routers' work on a server that this router owns.
+func (v *View) SetOthers(id ServerID, count int) {
+	if i, found := v.index(id); found {
+		v.servers[i].Others = count
+	}
+}
+
+func (v *View) index(id ServerID) (int, bool) {
+	return slices.BinarySearchFunc(v.servers, id, func(s Server, id ServerID) int { return cmp.Compare(s.ID, id) })
+}
+
+// OwnerOf returns who grants places on a server.
+func (v *View) OwnerOf(id ServerID) Ownership {
+	if i, found := v.index(id); found {
+		return v.servers[i].Owner
+	}
+	return OwnerNone
+}
+
 // Incarnation returns the incarnation of a server, or zero where it is unknown.
 func (v *View) Incarnation(id ServerID) uint64 {
-	i, found := slices.BinarySearchFunc(v.servers, id, func(s Server, id ServerID) int { return cmp.Compare(s.ID, id) })
+	i, found := v.index(id)
 	if !found {
 		return 0
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,9 +60,10 @@
 	queueLimit time.Duration
 	now        func() time.Time
 
-	mu       sync.Mutex
-	pools    map[string]*pool
-	inFlight map[balance.ServerID]int
+	mu        sync.Mutex
+	reserving reserving
+	pools     map[string]*pool
+	inFlight  map[balance.ServerID]int
 	// overflowing counts the leases on routers of each other failure domain, and
 	// overflowed all that were ever given out.
 	overflowing map[string]int
@@ -116,7 +117,7 @@
 	now := d.now()
 	p := d.pool(target.UID)
 	key := candidateKey{pool: target.UID, model: model}
-	servers := p.view(now, d.source, view, target, key)
+	servers := p.view(now, d, view, target, key)
 	if servers.Len() == 0 {
 		d.mu.Unlock()
 		return nil, errNoServer()
@@ -124,9 +125,8 @@
 	verdict, id, waiter := p.admission.Ask(now, request, servers)
 	switch verdict {
 	case balance.VerdictServe:
-		lease := d.lease(p, request, id, servers)
 		d.mu.Unlock()
-		return lease, nil
+		return d.place(ctx, p, newWaiting(request, key, d.deadline(now, &request)), id)
 	case balance.VerdictRefuse:
 		d.mu.Unlock()
 		return nil, errOverloaded("the request would wait too long for a slot")
@@ -136,6 +136,14 @@
 	return d.wait(ctx, p, w)
 }
 
+// deadline returns the time until which a request may wait for a slot.
+func (d *Dispatcher) deadline(now time.Time, request *balance.Request) time.Time {
+	if request.FirstByteWithin > 0 {
+		return now.Add(min(d.queueLimit, request.FirstByteWithin))
+	}
+	return now.Add(d.queueLimit)
+}
+
 func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
 	d.inFlight[id]++
 	return &Lease{
@@ -152,30 +160,31 @@
 	return p.admission.FirstByte(d.now(), request, id, took)
 }
 
-// wait blocks until the waiter gets a lease, its time is over or ctx ends.
+// wait blocks until the waiter has a lease, its time is over or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
-	timer := time.NewTimer(w.waiter.Deadline.Sub(d.now()))
+	timer := time.NewTimer(w.deadline.Sub(d.now()))
 	defer timer.Stop()
 	select {
-	case lease := <-w.granted:
-		return lease, nil
+	case id := <-w.picked:
+		return d.place(ctx, p, w, id)
 	case <-timer.C:
-		return d.giveUp(p, w, errOverloaded("no slot came free in time"))
+		return d.giveUp(ctx, p, w, errOverloaded("no slot came free in time"))
 	case <-ctx.Done():
-		return d.giveUp(p, w, errOverloaded("the caller left before a slot came free"))
+		return d.giveUp(ctx, p, w, errOverloaded("the caller left before a slot came free"))
 	}
 }
 
-// giveUp takes a waiter out of the queue, unless it has just got a lease.
-func (d *Dispatcher) giveUp(p *pool, w *waiting, err error) (*Lease, error) {
+// giveUp takes a waiter out of the queue, unless a server has just been picked.
+func (d *Dispatcher) giveUp(ctx context.Context, p *pool, w *waiting, err error) (*Lease, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	select {
-	case lease := <-w.granted:
-		return lease, nil
+	case id := <-w.picked:
+		d.mu.Unlock()
+		return d.place(ctx, p, w, id)
 	default:
 	}
 	p.remove(w)
+	d.mu.Unlock()
 	return nil, err
 }
 
@@ -196,6 +205,7 @@
 	if d.inFlight[id] == 0 {
 		delete(d.inFlight, id)
 	}
+	d.reserving.release(id)
 	p.admission.Release(now, request, id, result)
 	d.serveQueue(now, p)
 }
@@ -211,12 +221,15 @@
 	return counts
 }
 
-// serveQueue gives leases to waiters for as long as there is room.
+// serveQueue picks servers for waiters for as long as there is room.
 func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
+	if !p.serveBlocked(now) {
+		return
+	}
 	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
 		w := p.waiters[waiter]
 		delete(p.waiters, waiter)
-		w.granted <- d.lease(p, waiter.Request, id, p.views[w.key].view)
+		w.picked <- id
 	})
 }
 
@@ -240,8 +253,8 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, p := range d.pools {
-		if p.admission.Waiting() > 0 {
-			p.refresh(now, d.source)
+		if p.admission.Waiting() > 0 || len(p.blocked) > 0 {
+			p.refresh(now, d)
 			d.serveQueue(now, p)
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -41,22 +41,36 @@
 	made    time.Time
 }
 
-// waiting is a request that waits for a lease.
+// waiting is a request without a lease.
 type waiting struct {
-	waiter  *balance.Waiter
-	key     candidateKey
-	granted chan *Lease
+	request  balance.Request
+	key      candidateKey
+	deadline time.Time
+	// waiter is its place in the queue, or nil.
+	waiter *balance.Waiter
+	picked chan balance.ServerID
+}
+
+func newWaiting(request balance.Request, key candidateKey, deadline time.Time) *waiting {
+	return &waiting{request: request, key: key, deadline: deadline, picked: make(chan balance.ServerID, 1)}
 }
 
 // pool is the balancer and the queue of one pool.
 type pool struct {
 	admission *balance.Admission
-	waiters   map[*balance.Waiter]*waiting
-	views     map[candidateKey]*candidates
+	// granter is nil where the policy reserves no places.
+	granter granter
+	// blocked are requests that no owner had a place for, in their order. They
+	// have left the queue and go ahead of it.
+	blocked []*waiting
+	waiters map[*balance.Waiter]*waiting
+	views   map[candidateKey]*candidates
 }
 
 func newPool(balancer balance.Balancer, queueLimit time.Duration) *pool {
+	granter, _ := balancer.(granter)
 	return &pool{
+		granter:   granter,
 		admission: balance.NewAdmission(balancer, queueLimit),
 		waiters:   make(map[*balance.Waiter]*waiting),
 		views:     make(map[candidateKey]*candidates),
@@ -64,14 +78,54 @@
 }
 
 func (p *pool) enqueue(waiter *balance.Waiter, key candidateKey) *waiting {
-	w := &waiting{waiter: waiter, key: key, granted: make(chan *Lease, 1)}
+	w := newWaiting(waiter.Request, key, waiter.Deadline)
+	w.waiter = waiter
 	p.waiters[waiter] = w
 	return w
 }
 
 func (p *pool) remove(w *waiting) {
-	p.admission.Remove(w.waiter)
-	delete(p.waiters, w.waiter)
+	p.blocked = slices.DeleteFunc(p.blocked, func(other *waiting) bool { return other == w })
+	if w.waiter != nil {
+		p.admission.Remove(w.waiter)
+		delete(p.waiters, w.waiter)
+	}
+}
+
+// block lets a request wait ahead of the queue.
+func (p *pool) block(w *waiting) {
+	w.request.Refused, w.request.Firm, w.request.Unreserved = nil, false, false
+	p.blocked = append(p.blocked, w)
+}
+
+// serveBlocked picks servers for the blocked requests, and reports whether none is left.
+func (p *pool) serveBlocked(now time.Time) bool {
+	for len(p.blocked) > 0 {
+		w := p.blocked[0]
+		id, ok := p.admission.Retry(now, w.request, p.views[w.key].view)
+		if !ok {
+			return false
+		}
+		p.blocked = p.blocked[1:]
+		w.picked <- id
+	}
+	return true
+}
+
+// setOthers updates the other routers' work on a server in all views.
+func (p *pool) setOthers(id balance.ServerID, others int) {
+	for _, c := range p.views {
+		c.view.SetOthers(id, others)
+	}
+}
+
+// setOwned does the same where this router owns the server.
+func (p *pool) setOwned(id balance.ServerID, others int) {
+	for _, c := range p.views {
+		if c.view.OwnerOf(id) == balance.OwnerSelf {
+			c.view.SetOthers(id, others)
+		}
+	}
 }
 
 // viewOf returns the newest view of the candidates that a waiter waits for.
@@ -80,24 +134,24 @@
 }
 
 // view returns the view of a set of candidates, made anew where it is outdated.
-func (p *pool) view(now time.Time, source Source, view *catalog.Catalog, target catalog.Pool, key candidateKey) *balance.View {
+func (p *pool) view(now time.Time, d *Dispatcher, view *catalog.Catalog, target catalog.Pool, key candidateKey) *balance.View {
 	c := p.views[key]
 	if c == nil {
 		c = &candidates{}
 		p.views[key] = c
 	}
-	if c.catalog != view || c.outdated(now, source) {
+	if c.catalog != view || c.outdated(now, d.source) {
 		c.catalog, c.target = view, target
-		c.make(now, source, key.model)
+		c.make(now, d, p, key.model)
 	}
 	return c.view
 }
 
 // refresh makes outdated views anew.
-func (p *pool) refresh(now time.Time, source Source) {
+func (p *pool) refresh(now time.Time, d *Dispatcher) {
 	for key, c := range p.views {
-		if c.outdated(now, source) {
-			c.make(now, source, key.model)
+		if c.outdated(now, d.source) {
+			c.make(now, d, p, key.model)
 		}
 	}
 }
@@ -107,11 +161,11 @@
 	return !ok || now.Sub(c.made) >= viewAge || c.version != versioned.Version()
 }
 
-func (c *candidates) make(now time.Time, source Source, model string) {
+func (c *candidates) make(now time.Time, d *Dispatcher, p *pool, model string) {
 	c.made = now
-	c.version = versionOf(source)
+	c.version = versionOf(d.source)
 	var servers []balance.Server
-	for _, server := range source.Servers() {
+	for _, server := range d.source.Servers() {
 		if !serves(c.catalog, server, c.target, model) {
 			continue
 		}
@@ -120,8 +174,12 @@
 			ReportedLoad: server.Load, ReportedAt: server.ReceivedAt, Since: server.Since,
 			Others: server.Others, OthersAt: server.OthersAt,
 		})
+		d.reserving.list(server.Address, server.Pool)
+	}
+	if p.granter != nil {
+		d.reserving.own(now, c.target.UID, servers)
 	}
-	c.view = balance.NewView(servers, c.target.LoadBound(), placeOf(source))
+	c.view = balance.NewView(servers, c.target.LoadBound(), placeOf(d.source))
 }
 
 func versionOf(source Source) uint64 {
--- /dev/null
+++ b/internal/dispatch/reserve.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/catalog"
+	"peridotwinch.example/peridotwinch/internal/places"
+	"peridotwinch.example/peridotwinch/internal/reserve"
+)
+
+// Reservations reserves places with the routers that own the servers.
+type Reservations interface {
+	// Owners returns who grants places on each of a pool's servers.
+	Owners(pool string, servers []string) []balance.Ownership
+	// Ask asks a server's owner for one place.
+	Ask(ctx context.Context, server string, firm bool) (places.Answer, error)
+	// Take counts a place that no owner has granted.
+	Take(server string)
+	// Release gives a place back.
+	Release(server string)
+}
+
+// heardAge is the age at which what an owner told of a load counts no more.
+const heardAge = 250 * time.Millisecond
+
+// heard is the other routers' work on a server as its owner told it.
+type heard struct {
+	others int
+	at     time.Time
+}
+
+// reserving is a dispatcher's part in the reservations; it is empty without them.
+type reserving struct {
+	reservations Reservations
+	catalog      func() *catalog.Catalog
+	counts       *reserve.Counts
+	heard        map[balance.ServerID]heard
+	// pools names the pools of the servers that views have listed, by address.
+	pools map[string]api.Ref
+}
+
+// UseReservations sets the reservations; it is called before the dispatcher is
+// used. The catalog is that of the present configuration.
+func (d *Dispatcher) UseReservations(reservations Reservations, current func() *catalog.Catalog) {
+	d.reserving = reserving{
+		reservations: reservations, catalog: current, counts: reserve.NewCounts(),
+		heard: make(map[balance.ServerID]heard), pools: make(map[string]api.Ref),
+	}
+}
+
+// granter is a balancer that grants places to other routers.
+type granter interface {
+	Grants(now time.Time, id balance.ServerID, firm bool, view *balance.View) bool
+	Unpick(request balance.Request, id balance.ServerID)
+}
+
+// list notes the pool that a server announces itself for.
+func (r *reserving) list(address string, pool api.Ref) {
+	if r.reservations != nil {
+		r.pools[address] = pool
+	}
+}
+
+// own sets who grants places on the servers, and what is known of their load.
+func (r *reserving) own(now time.Time, pool string, servers []balance.Server) {
+	if r.reservations == nil {
+		return
+	}
+	addresses := make([]string, len(servers))
+	for i := range servers {
+		addresses[i] = string(servers[i].ID)
+	}
+	for i, owner := range r.reservations.Owners(pool, addresses) {
+		server := &servers[i]
+		server.Owner = owner
+		told := r.heard[server.ID]
+		switch {
+		case owner == balance.OwnerSelf:
+			server.Others = r.counts.Sum(addresses[i])
+		case owner == balance.OwnerPeer && now.Sub(told.at) < heardAge:
+			server.Others = told.others
+		}
+	}
+}
+
+func (r *reserving) take(id balance.ServerID) {
+	if r.reservations != nil {
+		r.reservations.Take(string(id))
+	}
+}
+
+func (r *reserving) release(id balance.ServerID) {
+	if r.reservations != nil {
+		r.reservations.Release(string(id))
+	}
+}
+
+// hear records what an owner told of a server's load.
+func (r *reserving) hear(now time.Time, p *pool, id balance.ServerID, others int) {
+	r.heard[id] = heard{others: others, at: now}
+	p.setOthers(id, others)
+}
+
+// place turns a pick into a lease. Where another router owns the server, that
+// one is asked, and other servers are tried as long as it refuses.
+func (d *Dispatcher) place(ctx context.Context, p *pool, w *waiting, id balance.ServerID) (*Lease, error) {
+	for {
+		d.mu.Lock()
+		servers := p.views[w.key].view
+		if w.request.Unreserved || servers.OwnerOf(id) != balance.OwnerPeer {
+			lease := d.lease(p, w.request, id, servers)
+			d.reserving.take(id)
+			d.mu.Unlock()
+			return lease, nil
+		}
+		d.mu.Unlock()
+		answer, err := d.reserving.reservations.Ask(ctx, string(id), w.request.Firm)
+		d.mu.Lock()
+		if err == nil && answer.Granted {
+			d.reserving.hear(d.now(), p, id, answer.Others)
+			lease := d.lease(p, w.request, id, servers)
+			d.mu.Unlock()
+			return lease, nil
+		}
+		next, ok := d.tryNext(p, w, id, answer, err)
+		d.mu.Unlock()
+		if !ok {
+			return d.wait(ctx, p, w)
+		}
+		id = next
+	}
+}
+
+// tryNext picks another server after a refusal, or without a word from the
+// owners after no answer. Where there is none, the request waits ahead of the queue.
+func (d *Dispatcher) tryNext(p *pool, w *waiting, id balance.ServerID, answer places.Answer, err error) (balance.ServerID, bool) {
+	now := d.now()
+	p.granter.Unpick(w.request, id)
+	wasFirm := w.request.Firm
+	if err != nil {
+		w.request.Unreserved = true
+	} else {
+		d.reserving.hear(now, p, id, answer.Others)
+		w.request = balance.AfterRefusal(w.request, id)
+	}
+	if !wasFirm || err != nil {
+		if next, ok := p.admission.Retry(now, w.request, p.views[w.key].view); ok {
+			return next, true
+		}
+		w.request = balance.Firm(w.request)
+		if next, ok := p.admission.Retry(now, w.request, p.views[w.key].view); ok {
+			return next, true
+		}
+	}
+	p.block(w)
+	return "", false
+}
+
+// Decide implements places.Desk.
+func (d *Dispatcher) Decide(from string, message reserve.Message) (granted, others int, owned bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := balance.ServerID(message.Server)
+	p, view := d.owned(message.Server)
+	before := d.reserving.counts.Of(message.Server, from)
+	d.setCount(p, id, from, message.Have)
+	if p == nil || p.granter == nil || view.OwnerOf(id) != balance.OwnerSelf {
+		return 0, 0, false
+	}
+	for granted < message.Want && p.granter.Grants(d.now(), id, granted < message.Firm, view) {
+		granted++
+		d.setCount(p, id, from, message.Have+granted)
+	}
+	if message.Have+granted < before {
+		d.serveQueue(d.now(), p)
+	}
+	others = d.inFlight[id] + d.reserving.counts.Sum(message.Server) - message.Have - granted
+	return granted, others, true
+}
+
+// owned returns the pool of a server and the view of all of the pool's servers.
+func (d *Dispatcher) owned(server string) (*pool, *balance.View) {
+	current := d.reserving.catalog()
+	ref, known := d.reserving.pools[server]
+	if !known {
+		ref = d.announcedPool(server)
+	}
+	target, ok := current.Pool(ref)
+	if !ok {
+		return nil, nil
+	}
+	p := d.pool(target.UID)
+	return p, p.view(d.now(), d, current, target, candidateKey{pool: target.UID})
+}
+
+// announcedPool looks the pool of a server up that no view has listed yet.
+func (d *Dispatcher) announcedPool(address string) api.Ref {
+	for _, server := range d.source.Servers() {
+		if server.Address == address {
+			return server.Pool
+		}
+	}
+	return ""
+}
+
+func (d *Dispatcher) setCount(p *pool, id balance.ServerID, from string, count int) {
+	d.reserving.counts.Set(string(id), from, count)
+	if p != nil {
+		p.setOwned(id, d.reserving.counts.Sum(string(id)))
+	}
+}
+
+// Lost implements places.Desk.
+func (d *Dispatcher) Lost(from string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, server := range d.reserving.counts.Forget(from) {
+		id := balance.ServerID(server)
+		for _, p := range d.pools {
+			p.setOwned(id, d.reserving.counts.Sum(server))
+		}
+	}
+}
--- a/internal/experiment/domain.go
+++ b/internal/experiment/domain.go
@@ -46,6 +46,12 @@
 	arrivals    *rand.Rand
 	faults      *rand.Rand
 	routers     []*router
+	byName      map[string]*router
+	names       []string
+	// messages counts those between routers about places, and refusedAsks the
+	// questions that got none.
+	messages    int
+	refusedAsks int
 	servers     []*server
 	byID        map[balance.ServerID]*server
 	chats       []*chatState
@@ -61,6 +67,7 @@
 		arrivals:    rand.New(rand.NewPCG(d.Seed, 1)),
 		faults:      rand.New(rand.NewPCG(d.Seed, 2)),
 		byID:        make(map[balance.ServerID]*server),
+		byName:      make(map[string]*router),
 	}
 	out.tally = newTally(out)
 	for rank := range d.Routers {
@@ -68,12 +75,12 @@
 		if err != nil {
 			return nil, err
 		}
-		out.routers = append(out.routers, &router{
-			domain: out, place: balance.Place{Rank: rank, Count: d.Routers},
+		out.addRouter(&router{
+			domain: out, name: routerName(rank), rank: balance.Place{Rank: rank, Count: d.Routers},
 			admission: balance.NewAdmission(balancer, d.QueueMS.Duration()),
 			inFlight:  make(map[balance.ServerID]int),
 			waiters:   make(map[*balance.Waiter]*request),
-		})
+		}, balancer)
 	}
 	for range d.Servers {
 		out.join(0, -time.Hour)
@@ -84,6 +91,15 @@
 	return out, nil
 }
 
+func (d *domain) addRouter(r *router, balancer balance.Balancer) {
+	if bounded, ok := balancer.(*balance.Bounded); ok {
+		r.reservations = newReservations(r, bounded)
+	}
+	d.routers = append(d.routers, r)
+	d.byName[r.name] = r
+	d.names = append(d.names, r.name)
+}
+
 func (d *domain) newChat() string {
 	d.nextChat++
 	return fmt.Sprintf("chat-%d", d.nextChat)
--- /dev/null
+++ b/internal/experiment/reserve.go
@@ -0,0 +1,189 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/reserve"
+)
+
+// askLag is the time of a message between two routers that have a stream.
+const askLag = 500 * time.Microsecond
+
+func routerName(rank int) string { return fmt.Sprintf("router-%d", rank) }
+
+// reservations are a router's places on the servers that others own, and those
+// that others hold on its own.
+type reservations struct {
+	router  *router
+	bounded *balance.Bounded
+	counts  *reserve.Counts
+	holders map[string]*reserve.Holder
+	asking  map[reserve.Token]*request
+	tokens  reserve.Token
+	// blocked are requests that no owner had a place for, in their order.
+	blocked []*request
+}
+
+func newReservations(r *router, bounded *balance.Bounded) *reservations {
+	return &reservations{
+		router: r, bounded: bounded, counts: reserve.NewCounts(),
+		holders: make(map[string]*reserve.Holder), asking: make(map[reserve.Token]*request),
+	}
+}
+
+// owner returns the router that owns a server.
+func (r *reservations) owner(id balance.ServerID) string {
+	d := r.router.domain
+	return reserve.Owner(reserve.OwnerKey("pool", string(id), d.description.Servers), d.names)
+}
+
+func (r *reservations) ownership(id balance.ServerID) balance.Ownership {
+	if r.owner(id) == r.router.name {
+		return balance.OwnerSelf
+	}
+	return balance.OwnerPeer
+}
+
+func (r *reservations) holder(owner string) *reserve.Holder {
+	h := r.holders[owner]
+	if h == nil {
+		h = reserve.NewHolder()
+		r.holders[owner] = h
+	}
+	return h
+}
+
+// ask asks a server's owner for a place for a request.
+func (r *reservations) ask(req *request, id balance.ServerID) {
+	r.tokens++
+	r.asking[r.tokens] = req
+	owner := r.owner(id)
+	if message, ok := r.holder(owner).Ask(string(id), r.tokens, req.ask.Firm); ok {
+		r.send(owner, message)
+	}
+}
+
+func (r *reservations) release(id balance.ServerID) {
+	owner := r.owner(id)
+	if owner == r.router.name {
+		return
+	}
+	if message, ok := r.holder(owner).Release(string(id)); ok {
+		r.send(owner, message)
+	}
+}
+
+func (r *reservations) send(owner string, message reserve.Message) {
+	d := r.router.domain
+	target := d.byName[owner]
+	d.messages++
+	d.after(askLag, func() {
+		granted := target.reservations.decide(r.router.name, message)
+		if message.Want == 0 {
+			target.serve()
+			return
+		}
+		d.messages++
+		others := target.reservations.load(message.Server) - message.Have - granted
+		d.after(askLag, func() { r.answered(owner, message.Server, granted, others) })
+	})
+}
+
+// load is the load of a server that this router owns.
+func (r *reservations) load(server string) int {
+	return r.router.inFlight[balance.ServerID(server)] + r.counts.Sum(server)
+}
+
+// decide grants as many of the wanted places as the server's bound allows.
+func (r *reservations) decide(from string, message reserve.Message) int {
+	id := balance.ServerID(message.Server)
+	r.setCount(id, from, message.Have)
+	granted := 0
+	for granted < message.Want && r.bounded.Grants(r.router.domain.clock(), id, granted < message.Firm, r.router.view) {
+		granted++
+		r.setCount(id, from, message.Have+granted)
+	}
+	return granted
+}
+
+func (r *reservations) setCount(id balance.ServerID, from string, count int) {
+	r.counts.Set(string(id), from, count)
+	r.router.view.SetOthers(id, r.counts.Sum(string(id)))
+}
+
+func (r *reservations) answered(owner, server string, granted, others int) {
+	id := balance.ServerID(server)
+	r.router.hearLoad(id, others)
+	got, refused, message, more := r.holder(owner).Answered(server, granted)
+	if more {
+		r.send(owner, message)
+	}
+	for _, token := range got {
+		r.router.send(r.take(token), id)
+	}
+	for _, token := range refused {
+		r.refused(r.take(token), id)
+	}
+}
+
+func (r *reservations) take(token reserve.Token) *request {
+	req := r.asking[token]
+	delete(r.asking, token)
+	return req
+}
+
+// refused tries another server for a request.
+func (r *reservations) refused(req *request, id balance.ServerID) {
+	r.router.domain.refusedAsks++
+	r.bounded.Unpick(req.ask, id)
+	wasFirm := req.ask.Firm
+	req.ask = balance.AfterRefusal(req.ask, id)
+	if wasFirm || !r.retry(req) && !r.retryFirmly(req) {
+		r.block(req)
+	}
+}
+
+func (r *reservations) retryFirmly(req *request) bool {
+	req.ask = balance.Firm(req.ask)
+	return r.retry(req)
+}
+
+func (r *reservations) retry(req *request) bool {
+	id, ok := r.router.admission.Retry(r.router.domain.clock(), req.ask, r.router.view)
+	if ok {
+		r.router.place(req, id)
+	}
+	return ok
+}
+
+// block lets a request wait ahead of the queue, from which it has come.
+func (r *reservations) block(req *request) {
+	d := r.router.domain
+	r.blocked = append(r.blocked, req)
+	deadline := req.arrived + d.description.QueueMS.Duration()
+	d.after(max(deadline-d.now, 0), func() {
+		for i, other := range r.blocked {
+			if other == req {
+				r.blocked = append(r.blocked[:i:i], r.blocked[i+1:]...)
+				d.refused(req)
+				return
+			}
+		}
+	})
+}
+
+// serveBlocked tries the blocked requests again, and reports whether none is left.
+func (r *reservations) serveBlocked() bool {
+	for len(r.blocked) > 0 {
+		req := r.blocked[0]
+		req.ask.Refused, req.ask.Firm = nil, false
+		r.blocked = r.blocked[1:]
+		if !r.retry(req) {
+			r.blocked = append([]*request{req}, r.blocked...)
+			return false
+		}
+	}
+	return true
+}
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -16,18 +16,24 @@
 	others    []int
 	othersSum int
 	othersAt  time.Time
-	since     time.Time
+	// owned is the same as the server's owner told it at ownedAt.
+	owned   int
+	ownedAt time.Time
+	since   time.Time
 }
 
 // router is a router with its own membership and its own decisions.
 type router struct {
-	domain    *domain
-	place     balance.Place
-	admission *balance.Admission
-	known     []*known
-	view      *balance.View
-	inFlight  map[balance.ServerID]int
-	waiters   map[*balance.Waiter]*request
+	domain *domain
+	name   string
+	rank   balance.Place
+	// reservations is nil where the policy has none.
+	reservations *reservations
+	admission    *balance.Admission
+	known        []*known
+	view         *balance.View
+	inFlight     map[balance.ServerID]int
+	waiters      map[*balance.Waiter]*request
 }
 
 // viewEvery is the time between two views that nothing else gave rise to.
@@ -37,15 +43,15 @@
 func (r *router) tell(other *router) {
 	for _, k := range other.known {
 		count := r.inFlight[k.server.id]
-		k.othersSum += count - k.others[r.place.Rank]
-		k.others[r.place.Rank] = count
+		k.othersSum += count - k.others[r.rank.Rank]
+		k.others[r.rank.Rank] = count
 		k.othersAt = r.domain.clock()
 	}
 	other.rebuild()
 }
 
 func (r *router) learn(s *server) {
-	r.known = append(r.known, &known{server: s, others: make([]int, r.place.Count), since: r.domain.clock().Add(s.since - r.domain.now)})
+	r.known = append(r.known, &known{server: s, others: make([]int, r.rank.Count), since: r.domain.clock().Add(s.since - r.domain.now)})
 	r.rebuild()
 }
 
@@ -77,8 +83,36 @@
 			Others: k.othersSum, OthersAt: k.othersAt,
 			ReportedLoad: k.load, ReportedAt: k.reportedAt, Since: k.since,
 		}
+		r.reserve(k, &servers[i])
 	}
-	r.view = balance.NewView(servers, 0, r.place)
+	r.view = balance.NewView(servers, 0, r.rank)
+}
+
+// reserve sets who grants places on a server, and what that one told of its load.
+func (r *router) reserve(k *known, server *balance.Server) {
+	if r.reservations == nil {
+		return
+	}
+	server.Owner = r.reservations.ownership(server.ID)
+	switch {
+	case server.Owner == balance.OwnerSelf:
+		server.Others = r.reservations.counts.Sum(string(server.ID))
+	case r.domain.clock().Sub(k.ownedAt) < ownedAge:
+		server.Others = k.owned
+	}
+}
+
+// ownedAge is the age at which what an owner told of a load counts no more.
+const ownedAge = 250 * time.Millisecond
+
+// hearLoad takes the other routers' work on a server as its owner told it.
+func (r *router) hearLoad(id balance.ServerID, others int) {
+	for _, k := range r.known {
+		if k.server.id == id {
+			k.owned, k.ownedAt = others, r.domain.clock()
+		}
+	}
+	r.view.SetOthers(id, others)
 }
 
 // ask takes a caller's request.
@@ -86,7 +120,7 @@
 	verdict, id, waiter := r.admission.Ask(r.domain.clock(), req.ask, r.view)
 	switch verdict {
 	case balance.VerdictServe:
-		r.send(req, id)
+		r.place(req, id)
 	case balance.VerdictRefuse:
 		r.domain.refused(req)
 	case balance.VerdictWait:
@@ -107,20 +141,39 @@
 
 // serve gives free slots to waiters.
 func (r *router) serve() {
+	if r.reservations != nil && !r.reservations.serveBlocked() {
+		return
+	}
 	viewOf := func(*balance.Waiter) *balance.View { return r.view }
 	r.admission.Serve(r.domain.clock(), viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
 		req := r.waiters[waiter]
 		delete(r.waiters, waiter)
-		r.send(req, id)
+		r.place(req, id)
 	})
 }
 
+// place sends a request to a server once its owner has granted a place.
+func (r *router) place(req *request, id balance.ServerID) {
+	if r.view.OwnerOf(id) == balance.OwnerPeer {
+		r.reservations.ask(req, id)
+		return
+	}
+	r.send(req, id)
+}
+
+func (r *router) giveBack(id balance.ServerID) {
+	if r.reservations != nil {
+		r.reservations.release(id)
+	}
+}
+
 // send gives a request to a server. One that has left refuses it, and another
 // is tried.
 func (r *router) send(req *request, id balance.ServerID) {
 	target := r.domain.byID[id]
 	if target.left {
 		r.domain.tally.sentToLeft(r.domain.now - target.since)
+		r.giveBack(id)
 		r.admission.Release(r.domain.clock(), req.ask, id, balance.Result{Failed: true})
 		req.ask.Exclude = append(req.ask.Exclude, id)
 		next, ok := r.admission.Retry(r.domain.clock(), req.ask, r.view)
@@ -128,7 +181,7 @@
 			r.domain.refused(req)
 			return
 		}
-		r.send(req, next)
+		r.place(req, next)
 		return
 	}
 	sent := r.domain.now
@@ -144,6 +197,7 @@
 	}
 	j.done = func() {
 		r.inFlight[id]--
+		r.giveBack(id)
 		result := balance.Result{FirstByte: firstByte}
 		r.admission.Release(r.domain.clock(), req.ask, id, result)
 		r.domain.finished(req, target)
--- a/internal/membership/interval.go
+++ b/internal/membership/interval.go
@@ -5,9 +5,9 @@
 const (
 	// heartbeatsPerPeer is the time between two exchanges, in heartbeats for each
 	// peer: the bytes a second stay the same while peers join.
-	heartbeatsPerPeer = 0.2
+	heartbeatsPerPeer = 0.3
 	// maxHeartbeats bounds the time between two exchanges, in heartbeats.
-	maxHeartbeats = 1.5
+	maxHeartbeats = 2.0
 )
 
 // ExchangeEvery returns the time between two exchanges with each of a number of
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -131,6 +131,7 @@
 	place := balance.Place{Count: 1}
 	for _, peer := range s.peers {
 		if !s.isLive(now, peer) {
+			place.Missing++
 			continue
 		}
 		place.Count++
@@ -141,6 +142,22 @@
 	return place
 }
 
+// LiveRouters returns the instances of the live routers of this failure domain,
+// this one included, in their order.
+func (s *Service) LiveRouters() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	live := []string{s.instance}
+	for _, peer := range s.peers {
+		if s.isLive(now, peer) {
+			live = append(live, peer.instance)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
 // Ready reports an error until each peer has been asked for its table once.
 func (s *Service) Ready() error {
 	for _, peer := range s.peers {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"peridotwinch.example/peridotwinch/internal/ledger/quorum"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/membership"
+	"peridotwinch.example/peridotwinch/internal/places"
 	"peridotwinch.example/peridotwinch/internal/proxy"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
@@ -31,6 +32,7 @@
 	life     *lifecycle.Lifecycle
 	watcher  *configwatch.Watcher
 	members  *membership.Service
+	places   *places.Service
 	dispatch *dispatch.Dispatcher
 	proxy    *proxy.Proxy
 	callers  net.Listener
@@ -52,6 +54,8 @@
 	members := membership.NewService(s, log)
 	dispatcher := dispatch.New(members, newPolicy(s.Routing.Policy), dispatch.WithQueueLimit(s.Timeouts.Queue()))
 	members.UseInFlight(dispatcher)
+	reservations := places.New(s, log, members, dispatcher)
+	dispatcher.UseReservations(reservations, watcher.Catalog)
 	life.AddCheck(watcher.Ready)
 	life.AddCheck(members.Ready)
 	return &Router{
@@ -60,6 +64,7 @@
 		life:     life,
 		watcher:  watcher,
 		members:  members,
+		places:   reservations,
 		dispatch: dispatcher,
 		proxy:    proxy.New(s, log, watcher, dispatcher, newClaimer(s)),
 		callers:  callers,
@@ -95,7 +100,10 @@
 			return err
 		}
 	}
-	return r.members.Register(mux)
+	if err := r.members.Register(mux); err != nil {
+		return err
+	}
+	return r.places.Register(mux)
 }
 
 // AddForeground adds the actors that serve callers. Their interrupts wait until
@@ -110,6 +118,7 @@
 	announcements.Handle("POST /v1/announcements", r.members)
 	actor.Add(group, r.watcher.Run)
 	actor.Add(group, r.members.Run)
+	actor.Add(group, r.places.Run)
 	actor.Add(group, r.dispatch.Run)
 	actor.Add(group, func(ctx context.Context) error {
 		return httpx.Serve(ctx, r.backends, announcements, httpx.ReadHeaderTimeout)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -33,6 +33,7 @@
 	PurposeConsensus Purpose = 'r'
 	PurposeForward   Purpose = 'f'
 	PurposeStatus    Purpose = 's'
+	PurposeReserve   Purpose = 'p'
 )
 
 // String returns the purpose's name in metrics.
@@ -50,6 +51,8 @@
 		return "forward"
 	case PurposeStatus:
 		return "status"
+	case PurposeReserve:
+		return "reserve"
 	}
 	return "unknown"
 }
