--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -35,6 +35,9 @@
 	// requests, where it has other owners' servers by the routers' word.
 	exactSlack = 1.0
 	wordSlack  = 1.0
+	// contendedTime is how long a router that has refused a slot of its own server
+	// keeps to an equal part of the slots itself.
+	contendedTime = time.Second
 	// wordAge is the age at which the other routers' word counts no more.
 	wordAge = 3 * time.Second
 	// warmUp is the time over which a new server takes over chats.
@@ -95,7 +98,11 @@
 	}
 	p := &pick{now: now, request: &Request{}, view: view, states: b.bind(now, view)}
 	p.mean, p.wholeMean = p.means()
-	return p.whole(i) < view.servers[i].Slots && (firm || p.overReserved(i) <= 0)
+	if p.whole(i) >= view.servers[i].Slots {
+		p.states[i].contendedAt = now
+		return false
+	}
+	return firm || p.overReserved(i) <= 0
 }
 
 // AfterRefusal returns how a request goes on whose place a server's owner has
@@ -325,10 +332,15 @@
 // hasSlot reports whether the i-th server has a slot for this router.
 func (p *pick) hasSlot(i int) bool {
 	server := &p.view.servers[i]
-	if p.owner(i) != OwnerNone {
+	slots := float64(server.Slots)
+	switch p.owner(i) {
+	case OwnerPeer:
 		return p.whole(i) < server.Slots
+	case OwnerSelf:
+		contended := p.now.Sub(p.states[i].contendedAt) <= contendedTime
+		fair := !contended || p.overShare(i, slots/float64(p.view.place.Count)) <= 0
+		return p.whole(i) < server.Slots && fair
 	}
-	slots := float64(server.Slots)
 	if !p.hasWord(i) {
 		return p.overShare(i, slots/float64(p.view.place.Count)) <= 0
 	}
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -109,6 +109,8 @@
 	reportedAt  time.Time
 	unexplained int
 	latency     latencyScore
+	// contendedAt is when this router last refused another one a slot.
+	contendedAt time.Time
 }
 
 // stateKeep is how long the state of an idle server is remembered.
