Judge no server by the whole prefix of a chat that moved

Cause: a chat that moved has its whole prefix processed, up to 0.4 s against 20 ms, and three such chats ejected a healthy server.

A moved chat's first byte counts at most as the server's average, but for a server on trial.

--- a/internal/balance/bounded.go
+++ b/internal/balance/bounded.go
@@ -129,7 +129,7 @@
 // FirstByte implements FirstByteObserver.
 func (b *Bounded) FirstByte(_ time.Time, request Request, server ServerID, took time.Duration) {
 	if state := b.byID[server]; state != nil {
-		b.ejection.observeFirstByte(state, &request, took)
+		b.ejection.observeFirstByte(state, &request, judged(state, &request, server, took))
 	}
 }
 
@@ -137,10 +137,21 @@
 func (b *Bounded) Done(now time.Time, request Request, server ServerID, result Result) {
 	state := b.done(&request, server)
 	if state != nil {
+		result.FirstByte = judged(state, &request, server, result.FirstByte)
 		b.ejection.observe(state, &request, result)
 	}
 }
 
+// judged returns the time to the first byte that a server is judged by. A chat
+// that was on another server before has its whole prefix processed anew, so a
+// long time tells nothing of the server, but where that is on trial.
+func judged(state *serverState, request *Request, server ServerID, took time.Duration) time.Duration {
+	if request.Hint == "" || request.Hint == server || state.latency.onTrial() {
+		return took
+	}
+	return min(took, time.Duration(state.latency.average*float64(time.Second)))
+}
+
 // longLimit returns the lowest score that a server for long work has.
 func (b *Bounded) longLimit(p *pick) float64 {
 	if !isLong(p.request) {
