--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,56 +99,71 @@
 // Acquire returns a lease on a server of the pool and waits for a slot while
 // ctx lasts. It fails with CodeNoBackendServer where the pool has no serving
 // server, and with CodeOverloaded where none has room in time; both mean that
-// nothing has run. Before that it tries another failure domain that has room.
+// nothing has run. Before it waits or fails it tries another failure domain that
+// has room.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	asked := d.now()
-	lease, err := d.acquireLocal(ctx, view, pool, model, request)
-	if err == nil || !mayOverflow(err, asked, d.now()) {
-		return lease, err
+	w, id, err := d.admit(view, pool, model, request)
+	if id != "" {
+		lease, placeErr := d.place(ctx, w, id)
+		if lease != nil {
+			return lease, nil
+		}
+		if placeErr != nil {
+			w, err = nil, placeErr
+		}
 	}
-	if remote := d.overflow(view, pool, request); remote != nil {
+	remote := d.overflow(view, pool, request)
+	switch {
+	case w == nil && remote == nil:
+		return nil, err
+	case w == nil:
 		return remote, nil
+	case remote == nil:
+		return d.wait(ctx, w)
 	}
-	return nil, err
+	return d.goRemote(ctx, w, remote)
 }
 
-func (d *Dispatcher) acquireLocal(ctx context.Context, view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, error) {
+// admit admits a request in this failure domain, and picks a server for it
+// unless it has to wait.
+func (d *Dispatcher) admit(view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*waiting, balance.ServerID, error) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.now()
 	p := d.pool(target.UID)
 	key := candidateKey{pool: target.UID, model: model}
 	servers := p.view(now, d, view, target, key)
 	if servers.Len() == 0 {
-		d.mu.Unlock()
-		return nil, errNoServer()
+		return nil, "", errNoServer()
 	}
 	verdict, id, waiter := p.admission.Ask(now, request, servers)
 	switch verdict {
 	case balance.VerdictServe:
-		d.mu.Unlock()
-		return d.place(ctx, p, newWaiting(request, key, d.deadline(now, &request)), id)
+		w := newWaiting(p, request, key)
+		return w, id, nil
 	case balance.VerdictRefuse:
-		d.mu.Unlock()
-		return nil, errOverloaded("the request would wait too long for a slot")
+		return nil, "", errOverloaded("too many requests wait for a slot")
 	}
-	w := p.enqueue(waiter, key)
-	d.mu.Unlock()
-	return d.wait(ctx, p, w)
+	return p.enqueue(waiter, key), "", nil
 }
 
-// deadline returns the time until which a request may wait for a slot.
-func (d *Dispatcher) deadline(now time.Time, request *balance.Request) time.Time {
-	if request.FirstByteWithin > 0 {
-		return now.Add(min(d.queueLimit, request.FirstByteWithin))
+// goRemote takes a waiter out of the queue for a lease on another failure
+// domain's router, unless it has just got one here.
+func (d *Dispatcher) goRemote(ctx context.Context, w *waiting, remote *Lease) (*Lease, error) {
+	local, _ := d.giveUp(ctx, w, nil)
+	if local == nil {
+		return remote, nil
 	}
-	return now.Add(d.queueLimit)
+	remote.Release(balance.Result{})
+	return local, nil
 }
 
-func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
+func (d *Dispatcher) lease(w *waiting, id balance.ServerID) *Lease {
+	p, request := w.pool, w.request
 	d.inFlight[id]++
 	return &Lease{
 		Server:      id,
-		Incarnation: servers.Incarnation(id),
+		Incarnation: p.views[w.key].view.Incarnation(id),
 		firstByte:   func(took time.Duration) bool { return d.firstByte(p, request, id, took) },
 		release:     func(result balance.Result) { d.release(p, request, id, result) },
 	}
@@ -160,30 +175,61 @@
 	return p.admission.FirstByte(d.now(), request, id, took)
 }
 
-// wait blocks until the waiter has a lease, its time is over or ctx ends.
-func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiting) (*Lease, error) {
-	timer := time.NewTimer(w.deadline.Sub(d.now()))
+// wait blocks until the waiter has a lease, is refused or ctx ends.
+func (d *Dispatcher) wait(ctx context.Context, w *waiting) (*Lease, error) {
+	timer := time.NewTimer(d.dueIn(w))
 	defer timer.Stop()
-	select {
-	case id := <-w.picked:
-		return d.place(ctx, p, w, id)
-	case <-timer.C:
-		return d.giveUp(ctx, p, w, errOverloaded("no slot came free in time"))
-	case <-ctx.Done():
-		return d.giveUp(ctx, p, w, errOverloaded("the caller left before a slot came free"))
+	for {
+		select {
+		case id := <-w.picked:
+			lease, err := d.place(ctx, w, id)
+			if lease != nil || err != nil {
+				return lease, err
+			}
+			timer.Reset(d.dueIn(w))
+		case <-timer.C:
+			if !d.review(w) {
+				return d.giveUp(ctx, w, errOverloaded("no slot comes free in time"))
+			}
+			timer.Reset(d.dueIn(w))
+		case <-ctx.Done():
+			return d.giveUp(ctx, w, errOverloaded("the caller left before a slot came free"))
+		}
 	}
 }
 
-// giveUp takes a waiter out of the queue, unless a server has just been picked.
-func (d *Dispatcher) giveUp(ctx context.Context, p *pool, w *waiting, err error) (*Lease, error) {
+// dueIn returns the time until a waiter is reviewed.
+func (d *Dispatcher) dueIn(w *waiting) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return w.waiter.Due.Sub(d.now())
+}
+
+// review reports whether a waiter goes on waiting; otherwise it is refused.
+func (d *Dispatcher) review(w *waiting) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.pool.waiters[w.waiter] == nil {
+		// A server has just been picked.
+		return false
+	}
+	return w.pool.admission.Review(d.now(), w.waiter, w.pool.viewOf(w.waiter))
+}
+
+// giveUp takes a waiter out of the queue, unless a server has just been picked
+// and gives it a place.
+func (d *Dispatcher) giveUp(ctx context.Context, w *waiting, err error) (*Lease, error) {
 	d.mu.Lock()
 	select {
 	case id := <-w.picked:
 		d.mu.Unlock()
-		return d.place(ctx, p, w, id)
+		if lease, _ := d.place(ctx, w, id); lease != nil {
+			return lease, nil
+		}
+		d.mu.Lock()
 	default:
 	}
-	p.remove(w)
+	w.pool.remove(w)
 	d.mu.Unlock()
 	return nil, err
 }
@@ -223,9 +269,6 @@
 
 // serveQueue picks servers for waiters for as long as there is room.
 func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
-	if !p.serveBlocked(now) {
-		return
-	}
 	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
 		w := p.waiters[waiter]
 		delete(p.waiters, waiter)
@@ -253,7 +296,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, p := range d.pools {
-		if p.admission.Waiting() > 0 || len(p.blocked) > 0 {
+		if p.admission.Waiting() > 0 {
 			p.refresh(now, d)
 			d.serveQueue(now, p)
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,16 +43,16 @@
 
 // waiting is a request without a lease.
 type waiting struct {
-	request  balance.Request
-	key      candidateKey
-	deadline time.Time
-	// waiter is its place in the queue, or nil.
+	pool    *pool
+	request balance.Request
+	key     candidateKey
+	// waiter is its place in the queue, or nil before it has had one.
 	waiter *balance.Waiter
 	picked chan balance.ServerID
 }
 
-func newWaiting(request balance.Request, key candidateKey, deadline time.Time) *waiting {
-	return &waiting{request: request, key: key, deadline: deadline, picked: make(chan balance.ServerID, 1)}
+func newWaiting(p *pool, request balance.Request, key candidateKey) *waiting {
+	return &waiting{pool: p, request: request, key: key, picked: make(chan balance.ServerID, 1)}
 }
 
 // pool is the balancer and the queue of one pool.
@@ -60,9 +60,6 @@
 	admission *balance.Admission
 	// granter is nil where the policy reserves no places.
 	granter granter
-	// blocked are requests that no owner had a place for, in their order. They
-	// have left the queue and go ahead of it.
-	blocked []*waiting
 	waiters map[*balance.Waiter]*waiting
 	views   map[candidateKey]*candidates
 }
@@ -78,38 +75,31 @@
 }
 
 func (p *pool) enqueue(waiter *balance.Waiter, key candidateKey) *waiting {
-	w := newWaiting(waiter.Request, key, waiter.Deadline)
+	w := newWaiting(p, waiter.Request, key)
 	w.waiter = waiter
 	p.waiters[waiter] = w
 	return w
 }
 
 func (p *pool) remove(w *waiting) {
-	p.blocked = slices.DeleteFunc(p.blocked, func(other *waiting) bool { return other == w })
-	if w.waiter != nil {
-		p.admission.Remove(w.waiter)
-		delete(p.waiters, w.waiter)
-	}
+	p.admission.Remove(w.waiter)
+	delete(p.waiters, w.waiter)
 }
 
-// block lets a request wait ahead of the queue.
-func (p *pool) block(w *waiting) {
+// requeue lets a request wait that no owner had a place for. It returns false
+// where too many wait.
+func (p *pool) requeue(now time.Time, w *waiting) bool {
 	w.request.Refused, w.request.Firm, w.request.Unreserved = nil, false, false
-	p.blocked = append(p.blocked, w)
+	waiter, ok := p.admission.Requeue(now, w.request, w.waiter, p.views[w.key].view)
+	if ok {
+		w.waiter = waiter
+		p.waiters[waiter] = w
+	}
+	return ok
 }
 
-// serveBlocked picks servers for the blocked requests, and reports whether none is left.
-func (p *pool) serveBlocked(now time.Time) bool {
-	for len(p.blocked) > 0 {
-		w := p.blocked[0]
-		id, ok := p.admission.Retry(now, w.request, p.views[w.key].view)
-		if !ok {
-			return false
-		}
-		p.blocked = p.blocked[1:]
-		w.picked <- id
-	}
-	return true
+func (p *pool) retry(now time.Time, w *waiting) (balance.ServerID, bool) {
+	return p.admission.Retry(now, w.request, p.views[w.key].view)
 }
 
 // setOthers updates the other routers' work on a server in all views.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -54,7 +54,6 @@
 // granter is a balancer that grants places to other routers.
 type granter interface {
 	Grants(now time.Time, id balance.ServerID, firm bool, view *balance.View) bool
-	Unpick(request balance.Request, id balance.ServerID)
 }
 
 // list notes the pool that a server announces itself for.
@@ -105,58 +104,68 @@
 }
 
 // place turns a pick into a lease. Where another router owns the server, that
-// one is asked, and other servers are tried as long as it refuses.
-func (d *Dispatcher) place(ctx context.Context, p *pool, w *waiting, id balance.ServerID) (*Lease, error) {
+// one is asked, and other servers are tried as long as it refuses. Where no owner
+// has a place it returns nil, and the request waits in the queue again, or it
+// fails where too many wait.
+func (d *Dispatcher) place(ctx context.Context, w *waiting, id balance.ServerID) (*Lease, error) {
 	for {
-		d.mu.Lock()
-		servers := p.views[w.key].view
-		if w.request.Unreserved || servers.OwnerOf(id) != balance.OwnerPeer {
-			lease := d.lease(p, w.request, id, servers)
-			d.reserving.take(id)
-			d.mu.Unlock()
+		if lease := d.placeUnasked(w, id); lease != nil {
 			return lease, nil
 		}
-		d.mu.Unlock()
 		answer, err := d.reserving.reservations.Ask(ctx, string(id), w.request.Firm)
 		d.mu.Lock()
+		if err == nil {
+			d.reserving.hear(d.now(), w.pool, id, answer.Others)
+		}
 		if err == nil && answer.Granted {
-			d.reserving.hear(d.now(), p, id, answer.Others)
-			lease := d.lease(p, w.request, id, servers)
+			lease := d.lease(w, id)
 			d.mu.Unlock()
 			return lease, nil
 		}
-		next, ok := d.tryNext(p, w, id, answer, err)
+		next, ok := d.tryNext(w, id, err)
+		waits := ok || w.pool.requeue(d.now(), w)
 		d.mu.Unlock()
-		if !ok {
-			return d.wait(ctx, p, w)
+		switch {
+		case !waits:
+			return nil, errOverloaded("too many requests wait for a slot")
+		case !ok:
+			return nil, nil
 		}
 		id = next
 	}
 }
 
-// tryNext picks another server after a refusal, or without a word from the
-// owners after no answer. Where there is none, the request waits ahead of the queue.
-func (d *Dispatcher) tryNext(p *pool, w *waiting, id balance.ServerID, answer places.Answer, err error) (balance.ServerID, bool) {
+// placeUnasked returns a lease where no other router has to be asked.
+func (d *Dispatcher) placeUnasked(w *waiting, id balance.ServerID) *Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owner := w.pool.views[w.key].view.OwnerOf(id)
+	if owner == balance.OwnerPeer && !w.request.Unreserved {
+		return nil
+	}
+	d.reserving.take(id)
+	return d.lease(w, id)
+}
+
+// tryNext picks another server after a refusal, or by this router's own share
+// after no answer. It returns false where there is none.
+func (d *Dispatcher) tryNext(w *waiting, id balance.ServerID, err error) (balance.ServerID, bool) {
 	now := d.now()
-	p.granter.Unpick(w.request, id)
-	wasFirm := w.request.Firm
+	w.pool.admission.Unpick(now, w.request, id)
+	last := w.request.Firm && err == nil
 	if err != nil {
 		w.request.Unreserved = true
 	} else {
-		d.reserving.hear(now, p, id, answer.Others)
 		w.request = balance.AfterRefusal(w.request, id)
 	}
-	if !wasFirm || err != nil {
-		if next, ok := p.admission.Retry(now, w.request, p.views[w.key].view); ok {
-			return next, true
-		}
-		w.request = balance.Firm(w.request)
-		if next, ok := p.admission.Retry(now, w.request, p.views[w.key].view); ok {
-			return next, true
-		}
+	if last {
+		return "", false
+	}
+	if next, ok := w.pool.retry(now, w); ok {
+		return next, true
 	}
-	p.block(w)
-	return "", false
+	w.request = balance.Firm(w.request)
+	return w.pool.retry(now, w)
 }
 
 // Decide implements places.Desk.
--- a/internal/experiment/domain.go
+++ b/internal/experiment/domain.go
@@ -36,6 +36,10 @@
 	answer  int
 	arrived time.Duration
 	surging bool
+	// waiter is its place in the queue, once it has had one.
+	waiter *balance.Waiter
+	// reviews counts the reviews planned for it; only the newest counts.
+	reviews int
 }
 
 // domain is a failure domain with its routers, servers and callers. Its draws
