--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -56,6 +56,30 @@
 	return id, ok
 }
 
+// unpicker is a balancer whose picks can be taken back.
+type unpicker interface {
+	Unpick(request Request, server ServerID)
+}
+
+// Unpick takes a pick back whose place the server's owner has refused.
+func (a *Admission) Unpick(now time.Time, request Request, id ServerID) {
+	if balancer, ok := a.balancer.(unpicker); ok {
+		balancer.Unpick(request, id)
+	}
+	a.queue.unstarted(now, &request)
+}
+
+// Requeue lets a request wait whose place all owners have refused: at its former
+// place in the queue, or as a new waiter where it has had none. It returns false
+// where too many wait; then the request is refused.
+func (a *Admission) Requeue(now time.Time, request Request, waiter *Waiter, view *View) (*Waiter, bool) {
+	if waiter == nil {
+		return a.queue.Push(now, request, view.Slots())
+	}
+	a.queue.putBack(waiter)
+	return waiter, true
+}
+
 // Review decides on a waiter whose time Due has come: whether it goes on
 // waiting, then until its new Due, or is refused and has to be removed.
 func (a *Admission) Review(now time.Time, waiter *Waiter, view *View) bool {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -83,6 +83,13 @@
 	class.rate.started(now)
 }
 
+// unstarted takes Started back.
+func (q *Queue) unstarted(now time.Time, request *Request) {
+	class := q.class(request)
+	class.inFlight.add(request.Customer, -1)
+	class.rate.unstarted(now)
+}
+
 // Served records that a request has left a server, which frees a slot.
 func (q *Queue) Served(now time.Time, request *Request) {
 	class := q.class(request)
@@ -102,6 +109,12 @@
 	return waiter, true
 }
 
+// putBack adds a waiter again that was served without getting a slot.
+func (q *Queue) putBack(waiter *Waiter) {
+	waiter.removed = false
+	q.class(&waiter.Request).push(waiter)
+}
+
 // allowed returns how long a request may wait. It leaves time for the first byte
 // before the request's own deadline, up to half of that.
 func (q *Queue) allowed(request *Request) time.Duration {
--- a/internal/experiment/domain.go
+++ b/internal/experiment/domain.go
@@ -36,6 +36,10 @@
 	answer  int
 	arrived time.Duration
 	surging bool
+	// waiter is its place in the queue, once it has had one.
+	waiter *balance.Waiter
+	// reviews counts the reviews planned for it; only the newest counts.
+	reviews int
 }
 
 // domain is a failure domain with its routers, servers and callers. Its draws
@@ -46,6 +50,12 @@
 	arrivals    *rand.Rand
 	faults      *rand.Rand
 	routers     []*router
+	byName      map[string]*router
+	names       []string
+	// messages counts those between routers about places, and refusedAsks the
+	// questions that got none.
+	messages    int
+	refusedAsks int
 	servers     []*server
 	byID        map[balance.ServerID]*server
 	chats       []*chatState
@@ -61,6 +71,7 @@
 		arrivals:    rand.New(rand.NewPCG(d.Seed, 1)),
 		faults:      rand.New(rand.NewPCG(d.Seed, 2)),
 		byID:        make(map[balance.ServerID]*server),
+		byName:      make(map[string]*router),
 	}
 	out.tally = newTally(out)
 	for rank := range d.Routers {
@@ -68,12 +79,12 @@
 		if err != nil {
 			return nil, err
 		}
-		out.routers = append(out.routers, &router{
-			domain: out, place: balance.Place{Rank: rank, Count: d.Routers},
+		out.addRouter(&router{
+			domain: out, name: routerName(rank), rank: balance.Place{Rank: rank, Count: d.Routers},
 			admission: balance.NewAdmission(balancer, d.QueueMS.Duration()),
 			inFlight:  make(map[balance.ServerID]int),
 			waiters:   make(map[*balance.Waiter]*request),
-		})
+		}, balancer)
 	}
 	for range d.Servers {
 		out.join(0, -time.Hour)
@@ -84,6 +95,30 @@
 	return out, nil
 }
 
+// agree reports whether all routers know exactly the present servers.
+func (d *domain) agree() bool {
+	for _, r := range d.routers {
+		if len(r.known) != len(d.servers) {
+			return false
+		}
+		for _, k := range r.known {
+			if k.server.left {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (d *domain) addRouter(r *router, balancer balance.Balancer) {
+	if bounded, ok := balancer.(*balance.Bounded); ok {
+		r.reservations = newReservations(r, bounded)
+	}
+	d.routers = append(d.routers, r)
+	d.byName[r.name] = r
+	d.names = append(d.names, r.name)
+}
+
 func (d *domain) newChat() string {
 	d.nextChat++
 	return fmt.Sprintf("chat-%d", d.nextChat)
