--- a/internal/balance/rate.go
+++ b/internal/balance/rate.go
@@ -41,6 +41,11 @@
 	r.inFlight++
 }
 
+func (r *rateMeter) unstarted(now time.Time) {
+	r.advance(now)
+	r.inFlight = max(r.inFlight-1, 0)
+}
+
 func (r *rateMeter) served(now time.Time) {
 	r.advance(now)
 	r.left++
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,9 +60,10 @@
 	queueLimit time.Duration
 	now        func() time.Time
 
-	mu       sync.Mutex
-	pools    map[string]*pool
-	inFlight map[balance.ServerID]int
+	mu        sync.Mutex
+	reserving reserving
+	pools     map[string]*pool
+	inFlight  map[balance.ServerID]int
 	// overflowing counts the leases on routers of each other failure domain, and
 	// overflowed all that were ever given out.
 	overflowing map[string]int
@@ -101,9 +102,15 @@
 // nothing has run. Before it waits or fails it tries another failure domain that
 // has room.
 func (d *Dispatcher) Acquire(ctx context.Context, view *catalog.Catalog, pool catalog.Pool, model string, request balance.Request) (*Lease, error) {
-	lease, w, err := d.acquireLocal(view, pool, model, request)
-	if lease != nil {
-		return lease, nil
+	w, id, err := d.admit(view, pool, model, request)
+	if id != "" {
+		lease, placeErr := d.place(ctx, w, id)
+		if lease != nil {
+			return lease, nil
+		}
+		if placeErr != nil {
+			w, err = nil, placeErr
+		}
 	}
 	remote := d.overflow(view, pool, request)
 	switch {
@@ -114,35 +121,36 @@
 	case remote == nil:
 		return d.wait(ctx, w)
 	}
-	return d.goRemote(w, remote)
+	return d.goRemote(ctx, w, remote)
 }
 
-// acquireLocal returns a lease on a server of this failure domain, or the waiter
-// where the request has to wait.
-func (d *Dispatcher) acquireLocal(view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*Lease, *waiting, error) {
+// admit admits a request in this failure domain, and picks a server for it
+// unless it has to wait.
+func (d *Dispatcher) admit(view *catalog.Catalog, target catalog.Pool, model string, request balance.Request) (*waiting, balance.ServerID, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	p := d.pool(target.UID)
 	key := candidateKey{pool: target.UID, model: model}
-	servers := p.view(now, d.source, view, target, key)
+	servers := p.view(now, d, view, target, key)
 	if servers.Len() == 0 {
-		return nil, nil, errNoServer()
+		return nil, "", errNoServer()
 	}
 	verdict, id, waiter := p.admission.Ask(now, request, servers)
 	switch verdict {
 	case balance.VerdictServe:
-		return d.lease(p, request, id, servers), nil, nil
+		w := newWaiting(p, request, key)
+		return w, id, nil
 	case balance.VerdictRefuse:
-		return nil, nil, errOverloaded("too many requests wait for a slot")
+		return nil, "", errOverloaded("too many requests wait for a slot")
 	}
-	return nil, p.enqueue(waiter, key), nil
+	return p.enqueue(waiter, key), "", nil
 }
 
 // goRemote takes a waiter out of the queue for a lease on another failure
 // domain's router, unless it has just got one here.
-func (d *Dispatcher) goRemote(w *waiting, remote *Lease) (*Lease, error) {
-	local, _ := d.giveUp(w, nil)
+func (d *Dispatcher) goRemote(ctx context.Context, w *waiting, remote *Lease) (*Lease, error) {
+	local, _ := d.giveUp(ctx, w, nil)
 	if local == nil {
 		return remote, nil
 	}
@@ -150,11 +158,12 @@
 	return local, nil
 }
 
-func (d *Dispatcher) lease(p *pool, request balance.Request, id balance.ServerID, servers *balance.View) *Lease {
+func (d *Dispatcher) lease(w *waiting, id balance.ServerID) *Lease {
+	p, request := w.pool, w.request
 	d.inFlight[id]++
 	return &Lease{
 		Server:      id,
-		Incarnation: servers.Incarnation(id),
+		Incarnation: p.views[w.key].view.Incarnation(id),
 		firstByte:   func(took time.Duration) bool { return d.firstByte(p, request, id, took) },
 		release:     func(result balance.Result) { d.release(p, request, id, result) },
 	}
@@ -166,49 +175,62 @@
 	return p.admission.FirstByte(d.now(), request, id, took)
 }
 
-// wait blocks until the waiter gets a lease, is refused or ctx ends.
+// wait blocks until the waiter has a lease, is refused or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, w *waiting) (*Lease, error) {
-	timer := time.NewTimer(w.waiter.Due.Sub(d.now()))
+	timer := time.NewTimer(d.dueIn(w))
 	defer timer.Stop()
 	for {
 		select {
-		case lease := <-w.granted:
-			return lease, nil
+		case id := <-w.picked:
+			lease, err := d.place(ctx, w, id)
+			if lease != nil || err != nil {
+				return lease, err
+			}
+			timer.Reset(d.dueIn(w))
 		case <-timer.C:
-			due, ok := d.review(w)
-			if !ok {
-				return d.giveUp(w, errOverloaded("no slot comes free in time"))
+			if !d.review(w) {
+				return d.giveUp(ctx, w, errOverloaded("no slot comes free in time"))
 			}
-			timer.Reset(due.Sub(d.now()))
+			timer.Reset(d.dueIn(w))
 		case <-ctx.Done():
-			return d.giveUp(w, errOverloaded("the caller left before a slot came free"))
+			return d.giveUp(ctx, w, errOverloaded("the caller left before a slot came free"))
 		}
 	}
 }
 
-// review returns the time until which a waiter goes on waiting, or false where
-// it is refused.
-func (d *Dispatcher) review(w *waiting) (time.Time, bool) {
+// dueIn returns the time until a waiter is reviewed.
+func (d *Dispatcher) dueIn(w *waiting) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return w.waiter.Due.Sub(d.now())
+}
+
+// review reports whether a waiter goes on waiting; otherwise it is refused.
+func (d *Dispatcher) review(w *waiting) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if w.pool.waiters[w.waiter] == nil {
-		// It has just got a lease.
-		return time.Time{}, false
+		// A server has just been picked.
+		return false
 	}
-	ok := w.pool.admission.Review(d.now(), w.waiter, w.pool.viewOf(w.waiter))
-	return w.waiter.Due, ok
+	return w.pool.admission.Review(d.now(), w.waiter, w.pool.viewOf(w.waiter))
 }
 
-// giveUp takes a waiter out of the queue, unless it has just got a lease.
-func (d *Dispatcher) giveUp(w *waiting, err error) (*Lease, error) {
+// giveUp takes a waiter out of the queue, unless a server has just been picked
+// and gives it a place.
+func (d *Dispatcher) giveUp(ctx context.Context, w *waiting, err error) (*Lease, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	select {
-	case lease := <-w.granted:
-		return lease, nil
+	case id := <-w.picked:
+		d.mu.Unlock()
+		if lease, _ := d.place(ctx, w, id); lease != nil {
+			return lease, nil
+		}
+		d.mu.Lock()
 	default:
 	}
 	w.pool.remove(w)
+	d.mu.Unlock()
 	return nil, err
 }
 
@@ -229,6 +251,7 @@
 	if d.inFlight[id] == 0 {
 		delete(d.inFlight, id)
 	}
+	d.reserving.release(id)
 	p.admission.Release(now, request, id, result)
 	d.serveQueue(now, p)
 }
@@ -244,12 +267,12 @@
 	return counts
 }
 
-// serveQueue gives leases to waiters for as long as there is room.
+// serveQueue picks servers for waiters for as long as there is room.
 func (d *Dispatcher) serveQueue(now time.Time, p *pool) {
 	p.admission.Serve(now, p.viewOf, func(waiter *balance.Waiter, id balance.ServerID) {
 		w := p.waiters[waiter]
 		delete(p.waiters, waiter)
-		w.granted <- d.lease(p, waiter.Request, id, p.views[w.key].view)
+		w.picked <- id
 	})
 }
 
@@ -274,7 +297,7 @@
 	now := d.now()
 	for _, p := range d.pools {
 		if p.admission.Waiting() > 0 {
-			p.refresh(now, d.source)
+			p.refresh(now, d)
 			d.serveQueue(now, p)
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -41,23 +41,33 @@
 	made    time.Time
 }
 
-// waiting is a request that waits for a lease.
+// waiting is a request without a lease.
 type waiting struct {
 	pool    *pool
-	waiter  *balance.Waiter
+	request balance.Request
 	key     candidateKey
-	granted chan *Lease
+	// waiter is its place in the queue, or nil before it has had one.
+	waiter *balance.Waiter
+	picked chan balance.ServerID
+}
+
+func newWaiting(p *pool, request balance.Request, key candidateKey) *waiting {
+	return &waiting{pool: p, request: request, key: key, picked: make(chan balance.ServerID, 1)}
 }
 
 // pool is the balancer and the queue of one pool.
 type pool struct {
 	admission *balance.Admission
-	waiters   map[*balance.Waiter]*waiting
-	views     map[candidateKey]*candidates
+	// granter is nil where the policy reserves no places.
+	granter granter
+	waiters map[*balance.Waiter]*waiting
+	views   map[candidateKey]*candidates
 }
 
 func newPool(balancer balance.Balancer, queueLimit time.Duration) *pool {
+	granter, _ := balancer.(granter)
 	return &pool{
+		granter:   granter,
 		admission: balance.NewAdmission(balancer, queueLimit),
 		waiters:   make(map[*balance.Waiter]*waiting),
 		views:     make(map[candidateKey]*candidates),
@@ -65,7 +75,8 @@
 }
 
 func (p *pool) enqueue(waiter *balance.Waiter, key candidateKey) *waiting {
-	w := &waiting{pool: p, waiter: waiter, key: key, granted: make(chan *Lease, 1)}
+	w := newWaiting(p, waiter.Request, key)
+	w.waiter = waiter
 	p.waiters[waiter] = w
 	return w
 }
@@ -75,30 +86,62 @@
 	delete(p.waiters, w.waiter)
 }
 
+// requeue lets a request wait that no owner had a place for. It returns false
+// where too many wait.
+func (p *pool) requeue(now time.Time, w *waiting) bool {
+	w.request.Refused, w.request.Firm, w.request.Unreserved = nil, false, false
+	waiter, ok := p.admission.Requeue(now, w.request, w.waiter, p.views[w.key].view)
+	if ok {
+		w.waiter = waiter
+		p.waiters[waiter] = w
+	}
+	return ok
+}
+
+func (p *pool) retry(now time.Time, w *waiting) (balance.ServerID, bool) {
+	return p.admission.Retry(now, w.request, p.views[w.key].view)
+}
+
+// setOthers updates the other routers' work on a server in all views.
+func (p *pool) setOthers(id balance.ServerID, others int) {
+	for _, c := range p.views {
+		c.view.SetOthers(id, others)
+	}
+}
+
+// setOwned does the same where this router owns the server.
+func (p *pool) setOwned(id balance.ServerID, others int) {
+	for _, c := range p.views {
+		if c.view.OwnerOf(id) == balance.OwnerSelf {
+			c.view.SetOthers(id, others)
+		}
+	}
+}
+
 // viewOf returns the newest view of the candidates that a waiter waits for.
 func (p *pool) viewOf(waiter *balance.Waiter) *balance.View {
 	return p.views[p.waiters[waiter].key].view
 }
 
 // view returns the view of a set of candidates, made anew where it is outdated.
-func (p *pool) view(now time.Time, source Source, view *catalog.Catalog, target catalog.Pool, key candidateKey) *balance.View {
+func (p *pool) view(now time.Time, d *Dispatcher, view *catalog.Catalog, target catalog.Pool, key candidateKey) *balance.View {
 	c := p.views[key]
 	if c == nil {
 		c = &candidates{}
 		p.views[key] = c
 	}
-	if c.catalog != view || c.outdated(now, source) {
+	if c.catalog != view || c.outdated(now, d.source) {
 		c.catalog, c.target = view, target
-		c.make(now, source, key.model)
+		c.make(now, d, p, key.model)
 	}
 	return c.view
 }
 
 // refresh makes outdated views anew.
-func (p *pool) refresh(now time.Time, source Source) {
+func (p *pool) refresh(now time.Time, d *Dispatcher) {
 	for key, c := range p.views {
-		if c.outdated(now, source) {
-			c.make(now, source, key.model)
+		if c.outdated(now, d.source) {
+			c.make(now, d, p, key.model)
 		}
 	}
 }
@@ -108,11 +151,11 @@
 	return !ok || now.Sub(c.made) >= viewAge || c.version != versioned.Version()
 }
 
-func (c *candidates) make(now time.Time, source Source, model string) {
+func (c *candidates) make(now time.Time, d *Dispatcher, p *pool, model string) {
 	c.made = now
-	c.version = versionOf(source)
+	c.version = versionOf(d.source)
 	var servers []balance.Server
-	for _, server := range source.Servers() {
+	for _, server := range d.source.Servers() {
 		if !serves(c.catalog, server, c.target, model) {
 			continue
 		}
@@ -121,8 +164,12 @@
 			ReportedLoad: server.Load, ReportedAt: server.ReceivedAt, Since: server.Since,
 			Others: server.Others, OthersAt: server.OthersAt,
 		})
+		d.reserving.list(server.Address, server.Pool)
+	}
+	if p.granter != nil {
+		d.reserving.own(now, c.target.UID, servers)
 	}
-	c.view = balance.NewView(servers, c.target.LoadBound(), placeOf(source))
+	c.view = balance.NewView(servers, c.target.LoadBound(), placeOf(d.source))
 }
 
 func versionOf(source Source) uint64 {
