--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -30,8 +30,10 @@
 	// heartbeatsPerReport is the number of heartbeats between two reports
 	// without news; a lease outlasts two of them.
 	heartbeatsPerReport = 2
-	// askTimeout bounds the question to all sources at the start and while the
-	// router is cut off.
+	// peekTimeout bounds the question to all sources for their revisions, at the
+	// start and while the router is cut off.
+	peekTimeout = time.Second
+	// askTimeout bounds the transfer of the highest revision.
 	askTimeout = 2 * time.Second
 	// askPeersEvery is the time between two questions to the peers while the
 	// router is cut off.
@@ -118,6 +120,7 @@
 // replicas for what they have although they may be cut off themselves.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.askAll(ctx, slices.Concat(w.peers, w.controls))
+	w.closeIdle()
 	w.asked.Store(true)
 	go w.reportAll(ctx)
 	go w.askPeers(ctx)
@@ -130,6 +133,7 @@
 		if next == len(w.controls) {
 			next = 0
 			w.askAll(ctx, w.controls)
+			w.closeIdle()
 		}
 		select {
 		case <-ctx.Done():
@@ -139,6 +143,14 @@
 	return nil
 }
 
+// closeIdle closes the connections over which sources were asked. Kept open, those
+// of all routers would take more memory at a control replica than their watches.
+func (w *Watcher) closeIdle() {
+	for _, source := range slices.Concat(w.peers, w.controls) {
+		source.Close()
+	}
+}
+
 // watchOnce follows one control replica and reports whether that worked for a while.
 func (w *Watcher) watchOnce(ctx context.Context, replica *rpc.Client) bool {
 	ctx, cancel := context.WithCancel(ctx)
@@ -225,25 +237,6 @@
 	}
 }
 
-// askAll asks sources at once for what they have and takes the highest.
-func (w *Watcher) askAll(ctx context.Context, sources []*rpc.Client) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for _, source := range sources {
-		wait.Go(func() {
-			_ = source.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-				stream, err := configpb.NewDRPCConfigClient(conn).Watch(ctx, w.request(true))
-				if err != nil {
-					return err
-				}
-				return w.receive(stream, func() {})
-			})
-		})
-	}
-	wait.Wait()
-}
-
 // askPeers asks the other routers of the failure domain while control is silent.
 func (w *Watcher) askPeers(ctx context.Context) {
 	ticker := time.NewTicker(askPeersEvery)
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -35,6 +35,10 @@
 	log      zerolog.Logger
 	instance string
 	peers    map[string]*peer
+	// answered takes the answers to heartbeats.
+	answered func(context.Context, *consensuspb.Message)
+	// readSnapshot returns the newest durable snapshot.
+	readSnapshot func() (*consensuspb.Snapshot, error)
 
 	mu        sync.Mutex
 	group     string
@@ -142,7 +146,7 @@
 
 // collect takes what waits behind the first message.
 func (t *transport) collect(p *peer, first consensus.Message) *consensuspb.Envelope {
-	envelope := &consensuspb.Envelope{Group: t.currentGroup(), Instance: t.instance}
+	envelope := &consensuspb.Envelope{Group: t.currentGroup(), Instance: t.instance, TakesAnswers: true}
 	size := 0
 	for m := first; ; {
 		envelope.Messages = append(envelope.Messages, toMessage(m))
@@ -174,10 +178,16 @@
 func (t *transport) sendBatch(ctx context.Context, p *peer, envelope *consensuspb.Envelope) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	return p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := consensuspb.NewDRPCConsensusClient(conn).Send(ctx, envelope)
+	var response *consensuspb.SendResponse
+	err := p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
+		var err error
+		response, err = consensuspb.NewDRPCConsensusClient(conn).Send(ctx, envelope)
 		return err
 	})
+	if err == nil && response.GetMessage() != nil {
+		t.answered(ctx, response.GetMessage())
+	}
+	return err
 }
 
 func (t *transport) installAll(ctx context.Context, p *peer) {
@@ -193,13 +203,22 @@
 	}
 }
 
-// install sends a message with a snapshot in parts.
+// install sends a message with the newest snapshot, which may have come after
+// the one that the message names, in parts.
 func (t *transport) install(ctx context.Context, p *peer, m consensus.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, installTimeout)
 	defer cancel()
-	data := m.Snapshot.Data
+	snapshot, err := t.readSnapshot()
+	if err != nil {
+		return err
+	}
+	if snapshot.GetIndex() < m.Snapshot.Index {
+		return errors.Errorf("the snapshot at %d is not on disk", m.Snapshot.Index)
+	}
 	first := toMessage(m)
-	first.Snapshot.Data = nil
+	first.Snapshot = snapshot
+	data := snapshot.GetData()
+	snapshot.Data = nil
 	return p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		stream, err := consensuspb.NewDRPCConsensusClient(conn).Install(ctx)
 		if err != nil {
