Wait for the restarted member before its group is changed

TestReplaceRefusesWhatCannotBe ran the command right after it had started a member, and failed when that was not up yet (once with -race in a busy run: ledger_no_majority, as it should be). It waits for readiness now; the checks are the same.

--- a/spec/ledgermembers_test.go
+++ b/spec/ledgermembers_test.go
@@ -40,16 +40,23 @@
 func TestChangeOfMembersWithoutOneRuleIsRefuted(t *testing.T) {
 	t.Parallel()
 	for _, rule := range []string{"NO_VIEW", "NO_SEAL", "EARLY", "ONE_COPY"} {
-		expectRefuted(t, members(rule))
+		refute(t, rule, members(rule))
 	}
 	for _, rule := range []string{"NO_PROMISE", "IGNORE_PENDING", "ONE_ACCEPTS", "NO_RAISE"} {
-		expectRefuted(t, rivals(rule))
+		refute(t, rule+" with two operators", rivals(rule))
 	}
 	for _, rule := range []string{"NO_RAISE", "OLD_LIST"} {
-		expectRefuted(t, members(rule, "LOSSES=1"))
+		refute(t, rule+" with a lost disk", members(rule, "LOSSES=1"))
 	}
 }
 
+func refute(t *testing.T, name string, r run) {
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		expectRefuted(t, r)
+	})
+}
+
 func TestChangeOfMembersHappens(t *testing.T) {
 	t.Parallel()
 	expectRefuted(t, members("NEVER_CHANGED"))
--- a/test/claims/change_test.go
+++ b/test/claims/change_test.go
@@ -106,6 +106,7 @@
 	g.Expect(code).To(Equal(api.ExitUnreachable), out)
 	g.Expect(out).To(ContainSubstring("ledger_no_majority"))
 	g.Expect(bed.Daemons["l-2"].Start()).To(Succeed())
+	g.Expect(bed.Daemons["l-2"].WaitReady()).To(Succeed())
 	out, code = replace(t, bed, "l-3", "l-4")
 	g.Expect(code).To(Equal(api.ExitOK), out)
 	out, code = replace(t, bed, "l-2", "l-3")
