Make a dispatcher's views anew every 100 ms

Load reports come once a second a server, and places that owners grant reach the view at once, so that a younger view knows hardly more.

A join, a departure or a drain still makes the view anew at once.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,7 +11,7 @@
 )
 
 // viewAge is the age at which a view is made anew for fresh load reports.
-const viewAge = 25 * time.Millisecond
+const viewAge = 100 * time.Millisecond
 
 // Versioned is a source that tells when its servers, other than their load,
 // have changed.
