--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,7 +24,7 @@
 	ReportedLoad int
 	ReportedAt   time.Time
 	// Others is the work in flight of the other routers, as they told it, and
-	// OthersAt the local receipt time of their newest word; zero while one of
+	// OthersAt the local receipt time of their newest report; zero while one of
 	// them has not told it lately.
 	Others   int
 	OthersAt time.Time
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -228,7 +228,7 @@
 		Expect(counts(at(30))).To(Equal(1))
 	})
 
-	It("holds a server's whole load under the bound by the other routers' word", func() {
+	It("holds a server's whole load under the bound by the other routers' reports", func() {
 		all := servers(10, 64)
 		for i := range all {
 			all[i].Others, all[i].OthersAt = 10, at(0)
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -100,7 +100,7 @@
 	inFlight    int
 	long        int
 	usedAt      time.Time
-	// othersAt is the receipt time of the other routers' newest word, and
+	// othersAt is the receipt time of the other routers' newest report, and
 	// ownThen this router's requests in flight at that time.
 	othersAt time.Time
 	ownThen  int
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -168,7 +168,7 @@
 	return w.pool.retry(now, w)
 }
 
-// Decide implements places.Desk.
+// Decide implements places.Granter.
 func (d *Dispatcher) Decide(from string, message reserve.Message) (granted, others int, owned bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -222,7 +222,7 @@
 	}
 }
 
-// Lost implements places.Desk.
+// Lost implements places.Granter.
 func (d *Dispatcher) Lost(from string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/membership/inflight.go
+++ b/internal/membership/inflight.go
@@ -12,11 +12,11 @@
 	InFlight(addresses []string) []uint32
 }
 
-// WordAge is the age at which another router's word on its work counts no more.
-const WordAge = 3 * time.Second
+// InFlightAge is the age at which another router's report of its work counts no more.
+const InFlightAge = 3 * time.Second
 
-// word is what another router told of its work in flight, by address.
-type word struct {
+// inFlightReport is what another router told of its work in flight, by address.
+type inFlightReport struct {
 	at     time.Time
 	counts map[string]int
 }
@@ -49,18 +49,18 @@
 	return s.presentNow.addresses, s.presentNow.digest
 }
 
-// hearWord takes another router's counts. Counts over other servers than this
+// hearInFlight takes another router's counts. Counts over other servers than this
 // router knows are dropped: the routers agree again within an exchange or two.
-func (s *Service) hearWord(now time.Time, instance string, of uint64, counts []uint32) {
+func (s *Service) hearInFlight(now time.Time, instance string, of uint64, counts []uint32) {
 	addresses, digest := s.present()
 	if of != digest || len(counts) != len(addresses) {
 		return
 	}
-	heard := word{at: now, counts: make(map[string]int, len(counts))}
+	heard := inFlightReport{at: now, counts: make(map[string]int, len(counts))}
 	for i, address := range addresses {
 		heard.counts[address] = int(counts[i])
 	}
-	s.words[instance] = heard
+	s.reports[instance] = heard
 }
 
 // addOthers adds the other live routers' work in flight to the servers.
@@ -70,8 +70,8 @@
 		if !s.isLive(now, peer) {
 			continue
 		}
-		heard := s.words[peer.instance]
-		if now.Sub(heard.at) > WordAge {
+		heard := s.reports[peer.instance]
+		if now.Sub(heard.at) > InFlightAge {
 			return
 		}
 		if heard.at.After(newest) {
@@ -82,7 +82,7 @@
 		servers[i].OthersAt = newest
 		for _, peer := range s.peers {
 			if s.isLive(now, peer) {
-				servers[i].Others += s.words[peer.instance].counts[servers[i].Address]
+				servers[i].Others += s.reports[peer.instance].counts[servers[i].Address]
 			}
 		}
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -37,10 +37,10 @@
 	remotes   []*remoteLink
 	outgoing  outgoingSummary
 
-	mu    sync.Mutex
-	table *Table
-	heard map[string]time.Time
-	words map[string]word
+	mu      sync.Mutex
+	table   *Table
+	heard   map[string]time.Time
+	reports map[string]inFlightReport
 	// presentNow is what present worked out last.
 	presentNow presentServers
 
@@ -57,7 +57,7 @@
 		silence:   s.Timeouts.Silence(),
 		table:     NewTable(s.Timeouts.Silence()),
 		heard:     make(map[string]time.Time),
-		words:     make(map[string]word),
+		reports:   make(map[string]inFlightReport),
 		summaries: make(map[string]domainSummary),
 	}
 	for _, peer := range s.PeersWithRole(settings.RoleRouter) {
@@ -201,7 +201,7 @@
 	response.Unknown = s.touch(now, request.GetDraining(), api.ServerDraining, response.Unknown)
 	if slices.ContainsFunc(s.peers, func(p *peerLink) bool { return p.instance == request.GetInstance() }) {
 		s.heard[request.GetInstance()] = now
-		s.hearWord(now, request.GetInstance(), request.GetInFlightOf(), request.GetInFlight())
+		s.hearInFlight(now, request.GetInstance(), request.GetInFlightOf(), request.GetInFlight())
 	}
 	response.UnknownSummaries = s.hearSummaries(now, request.GetSummaries(), fromPeer)
 	if request.GetWantAll() {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -52,7 +52,7 @@
 	// Since is the local time at which this incarnation was first known.
 	Since time.Time
 	// Others is the work in flight of the other routers on the server, and
-	// OthersAt the local receipt time of their newest word; zero while a live
+	// OthersAt the local receipt time of their newest report; zero while a live
 	// router has not told it lately.
 	Others   int
 	OthersAt time.Time
--- a/internal/places/service.go
+++ b/internal/places/service.go
@@ -43,8 +43,8 @@
 	LiveRouters() []string
 }
 
-// Desk decides for this router as an owner. It is called without locks held.
-type Desk interface {
+// Granter decides for this router as an owner. It is called without locks held.
+type Granter interface {
 	// Decide records what a router holds on a server and grants of what it asks
 	// for. It grants nothing and returns false where it does not own the server.
 	Decide(from string, message reserve.Message) (granted, others int, owned bool)
@@ -66,7 +66,7 @@
 	log     zerolog.Logger
 	self    string
 	members Members
-	desk    Desk
+	granter Granter
 	links   map[string]*link
 
 	mu   sync.Mutex
@@ -81,10 +81,10 @@
 	used     map[string]struct{}
 }
 
-// New returns the service of a router. Desk is what it grants places by.
-func New(s *settings.Settings, log zerolog.Logger, members Members, desk Desk) *Service {
+// New returns the service of a router. Granter decides on the places that others ask for.
+func New(s *settings.Settings, log zerolog.Logger, members Members, granter Granter) *Service {
 	service := &Service{
-		log: log, self: s.Instance, members: members, desk: desk,
+		log: log, self: s.Instance, members: members, granter: granter,
 		links: make(map[string]*link), book: reserve.NewBook(s.Instance),
 		incoming: make(map[string]*incoming), waiters: make(map[reserve.Token]chan Answer),
 		used: make(map[string]struct{}), owners: make(map[string]string),
--- a/internal/places/service_test.go
+++ b/internal/places/service_test.go
@@ -38,8 +38,8 @@
 	m.live = live
 }
 
-// fakeDesk grants up to a capacity on any server.
-type fakeDesk struct {
+// fakeGranter grants up to a capacity on any server.
+type fakeGranter struct {
 	mu       sync.Mutex
 	capacity int
 	counts   *reserve.Counts
@@ -47,7 +47,7 @@
 	stuck chan struct{}
 }
 
-func (d *fakeDesk) Decide(from string, message reserve.Message) (granted, others int, owned bool) {
+func (d *fakeGranter) Decide(from string, message reserve.Message) (granted, others int, owned bool) {
 	d.mu.Lock()
 	stuck := d.stuck
 	d.mu.Unlock()
@@ -64,28 +64,28 @@
 	return granted, 7, true
 }
 
-func (d *fakeDesk) Lost(from string) {
+func (d *fakeGranter) Lost(from string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.counts.Forget(from)
 }
 
-func (d *fakeDesk) setStuck(stuck chan struct{}) {
+func (d *fakeGranter) setStuck(stuck chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stuck = stuck
 }
 
-func (d *fakeDesk) of(router string) int {
+func (d *fakeGranter) of(router string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.counts.Of(server, router)
 }
 
-// node is a router's service with its desk.
+// node is a router's service with its granter.
 type node struct {
 	*places.Service
-	desk    *fakeDesk
+	granter *fakeGranter
 	members *fakeMembers
 	stop    context.CancelFunc
 }
@@ -100,9 +100,9 @@
 func start(t *testing.T, instance string, listener net.Listener, peers []settings.Peer) *node {
 	t.Helper()
 	s := &settings.Settings{Instance: instance, FailureDomain: "d", Roles: []settings.Role{settings.RoleRouter}, Peers: peers}
-	n := &node{desk: &fakeDesk{capacity: 2, counts: reserve.NewCounts()}, members: &fakeMembers{}}
+	n := &node{granter: &fakeGranter{capacity: 2, counts: reserve.NewCounts()}, members: &fakeMembers{}}
 	n.members.set("a", "b")
-	n.Service = places.New(s, zerolog.Nop(), n.members, n.desk)
+	n.Service = places.New(s, zerolog.Nop(), n.members, n.granter)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	mux := rpc.NewServer()
@@ -148,7 +148,7 @@
 func (n *node) waitForCount(t *testing.T, router string, want int) {
 	t.Helper()
 	NewWithT(t).Expect(testbed.Eventually(func() error {
-		if got := n.desk.of(router); got != want {
+		if got := n.granter.of(router); got != want {
 			return errors.Errorf("%d places, not %d", got, want)
 		}
 		return nil
@@ -219,10 +219,10 @@
 	owner.waitFor(t, balance.OwnerSelf)
 	asker.waitFor(t, balance.OwnerPeer)
 	stuck := make(chan struct{})
-	owner.desk.setStuck(stuck)
+	owner.granter.setStuck(stuck)
 	_, err := asker.Ask(context.Background(), server, false)
 	g.Expect(err).To(MatchError(places.ErrNoAnswer))
-	owner.desk.setStuck(nil)
+	owner.granter.setStuck(nil)
 	close(stuck)
 	// The place that is granted too late is given back.
 	g.Expect(asker.ask(t, false).Granted).To(BeTrue())
