--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -30,6 +30,15 @@
 	os.Exit(m.Run())
 }
 
+// RunCommand runs a command of the product to its end. It returns what the
+// command wrote to both outputs, and its exit code.
+func RunCommand(args ...string) (string, int) {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), execVariable+"=1")
+	output, _ := cmd.CombinedOutput()
+	return string(output), cmd.ProcessState.ExitCode()
+}
+
 // Process is one process of the product.
 type Process struct {
 	Name string
--- a/test/claims/change_test.go
+++ b/test/claims/change_test.go
@@ -56,7 +56,7 @@
 
 // replace runs the operator's command with the settings of the new instance.
 func replace(t *testing.T, bed *testbed.Bed, old, by string) (string, int) {
-	return product(t, "ledger-replace", "-settings", settingsOf(bed, by), "-group", "fleet", "-replace", old, "-by", by)
+	return testbed.RunCommand("ledger-replace", "-settings", settingsOf(bed, by), "-group", "fleet", "-replace", old, "-by", by)
 }
 
 func TestMemberLostForGoodIsReplacedAndASecondOneLost(t *testing.T) {
@@ -96,7 +96,7 @@
 	g.Expect(out).To(ContainSubstring("ledger_member_invalid"))
 	startLate(g, bed, "l-4")
 	for _, wrong := range [][]string{{"l-9", "l-4"}, {"l-3", "l-2"}} {
-		out, code = product(t, "ledger-replace", "-settings", settingsOf(bed, "l-4"), "-replace", wrong[0], "-by", wrong[1])
+		out, code = testbed.RunCommand("ledger-replace", "-settings", settingsOf(bed, "l-4"), "-replace", wrong[0], "-by", wrong[1])
 		g.Expect(code).To(Equal(api.ExitRefused), out)
 		g.Expect(out).To(ContainSubstring("ledger_member_invalid"))
 	}
--- a/test/claims/groups_test.go
+++ b/test/claims/groups_test.go
@@ -1,11 +1,9 @@
 package claims
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -17,23 +15,12 @@
 	"peridotwinch.example/peridotwinch/internal/testbed"
 )
 
-// product runs a command of the product and returns its output and exit code.
-func product(t *testing.T, args ...string) (string, int) {
-	t.Helper()
-	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), "PERIDOTWINCH_TESTBED_EXEC=1")
-	var out bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &out, &out
-	_ = cmd.Run()
-	return out.String(), cmd.ProcessState.ExitCode()
-}
-
 func settingsOf(bed *testbed.Bed, name string) string { return filepath.Join(bed.Dir, name+".json") }
 
 func members(t *testing.T, bed *testbed.Bed) map[string]replica.MemberStatus {
 	t.Helper()
 	g := NewWithT(t)
-	out, code := product(t, "ledger-status", "-settings", settingsOf(bed, "ledger-1"), "-o", "json")
+	out, code := testbed.RunCommand("ledger-status", "-settings", settingsOf(bed, "ledger-1"), "-o", "json")
 	g.Expect(code).To(Equal(api.ExitOK), out)
 	var list []replica.MemberStatus
 	g.Expect(json.Unmarshal([]byte(out), &list)).To(Succeed())
@@ -94,7 +81,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(testbed.Eventually(func() error { return spreadTo(t, bed, 2) })).To(Succeed())
 
-	out, code := product(t, "ledger-restart", "-settings", settingsOf(bed, "ledger-1"))
+	out, code := testbed.RunCommand("ledger-restart", "-settings", settingsOf(bed, "ledger-1"))
 	g.Expect(code).To(Equal(api.ExitRefused), out)
 	g.Expect(out).To(ContainSubstring("ledger_has_majority"))
 
@@ -111,7 +98,7 @@
 	g.Expect(decision.Verdict).To(Equal(ledger.VerdictUnavailable), "nobody starts the group by itself")
 
 	for _, group := range []string{"fleet", "domain/pwani-a"} {
-		out, code = product(t, "ledger-restart", "-settings", settingsOf(bed, "ledger-1"), "-group", group, "-quarantine", "1h")
+		out, code = testbed.RunCommand("ledger-restart", "-settings", settingsOf(bed, "ledger-1"), "-group", group, "-quarantine", "1h")
 		g.Expect(code).To(Equal(api.ExitOK), out)
 	}
 	_, decision = claim(c, customerKey("finished"))
@@ -131,7 +118,7 @@
 	g := NewWithT(t)
 	bed := ledgers(t)
 	g.Expect(waitAllActive(bed)).To(Succeed())
-	out, code := product(t, "ledger-restart", "-settings", settingsOf(bed, "ledger-1"), "-force", "-quarantine", "1h")
+	out, code := testbed.RunCommand("ledger-restart", "-settings", settingsOf(bed, "ledger-1"), "-force", "-quarantine", "1h")
 	g.Expect(code).To(Equal(api.ExitOK), out)
 	c := claimer(bed, "pwani-a")
 	g.Expect(claimHeld(c, customerKey("from before")).Verdict).To(Equal(ledger.VerdictHeld))
@@ -167,7 +154,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	raw[20] ^= 1
 	g.Expect(os.WriteFile(path, raw, 0o644)).To(Succeed())
-	out, code := product(t, "serve", "-settings", settingsOf(bed, "ledger-1"))
+	out, code := testbed.RunCommand("serve", "-settings", settingsOf(bed, "ledger-1"))
 	g.Expect(code).To(Equal(api.ExitDataDamaged), out)
 	g.Expect(out).To(ContainSubstring(path))
 }
--- a/test/claims/shards_test.go
+++ b/test/claims/shards_test.go
@@ -150,7 +150,7 @@
 	for _, shards := range [][][]string{nil, twoShards[:1]} {
 		d.Settings.LedgerShards = shards
 		g.Expect(bed.WriteSettings("l-1")).To(Succeed())
-		out, code := product(t, "serve", "-settings", settingsOf(bed, "l-1"))
+		out, code := testbed.RunCommand("serve", "-settings", settingsOf(bed, "l-1"))
 		g.Expect(code).To(Equal(api.ExitRefused), out)
 		g.Expect(out).To(ContainSubstring("ledger_view_differs"))
 	}
--- a/test/faults/lostdomain_test.go
+++ b/test/faults/lostdomain_test.go
@@ -1,10 +1,7 @@
 package faults
 
 import (
-	"bytes"
 	"math/rand/v2"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -66,7 +63,7 @@
 	}
 	c.Expect(late.Start()).To(Succeed())
 	c.Expect(late.WaitReady()).To(Succeed())
-	out, code := product("ledger-replace", "-settings", filepath.Join(c.Dir, late.Name+".json"),
+	out, code := testbed.RunCommand("ledger-replace", "-settings", filepath.Join(c.Dir, late.Name+".json"),
 		"-group", "shard/0", "-replace", "ledger-4", "-by", late.Name)
 	c.Expect(code).To(Equal(api.ExitOK), out)
 	elapsed := time.Since(lost)
@@ -75,13 +72,3 @@
 	t.Log(out)
 	return elapsed
 }
-
-// product runs a command of the product and returns its output and exit code.
-func product(args ...string) (string, int) {
-	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), "PERIDOTWINCH_TESTBED_EXEC=1")
-	var out bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &out, &out
-	_ = cmd.Run()
-	return out.String(), cmd.ProcessState.ExitCode()
-}
