Spend no request on a failure domain that is known to be out of reach

A server that had not been tried itself counted as reachable though its domain was known to be cut off, a request could be a trial again and again, and failed probes did not renew the knowledge. Ruled out: the probes themselves (bare connections every 0.4 s did come and fail). Change: trials go to reachable domains only, and only with a request's first send; failed probes count. Tests fail without the change: TestNoRequestIsSentIntoADomainOutOfReach, TestARequestThatWasSentInVainIsNotSpentOnASuspectServer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	client  *backend.Client
 	pools   *pools
 	metrics *gatewayMetrics
+	started time.Time
 
 	inProgress atomic.Int64
 	// lastAnswers says that each answer closes its connection.
@@ -55,7 +56,7 @@
 func New(domain string, dialect Dialect, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		log: log, domain: domain, dialect: dialect,
-		pools: newPools(), metrics: newGatewayMetrics(),
+		pools: newPools(), metrics: newGatewayMetrics(), started: time.Now(),
 	}
 	g.client = backend.NewClient(g.metrics.connections.Inc)
 	g.cut, g.cutOff = context.WithCancelCause(context.Background())
@@ -108,6 +109,7 @@
 			id, address := s.ID, s.Address
 			go func() {
 				if err := g.client.Probe(ctx, address); err != nil {
+					p.notReached(s)
 					return
 				}
 				g.log.Info().Str("server", id).Str("address", address).Msg("server can be reached")
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -263,6 +263,12 @@
 	return p.place.Unreachable(now)
 }
 
+func (p *pool) notReached(s *place.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place.NotReached(s, time.Now())
+}
+
 func (p *pool) reached(s *place.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -193,14 +193,26 @@
 	if len(sound) == 0 {
 		return suspect
 	}
+	if s := p.trial(suspect, request, now); s != nil {
+		return []*Server{s}
+	}
+	return sound
+}
+
+// trial returns the suspect server to which the request goes to show whether it has
+// recovered, or nil. Servers out of reach are left to connections without a request
+// (Unreachable), and a request that was sent in vain before has waited enough.
+func (p *Pool) trial(suspect []*Server, request Request, now time.Time) *Server {
+	if !request.Repeatable || len(request.Exclude) > 0 {
+		return nil
+	}
 	for _, s := range suspect {
-		if request.Repeatable && s.isReachable(now) && s.health.mayTry(now) {
-			// One request tells whether the server has recovered.
+		if s.isReachable(now) && !p.reach(s.Domain).isCut(now) && s.health.mayTry(now) {
 			s.health.tried = now
-			return []*Server{s.chosen(ReasonTrial, now)}
+			return s.chosen(ReasonTrial, now)
 		}
 	}
-	return sound
+	return nil
 }
 
 // isSuspect reports whether the server is better left alone.
@@ -332,6 +344,13 @@
 	return out
 }
 
+// NotReached notes that a connection to the server could not be set up, so that a
+// failure domain stays out of use for as long as it is cut off.
+func (p *Pool) NotReached(s *Server, now time.Time) {
+	s.health.lost++
+	p.reach(s.Domain).lost(s.ID, now)
+}
+
 // Reached notes that a connection to the server could be set up.
 func (p *Pool) Reached(s *Server, now time.Time) {
 	s.answered = now
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -195,6 +195,55 @@
 	g.Expect(p.Choose(place.Request{Domain: "zone-0"}, start).Domain).To(Equal("zone-0"))
 }
 
+// TestNoRequestIsSentIntoADomainOutOfReach plays a cut of six seconds: the connections
+// that look whether it is over fail, and no request, repeatable or not, is spent on it.
+func TestNoRequestIsSentIntoADomainOutOfReach(t *testing.T) {
+	g := NewWithT(t)
+	p := place.NewPool(false)
+	p.SetServers(infos(9))
+	request := place.Request{Domain: "zone-0", Repeatable: true}
+	spent := 0
+	for now := start; now.Before(start.Add(6 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		s := p.Choose(request, now)
+		p.Sent(s, now)
+		kind := place.ResultAnswered
+		if s.Domain == "zone-0" {
+			kind = place.ResultUnreachable
+			spent++
+		}
+		p.Done(s, place.Result{Kind: kind, Took: 20 * time.Millisecond}, now)
+		for _, lost := range p.Unreachable(now) {
+			p.NotReached(lost, now)
+		}
+	}
+	g.Expect(spent).To(BeNumerically("<=", 2), "as many as it takes to see that the domain is out of reach")
+}
+
+func TestARequestThatWasSentInVainIsNotSpentOnASuspectServer(t *testing.T) {
+	g := NewWithT(t)
+	p := place.NewPool(false)
+	p.SetServers(infos(3))
+	failing := ""
+	for range 60 {
+		s := p.Choose(place.Request{}, start)
+		if failing == "" {
+			failing = s.ID
+		}
+		kind := place.ResultAnswered
+		if s.ID == failing {
+			kind = place.ResultFailed
+		}
+		p.Sent(s, start)
+		p.Done(s, place.Result{Kind: kind, Took: time.Millisecond}, start)
+	}
+	later := start.Add(10 * time.Second)
+	for _, other := range infos(3) {
+		if other.ID != failing {
+			g.Expect(p.Choose(place.Request{Repeatable: true, Exclude: []string{other.ID}}, later).ID).NotTo(Equal(failing))
+		}
+	}
+}
+
 func TestAServerThatFailsIsTriedByRepeatableRequestsOnly(t *testing.T) {
 	g := NewWithT(t)
 	p := place.NewPool(false)
