--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -15,8 +15,14 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// DialTimeout bounds the set-up of a connection.
-const DialTimeout = 2 * time.Second
+const (
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout = 2 * time.Second
+	// dialAttempt bounds one attempt at it. The system repeats an opening packet that
+	// got lost, or met a machine that was starting, after a second only; peers in other
+	// regions answer within 100 ms.
+	dialAttempt = 350 * time.Millisecond
+)
 
 // maxIdleConns is how many idle connections a client keeps to a peer.
 const maxIdleConns = 4
@@ -171,8 +177,7 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	conn, err := dialPatiently(ctx, c.address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", c.address)
 	}
@@ -183,6 +188,27 @@
 	return drpcconn.New(newCountingConn(conn, c.purpose)), nil
 }
 
+// dialPatiently repeats attempts that get no answer until DialTimeout or the deadline
+// of ctx is over. It asks the clock for that: once the deadline has passed attempts fail
+// at once, and would keep the only processor from the timer that ends ctx.
+func dialPatiently(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	dialer := net.Dialer{Timeout: dialAttempt}
+	for {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil || !isTimeout(err) || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return conn, err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (c *Client) put(conn *drpcconn.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
