--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,10 @@
 package consensus
 
+// voteRetryTicks is the time after which a campaign asks again for the votes that it
+// lacks: after a restart of the whole group the first question meets replicas that do
+// not listen yet, and an election timeout is 15 ticks and more.
+const voteRetryTicks = 2
+
 func (r *Replica) becomeFollower(term uint64, leader ReplicaID) {
 	if term > r.term {
 		r.term = term
@@ -24,24 +29,41 @@
 	r.leader = 0
 	r.resetElection()
 	r.votes = map[ReplicaID]bool{r.config.ID: true}
-	request := Message{Type: MessagePreVote, Term: r.term + 1}
 	if role == RoleCandidate {
 		r.term++
 		r.vote = r.config.ID
+	}
+	if !r.countVotes() {
+		r.askForVotes()
+	}
+}
+
+// HastenElection lets a replica that has just started ask for votes with its next tick.
+// A group that was stopped as a whole has no leader to wait for, and where there is one
+// the others refuse to vote, because they hear it.
+func (r *Replica) HastenElection() { r.electionElapsed = r.electionTimeout - 1 }
+
+// askForVotes asks the voters that have not answered in this round. A repeated
+// question changes nothing: a replica answers it as it did before.
+func (r *Replica) askForVotes() {
+	request := Message{Type: MessagePreVote, Term: r.term + 1}
+	if r.role == RoleCandidate {
 		request = Message{Type: MessageVote, Term: r.term}
 	}
 	request.LogIndex, request.LogTerm = r.log.lastIndex(), r.log.lastTerm()
-	if r.countVotes() {
-		return
-	}
 	for _, id := range r.log.membership.Voters() {
-		if id != r.config.ID {
+		if _, answered := r.votes[id]; !answered {
 			request.To = id
 			r.send(request)
 		}
 	}
 }
 
+// isCampaigning reports whether the replica waits for votes.
+func (r *Replica) isCampaigning() bool {
+	return r.role == RolePreCandidate || r.role == RoleCandidate
+}
+
 func (r *Replica) handleVote(m Message) {
 	isPre := m.Type == MessagePreVote
 	free := r.vote == 0 && r.leader == 0
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -102,6 +102,10 @@
 	}
 	if r.electionElapsed >= r.electionTimeout && r.mayCampaign() {
 		r.campaign(RolePreCandidate)
+		return
+	}
+	if r.isCampaigning() && r.electionElapsed%voteRetryTicks == 0 {
+		r.askForVotes()
 	}
 }
 
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -187,6 +187,21 @@
 	RoleLeader
 )
 
+// String returns the role's name in logs.
+func (r Role) String() string {
+	switch r {
+	case RoleFollower:
+		return "follower"
+	case RolePreCandidate:
+		return "pre-candidate"
+	case RoleCandidate:
+		return "candidate"
+	case RoleLeader:
+		return "leader"
+	}
+	return "unknown"
+}
+
 // Status describes a replica at a moment.
 type Status struct {
 	ID         ReplicaID
--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -72,15 +72,6 @@
 	}
 }
 
-// hastenElection lets a replica that has just started ask for votes soon. A group
-// that was stopped as a whole has no leader to wait for, and where there is one the
-// others refuse to vote, because they hear it.
-func (r *Replica) hastenElection() {
-	for range electionTicks - 1 {
-		r.core.Tick()
-	}
-}
-
 // noteSilence keeps since when each member has been silent.
 func (r *Replica) noteSilence(now time.Time) {
 	silent := make(map[consensus.ReplicaID]time.Time)
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -138,7 +138,7 @@
 		MaxMessageBytes: maxMessageBytes, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, state)
 	if r.transport.joining {
-		r.hastenElection()
+		r.core.HastenElection()
 	}
 	r.transport.setGroup(r.identity.Group)
 	r.transport.learnMembers(r.core.Membership())
@@ -319,7 +319,17 @@
 		r.failProposals()
 		r.failReads()
 	}
-	r.status.Store(status)
+	r.logBelief(r.status.Swap(status), status)
+}
+
+// logBelief logs what the replica newly believes of its leader and of the group.
+func (r *Replica) logBelief(before, now *Status) {
+	if before.Leader == now.Leader && before.Current == now.Current && before.Role == now.Role {
+		return
+	}
+	r.log.Info().Uint64("term", now.Term).Str("leader", r.transport.instanceOf(now.Leader)).
+		Str("role", now.Role.String()).Bool("current", now.Current).Uint64("commit", now.Commit).
+		Int("voters", len(now.Membership.Voters())).Msg("control leader changed")
 }
 
 // Status describes the replica.
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -139,6 +139,13 @@
 	return t.group
 }
 
+// instanceOf returns the instance that a replica runs on, as far as it is known.
+func (t *transport) instanceOf(id consensus.ReplicaID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.instances[id]
+}
+
 // peerOf returns the peer that runs a replica, or nil.
 func (t *transport) peerOf(id consensus.ReplicaID) *peer {
 	t.mu.Lock()
