Let replicas that start together serve routers soon

Cause: a starting replica asks the others for their servers at once and then every 0.7 s. Change: it asks every 0.1 s until one has answered.

--- /dev/null
+++ b/internal/spread/harness_test.go
@@ -0,0 +1,94 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/rpc"
+)
+
+// fakeGroup is a control replica whose state a test sets.
+type fakeGroup struct {
+	mu       sync.Mutex
+	table    *routetable.Document
+	current  bool
+	replicas []string
+	changed  chan struct{}
+}
+
+func newFakeGroup(replicas ...string) *fakeGroup {
+	return &fakeGroup{current: true, replicas: replicas, changed: make(chan struct{}, 1)}
+}
+
+func (f *fakeGroup) RouteTable() *routetable.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table
+}
+
+func (f *fakeGroup) Subscribe() (<-chan struct{}, func()) { return f.changed, func() {} }
+
+func (f *fakeGroup) Confirm(context.Context) error { return nil }
+
+func (f *fakeGroup) IsCurrent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+func (f *fakeGroup) Replicas() []string { return f.replicas }
+
+func (f *fakeGroup) setTable(d *routetable.Document) {
+	f.mu.Lock()
+	f.table = d
+	f.mu.Unlock()
+	f.changed <- struct{}{}
+}
+
+func (f *fakeGroup) setCurrent(current bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = current
+}
+
+// reserveAddress returns a loopback address that nobody listens on.
+func reserveAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	NewWithT(t).Expect(listener.Close()).To(Succeed())
+	return address
+}
+
+// serve lets a service answer at address until the test ends.
+func serve(t *testing.T, service *Service, address string) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	server := rpc.NewServer()
+	g.Expect(service.Register(server.Mux())).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx, listener) }()
+	go func() { _ = service.Run(ctx) }()
+}
+
+func newTestService(group Group, own string) *Service {
+	return NewService(own, group, zerolog.Nop())
+}
+
+func testServer(i int) registry.Server {
+	return registry.Server{
+		ID: fmt.Sprintf("i-%010d", i), Born: int64(1000 + i), Sequence: 1, Pool: "pool-a",
+		Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Domain: "domain-a", Version: "v1", Slots: 12,
+		State: registry.StateReady, Models: []registry.Model{{Name: "m", Version: 1}},
+	}
+}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 	"peridotwinch.example/peridotwinch/internal/rpc"
@@ -34,6 +35,9 @@
 	// syncPatience is how long a starting replica waits for the other replicas'
 	// servers before it serves routers with what it has.
 	syncPatience = 1500 * time.Millisecond
+	// syncEvery is the time between two questions for the other replicas' servers while
+	// none has answered: after a restart of all of them the first question comes too soon.
+	syncEvery = 100 * time.Millisecond
 	// currentPoll is how often a stream checks that its replica has a majority.
 	currentPoll = 100 * time.Millisecond
 )
@@ -127,16 +131,16 @@
 
 // Run shares digests until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(shareEvery)
-	defer ticker.Stop()
 	for {
 		s.shareAll(ctx, true)
-		select {
-		case <-ctx.Done():
+		pause := shareEvery
+		if !s.isSynced() {
+			pause = syncEvery
+		}
+		if !actor.Sleep(ctx, pause) {
 			return nil
-		case now := <-ticker.C:
-			s.expire(now)
 		}
+		s.expire(time.Now())
 	}
 }
 
