Ask refused callers back when a starting router has its table

Cause: after a loss of power of all, callers were asked to come back after 0.8 to 1.15 s whatever the age of the router; they repeat once. The table is there 0.9 s after a router's start now. Change: the pause is what is left of these 0.9 s.

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -16,9 +16,12 @@
 const (
 	// retrySoonest is about the time in which a busy server frees a place.
 	retrySoonest = 150 * time.Millisecond
-	// retryStarting is about the time in which a router that has started learns of
-	// the route table and of the servers: a leader is elected within 0.75 s, and
-	// servers announce themselves every 1.2 s.
+	// startTakes is about the time from a router's start to its route table after a loss
+	// of power of all: control replicas load their state for 0.5 s, elect a leader within
+	// 0.2 s, and are found within 0.2 s.
+	startTakes = 900 * time.Millisecond
+	// retryStarting is the pause where a router still knows no table or server after
+	// that: servers announce themselves every 1.2 s.
 	retryStarting = 800 * time.Millisecond
 	// retrySpread keeps callers that were refused together from coming back together.
 	retrySpread = 350 * time.Millisecond
@@ -74,6 +77,9 @@
 	after := retrySoonest
 	if code == api.CodeNotConfigured || code == api.CodeNoBackendServer {
 		after = retryStarting
+		if left := startTakes - c.begun.Sub(c.gateway.started); left > 0 {
+			after = max(left, retrySoonest)
+		}
 	}
 	after += rand.N(retrySpread)
 	if left := c.timeLeft(); left > 0 {
