Pace large events to half of a control instance's link

Change: setting link.mbitPerSecond, rendered from the platform's settings; events from 1.5 KB on take half of it at most, beyond a burst of 24 KB. Changes as deltas are not held up.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -83,7 +83,7 @@
 	c.closing, c.close = context.WithCancel(context.Background())
 	if selected != nil {
 		c.adapter = selected
-		c.spread = spread.NewService(s.ReplicaName(), &group{c}, log)
+		c.spread = spread.NewService(s.ReplicaName(), &group{c}, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,7 @@
 	Timeouts     Timeouts   `json:"timeouts"`
 	Routing      Routing    `json:"routing"`
 	Memory       Memory     `json:"memory"`
+	Link         Link       `json:"link"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -253,6 +254,9 @@
 	v.policy(s.Routing.Policy)
 	v.notNegative("memory.gcPercent", s.Memory.GCPercent)
 	v.notNegative("memory.limitMb", s.Memory.LimitMB)
+	if s.Link.MBitPerSecond < 0 {
+		v.add("link.mbitPerSecond", "below 0")
+	}
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
@@ -134,13 +136,15 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
 	isNews := event.Document != nil || event.Delta != nil || !records.isEmpty()
-	if !isNews && f.begun && now.Sub(f.lastSent) < HeartbeatEvery {
+	if !isNews && f.begun && time.Since(f.lastSent) < HeartbeatEvery {
 		return changed, nil
 	}
 	event.Servers, event.Packed = records.servers, records.packed
-	f.begun, f.lastSent = true, now
+	if err := s.pacer.wait(f.stream.Context(), proto.Size(event)); err != nil {
+		return nil, err
+	}
+	f.begun, f.lastSent = true, time.Now()
 	return changed, f.stream.Send(event)
 }
 
--- a/internal/spread/harness_test.go
+++ b/internal/spread/harness_test.go
@@ -83,7 +83,7 @@
 }
 
 func newTestService(group spread.Group, own string) *spread.Service {
-	return spread.NewService(own, group, zerolog.Nop())
+	return spread.NewService(own, group, 0, zerolog.Nop())
 }
 
 func testServer(i int) registry.Server {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -71,6 +71,7 @@
 	confirms *sharedCall
 	// opening bounds the streams that begin at a time.
 	opening chan struct{}
+	pacer   *pacer
 
 	mu      sync.Mutex
 	table   *registry.Table
@@ -92,12 +93,13 @@
 	mu   sync.Mutex
 }
 
-// NewService returns the service of the replica with the given RPC address.
-func NewService(own string, group Group, log zerolog.Logger) *Service {
+// NewService returns the service of the replica with the given RPC address, on a link of
+// linkMbps Mbit/s; 0 where that is not known.
+func NewService(own string, group Group, linkMbps float64, log zerolog.Logger) *Service {
 	return &Service{
 		log: log, own: own, group: group, started: time.Now(), table: registry.New(), loads: newLoads(),
 		heard: make(map[uint64]time.Time), changed: make(chan struct{}), peers: make(map[string]*peer),
-		recordsBySince: make(map[uint64]*recordList), unshared: make(chan struct{}, 1), confirms: newSharedCall(group.Confirm), opening: make(chan struct{}, maxOpening),
+		recordsBySince: make(map[uint64]*recordList), unshared: make(chan struct{}, 1), confirms: newSharedCall(group.Confirm), opening: make(chan struct{}, maxOpening), pacer: newPacer(linkMbps),
 	}
 }
 
