Show what routers believe, how old it is, and what waits

Change: gauges and histograms of waiting, load ages, repeats left, the view and its age; sends by failure domain and result; the customer's priority as a label; 'late announcement dropped' with what came and what is known. Labels stay bounded: no server, route or customer by name. Ruled out: a label for each server (they come and go for years; the logs name them). Tests: TestMetricsTellWhatARouterBelievesAndHowOldThatIs, TestALateAnnouncementIsLogged.

--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -62,6 +62,8 @@
 	fleet Fleet
 
 	table atomic.Pointer[routetable.Table]
+	// heard is when a control replica was heard last, nil before.
+	heard atomic.Pointer[time.Time]
 	// declared is the source of the table in force, to which deltas apply. It belongs to
 	// the goroutine that follows control.
 	declared []byte
@@ -94,10 +96,12 @@
 
 // New returns an empty view that asks the seeds first.
 func New(instance, domain string, seeds []string, decode routetable.Decoder, fleet Fleet, log zerolog.Logger) *View {
-	return &View{
+	v := &View{
 		log: log, instance: instance, domain: domain, decode: decode, fleet: fleet, seeds: seeds,
 		servers: make(map[string]registry.Entry),
 	}
+	v.addMetrics()
+	return v
 }
 
 // Table returns the route table in force here, or nil before the first one.
@@ -233,6 +237,8 @@
 				return errors.Wrap(err, "receive an event")
 			}
 			watchdog.Reset(silenceLimit)
+			now := time.Now()
+			v.heard.Store(&now)
 			if err := take(event); err != nil {
 				return err
 			}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,11 @@
 		limit /= 2
 	}
 	limit = min(limit, time.Until(c.deadline)/2)
+	begun := time.Now()
 	lease, err := c.pool.acquire(c.ctx, c.placeRequest(), c.priority(), limit)
+	if err == nil {
+		c.gateway.metrics.placed(lease, time.Since(begun))
+	}
 	if err != nil && c.ctx.Err() != nil {
 		return nil, c.timeError(context.Cause(c.ctx))
 	}
@@ -257,7 +261,7 @@
 	copyAnswerHeader(c.w.Header(), answer.header)
 	c.w.WriteHeader(answer.status)
 	_, err := c.w.Write(answer.body)
-	c.gateway.metrics.outcome(c.kind(), "answered")
+	c.gateway.metrics.outcome(c, "answered")
 	c.gateway.metrics.answered(c.kind(), time.Since(c.begun))
 	if err != nil {
 		c.log(zerolog.DebugLevel).Err(err).Msg("the caller left before its answer")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,11 +54,13 @@
 // New returns the gateway of a router in a failure domain. UseTables has to be
 // called before it serves.
 func New(domain string, dialect Dialect, log zerolog.Logger) *Gateway {
+	m := newGatewayMetrics()
 	g := &Gateway{
 		log: log, domain: domain, dialect: dialect,
-		pools: newPools(), metrics: newGatewayMetrics(), started: time.Now(),
+		pools: newPools(m), metrics: m, started: time.Now(),
 	}
 	g.client = backend.NewClient(g.metrics.connections.Inc)
+	g.addGauges()
 	g.cut, g.cutOff = context.WithCancelCause(context.Background())
 	return g
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -29,13 +29,14 @@
 	mu      sync.Mutex
 	place   *place.Pool
 	budget  *place.Budget
+	metrics *gatewayMetrics
 	waiting waitQueue
 	order   uint64
 	ticking bool
 }
 
-func newPool(engine bool) *pool {
-	return &pool{place: place.NewPool(engine), budget: place.NewBudget(time.Now())}
+func newPool(engine bool, m *gatewayMetrics) *pool {
+	return &pool{place: place.NewPool(engine), budget: place.NewBudget(time.Now()), metrics: m}
 }
 
 // pools holds the pools by name.
@@ -44,10 +45,11 @@
 	byName map[string]*pool
 	// servers is the newest list, for pools that a route table names later.
 	servers map[string][]place.Info
+	metrics *gatewayMetrics
 }
 
-func newPools() *pools {
-	return &pools{byName: make(map[string]*pool), servers: make(map[string][]place.Info)}
+func newPools(m *gatewayMetrics) *pools {
+	return &pools{metrics: m, byName: make(map[string]*pool), servers: make(map[string][]place.Info)}
 }
 
 // get returns the pool with the name.
@@ -56,7 +58,7 @@
 	defer p.mu.Unlock()
 	found := p.byName[name]
 	if found == nil {
-		found = newPool(engine)
+		found = newPool(engine, p.metrics)
 		found.place.SetServers(p.servers[name])
 		p.byName[name] = found
 	}
@@ -237,6 +239,7 @@
 		return
 	}
 	l.done = true
+	l.pool.metrics.sendEnded(l.Domain, result.Kind)
 	now := time.Now()
 	l.pool.place.Done(l.Server, result, now)
 	l.pool.grant(now)
@@ -249,6 +252,18 @@
 	return p.budget.Repeat(time.Now())
 }
 
+func (p *pool) waitingCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting.Len()
+}
+
+func (p *pool) repeatsLeft() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Left(time.Now())
+}
+
 func (p *pool) countRequest() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -38,7 +38,7 @@
 	end := c.log(zerolog.InfoLevel).Int("code", int(numbered.Code)).Bool("mayHaveRun", c.mayHaveRun).Int("sends", c.sends).
 		Dur("total", time.Since(c.begun)).Str("cause", numbered.Message)
 	if c.r.Context().Err() != nil {
-		g.metrics.outcome(c.kind(), "left")
+		g.metrics.outcome(c, "left")
 		end.Msg("caller left")
 		panic(http.ErrAbortHandler)
 	}
@@ -51,7 +51,7 @@
 		end.Msg("request refused")
 	}
 	if c.stream != nil && c.stream.started {
-		g.metrics.outcome(c.kind(), "cut")
+		g.metrics.outcome(c, "cut")
 		// The caller sees that the answer is not complete.
 		panic(http.ErrAbortHandler)
 	}
@@ -68,7 +68,7 @@
 			c.w.Header().Set("Retry-After", strconv.FormatFloat(c.retryAfter(numbered.Code).Seconds(), 'f', 3, 64))
 		}
 	}
-	g.metrics.outcome(c.kind(), "refused")
+	g.metrics.outcome(c, "refused")
 	g.dialect.MarkOwn(c.w.Header(), c.in.ID)
 	httpx.WriteJSON(c.w, status, &api.ErrorBody{Error: &numbered})
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -82,7 +82,7 @@
 		if !c.stream.started {
 			c.begin(ex)
 		}
-		c.gateway.metrics.outcome(c.kind(), "answered")
+		c.gateway.metrics.outcome(c, "answered")
 		c.logAttempt(lease).Dur("first", c.stream.first.Sub(c.begun)).Dur("longestPause", c.stream.longestPause).
 			Str("lastEvent", c.stream.lastID).Dur("total", time.Since(c.begun)).Msg("stream complete")
 		return nil
--- a/internal/place/budget.go
+++ b/internal/place/budget.go
@@ -33,17 +33,22 @@
 
 // Repeat reports whether a request may be sent once more, and notes that it is.
 func (b *Budget) Repeat(now time.Time) bool {
+	if b.Left(now) <= 0 {
+		return false
+	}
+	b.repeats[b.part%budgetParts]++
+	return true
+}
+
+// Left returns how many repeats are allowed now; a part of one allows one.
+func (b *Budget) Left(now time.Time) float64 {
 	b.advance(now)
 	requests, repeats := 0, 0
 	for i := range budgetParts {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats) >= repeatShare*float64(requests)+repeatExtra {
-		return false
-	}
-	b.repeats[b.part%budgetParts]++
-	return true
+	return repeatShare*float64(requests) + repeatExtra - float64(repeats)
 }
 
 func (b *Budget) advance(now time.Time) {
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -26,6 +26,25 @@
 	ResultUnreachable
 )
 
+// String returns the kind's name in metrics.
+func (k ResultKind) String() string {
+	switch k {
+	case ResultUnknown:
+		return "unknown"
+	case ResultAnswered:
+		return "answered"
+	case ResultRefused:
+		return "refused"
+	case ResultFailed:
+		return "failed"
+	case ResultLost:
+		return "lost"
+	case ResultUnreachable:
+		return "unreachable"
+	}
+	return "invalid"
+}
+
 // Result is how a request on a server ended.
 type Result struct {
 	Kind ResultKind
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -118,16 +118,10 @@
 		t.displace(s)
 		return true
 	}
-	if s.Born < known.Born || s.Born == known.Born && known.State == StateGone {
-		return false
-	}
-	if s.Born == known.Born && s.Sequence < known.Sequence && s.State != StateGone {
+	if isLate(&s, &known.Server) {
 		return false
 	}
 	news := s.Born != known.Born || known.Silent || !sameForRouters(&s, &known.Server)
-	if s.Born == known.Born && s.Sequence == known.Sequence && s.State < known.State {
-		return false
-	}
 	if s.State == StateGone {
 		s = withdrawn(s, known)
 	}
@@ -143,6 +137,25 @@
 	return news
 }
 
+// IsLate reports whether an announcement says what a later one of the server has
+// overtaken, so that Merge drops it.
+func (t *Table) IsLate(s Server) bool {
+	known := t.entries[s.ID]
+	return known != nil && isLate(&s, &known.Server)
+}
+
+func isLate(s, known *Server) bool {
+	switch {
+	case s.Born != known.Born:
+		return s.Born < known.Born
+	case known.State == StateGone:
+		return true
+	case s.Sequence < known.Sequence:
+		return s.State != StateGone
+	}
+	return s.Sequence == known.Sequence && s.State < known.State
+}
+
 // withdrawn keeps what is known of an incarnation that leaves.
 func withdrawn(s Server, known *Entry) Server {
 	if s.Born != known.Born {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -111,6 +111,14 @@
 func (s *Service) Announce(ctx context.Context, server registry.Server) {
 	now := time.Now()
 	s.mu.Lock()
+	if s.table.IsLate(server) {
+		known, _ := s.table.Get(server.ID)
+		s.mu.Unlock()
+		s.log.Info().Str("server", server.ID).Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).
+			Int64("born", server.Born).Uint8("knownState", uint8(known.State)).Uint64("knownSequence", known.Sequence).
+			Int64("knownBorn", known.Born).Msg("late announcement dropped")
+		return
+	}
 	news := s.table.Merge(server, now)
 	s.heard[server.Hash()] = now
 	if news {
--- /dev/null
+++ b/test/platform/metrics_test.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/internal/testbed"
+)
+
+func (f *fleet) metrics(m *machine) string {
+	response, err := f.client.Get("http://" + m.settings.Listen.Platform + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// TestMetricsTellWhatARouterBelievesAndHowOldThatIs asks for what docs/OPERATIONS.md names.
+func TestMetricsTellWhatARouterBelievesAndHowOldThatIs(t *testing.T) {
+	f := startFleet(t, 1)
+	f.startWorker("i-1")
+	f.configure(f.config(7, 1000))
+	router := f.routers[0]
+	f.serves(router, "/look/x")
+	got := f.metrics(router)
+	for _, want := range []string{
+		`peridotwinch_gateway_requests_total{kind="safe",outcome="answered",priority="1"} `,
+		`peridotwinch_gateway_sends_total{domain="zone-0",result="answered"} `,
+		"peridotwinch_gateway_requests_in_progress 0", "peridotwinch_gateway_requests_waiting 0",
+		"peridotwinch_gateway_wait_seconds_count ", "peridotwinch_gateway_repeats_left 2",
+		"peridotwinch_view_generation 7", "peridotwinch_view_control_age_seconds 0.",
+		"peridotwinch_view_servers 1", "peridotwinch_view_servers_unconfirmed 0", "peridotwinch_control_bytes_total",
+	} {
+		f.Expect(got).To(ContainSubstring(want))
+	}
+	f.Expect(f.metrics(f.controls[0])).To(ContainSubstring("peridotwinch_config_is_current"))
+}
+
+// TestALateAnnouncementIsLogged sends what a newer announcement has overtaken.
+func TestALateAnnouncementIsLogged(t *testing.T) {
+	f := startFleet(t, 0)
+	beat := func(seq string) int {
+		status, _ := f.call(f.controls[0], http.MethodPut, "/instances/i-9", `{"Service":"app","Address":"10.0.0.9:80","Zone":"zone-0","Version":"v1","Slots":6,"State":"ready","Seq":`+seq+`,"born":1000}`)
+		return status
+	}
+	f.Eventually(func() int { return beat("5") }, testbed.Patience).Should(Equal(http.StatusOK))
+	f.Expect(beat("4")).To(Equal(http.StatusOK))
+	f.Eventually(func() string { return f.log(f.controls[0]) }, testbed.Patience).Should(ContainSubstring("late announcement dropped"))
+}
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -182,6 +182,13 @@
 	f.Expect(body).To(Equal(f.config(4, 1000)))
 }
 
+// log returns what a machine has logged so far.
+func (f *fleet) log(m *machine) string {
+	text, err := os.ReadFile(m.LogPath())
+	f.Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 func (f *fleet) readyStatus(m *machine) int {
 	response, err := f.client.Get("http://" + m.settings.Listen.Platform + "/readyz")
 	if err != nil {
@@ -201,10 +208,7 @@
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(os.WriteFile(router.path, append(raw, '\n'), 0o600)).To(Succeed())
 	f.Expect(router.Signal(syscall.SIGHUP)).To(Succeed())
-	f.Eventually(func() string {
-		text, _ := os.ReadFile(router.LogPath())
-		return string(text)
-	}, testbed.Patience).Should(ContainSubstring("settings reloaded"))
+	f.Eventually(func() string { return f.log(router) }, testbed.Patience).Should(ContainSubstring("settings reloaded"))
 	_, body, err := f.ask(router, http.MethodPost, "/look/x")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(body).To(Equal("from i-1"))
