--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -9,16 +9,26 @@
 // Join tells how a daemon finds the others where no list of them is known.
 type Join struct {
 	// Seeds are addresses of control instances, of which only the IP address is
-	// used: all daemons take RPCs at the port of listen.peers.
+	// used: all daemons take RPCs at the port at which this one does.
 	Seeds []string `json:"seeds"`
 	// Bootstrap says that the whole system starts for the first time, so that the
 	// control instances among the seeds form the group.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// Address is where the others reach this daemon's RPCs, if that is not listen.peers.
+	Address string `json:"address,omitempty"`
+}
+
+// rpcAddress returns the address by which the others know this daemon.
+func (s *Settings) rpcAddress() string {
+	if s.Join != nil && s.Join.Address != "" {
+		return s.Join.Address
+	}
+	return s.Listen.Peers
 }
 
 // ControlAddresses returns the addresses at which the seeds take RPCs.
 func (s *Settings) ControlAddresses() []string {
-	own, err := netip.ParseAddrPort(s.Listen.Peers)
+	own, err := netip.ParseAddrPort(s.rpcAddress())
 	if s.Join == nil || err != nil {
 		return nil
 	}
@@ -39,7 +49,7 @@
 // that comes back with an empty disk or is replaced, and its instance otherwise.
 func (s *Settings) ReplicaName() string {
 	if s.Join != nil {
-		return s.Listen.Peers
+		return s.rpcAddress()
 	}
 	return s.Instance
 }
@@ -54,6 +64,9 @@
 	for i, seed := range s.Join.Seeds {
 		v.address(fmt.Sprintf("join.seeds[%d]", i), seed)
 	}
+	if s.Join.Address != "" {
+		v.address("join.address", s.Join.Address)
+	}
 	if len(s.Peers) > 0 {
 		v.add("peers", "daemons that join by seeds name no peers")
 	}
--- a/internal/testbed/relay.go
+++ b/internal/testbed/relay.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Mode is what a relay does with the bytes of one direction.
@@ -44,9 +46,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return startRelay(listener, target), nil
+}
+
+// NewRelayAt returns a relay that listens on the given address and forwards to target.
+func NewRelayAt(address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a relay")
+	}
+	return startRelay(listener, target), nil
+}
+
+func startRelay(listener net.Listener, target string) *Relay {
 	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]struct{}), random: rand.New(rand.NewPCG(1, 0))}
 	go r.accept()
-	return r, nil
+	return r
 }
 
 // listenTries bounds the ports that are tried: another program may take a port
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -48,6 +48,7 @@
 	controls []*machine
 	routers  []*machine
 	client   *http.Client
+	subnet   int
 	attempts atomic.Int64
 }
 
@@ -56,8 +57,39 @@
 
 func startFleet(t *testing.T, routers int) *fleet {
 	t.Helper()
-	f := &fleet{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
+	f := newFleet(t, routers)
+	f.start()
+	return f
+}
+
+// startRelayedFleet returns a fleet whose control instances are reached by the others
+// through relays, one each.
+func startRelayedFleet(t *testing.T, routers int) (*fleet, []*testbed.Relay) {
+	t.Helper()
+	f := newFleet(t, routers)
+	var relays []*testbed.Relay
+	for _, m := range f.all() {
+		// All daemons are known at one port; what listens there is the relay.
+		m.settings.Join.Address = m.settings.Listen.Peers
+		ip, _, err := net.SplitHostPort(m.settings.Listen.Peers)
+		f.Expect(err).NotTo(HaveOccurred())
+		m.settings.Listen.Peers = ip + ":" + f.freePort(f.subnet)
+		f.prepare(m)
+	}
+	for _, m := range f.controls {
+		relay, err := testbed.NewRelayAt(m.settings.Join.Address, m.settings.Listen.Peers)
+		f.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(relay.Close)
+		relays = append(relays, relay)
+	}
+	f.start()
+	return f, relays
+}
+
+func newFleet(t *testing.T, routers int) *fleet {
+	t.Helper()
 	subnet := int(lastSubnet.Add(1)) + os.Getpid()%100*2
+	f := &fleet{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, subnet: subnet}
 	peers, operators := f.freePort(subnet), f.freePort(subnet)
 	var seeds []string
 	for i := range 3 {
@@ -85,15 +117,18 @@
 		}
 		f.prepare(m)
 	}
+	return f
+}
+
+func (f *fleet) start() {
 	for _, m := range f.all() {
 		f.Expect(m.Start()).To(Succeed())
 	}
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		for _, m := range f.all() {
 			_ = m.Kill()
 		}
 	})
-	return f
 }
 
 // freePort returns a port that is free on a loopback address of the subnet.
@@ -107,14 +142,19 @@
 	return port
 }
 
-// prepare writes the settings file of a machine.
+// prepare writes the settings file of a machine and sets its process up.
 func (f *fleet) prepare(m *machine) {
+	f.t.Helper()
+	f.writeSettings(m)
+	m.Process = testbed.NewProcess(f.dir, m.settings.Instance, "serve", "-settings", m.path)
+}
+
+func (f *fleet) writeSettings(m *machine) {
 	f.t.Helper()
 	raw, err := json.Marshal(&m.settings)
 	f.Expect(err).NotTo(HaveOccurred())
 	m.path = filepath.Join(f.dir, m.settings.Instance+".json")
 	f.Expect(os.WriteFile(m.path, raw, 0o600)).To(Succeed())
-	m.Process = testbed.NewProcess(f.dir, m.settings.Instance, "serve", "-settings", m.path)
 }
 
 func (f *fleet) all() []*machine { return append(append([]*machine(nil), f.controls...), f.routers...) }
