Give large events their turns, and none to routers that have left

Change: turns in a queue, withdrawn when the stream ends; first events are not paced; a router without a table does not look for its preferred replica.

--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -165,7 +165,8 @@
 	go func() {
 		for actor.Sleep(ctx, preferEvery+rand.N(preferEvery/2)) {
 			preferred := v.sources()[0]
-			if preferred == address {
+			if preferred == address || v.Table() == nil {
+				// Without a table one is on its way, and would have to be sent again.
 				continue
 			}
 			// What the router has is read before, and the probe's own event is not used: the
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -42,6 +42,7 @@
 	}
 	f := &follower{service: s, stream: stream, generation: request.GetGeneration(), known: fromKnown(request.GetKnown())}
 	s.log.Info().Str("router", request.GetInstance()).Uint64("generation", f.generation).Msg("router follows")
+	defer f.end()
 	err := f.open()
 	if err == nil {
 		err = f.run()
@@ -84,7 +85,7 @@
 type dueTable struct {
 	event      *fleetpb.FollowEvent
 	generation uint64
-	due        time.Time
+	turn       *turn
 }
 
 // open sends the first event, a few streams at a time.
@@ -148,12 +149,6 @@
 		return changed, nil
 	}
 	event.Servers, event.Packed = records.servers, records.packed
-	if !f.begun {
-		// What a router is told when it comes is large as well.
-		if pause := f.service.pacer.reserve(len(records.packed), time.Now()); !actor.Sleep(f.stream.Context(), pause) {
-			return nil, f.stream.Context().Err()
-		}
-	}
 	f.begun, f.lastSent = true, time.Now()
 	return changed, f.stream.Send(event)
 }
@@ -172,10 +167,9 @@
 	}
 	next := &dueTable{event: event, generation: d.Generation}
 	if f.table != nil {
-		next.due = f.table.due
+		next.turn = f.table.turn
 	} else {
-		now := time.Now()
-		next.due = now.Add(s.pacer.reserve(proto.Size(event), now))
+		next.turn = s.pacer.queue(proto.Size(event))
 	}
 	f.table = next
 	return nil
@@ -185,19 +179,30 @@
 // heartbeats do not wait for it: that a server leaves has to be known in time, and a router
 // leaves a replica that is silent.
 func (f *follower) takeDueTable(event *fleetpb.FollowEvent) {
-	if f.table == nil || time.Now().Before(f.table.due) {
+	if f.table == nil {
 		return
 	}
-	event.Document, event.Delta = f.table.event.Document, f.table.event.Delta
-	f.generation, f.table = f.table.generation, nil
+	select {
+	case <-f.table.turn.granted:
+		event.Document, event.Delta = f.table.event.Document, f.table.event.Delta
+		f.generation, f.table = f.table.generation, nil
+	default:
+	}
 }
 
-// tableDue returns a channel that tells when the table's turn has come, or nil.
-func (f *follower) tableDue() <-chan time.Time {
+// tableDue returns a channel that is closed when the table's turn has come, or nil.
+func (f *follower) tableDue() <-chan struct{} {
 	if f.table == nil {
 		return nil
 	}
-	return time.After(time.Until(f.table.due))
+	return f.table.turn.granted
+}
+
+// end gives up what the router was still to be sent.
+func (f *follower) end() {
+	if f.table != nil {
+		f.service.pacer.withdraw(f.table.turn)
+	}
 }
 
 // records returns the records that the router lacks, and the channel that the next
--- a/internal/spread/pacer.go
+++ b/internal/spread/pacer.go
@@ -19,13 +19,22 @@
 	pacedBurst = 24 << 10
 )
 
-// pacer spreads large events over time.
+// pacer gives large events their turns on the link, in the order in which they came.
 type pacer struct {
 	bytesPerSecond float64
 
 	mu sync.Mutex
 	// free is when the link has sent what was let through.
-	free time.Time
+	free    time.Time
+	waiting []*turn
+	timer   *time.Timer
+}
+
+// turn is an event's place in the queue; granted is closed when it may be sent.
+type turn struct {
+	bytes     int
+	granted   chan struct{}
+	withdrawn bool
 }
 
 // newPacer returns a pacer for a link of the given Mbit/s; 0 stands for a link whose
@@ -34,19 +43,57 @@
 	return &pacer{bytesPerSecond: linkMbps * 1e6 / 8 * pacedShare}
 }
 
-// reserve takes the link for an event and returns how long that has to wait.
-func (p *pacer) reserve(size int, now time.Time) time.Duration {
-	if p.bytesPerSecond <= 0 || size < pacedFrom {
-		return 0
+// queue returns the turn of an event of the given size.
+func (p *pacer) queue(bytes int) *turn {
+	t := &turn{bytes: bytes, granted: make(chan struct{})}
+	if p.bytesPerSecond <= 0 || bytes < pacedFrom {
+		close(t.granted)
+		return t
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.free.Before(now) {
-		p.free = now
+	p.waiting = append(p.waiting, t)
+	p.grant(time.Now())
+	return t
+}
+
+// withdraw gives a turn up that was not granted, because the router has left: those behind
+// it do not wait for what is not sent.
+func (p *pacer) withdraw(t *turn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.withdrawn = true
+}
+
+// grant lets through what the link carries by now; mu is held.
+func (p *pacer) grant(now time.Time) {
+	for len(p.waiting) > 0 {
+		next := p.waiting[0]
+		if p.free.Before(now) {
+			p.free = now
+		}
+		if pause := p.free.Sub(now) - p.duration(pacedBurst); pause > 0 && !next.withdrawn {
+			p.wakeAfter(pause)
+			return
+		}
+		p.waiting = p.waiting[1:]
+		if next.withdrawn {
+			continue
+		}
+		p.free = p.free.Add(p.duration(next.bytes))
+		close(next.granted)
+	}
+}
+
+func (p *pacer) wakeAfter(pause time.Duration) {
+	if p.timer != nil {
+		p.timer.Stop()
 	}
-	pause := p.free.Sub(now) - p.duration(pacedBurst)
-	p.free = p.free.Add(p.duration(size))
-	return max(pause, 0)
+	p.timer = time.AfterFunc(pause, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.grant(time.Now())
+	})
 }
 
 func (p *pacer) duration(bytes int) time.Duration {
