Let streams tell of servers while their replica hears no majority

What replicas share of servers needs no majority. Ruled out: the sharing between replicas (the other four had the record 0.1 s after its coming). Change: a stream says that it is stale and goes on; the router leaves when another replica has answered.

--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -42,15 +42,25 @@
 	// replica can be followed, which after a disturbance many routers are not; half as
 	// much is added at random, so that they do not move together.
 	preferEvery = 4 * time.Second
+	// preferWithin is the time in which the preferred replica has to answer to be moved to. It
+	// takes 40 ms on the smallest known core; one that takes longer is busy with changes, and
+	// so is the followed one, whose stream carries them.
+	preferWithin = 100 * time.Millisecond
+	// staleRetry is about the time between two looks for another replica while the followed
+	// one hears no majority.
+	staleRetry = 200 * time.Millisecond
 	// unconfirmedFor is how long a server is kept that the followed replica does
 	// not know: a replica that has just started learns of it within seconds.
 	unconfirmedFor = 10 * time.Second
 )
 
-var (
-	errSilent = errors.New("the control replica has fallen silent")
-	errMoves  = errors.New("the preferred control replica can be followed")
-)
+var errSilent = errors.New("the control replica has fallen silent")
+
+// movesTo says that another replica can be followed and is better.
+type movesTo struct{ address string }
+
+// Error implements error.
+func (m *movesTo) Error() string { return "control replica " + m.address + " can be followed" }
 
 // View is the picture at a moment. It is safe for concurrent use.
 type View struct {
@@ -62,6 +72,8 @@
 	fleet Fleet
 
 	table atomic.Pointer[routetable.Table]
+	// stale says that the followed replica hears no majority.
+	stale atomic.Bool
 	// heard is when a control replica was heard last, nil before.
 	heard atomic.Pointer[time.Time]
 	// declared is the source of the table in force, to which deltas apply. It belongs to
@@ -130,11 +142,11 @@
 	for next := 0; ctx.Err() == nil; next++ {
 		addresses := v.sources()
 		address := addresses[next%len(addresses)]
-		err := v.followUntilPreferred(ctx, address)
-		if errors.Is(err, errMoves) {
-			v.log.Info().Str("control", address).Msg("router moves to its preferred control replica")
-			next = -1
-			continue
+		err := v.followUntilBetter(ctx, address)
+		for moves := (*movesTo)(nil); errors.As(err, &moves); {
+			v.log.Info().Str("from", address).Str("control", moves.address).Msg("router moves to another control replica")
+			address = moves.address
+			err = v.followUntilBetter(ctx, address)
 		}
 		v.log.Warn().Err(err).Str("control", address).Msg("control replica is no longer followed")
 		switch {
@@ -157,28 +169,50 @@
 	return was
 }
 
-// followUntilPreferred follows a replica until that fails, or until the preferred one
-// has answered.
-func (v *View) followUntilPreferred(ctx context.Context, address string) error {
+// followUntilBetter follows a replica until that fails, or until a better one has answered:
+// the preferred one, or any other while this one hears no majority.
+func (v *View) followUntilBetter(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	v.stale.Store(false)
 	go func() {
-		for actor.Sleep(ctx, preferEvery+rand.N(preferEvery/2)) {
-			preferred := v.sources()[0]
-			if preferred == address || v.Table() == nil {
-				// Without a table one is on its way, and would have to be sent again.
-				continue
-			}
-			// What the router has is read before, and the probe's own event is not used: the
-			// stream that comes next brings it again.
-			if err := v.probe(ctx, preferred); err == nil {
-				cancel(errMoves)
-			}
+		if better := v.findBetter(ctx, address); better != "" {
+			cancel(&movesTo{better})
 		}
 	}()
 	return v.follow(ctx, address)
 }
 
+// findBetter returns a replica that answers and is better than the followed one, or
+// nothing when ctx ends.
+func (v *View) findBetter(ctx context.Context, address string) string {
+	preferAt := time.Now().Add(preferEvery + rand.N(preferEvery/2))
+	for tried := 0; actor.Sleep(ctx, staleRetry/2+rand.N(staleRetry)); {
+		candidate, within := "", openLimit
+		switch now := time.Now(); {
+		case v.stale.Load():
+			others := slices.DeleteFunc(v.sources(), func(a string) bool { return a == address })
+			if len(others) == 0 {
+				continue
+			}
+			candidate = others[tried%len(others)]
+			tried++
+		case now.After(preferAt):
+			preferAt = now.Add(preferEvery + rand.N(preferEvery/2))
+			candidate, within = v.sources()[0], preferWithin
+		}
+		// Without a table one is on its way, and would have to be sent again.
+		if candidate == "" || candidate == address || v.Table() == nil {
+			continue
+		}
+		begun := time.Now()
+		if err := v.probe(ctx, candidate); err == nil && time.Since(begun) < within {
+			return candidate
+		}
+	}
+	return ""
+}
+
 // sources returns the control replicas to try, in an order of this router's own,
 // so that routers spread over the replicas.
 func (v *View) sources() []string {
@@ -202,7 +236,12 @@
 // follow takes the events of one replica until it fails or falls silent.
 func (v *View) follow(ctx context.Context, address string) error {
 	defer v.setFollowed("")
-	return v.stream(ctx, address, func(event *fleetpb.FollowEvent) error { return v.take(address, event) })
+	return v.stream(ctx, address, func(event *fleetpb.FollowEvent) error {
+		if was := v.stale.Swap(event.GetStale()); was != event.GetStale() {
+			v.log.Info().Str("control", address).Bool("stale", event.GetStale()).Msg("control replica hears a majority or not")
+		}
+		return v.take(address, event)
+	})
 }
 
 // probe reports whether a replica can be followed.
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -13,13 +13,15 @@
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
-// currentGrace is how long a stream outlasts the loss of the majority: most elections are
-// over by then, and routers that all left and came back would take the links from the
-// next one. A replica notices the loss after 0.6 s; with the grace and a new stream that is
-// less than the 2 s in which a change comes into force.
-const currentGrace = 700 * time.Millisecond
-
 const (
+	// currentGrace is the time without a majority after which a router is told to look for
+	// another replica: most elections are over by then, and routers that all left would take
+	// the links from the next one. A replica notices the loss after 0.6 s; with the grace and
+	// a new stream that is less than the 2 s in which a change comes into force.
+	currentGrace = 700 * time.Millisecond
+	// staleLimit ends a stream that has been without a majority for longer than any
+	// disturbance that leaves the router a way to one.
+	staleLimit = 8 * time.Second
 	// currentPatience is how long a router waits at a replica that has no leader; the next
 	// replica may have one.
 	currentPatience = 300 * time.Millisecond
@@ -34,8 +36,9 @@
 // that drains is to be left alone after 2 s.
 const gatherFor = 40 * time.Millisecond
 
-// Follow implements the RPC service. The stream ends when the replica has not heard a
-// majority for currentGrace, so that no router keeps to an old route table.
+// Follow implements the RPC service. A stream whose replica has heard no majority for
+// currentGrace says so and goes on: what replicas share of servers needs no majority, and
+// the router leaves when it has found another replica.
 func (s *Service) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
 	if err := s.awaitCurrent(stream.Context()); err != nil {
 		return err
@@ -77,8 +80,9 @@
 	begun bool
 	// table is the route table that waits for its turn on the link, or nil.
 	table *dueTable
-	// current is when the replica heard a majority last.
+	// current is when the replica heard a majority last; stale says that this was long ago.
 	current time.Time
+	stale   bool
 }
 
 // dueTable is a route table on its way to a router, whole or as a delta.
@@ -123,15 +127,25 @@
 		case <-f.tableDue():
 		case <-poll.C:
 		}
-		now := time.Now()
-		if f.service.group.IsCurrent() {
-			f.current = now
-		} else if now.Sub(f.current) > currentGrace {
+		if f.noteCurrent(time.Now()) > staleLimit {
 			return errNotCurrent
 		}
 	}
 }
 
+// noteCurrent returns how long the replica has heard no majority. A change is told with the
+// next event, which is due at once.
+func (f *follower) noteCurrent(now time.Time) time.Duration {
+	if f.service.group.IsCurrent() {
+		f.current = now
+	}
+	since := now.Sub(f.current)
+	if stale := since > currentGrace; stale != f.stale {
+		f.stale, f.lastSent = stale, time.Time{}
+	}
+	return since
+}
+
 // sendNews sends what the router lacks, or a heartbeat where it is time for one.
 // It returns the channel that the next change of the registry closes.
 func (f *follower) sendNews() (<-chan struct{}, error) {
@@ -148,7 +162,7 @@
 	if !isNews && f.begun && time.Since(f.lastSent) < HeartbeatEvery {
 		return changed, nil
 	}
-	event.Servers, event.Packed = records.servers, records.packed
+	event.Servers, event.Packed, event.Stale = records.servers, records.packed, f.stale
 	f.begun, f.lastSent = true, time.Now()
 	return changed, f.stream.Send(event)
 }
