Ask for order, not for speed, where a test computes large tables

The test's tables take the processor 48 ms to compare and 99 ms to decode under the race detector at rest, twice each, in front of that bound; beside 40 busy processes it failed 3 of 3 times, beside 10 none of 6. Ruled out: the link's turns (the record came while the third table waited, in each run). Change: the record has to be known before the table that waits, whose turn is some 4 s later by the pacer's clock; that fails as before where records wait for tables. Bounds of today's other tests in this package stay below what they tell apart (0.5 and 0.6 of 0.7 s, 0.9 of 1 s, 1 of 8 s).

--- a/internal/spread/follow_test.go
+++ b/internal/spread/follow_test.go
@@ -251,7 +251,7 @@
 	for i := range 4 {
 		time.Sleep(time.Second)
 		service.Announce(context.Background(), testServer(i))
-		g.Eventually(fleet.servers.Load, 300*time.Millisecond, 5*time.Millisecond).Should(Equal(int64(i + 1)))
+		g.Eventually(fleet.servers.Load, 900*time.Millisecond, 5*time.Millisecond).Should(Equal(int64(i+1)), "before the next one")
 	}
 	g.Expect(m.conns.Load()).To(Equal(conns))
 }
@@ -320,9 +320,12 @@
 	group.setTable(randomTable(t, 3, 34<<10))
 	time.Sleep(100 * time.Millisecond)
 	service.Announce(context.Background(), testServer(1))
-	g.Eventually(fleet.servers.Load, 300*time.Millisecond, 5*time.Millisecond).Should(Equal(int64(1)))
-	g.Expect(generationOf(view)()).To(BeNumerically("<", 3), "the table waits")
-	g.Eventually(generationOf(view), 9*time.Second, 10*time.Millisecond).Should(Equal(uint64(3)))
+	// The third table's turn comes some 4 s after the second's; how long the tables take the
+	// processor, which under the race detector and beside other tests is up to a second, is
+	// not what is asked here.
+	g.Eventually(fleet.servers.Load, 30*time.Second, time.Millisecond).Should(Equal(int64(1)))
+	g.Expect(generationOf(view)()).To(BeNumerically("<", 3), "the server is known before the table that waits")
+	g.Eventually(generationOf(view), 30*time.Second, 10*time.Millisecond).Should(Equal(uint64(3)))
 	g.Expect(m.conns.Load()).To(Equal(conns), "the router has not left")
 }
 
--- a/internal/spread/pacer_test.go
+++ b/internal/spread/pacer_test.go
@@ -28,7 +28,7 @@
 	g := NewWithT(t)
 	p := newPacer(3)
 	sent := grantedAfter(p, 20, 8<<10)
-	g.Expect(sent[3]).To(BeNumerically("<", 50*time.Millisecond), "a burst")
+	g.Expect(sent[3]).To(BeNumerically("<", 200*time.Millisecond), "a burst")
 	for i, at := range sent {
 		bytes := float64((i + 1) * 8 << 10)
 		g.Expect(bytes).To(BeNumerically("<=", float64(pacedBurst+8<<10)+at.Seconds()*3e6/8*pacedShare+1000))
@@ -43,7 +43,7 @@
 func TestManyNewRoutesReachAllRoutersInTime(t *testing.T) {
 	g := NewWithT(t)
 	sent := grantedAfter(newPacer(3), 25, 18<<10)
-	g.Expect(sent[24]).To(BeNumerically("<", 1900*time.Millisecond))
+	g.Expect(sent[24]).To(BeNumerically("<", 2200*time.Millisecond))
 }
 
 // TestARouterThatHasLeftHoldsNobodyUp plays routers that come and leave again and again, as
@@ -57,7 +57,7 @@
 		p.withdraw(p.queue(24 << 10))
 	}
 	sent := grantedAfter(p, 2, 24<<10)
-	g.Expect(sent[1]).To(BeNumerically("<", 300*time.Millisecond))
+	g.Expect(sent[1]).To(BeNumerically("<", time.Second), "with their places it would be 8 s")
 }
 
 func TestALinkOfUnknownBandwidthIsNotPaced(t *testing.T) {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -20,8 +20,9 @@
 	time.Sleep(150 * time.Millisecond)
 	g.Expect(first.IsSynced()).To(BeFalse())
 	serve(t, second, two)
-	g.Eventually(first.IsSynced, 300*time.Millisecond, 10*time.Millisecond).Should(BeTrue())
-	g.Eventually(second.IsSynced, 300*time.Millisecond, 10*time.Millisecond).Should(BeTrue())
+	// The next digest would come 550 ms from here.
+	g.Eventually(first.IsSynced, 500*time.Millisecond, 10*time.Millisecond).Should(BeTrue())
+	g.Eventually(second.IsSynced, 500*time.Millisecond, 10*time.Millisecond).Should(BeTrue())
 }
 
 func TestAnAnnouncementReachesTheOtherReplicas(t *testing.T) {
@@ -33,7 +34,7 @@
 	g.Eventually(second.IsSynced, time.Second, 10*time.Millisecond).Should(BeTrue())
 	server := testServer(1)
 	first.Announce(context.Background(), server)
-	g.Eventually(func() bool { return second.StateOf(server.ID) == registry.StateReady }, 300*time.Millisecond, 5*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() bool { return second.StateOf(server.ID) == registry.StateReady }, 600*time.Millisecond, 5*time.Millisecond).Should(BeTrue(), "before the next digest")
 	server.State, server.Sequence = registry.StateDraining, 2
 	first.Announce(context.Background(), server)
 	g.Expect(second.StateOf(server.ID)).To(Equal(registry.StateDraining), "Announce returns once the others know that a server leaves")
