Read the registry once for a router that comes; start shared calls in one place

Cause: read-through of the whole change: recordsSince read and converted all records and then did so again for a router without any; join of sharedCall asked twice for the next round. Change: one read; join names the round first and starts it where none runs. Behaviour is the same.

--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -254,10 +254,12 @@
 	if kept := s.recordsBySince[revision]; kept != nil {
 		return kept, nil
 	}
-	now := time.Now()
-	servers := toServers(s.table.Since(revision), now)
+	now, entries := time.Now(), s.table.Since(revision)
+	var servers []*fleetpb.Server
 	if revision == 0 {
-		servers, _ = lacking(s.table.Since(0), nil, now)
+		servers, _ = lacking(entries, nil, now)
+	} else {
+		servers = toServers(entries, now)
 	}
 	records, err := newRecordList(servers)
 	if err == nil {
--- a/internal/spread/sharedcall.go
+++ b/internal/spread/sharedcall.go
@@ -35,19 +35,18 @@
 	}
 }
 
+// join returns the round that begins next, which is at once where none is running.
 func (s *sharedCall) join() *round {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.next == nil {
 		s.next = &round{done: make(chan struct{})}
-		if s.running == nil {
-			s.startNext()
-		}
 	}
-	if s.next == nil {
-		return s.running
+	joined := s.next
+	if s.running == nil {
+		s.startNext()
 	}
-	return s.next
+	return joined
 }
 
 // startNext runs the next round; mu is held.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -99,7 +99,8 @@
 	return &Service{
 		log: log, own: own, group: group, started: time.Now(), table: registry.New(), loads: newLoads(),
 		heard: make(map[uint64]time.Time), changed: make(chan struct{}), peers: make(map[string]*peer),
-		recordsBySince: make(map[uint64]*recordList), unshared: make(chan struct{}, 1), confirms: newSharedCall(group.Confirm), opening: make(chan struct{}, maxOpening), pacer: newPacer(linkMbps),
+		recordsBySince: make(map[uint64]*recordList), unshared: make(chan struct{}, 1),
+		confirms: newSharedCall(group.Confirm), opening: make(chan struct{}, maxOpening), pacer: newPacer(linkMbps),
 	}
 }
 
