Set up what several tests repeat in one place

Cause: read-through: the set-up of a replica behind a meter stood four times in the tests of internal/spread, a pool with a failing server twice in those of internal/place. Change: startReplica and failFirst; the assertions are the same in number and text.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -219,10 +219,8 @@
 	g.Expect(spent).To(BeNumerically("<=", 2), "as many as it takes to see that the domain is out of reach")
 }
 
-func TestARequestThatWasSentInVainIsNotSpentOnASuspectServer(t *testing.T) {
-	g := NewWithT(t)
-	p := place.NewPool(false)
-	p.SetServers(infos(3))
+// failFirst has the first server that is chosen fail all its requests, and returns its ID.
+func failFirst(p *place.Pool) string {
 	failing := ""
 	for range 60 {
 		s := p.Choose(place.Request{}, start)
@@ -236,6 +234,14 @@
 		p.Sent(s, start)
 		p.Done(s, place.Result{Kind: kind, Took: time.Millisecond}, start)
 	}
+	return failing
+}
+
+func TestARequestThatWasSentInVainIsNotSpentOnASuspectServer(t *testing.T) {
+	g := NewWithT(t)
+	p := place.NewPool(false)
+	p.SetServers(infos(3))
+	failing := failFirst(p)
 	later := start.Add(10 * time.Second)
 	for _, other := range infos(3) {
 		if other.ID != failing {
@@ -248,19 +254,7 @@
 	g := NewWithT(t)
 	p := place.NewPool(false)
 	p.SetServers(infos(3))
-	failing := ""
-	for range 60 {
-		s := p.Choose(place.Request{}, start)
-		if failing == "" {
-			failing = s.ID
-		}
-		kind := place.ResultAnswered
-		if s.ID == failing {
-			kind = place.ResultFailed
-		}
-		p.Sent(s, start)
-		p.Done(s, place.Result{Kind: kind, Took: time.Millisecond}, start)
-	}
+	failing := failFirst(p)
 	later := start.Add(10 * time.Second)
 	for range 20 {
 		g.Expect(p.Choose(place.Request{}, later).ID).NotTo(Equal(failing))
--- a/internal/spread/follow_test.go
+++ b/internal/spread/follow_test.go
@@ -159,16 +159,23 @@
 	}
 }
 
+// startReplica serves a first table at a replica that is reached through a meter.
+func startReplica(t *testing.T) (*fakeGroup, *spread.Service, *meter) {
+	address := reserveAddress(t)
+	m := newMeter(t, address)
+	group := newFakeGroup(address)
+	group.table = newTable(t, 1)
+	service := newTestService(&replicasAt{group, []string{m.address}}, address)
+	serve(t, service, address)
+	return group, service, m
+}
+
 // TestAChangeOfOneRouteTakesLittleOfTheLink is the load that broke the largest known
 // deployment: 45 routers behind a link of 3 Mbit/s, where a table of 5 KB to each kept the
 // leader's heartbeats waiting for 0.6 s.
 func TestAChangeOfOneRouteTakesLittleOfTheLink(t *testing.T) {
 	g := NewWithT(t)
-	address := reserveAddress(t)
-	m := newMeter(t, address)
-	group := newFakeGroup(address)
-	group.table = newTable(t, 1)
-	serve(t, newTestService(&replicasAt{group, []string{m.address}}, address), address)
+	group, _, m := startReplica(t)
 	view, _ := startRouter(t, "router-1", m.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
 	before := m.bytes.Load()
@@ -192,12 +199,7 @@
 // registry of 140 servers is 13 KB, and 80 routers ask at once.
 func TestARouterThatComesBackIsToldWhatItLacksOnly(t *testing.T) {
 	g := NewWithT(t)
-	address := reserveAddress(t)
-	m := newMeter(t, address)
-	group := newFakeGroup(address)
-	group.table = newTable(t, 1)
-	service := newTestService(&replicasAt{group, []string{m.address}}, address)
-	serve(t, service, address)
+	_, service, m := startReplica(t)
 	for i := range 140 {
 		service.Announce(context.Background(), testServer(i))
 	}
@@ -218,11 +220,7 @@
 // leader.
 func TestAShortElectionLeavesTheRoutersWhereTheyAre(t *testing.T) {
 	g := NewWithT(t)
-	address := reserveAddress(t)
-	m := newMeter(t, address)
-	group := newFakeGroup(address)
-	group.table = newTable(t, 1)
-	serve(t, newTestService(&replicasAt{group, []string{m.address}}, address), address)
+	group, _, m := startReplica(t)
 	view, _ := startRouter(t, "router-1", m.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
 	conns := m.conns.Load()
@@ -238,12 +236,7 @@
 // a server leaves is shared between replicas without one, and routers have to hear of it.
 func TestServersAreToldWithoutAMajority(t *testing.T) {
 	g := NewWithT(t)
-	address := reserveAddress(t)
-	m := newMeter(t, address)
-	group := newFakeGroup(address)
-	group.table = newTable(t, 1)
-	service := newTestService(&replicasAt{group, []string{m.address}}, address)
-	serve(t, service, address)
+	group, service, m := startReplica(t)
 	view, fleet := startRouter(t, "router-1", m.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
 	conns := m.conns.Load()
