Close RPC connections whose sent data stays unacknowledged for 5 s

Cause: a stream to a daemon that lost power stays open for minutes, and its sender counts it among those that it serves. backend's socket option moves to httpx so that both packages use it.

--- a/internal/backend/usable_linux.go
+++ b/internal/backend/usable_linux.go
@@ -4,22 +4,12 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
-// setUnackedTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose sent
-// data stays unacknowledged.
+// setUnackedTimeout is the control function of the dialer.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return err
+	return httpx.SetUnackedTimeout(raw, unackedTimeout)
 }
 
 // isUsable reports whether an idle connection has not expired, is open and has no unread
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
 const (
@@ -23,6 +26,10 @@
 	// a SYN that was lost, or was sent to a host that was still starting, only after 1 s;
 	// peers in other regions answer within 100 ms.
 	dialAttemptTimeout = 350 * time.Millisecond
+	// unackedTimeout is how long data sent to a client may stay unacknowledged before the
+	// connection is closed: a stream to a client that lost power would otherwise stay open
+	// for minutes.
+	unackedTimeout = 5 * time.Second
 )
 
 // maxIdleConns is the maximum number of idle connections that a client keeps.
@@ -104,9 +111,23 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	// Without the option, connections of lost clients are closed later.
+	_ = setUnackedTimeout(conn)
 	_ = server.ServeOne(ctx, newCountingConn(conn, Purpose(purpose[0])))
 }
 
+func setUnackedTimeout(conn net.Conn) error {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return httpx.SetUnackedTimeout(raw, unackedTimeout)
+}
+
 // Client is a connection pool for one peer. A connection carries one call or stream at a
 // time. Client is safe for concurrent use.
 type Client struct {
