--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,7 +87,7 @@
 	c.closing, c.close = context.WithCancel(context.Background())
 	if selectedAdapter != nil {
 		c.adapter = selectedAdapter
-		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetReplica{c}, s.Link.MBitPerSecond, log)
+		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -5,8 +5,9 @@
 	"net/http"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/registry"
-	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
@@ -43,28 +44,37 @@
 	a.log.Warn().Err(err).Str("subject", subject).Msg("invalid call rejected")
 }
 
-// fleetReplica implements fleetsync.Replica.
-type fleetReplica struct {
+// fleetSource implements fleetsync.Source.
+type fleetSource struct {
 	control *Control
 }
 
-// RouteTable implements fleetsync.Replica.
-func (r *fleetReplica) RouteTable() *routetable.Document { return r.control.store.RouteTable() }
+// Table implements fleetsync.Source.
+func (r *fleetSource) Table() *fleetsync.TableVersion {
+	document := r.control.store.RouteTable()
+	if document == nil {
+		return nil
+	}
+	return fleetsync.NewTableVersion(document)
+}
+
+// Upstream implements fleetsync.Source.
+func (r *fleetSource) Upstream() relay.Path { return nil }
 
-// Subscribe implements fleetsync.Replica.
-func (r *fleetReplica) Subscribe() (<-chan struct{}, func()) { return r.control.store.Subscribe() }
+// Subscribe implements fleetsync.Source.
+func (r *fleetSource) Subscribe() (<-chan struct{}, func()) { return r.control.store.Subscribe() }
 
-// Barrier implements fleetsync.Replica.
-func (r *fleetReplica) Barrier(ctx context.Context) error { return r.control.replica.Barrier(ctx) }
+// Barrier implements fleetsync.Source.
+func (r *fleetSource) Barrier(ctx context.Context) error { return r.control.replica.Barrier(ctx) }
 
-// HasQuorum implements fleetsync.Replica.
-func (r *fleetReplica) HasQuorum() bool {
+// HasQuorum implements fleetsync.Source.
+func (r *fleetSource) HasQuorum() bool {
 	status := r.control.replica.Status()
 	return status.HasActiveLeader && time.Since(status.At) < diskStuckTimeout
 }
 
-// Replicas implements fleetsync.Replica.
-func (r *fleetReplica) Replicas() []string {
+// Controls implements fleetsync.Source.
+func (r *fleetSource) Controls() []string {
 	var out []string
 	for _, member := range r.control.replica.Status().Membership.Members {
 		out = append(out, member.Instance)
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -6,9 +6,9 @@
 func (s *Service) IsSynced() bool { return s.isSynced() }
 
 // StateOf returns the state of a server, or 0 if the registry does not have the server.
-func (s *Service) StateOf(id string) registry.State {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, _ := s.table.Get(id)
+func (p *publisher) StateOf(id string) registry.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, _ := p.table.Get(id)
 	return e.State
 }
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -10,6 +10,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
@@ -37,43 +38,74 @@
 // each change is sent to 80 routers. A draining server must receive no more requests after 2 s.
 const changeBatchDelay = 40 * time.Millisecond
 
-// Follow implements the Follow RPC of the Fleet service. If the replica has had no quorum for
-// quorumLossGrace, the stream marks its events stale and continues: replicas share server
-// changes without a quorum, and the router leaves once it has found another replica. Follow
-// returns errNoQuorum if the replica is not synchronized or has no quorum within
-// quorumWaitTimeout, or loses its quorum for longer than maxStaleness.
-func (s *Service) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
-	if err := s.awaitReadBarrier(stream.Context()); err != nil {
+// Follow implements the Follow RPC of the Fleet service. It redirects the router to relays if
+// this process serves enough routers. If the source has had no quorum for quorumLossGrace,
+// the stream marks its events stale and continues: replicas share server
+// changes without a quorum, and the router leaves once it has found another source. Follow
+// returns errNoQuorum if the source is not synchronized or has no quorum within
+// the wait timeout, or loses its quorum for longer than maxStaleness.
+func (p *publisher) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
+	path := p.path()
+	if !path.CanServe(request.GetAddress()) {
+		return stream.Send(&fleetpb.FollowEvent{Refusal: errTooDeep.Error()})
+	}
+	verdict := p.decide(request)
+	if !verdict.Admitted {
+		if len(verdict.Redirect) == 0 || !path.CanRedirect() {
+			return stream.Send(&fleetpb.FollowEvent{Refusal: errFull.Error()})
+		}
+		p.log.Debug().Str("router", request.GetInstance()).Strs("relays", verdict.Redirect).Msg("router redirected to relays")
+		return stream.Send(&fleetpb.FollowEvent{Redirect: verdict.Redirect})
+	}
+	defer p.release(verdict.ID)
+	if err := stream.Send(&fleetpb.FollowEvent{Accepted: true}); err != nil {
+		return err
+	}
+	if err := p.awaitReadBarrier(stream.Context()); err != nil {
 		return err
 	}
-	r := &routerStream{service: s, stream: stream, generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
-	s.log.Info().Str("router", request.GetInstance()).Uint64("generation", r.generation).Msg("router subscribed to fleet stream")
+	r := &routerStream{publisher: p, stream: stream, generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
+	p.log.Info().Str("router", request.GetInstance()).Uint64("generation", r.generation).Msg("router subscribed to fleet stream")
 	defer r.cancelQueued()
 	err := r.open()
 	if err == nil {
 		err = r.run()
 	}
-	s.log.Info().Err(err).Str("router", request.GetInstance()).Msg("router's fleet stream ended")
+	p.log.Info().Err(err).Str("router", request.GetInstance()).Msg("router's fleet stream ended")
 	return err
 }
 
-// awaitReadBarrier returns once a majority has confirmed that the replica is up to date. While
-// the replica has no quorum yet, it holds new streams for quorumWaitTimeout rather than reject
+func (p *publisher) decide(request *fleetpb.FollowRequest) relay.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.admission.Decide(relay.Subscriber{
+		Instance: request.GetInstance(), FailureDomain: request.GetFailureDomain(), Address: request.GetAddress(),
+	}, request.GetFailed())
+}
+
+func (p *publisher) release(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admission.Remove(id)
+}
+
+// awaitReadBarrier returns once a majority has confirmed that the source is up to date. While
+// the source has no quorum yet, it holds new streams for a time rather than reject
 // them at once: the retries of 80 routers would take CPU time from the election.
-func (s *Service) awaitReadBarrier(ctx context.Context) error {
-	for start := time.Now(); !s.isSynced() || !s.replica.HasQuorum(); {
-		if time.Since(start) > quorumWaitTimeout || !actor.Sleep(ctx, quorumPollInterval/4) {
+func (p *publisher) awaitReadBarrier(ctx context.Context) error {
+	for start := time.Now(); !p.isSynced() || !p.source.HasQuorum(); {
+		if time.Since(start) > p.quorumWaitTimeout || !actor.Sleep(ctx, quorumPollInterval/4) {
 			return errNoQuorum
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
-	return s.barrier.do(ctx)
+	return p.barrier.do(ctx)
 }
 
 // routerStream is the fleet stream to one router.
 type routerStream struct {
-	service    *Service
+	publisher  *publisher
 	stream     fleetpb.DRPCFleet_FollowStream
 	generation uint64
 	revision   uint64
@@ -82,6 +114,8 @@
 	// hash of the server's ID; nil once the first event was prepared.
 	knownDigests map[uint64]uint32
 	firstSent    bool
+	// path is the path from the control replica to this process that was sent last.
+	path relay.Path
 	// queued is the route table whose transmission is rate-limited, or nil.
 	queued *queuedTable
 	// lastQuorum is when the replica last had a quorum; stale reports that this was longer
@@ -92,20 +126,22 @@
 
 // queuedTable is a route table queued for a router, as a full document or a delta.
 type queuedTable struct {
-	event        *fleetpb.FollowEvent
-	generation   uint64
-	transmission *transmission
+	event *fleetpb.FollowEvent
+	// generation is that of the router after the event, newest that of the newest table
+	// when the event was queued. They differ if the router needs several deltas.
+	generation, newest uint64
+	transmission       *transmission
 }
 
 // open sends the first event, with at most maxOpeningStreams streams concurrently.
 func (r *routerStream) open() error {
 	ctx := r.stream.Context()
 	select {
-	case r.service.openSemaphore <- struct{}{}:
+	case r.publisher.openSemaphore <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	defer func() { <-r.service.openSemaphore }()
+	defer func() { <-r.publisher.openSemaphore }()
 	_, err := r.sendUpdates()
 	return err
 }
@@ -113,7 +149,7 @@
 // run sends updates and heartbeats until the router disconnects or the replica has had no
 // quorum for longer than maxStaleness.
 func (r *routerStream) run() error {
-	tables, stop := r.service.replica.Subscribe()
+	tables, stop := r.publisher.source.Subscribe()
 	defer stop()
 	poll := time.NewTicker(quorumPollInterval)
 	defer poll.Stop()
@@ -123,6 +159,9 @@
 		if err != nil {
 			return err
 		}
+		if r.isBehind() {
+			continue
+		}
 		select {
 		case <-r.stream.Context().Done():
 			return r.stream.Context().Err()
@@ -136,13 +175,16 @@
 		if r.updateStaleness(time.Now()) > maxStaleness {
 			return errNoQuorum
 		}
+		if !r.publisher.path().CanServe("") {
+			return errTooDeep
+		}
 	}
 }
 
 // updateStaleness returns how long the replica has had no quorum. If staleness changes, the
 // next event is due at once to report it.
 func (r *routerStream) updateStaleness(now time.Time) time.Duration {
-	if r.service.replica.HasQuorum() {
+	if r.publisher.source.HasQuorum() {
 		r.lastQuorum = now
 	}
 	withoutQuorum := now.Sub(r.lastQuorum)
@@ -160,11 +202,12 @@
 		return nil, err
 	}
 	r.addGrantedTable(event)
+	r.addPath(event)
 	records, changed, err := r.nextRecords(event)
 	if err != nil {
 		return nil, err
 	}
-	hasUpdates := event.Document != nil || event.Delta != nil || !records.isEmpty()
+	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || !records.isEmpty()
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
@@ -176,20 +219,21 @@
 // enqueueTable queues the newest route table for a rate-limited transmission. It replaces a
 // table that is already queued and keeps that table's position in the queue.
 func (r *routerStream) enqueueTable() error {
-	s := r.service
-	d := s.replica.RouteTable()
-	if d == nil || d.Generation <= r.generation || r.queued != nil && r.queued.generation == d.Generation {
+	p := r.publisher
+	newest := p.source.Table()
+	if newest == nil || newest.Generation <= r.generation || r.queued != nil && r.queued.newest == newest.Generation {
 		return nil
 	}
 	event := &fleetpb.FollowEvent{}
-	if err := s.tables.fillEvent(d, r.generation, event); err != nil {
+	generation, err := p.tables.fillEvent(newest, r.generation, event)
+	if err != nil {
 		return err
 	}
-	next := &queuedTable{event: event, generation: d.Generation}
+	next := &queuedTable{event: event, generation: generation, newest: newest.Generation}
 	if r.queued != nil {
 		next.transmission = r.queued.transmission
 	} else {
-		next.transmission = s.pacer.enqueue(proto.Size(event))
+		next.transmission = p.pacer.enqueue(proto.Size(event))
 	}
 	r.queued = next
 	return nil
@@ -210,6 +254,13 @@
 	}
 }
 
+// addPath adds the path to this process if it has changed.
+func (r *routerStream) addPath(event *fleetpb.FollowEvent) {
+	if path := r.publisher.path(); !slices.Equal(path, r.path) {
+		r.path, event.Path = path, path
+	}
+}
+
 // tableGranted returns a channel that is closed once the queued table may be sent, or nil if
 // no table is queued.
 func (r *routerStream) tableGranted() <-chan struct{} {
@@ -219,10 +270,17 @@
 	return r.queued.transmission.granted
 }
 
+// isBehind reports whether the router lacks the newest table after the last event, and none
+// is queued.
+func (r *routerStream) isBehind() bool {
+	newest := r.publisher.source.Table()
+	return r.queued == nil && newest != nil && newest.Generation > r.generation
+}
+
 // cancelQueued cancels the transmission of a queued table.
 func (r *routerStream) cancelQueued() {
 	if r.queued != nil {
-		r.service.pacer.cancel(r.queued.transmission)
+		r.publisher.pacer.cancel(r.queued.transmission)
 	}
 }
 
@@ -230,38 +288,38 @@
 // next change of the registry. On the first call it also sets the fields of event that only
 // the first event carries.
 func (r *routerStream) nextRecords(event *fleetpb.FollowEvent) (*recordList, <-chan struct{}, error) {
-	s := r.service
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	p := r.publisher
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	from, isFirst := r.revision, !r.firstSent
-	r.revision = s.table.Revision()
+	r.revision = p.table.Revision()
 	if isFirst {
 		event.First = true
-		event.Controls = s.replica.Replicas()
+		event.Controls = p.source.Controls()
 	}
 	if len(r.knownDigests) == 0 {
-		records, err := s.recordsSince(from)
-		return records, s.changed, err
+		records, err := p.recordsSince(from)
+		return records, p.changed, err
 	}
 	now := time.Now()
 	var servers []*fleetpb.Server
-	servers, event.Unknown = missingRecords(s.table.Since(0), r.knownDigests, now)
+	servers, event.Unknown = missingRecords(p.table.Since(0), r.knownDigests, now)
 	r.knownDigests = nil
 	records, err := newRecordList(servers)
-	return records, s.changed, err
+	return records, p.changed, err
 }
 
 // recordsSince returns the records that changed after a revision; the caller holds mu. Many
 // streams need the same records at the same time, so they are cached until the next change.
-func (s *Service) recordsSince(revision uint64) (*recordList, error) {
-	if s.cachedRevision != s.table.Revision() {
-		s.cachedRevision = s.table.Revision()
-		clear(s.cachedRecords)
+func (p *publisher) recordsSince(revision uint64) (*recordList, error) {
+	if p.cachedRevision != p.table.Revision() {
+		p.cachedRevision = p.table.Revision()
+		clear(p.cachedRecords)
 	}
-	if cached := s.cachedRecords[revision]; cached != nil {
+	if cached := p.cachedRecords[revision]; cached != nil {
 		return cached, nil
 	}
-	now, entries := time.Now(), s.table.Since(revision)
+	now, entries := time.Now(), p.table.Since(revision)
 	var servers []*fleetpb.Server
 	if revision == 0 {
 		servers, _ = missingRecords(entries, nil, now)
@@ -270,7 +328,7 @@
 	}
 	records, err := newRecordList(servers)
 	if err == nil {
-		s.cachedRecords[revision] = records
+		p.cachedRecords[revision] = records
 	}
 	return records, err
 }
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -75,7 +75,7 @@
 // test ends.
 func startRouter(t *testing.T, name string, seeds ...string) (*fleetview.View, *serverCounter) {
 	fleet := &serverCounter{}
-	view := fleetview.New(name, "domain-a", seeds, decodeTestTable, fleet, zerolog.Nop())
+	view := fleetview.New(fleetview.Config{Instance: name, FailureDomain: "domain-a", Seeds: seeds, Decode: decodeTestTable, Fleet: fleet}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = view.Run(ctx) }()
@@ -99,10 +99,14 @@
 	bytes   atomic.Int64
 	conns   atomic.Int64
 
-	mu      sync.Mutex
-	clients []net.Conn
+	listener net.Listener
+	mu       sync.Mutex
+	clients  []net.Conn
 }
 
+// cut makes new connections fail.
+func (p *countingProxy) cut() { _ = p.listener.Close() }
+
 // closeConnections closes all connections.
 func (p *countingProxy) closeConnections() {
 	p.mu.Lock()
@@ -117,7 +121,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = listener.Close() })
-	proxy := &countingProxy{address: listener.Addr().String()}
+	proxy := &countingProxy{address: listener.Addr().String(), listener: listener}
 	go func() {
 		for {
 			client, err := listener.Accept()
@@ -196,7 +200,7 @@
 	addresses []string
 }
 
-func (r *readdressedReplica) Replicas() []string { return r.addresses }
+func (r *readdressedReplica) Controls() []string { return r.addresses }
 
 // TestReconnectingRouterReceivesOnlyMissingRecords guards against an overloaded link after an
 // election, when 80 routers reconnect at once and the registry of 140 servers takes 13 KB.
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -8,36 +8,62 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 )
 
-// fakeReplica is a fleetsync.Replica whose route table and quorum a test sets.
+// fakeReplica is a fleetsync.Source whose route table and quorum a test sets.
 type fakeReplica struct {
 	mu        sync.Mutex
 	table     *routetable.Document
 	hasQuorum bool
 	replicas  []string
-	changed   chan struct{}
+	changed   []chan struct{}
+	barrier   error
 }
 
 func newFakeReplica(replicas ...string) *fakeReplica {
-	return &fakeReplica{hasQuorum: true, replicas: replicas, changed: make(chan struct{}, 1)}
+	return &fakeReplica{hasQuorum: true, replicas: replicas}
 }
 
-func (f *fakeReplica) RouteTable() *routetable.Document {
+func (f *fakeReplica) Table() *fleetsync.TableVersion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table
+	if f.table == nil {
+		return nil
+	}
+	return fleetsync.NewTableVersion(f.table)
 }
 
-func (f *fakeReplica) Subscribe() (<-chan struct{}, func()) { return f.changed, func() {} }
+func (f *fakeReplica) Upstream() relay.Path { return nil }
+
+func (f *fakeReplica) Subscribe() (<-chan struct{}, func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := make(chan struct{}, 1)
+	f.changed = append(f.changed, changed)
+	return changed, func() {}
+}
 
-func (f *fakeReplica) Barrier(context.Context) error { return nil }
+func (f *fakeReplica) Barrier(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.barrier
+}
+
+var errBarrier = errors.New("no majority")
+
+func (f *fakeReplica) setBarrier(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.barrier = err
+}
 
 func (f *fakeReplica) HasQuorum() bool {
 	f.mu.Lock()
@@ -45,13 +71,18 @@
 	return f.hasQuorum
 }
 
-func (f *fakeReplica) Replicas() []string { return f.replicas }
+func (f *fakeReplica) Controls() []string { return f.replicas }
 
 func (f *fakeReplica) setTable(d *routetable.Document) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.table = d
-	f.mu.Unlock()
-	f.changed <- struct{}{}
+	for _, changed := range f.changed {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (f *fakeReplica) setQuorum(hasQuorum bool) {
@@ -82,7 +113,7 @@
 	go func() { _ = service.Run(ctx) }()
 }
 
-func newTestService(replica fleetsync.Replica, own string) *fleetsync.Service {
+func newTestService(replica fleetsync.Source, own string) *fleetsync.Service {
 	return fleetsync.NewService(own, replica, 0, zerolog.Nop())
 }
 
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -41,7 +41,11 @@
 
 // merge stores the loads of a message received at now that are newer than the cached ones.
 func (l *loadCache) merge(message *fleetpb.Loads, now time.Time) {
-	received := FromLoads(message, now)
+	l.mergeLoads(FromLoads(message, now), now)
+}
+
+// mergeLoads stores the loads received at now that are newer than the cached ones.
+func (l *loadCache) mergeLoads(received map[uint64]ServerLoad, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for server, load := range received {
@@ -99,8 +103,8 @@
 
 // Report implements the Report RPC of the Fleet service. It merges a router's loads and
 // returns those that the replica received recently.
-func (s *Service) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+func (p *publisher) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
-	s.loads.merge(request.GetLoads(), now)
-	return &fleetpb.ReportResponse{Loads: ToLoads(s.loads.recent(now, LoadReportInterval+reportSlack), now)}, nil
+	p.loads.merge(request.GetLoads(), now)
+	return &fleetpb.ReportResponse{Loads: ToLoads(p.loads.recent(now, LoadReportInterval+reportSlack), now)}, nil
 }
--- /dev/null
+++ b/internal/fleetsync/relay.go
@@ -0,0 +1,101 @@
+package fleetsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+const (
+	// relayQuorumWaitTimeout is how long a router that relays holds a new stream while it
+	// follows no source itself: it detects the loss of its source within 1.2 s and then
+	// needs some tenths of a second. Its followers wait rather than return to control.
+	relayQuorumWaitTimeout = 1200 * time.Millisecond
+	// goneRetention is how long a relay keeps the record of a server that is gone.
+	goneRetention = 10 * time.Second
+)
+
+// Relay streams to other routers what a router has received. It is safe for concurrent use.
+type Relay struct {
+	*publisher
+	// sourceLoads holds the loads received from the source. They are not reported back to
+	// it: with the delay of the way they would look newer than they are.
+	sourceLoads *loadCache
+}
+
+// NewRelay returns the relay of the router with the given RPC address. linkMbps is the
+// bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
+func NewRelay(address string, source Source, linkMbps float64, log zerolog.Logger) *Relay {
+	r := &Relay{publisher: newPublisher(address, source, relay.RouterLimits, linkMbps, log), sourceLoads: newLoadCache()}
+	r.tables.receivedOnly = true
+	r.quorumWaitTimeout = relayQuorumWaitTimeout
+	return r
+}
+
+// Register adds the relay's RPCs to a server.
+func (r *Relay) Register(mux drpc.Mux) error { return fleetpb.DRPCRegisterFleet(mux, r) }
+
+// Share implements the Share RPC of the Fleet service: routers do not accept it.
+func (r *Relay) Share(context.Context, *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
+	return nil, errors.New("not a control replica")
+}
+
+// SetTable records a table in force on this router.
+func (r *Relay) SetTable(version *TableVersion) { r.tables.record(version) }
+
+// UpdateServers publishes changed entries of the router, and marks those as gone that the
+// router has dropped.
+func (r *Relay) UpdateServers(changed []registry.Entry, dropped []registry.Entry, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.table.Revision()
+	for _, e := range changed {
+		r.table.Replace(e)
+	}
+	for _, e := range dropped {
+		e.State, e.LastAnnounced = registry.StateGone, now
+		r.table.Replace(e)
+	}
+	r.table.DeleteGone(now.Add(-goneRetention))
+	if r.table.Revision() != before {
+		r.notifyChanged()
+	}
+}
+
+// Report implements the Report RPC of the Fleet service. It merges a follower's loads and
+// returns those that this router received recently from its followers and its source.
+func (r *Relay) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+	now := time.Now()
+	r.loads.merge(request.GetLoads(), now)
+	loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
+	for server, load := range r.loads.recent(now, LoadReportInterval+reportSlack) {
+		if load.ReportedAt.After(loads[server].ReportedAt) {
+			loads[server] = load
+		}
+	}
+	return &fleetpb.ReportResponse{Loads: ToLoads(loads, now)}, nil
+}
+
+// FollowerLoads returns the loads that followers reported within the given time, for this
+// router's own report.
+func (r *Relay) FollowerLoads(now time.Time, within time.Duration) map[uint64]ServerLoad {
+	return r.loads.recent(now, within+reportSlack)
+}
+
+// RecordSourceLoads records the loads in the source's response to a report.
+func (r *Relay) RecordSourceLoads(message *fleetpb.Loads, now time.Time) {
+	r.sourceLoads.merge(message, now)
+}
+
+// RecordOwnLoads records the loads that servers have reported to this router, for its
+// followers.
+func (r *Relay) RecordOwnLoads(loads map[uint64]ServerLoad, now time.Time) {
+	r.sourceLoads.mergeLoads(loads, now)
+}
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -7,22 +7,17 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/registry"
-	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
 const (
-	// HeartbeatInterval is the maximum time between two events of a stream to a
-	// router. Three intervals fit into the time within which a router must detect
-	// the failure of its control replica.
-	HeartbeatInterval = 400 * time.Millisecond
 	// digestInterval is the time between two digests of live servers to another
 	// replica. It is well below registry.SilentAfter.
 	digestInterval = 700 * time.Millisecond
@@ -30,8 +25,6 @@
 	// delay that unreachable replicas add to an announcement: a server's timeout for
 	// the confirmation is 1 s.
 	shareTimeout = 400 * time.Millisecond
-	// barrierTimeout limits the read barrier of a new router stream.
-	barrierTimeout = 1500 * time.Millisecond
 	// initialSyncTimeout is how long a starting replica waits for the servers of
 	// another replica before it serves routers from its own registry.
 	initialSyncTimeout = 1500 * time.Millisecond
@@ -39,54 +32,17 @@
 	// other replicas until one answers. After a restart of all replicas the first
 	// request fails, because the others do not listen yet.
 	initialSyncInterval = 100 * time.Millisecond
-	// quorumPollInterval is the time between a stream's checks whether its replica has a
-	// quorum.
-	quorumPollInterval = 200 * time.Millisecond
 )
 
-var errNoQuorum = errors.New("control replica has no quorum or is not synchronized yet")
-
-// Replica is the control replica whose state the service streams to routers.
-type Replica interface {
-	// RouteTable returns the replica's newest route table, or nil.
-	RouteTable() *routetable.Document
-	// Subscribe returns a channel that receives a value after each change of the
-	// replica's state, and a function that ends the subscription.
-	Subscribe() (<-chan struct{}, func())
-	// Barrier is a read barrier: it returns once the replica has applied everything that
-	// was committed before the call.
-	Barrier(ctx context.Context) error
-	// HasQuorum reports whether the replica is in contact with a majority.
-	HasQuorum() bool
-	// Replicas returns the RPC addresses of all control replicas.
-	Replicas() []string
-}
-
 // Service maintains the server registry of a control replica, synchronizes it with the
 // other replicas and streams it to routers.
 type Service struct {
-	log        zerolog.Logger
-	ownAddress string
-	replica    Replica
-	started    time.Time
-	loads      *loadCache
-	tables     tableHistory
+	*publisher
+	started time.Time
 	// sharePending signals that changes are to be sent to the other replicas.
 	sharePending chan struct{}
-	barrier      *sharedCall
-	// openSemaphore limits how many streams send their first event concurrently.
-	openSemaphore chan struct{}
-	pacer         *pacer
-
-	mu          sync.Mutex
-	table       *registry.Table
+	// announcedAt and the fields below are guarded by the publisher's mu.
 	announcedAt map[uint64]time.Time
-	changed     chan struct{}
-	// cachedRecords holds, by base revision, the records that changed between that
-	// revision and cachedRevision.
-	cachedRecords  map[uint64]*recordList
-	cachedRevision uint64
-
 	// synced reports that another replica has answered with all its servers.
 	synced bool
 	peers  map[string]*peer
@@ -103,13 +59,14 @@
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
 // bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewService(address string, replica Replica, linkMbps float64, log zerolog.Logger) *Service {
-	return &Service{
-		log: log, ownAddress: address, replica: replica, started: time.Now(), table: registry.New(), loads: newLoadCache(),
-		announcedAt: make(map[uint64]time.Time), changed: make(chan struct{}), peers: make(map[string]*peer),
-		cachedRecords: make(map[uint64]*recordList), sharePending: make(chan struct{}, 1),
-		barrier: newSharedCall(replica.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
+func NewService(address string, source Source, linkMbps float64, log zerolog.Logger) *Service {
+	s := &Service{
+		started: time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
+		sharePending: make(chan struct{}, 1),
 	}
+	s.publisher = newPublisher(address, source, relay.ControlLimits, linkMbps, log)
+	s.publisher.isSynced = s.isSynced
+	return s
 }
 
 // Register adds the service's RPCs to a server.
@@ -171,12 +128,6 @@
 	}
 }
 
-// notifyChanged wakes all streams after a change of the registry; the caller holds mu.
-func (s *Service) notifyChanged() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // Run sends digests and changes to the other replicas, and expires servers, until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	go s.runScheduledShares(ctx)
@@ -234,7 +185,7 @@
 }
 
 func (s *Service) otherReplicas() []*peer {
-	addresses := s.replica.Replicas()
+	addresses := s.source.Controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]*peer, 0, len(addresses))
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -1,8 +1,10 @@
 // Package fleetview keeps a router's copy of the route table and of the backend
-// servers, as received from the control replicas.
+// servers, as received from a control replica or from another router, and relays it to
+// other routers.
 package fleetview
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,15 +12,18 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
-// unconfirmedRetention is how long a server is kept that the followed replica does not
+// unconfirmedRetention is how long a server is kept that the followed source does not
 // have: a replica that has just started receives its announcement within seconds.
 const unconfirmedRetention = 10 * time.Second
 
@@ -36,13 +41,25 @@
 	stale atomic.Bool
 	// lastEvent is when an event of a control replica was last received, or nil.
 	lastEvent atomic.Pointer[time.Time]
-	// source is the source of the table in force, to which deltas apply. Only the
-	// goroutine that follows the control replicas uses it.
-	source []byte
+	// version is the table in force as followers of this router receive it.
+	version atomic.Pointer[fleetsync.TableVersion]
+	// declared is the declared source of the table in force, to which deltas apply. Only
+	// the goroutine that follows uses it.
+	declared []byte
+	// ownAddress is the router's RPC address.
+	ownAddress string
+	relay      *fleetsync.Relay
 
 	mu       sync.Mutex
+	selector *relay.Selector
 	controls []string
 	seeds    []string
+	// path is the path from a control replica to the followed source.
+	path relay.Path
+	// subscriptions are notified of changes; see Subscribe.
+	subscriptions map[chan struct{}]bool
+	// upstream is the client of the followed source.
+	upstream *rpc.Client
 	// needsFullTable is set after a delta did not apply, until a full table is received.
 	needsFullTable bool
 	servers        map[string]registry.Entry
@@ -51,8 +68,8 @@
 	followedSince time.Time
 	// newlyFollowed is set if a stream has begun since the last call of wasFollowed.
 	newlyFollowed bool
-	// address is the address of the followed replica, or "" while none is followed.
-	address string
+	// followed is the followed source, with an empty address while there is none.
+	followed relay.Source
 }
 
 // Fleet receives the backend servers and their loads, and supplies the loads that this
@@ -67,16 +84,37 @@
 	RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad)
 }
 
-// New returns an empty view that connects to the seeds first.
-func New(instance, domain string, seeds []string, decode routetable.Decoder, fleet Fleet, log zerolog.Logger) *View {
+// Config configures a view.
+type Config struct {
+	Instance      string
+	FailureDomain string
+	// Address is the router's RPC address, at which other routers can follow it; empty if
+	// it does not relay.
+	Address string
+	// Seeds are the RPC addresses of control replicas to which the view connects first; at
+	// least one is required.
+	Seeds []string
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s, or 0 if unknown.
+	LinkMbps float64
+	Decode   routetable.Decoder
+	Fleet    Fleet
+}
+
+// New returns an empty view.
+func New(c Config, log zerolog.Logger) *View {
 	v := &View{
-		log: log, instance: instance, domain: domain, decode: decode, fleet: fleet, seeds: seeds,
-		servers: make(map[string]registry.Entry),
+		log: log, instance: c.Instance, domain: c.FailureDomain, decode: c.Decode, fleet: c.Fleet, seeds: c.Seeds,
+		ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
+		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
+	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, c.LinkMbps, log)
 	v.addMetrics()
 	return v
 }
 
+// Register adds the RPCs for routers that follow this one.
+func (v *View) Register(mux drpc.Mux) error { return v.relay.Register(mux) }
+
 // Table returns the route table in force on this router, or nil before the first one.
 func (v *View) Table() *routetable.Table { return v.table.Load() }
 
@@ -94,10 +132,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.seeds = seeds
+	v.selector.SetControls(slices.Concat(v.controls, v.seeds))
 }
 
-// handleEvent applies an event of the replica at address.
-func (v *View) handleEvent(address string, event *fleetpb.FollowEvent) error {
+// handleEvent applies an event of the followed source.
+func (v *View) handleEvent(source relay.Source, event *fleetpb.FollowEvent) error {
+	if err := v.applyPath(event.GetPath()); err != nil {
+		return err
+	}
 	if err := v.applyTable(event); err != nil {
 		return err
 	}
@@ -108,30 +150,58 @@
 	now := time.Now()
 	v.mu.Lock()
 	if event.GetFirst() {
-		v.address = address
-		v.controls = event.GetControls()
-		v.setConfirmed(event.GetUnknown())
-		v.followedSince, v.newlyFollowed = now, true
-		v.log.Info().Str("control", address).Strs("controls", v.controls).Int("servers", len(servers)).
-			Msg("subscribed to control replica")
+		v.startFollowing(source, event, now)
+		v.log.Info().Str("source", source.Address).Bool("relay", source.IsRelay).Int("depth", v.path.Depth()).
+			Strs("controls", v.controls).Int("servers", len(servers)).Msg("subscribed to fleet stream")
 	}
+	var changed []registry.Entry
 	for _, record := range servers {
-		v.mergeServer(fleetsync.FromServer(record, now))
+		entry := fleetsync.FromServer(record, now)
+		if v.mergeServer(entry, event.GetFirst()) {
+			changed = append(changed, entry)
+		}
 	}
 	dropped := v.dropUnconfirmed(now)
 	var snapshot []registry.Entry
-	if dropped || len(servers) > 0 {
-		for _, entry := range v.servers {
-			snapshot = append(snapshot, entry)
-		}
+	if len(dropped) > 0 || len(servers) > 0 {
+		snapshot = slices.Collect(maps.Values(v.servers))
 	}
 	v.mu.Unlock()
-	if snapshot != nil || dropped {
+	if len(dropped) > 0 || len(servers) > 0 {
 		v.fleet.SetServers(snapshot)
+		v.relay.UpdateServers(changed, dropped, now)
 	}
 	return nil
 }
 
+// startFollowing records the source of a new stream at its first event; the caller holds mu.
+func (v *View) startFollowing(source relay.Source, event *fleetpb.FollowEvent, now time.Time) {
+	v.followed = source
+	v.controls = event.GetControls()
+	if known := slices.Concat(v.controls, v.seeds); len(known) > 0 {
+		v.selector.SetControls(known)
+	}
+	v.selector.Followed(source)
+	v.setConfirmed(event.GetUnknown())
+	v.followedSince, v.newlyFollowed = now, true
+}
+
+// applyPath records the path from control to the source, if the event has one. It returns an
+// error if the path contains this router, or if the router is too far from control.
+func (v *View) applyPath(path []string) error {
+	if len(path) == 0 {
+		return nil
+	}
+	if !relay.Path(path).CanServe(v.ownAddress) {
+		return errors.Errorf("path from control to the source is not usable: %v", path)
+	}
+	v.mu.Lock()
+	v.path = path
+	v.mu.Unlock()
+	v.notify()
+	return nil
+}
+
 // setConfirmed marks all servers of this router as confirmed by the followed replica,
 // except those whose ID hashes are in unknown.
 func (v *View) setConfirmed(unknown []uint64) {
@@ -152,7 +222,7 @@
 			return err
 		}
 		v.setNeedsFullTable(false)
-		return v.installTable(d.Generation, source)
+		return v.installTable(fleetsync.NewTableVersion(d), source)
 	case event.GetDelta() != nil:
 		source, err := v.applyDelta(fleetsync.FromDelta(event.GetDelta()))
 		if err != nil {
@@ -160,7 +230,12 @@
 			v.setNeedsFullTable(true)
 			return err
 		}
-		return v.installTable(event.GetDelta().GetGeneration(), source)
+		return v.installTable(&fleetsync.TableVersion{
+			Generation: event.GetDelta().GetGeneration(), Delta: event.GetDelta(),
+			Document: sync.OnceValues(func() (*routetable.Document, error) {
+				return routetable.NewDocument(event.GetDelta().GetGeneration(), source)
+			}),
+		}, source)
 	}
 	return nil
 }
@@ -169,7 +244,7 @@
 	if table := v.Table(); table == nil || table.Generation != d.Base {
 		return nil, errors.Errorf("received a route table delta based on generation %d, which is not in force", d.Base)
 	}
-	return d.Apply(v.source)
+	return d.Apply(v.declared)
 }
 
 func (v *View) setNeedsFullTable(needed bool) {
@@ -180,46 +255,55 @@
 
 // installTable decodes a table and puts it in force if its generation is higher than
 // the current one.
-func (v *View) installTable(generation uint64, source []byte) error {
-	if table := v.Table(); table != nil && generation <= table.Generation {
+func (v *View) installTable(version *fleetsync.TableVersion, source []byte) error {
+	if table := v.Table(); table != nil && version.Generation <= table.Generation {
 		return nil
 	}
 	table, err := v.decode(source)
 	if err != nil {
-		v.log.Error().Err(err).Uint64("generation", generation).Msg("received route table cannot be decoded")
+		v.log.Error().Err(err).Uint64("generation", version.Generation).Msg("received route table cannot be decoded")
 		return err
 	}
-	v.source = source
+	v.declared = source
 	v.table.Store(table)
+	v.version.Store(version)
+	v.relay.SetTable(version)
+	v.notify()
 	v.log.Info().Uint64("generation", table.Generation).Int("routes", len(table.Routes)).Msg("route table in force")
 	return nil
 }
 
-// mergeServer merges a server record. It drops a record of an older incarnation, and one
-// that has both a lower sequence number and an earlier state.
-func (v *View) mergeServer(e registry.Entry) {
+// mergeServer merges a server record and reports whether it did. It drops a record of an
+// older incarnation, and one that has both a lower sequence number and an earlier state. It
+// logs a change, at debug level if the record is one of many at a start of a stream.
+func (v *View) mergeServer(e registry.Entry, isFirst bool) bool {
 	known, ok := v.servers[e.ID]
 	v.confirmed[e.ID] = true
 	if ok && (e.StartedMS < known.StartedMS || e.StartedMS == known.StartedMS && e.Sequence < known.Sequence && e.State < known.State) {
-		return
+		return false
 	}
 	if !ok || known.State != e.State || known.Silent != e.Silent || known.StartedMS != e.StartedMS {
-		v.log.Info().Str("server", e.ID).Str("address", e.Address).Str("pool", e.Pool).Uint8("state", uint8(e.State)).
+		level := zerolog.InfoLevel
+		if isFirst {
+			level = zerolog.DebugLevel
+		}
+		v.log.WithLevel(level).Str("server", e.ID).Str("address", e.Address).Str("pool", e.Pool).Uint8("state", uint8(e.State)).
 			Bool("silent", e.Silent).Time("heard", e.LastAnnounced).Msg("backend server changed")
 	}
 	v.servers[e.ID] = e
+	return true
 }
 
-// dropUnconfirmed removes the servers that the followed replica has not confirmed
-// within unconfirmedRetention, and those that have been gone for that long. It reports
-// whether it removed an unconfirmed one.
-func (v *View) dropUnconfirmed(now time.Time) (dropped bool) {
+// dropUnconfirmed removes the servers that the followed source has not confirmed
+// within unconfirmedRetention, and those that have been gone for that long. It returns
+// the unconfirmed ones.
+func (v *View) dropUnconfirmed(now time.Time) (dropped []registry.Entry) {
 	overdue := now.Sub(v.followedSince) > unconfirmedRetention
 	for id, e := range v.servers {
 		if overdue && !v.confirmed[id] {
-			v.log.Info().Str("server", id).Msg("backend server removed because the control replica does not have it")
+			v.log.Info().Str("server", id).Msg("backend server removed because the source does not have it")
 			delete(v.servers, id)
-			dropped = true
+			dropped = append(dropped, e)
 			continue
 		}
 		if e.State == registry.StateGone && now.Sub(e.LastAnnounced) > unconfirmedRetention {
--- a/internal/fleetview/follow.go
+++ b/internal/fleetview/follow.go
@@ -1,19 +1,18 @@
 package fleetview
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -23,9 +22,19 @@
 	// It leaves time to open a new stream within the 2 s in which a change has to be
 	// in force.
 	streamIdleTimeout = 1200 * time.Millisecond
-	// openTimeout limits the wait for the first event, which the replica sends after a
-	// majority has confirmed its state.
+	// acceptTimeout limits the wait until a source accepts the subscription, connecting
+	// included. Together with streamIdleTimeout, two more sources that do not answer can be
+	// tried within 2.5 s.
+	acceptTimeout = 500 * time.Millisecond
+	// openTimeout limits the wait for the first data after that, which the source sends
+	// once a majority has confirmed its state.
 	openTimeout = 1800 * time.Millisecond
+	// redirectDelay is the maximum delay, chosen at random, before a router follows a
+	// redirection.
+	redirectDelay = 20 * time.Millisecond
+	// attemptsPerBackoff is the number of failed attempts after which the retry delay
+	// doubles even if not all control replicas have been tried.
+	attemptsPerBackoff = 4
 	// retryDelay is the mean backoff before the next replica is tried. It doubles, up to
 	// maxRetryDelay, each time that all replicas have been tried: an attempt takes
 	// 0.4 ms of the 96 ms of processor time that a replica of the largest known
@@ -46,35 +55,55 @@
 	staleRetryInterval = 200 * time.Millisecond
 )
 
-var errNoEvent = errors.New("control replica sent no event within the timeout")
+var (
+	errNotAccepted = errors.New("source did not accept the subscription in time")
+	errNoEvent     = errors.New("source sent no event within the timeout")
+)
 
-// switchError ends a stream because a better replica can be followed.
-type switchError struct{ address string }
+// switchError ends a stream because a better source can be followed.
+type switchError struct{ source relay.Source }
 
 // Error implements error.
 func (e *switchError) Error() string {
-	return "better control replica " + e.address + " is available"
+	return "better source " + e.source.Address + " is available"
 }
 
-// Run follows one control replica at a time until ctx is done. It tries the replicas in
-// the router's order of preference, and returns to the preferred one when that can be
-// followed.
+// redirectError ends a stream because the source has redirected the router to relays.
+type redirectError struct{ relays []string }
+
+// Error implements error.
+func (e *redirectError) Error() string { return "redirected to relays" }
+
+// refusalError ends a stream whose source has answered but sent no data.
+type refusalError struct{ cause error }
+
+// Error implements error.
+func (e *refusalError) Error() string { return "source could not serve the router: " + e.cause.Error() }
+
+// Run follows one source at a time until ctx is done: a control replica, or a relay to
+// which a source has redirected the router.
 func (v *View) Run(ctx context.Context) error {
 	delay := retryDelay
-	for next := 0; ctx.Err() == nil; next++ {
-		addresses := v.candidates()
-		address := addresses[next%len(addresses)]
-		err := v.followUntilBetter(ctx, address)
+	for attempts := 1; ctx.Err() == nil; attempts++ {
+		source := v.nextSource()
+		err := v.followUntilBetter(ctx, source)
 		for switched := (*switchError)(nil); errors.As(err, &switched); {
-			v.log.Info().Str("from", address).Str("control", switched.address).Msg("router switches to another control replica")
-			address = switched.address
-			err = v.followUntilBetter(ctx, address)
+			v.log.Info().Str("from", source.Address).Str("source", switched.source.Address).Bool("relay", switched.source.IsRelay).
+				Msg("router switches to another source")
+			source = switched.source
+			err = v.followUntilBetter(ctx, source)
+		}
+		if redirected := (*redirectError)(nil); errors.As(err, &redirected) {
+			v.redirect(redirected.relays)
+			actor.Sleep(ctx, rand.N(redirectDelay))
+			continue
 		}
-		v.log.Warn().Err(err).Str("control", address).Msg("subscription to control replica ended")
+		v.log.Warn().Err(err).Str("source", source.Address).Bool("relay", source.IsRelay).Msg("subscription to source ended")
+		exhausted := v.recordFailure(source, err)
 		switch {
 		case v.wasFollowed():
-			delay = retryDelay
-		case next%len(addresses) == len(addresses)-1:
+			delay, attempts = retryDelay, 0
+		case exhausted || attempts%attemptsPerBackoff == 0:
 			delay = min(2*delay, maxRetryDelay)
 		}
 		actor.Sleep(ctx, delay/2+rand.N(delay))
@@ -82,6 +111,29 @@
 	return nil
 }
 
+func (v *View) nextSource() relay.Source {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.selector.Next(time.Now())
+}
+
+func (v *View) redirect(relays []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.selector.Redirect(relays)
+}
+
+// recordFailure records that a source could not be followed or is no longer followed. It
+// reports whether all control replicas have been tried.
+func (v *View) recordFailure(source relay.Source, err error) (exhausted bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if refusal := (*refusalError)(nil); errors.As(err, &refusal) {
+		return v.selector.Refused(source, time.Now())
+	}
+	return v.selector.Failed(source, time.Now())
+}
+
 // wasFollowed reports whether a stream has begun since the last call.
 func (v *View) wasFollowed() bool {
 	v.mu.Lock()
@@ -91,30 +143,30 @@
 	return followed
 }
 
-// followUntilBetter follows a replica until its stream fails, or until a better replica
-// has answered: the preferred one, or any other while this one has no quorum. In the
-// latter case it returns a switchError.
-func (v *View) followUntilBetter(ctx context.Context, address string) error {
+// followUntilBetter follows a source until its stream fails, or until a better source
+// has answered: the preferred control replica, or any other source while this one has no
+// quorum. In the latter case it returns a switchError.
+func (v *View) followUntilBetter(ctx context.Context, source relay.Source) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	v.stale.Store(false)
 	go func() {
-		if better := v.findBetterReplica(ctx, address); better != "" {
+		if better := v.findBetterSource(ctx, source); better.Address != "" {
 			cancel(&switchError{better})
 		}
 	}()
-	return v.follow(ctx, address)
+	return v.follow(ctx, source)
 }
 
-// findBetterReplica returns the address of a replica that answers and is better than the
-// followed one, or "" when ctx is done.
-func (v *View) findBetterReplica(ctx context.Context, address string) string {
+// findBetterSource returns a source that answers and is better than the followed one, or
+// an empty one when ctx is done.
+func (v *View) findBetterSource(ctx context.Context, followed relay.Source) relay.Source {
 	nextPreferredCheck := time.Now().Add(preferredCheckInterval + rand.N(preferredCheckInterval/2))
 	for tried := 0; actor.Sleep(ctx, staleRetryInterval/2+rand.N(staleRetryInterval)); {
-		candidate, limit := "", openTimeout
+		candidate, limit := relay.Source{}, openTimeout
 		switch now := time.Now(); {
 		case v.stale.Load():
-			alternatives := slices.DeleteFunc(v.candidates(), func(a string) bool { return a == address })
+			alternatives := v.alternatives(followed)
 			if len(alternatives) == 0 {
 				continue
 			}
@@ -122,60 +174,71 @@
 			tried++
 		case now.After(nextPreferredCheck):
 			nextPreferredCheck = now.Add(preferredCheckInterval + rand.N(preferredCheckInterval/2))
-			candidate, limit = v.candidates()[0], preferredAnswerLimit
+			candidate, limit = v.preferredSource(followed), preferredAnswerLimit
 		}
-		// While the router has no table, the followed replica is still sending one; another
-		// replica would have to send it again.
-		if candidate == "" || candidate == address || v.Table() == nil {
+		// While the router has no table, the followed source is still sending one; another
+		// source would have to send it again.
+		if candidate.Address == "" || candidate.Address == followed.Address || v.Table() == nil {
 			continue
 		}
 		started := time.Now()
-		if err := v.probe(ctx, candidate); err == nil && time.Since(started) < limit {
+		err := v.probe(ctx, candidate)
+		if err == nil && time.Since(started) < limit {
 			return candidate
 		}
+		if redirected := (*redirectError)(nil); errors.As(err, &redirected) && v.stale.Load() {
+			v.redirect(redirected.relays)
+		}
 	}
-	return ""
+	return relay.Source{}
+}
+
+func (v *View) alternatives(followed relay.Source) []relay.Source {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.selector.Alternatives(followed, time.Now())
 }
 
-// candidates returns the control replicas to try. Each router has its own order of them,
-// so that the routers are distributed over the replicas.
-func (v *View) candidates() []string {
+// preferredSource returns the source to which the router returns if that can be followed: the
+// preferred control replica. It returns an empty source if the router follows a relay that
+// is not too far from control; as many routers as possible would otherwise follow control.
+func (v *View) preferredSource(followed relay.Source) relay.Source {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return rankByScore(v.instance, slices.Concat(v.controls, v.seeds))
+	if followed.IsRelay && v.path.Depth() < relay.MaxDepth {
+		return relay.Source{}
+	}
+	return relay.Source{Address: v.selector.Preferred()}
 }
 
 // PreferredReplica returns the control replica that a router follows if possible: the first in
 // the router's order. There has to be at least one replica.
 func PreferredReplica(instance string, controls []string) string {
-	return rankByScore(instance, controls)[0]
+	return PreferenceOrder(instance, controls)[0]
 }
 
-// rankByScore returns the replicas in a router's order, without duplicates.
-func rankByScore(instance string, controls []string) []string {
-	out := slices.Clone(controls)
-	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(score(instance, a), score(instance, b)) })
-	return slices.Compact(out)
+// PreferenceOrder returns the control replicas in a router's order of preference.
+func PreferenceOrder(instance string, controls []string) []string {
+	return relay.Rank(instance, controls)
 }
 
-// score returns a replica's hash for one router; the lowest is preferred.
-func score(instance, address string) uint64 { return xxhash.Sum64String(instance + " " + address) }
-
-// follow applies the events of one replica until its stream fails or times out.
-func (v *View) follow(ctx context.Context, address string) error {
-	defer v.setFollowed("")
-	return v.stream(ctx, address, func(event *fleetpb.FollowEvent) error {
+// follow applies the events of one source until its stream fails or times out.
+func (v *View) follow(ctx context.Context, source relay.Source) error {
+	defer v.setFollowed(relay.Source{})
+	return v.stream(ctx, source, func(event *fleetpb.FollowEvent) error {
+		now := time.Now()
+		v.lastEvent.Store(&now)
 		if wasStale := v.stale.Swap(event.GetStale()); wasStale != event.GetStale() {
-			v.log.Info().Str("control", address).Bool("stale", event.GetStale()).Msg("control replica gained or lost its quorum")
+			v.log.Info().Str("source", source.Address).Bool("stale", event.GetStale()).Msg("source gained or lost its quorum")
 		}
-		return v.handleEvent(address, event)
+		return v.handleEvent(source, event)
 	})
 }
 
-// probe opens a stream to a replica, and returns nil if it receives the first event.
-func (v *View) probe(ctx context.Context, address string) error {
+// probe opens a stream to a source, and returns nil if it receives the first data.
+func (v *View) probe(ctx context.Context, source relay.Source) error {
 	answered := errors.New("answered")
-	err := v.stream(ctx, address, func(*fleetpb.FollowEvent) error { return answered })
+	err := v.stream(ctx, source, func(*fleetpb.FollowEvent) error { return answered })
 	if errors.Is(err, answered) {
 		return nil
 	}
@@ -183,13 +246,16 @@
 }
 
 // stream opens a stream and passes its events to handle until handle or the stream
-// fails, or no event is received in time.
-func (v *View) stream(ctx context.Context, address string, handle func(*fleetpb.FollowEvent) error) error {
+// fails, or no event is received in time. The error is a redirectError if the source
+// redirects the router, and a refusalError if the source answers but sends no data.
+func (v *View) stream(ctx context.Context, source relay.Source, handle func(*fleetpb.FollowEvent) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(openTimeout, func() { cancel(errNoEvent) })
-	defer watchdog.Stop()
-	client := rpc.NewClient(address, rpc.PurposeFleet)
+	var accepted, received bool
+	var watchdog *time.Timer
+	watchdog = time.AfterFunc(acceptTimeout, func() { cancel(errNotAccepted) })
+	defer func() { watchdog.Stop() }()
+	client := rpc.NewClient(source.Address, rpc.PurposeFleet)
 	defer client.Close()
 	request := v.request()
 	err := client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
@@ -198,23 +264,36 @@
 		defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 		stream, err := fleetpb.NewDRPCFleetClient(conn).Follow(ctx, request)
 		if err != nil {
-			return errors.Wrap(err, "open the stream to a control replica")
+			return errors.Wrap(err, "open a fleet stream")
 		}
 		for {
 			event, err := stream.Recv()
 			if err != nil {
-				return errors.Wrap(err, "receive an event of a control replica")
+				return errors.Wrap(err, "receive an event of a fleet stream")
+			}
+			watchdog.Stop()
+			switch {
+			case len(event.GetRedirect()) > 0:
+				return &redirectError{event.GetRedirect()}
+			case event.GetRefusal() != "":
+				return &refusalError{errors.New(event.GetRefusal())}
+			case event.GetAccepted():
+				accepted = true
+				watchdog = time.AfterFunc(openTimeout, func() { cancel(errNoEvent) })
+				continue
 			}
-			watchdog.Reset(streamIdleTimeout)
-			now := time.Now()
-			v.lastEvent.Store(&now)
+			received = true
+			watchdog = time.AfterFunc(streamIdleTimeout, func() { cancel(errNoEvent) })
 			if err := handle(event); err != nil {
 				return err
 			}
 		}
 	})
 	if cause := context.Cause(ctx); cause != nil {
-		return cause
+		err = cause
+	}
+	if refusal := (*refusalError)(nil); accepted && !received && err != nil && !errors.As(err, &refusal) {
+		return &refusalError{err}
 	}
 	return err
 }
@@ -225,7 +304,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	request := &fleetpb.FollowRequest{
-		Instance: v.instance, FailureDomain: v.domain, Known: fleetsync.ToKnownServers(slices.Collect(maps.Values(v.servers))),
+		Instance: v.instance, FailureDomain: v.domain, Address: v.ownAddress, Failed: v.selector.FailedRelays(time.Now()),
+		Known: fleetsync.ToKnownServers(slices.Collect(maps.Values(v.servers))),
 	}
 	if table := v.Table(); table != nil && !v.needsFullTable {
 		request.Generation = table.Generation
--- a/internal/fleetview/metrics.go
+++ b/internal/fleetview/metrics.go
@@ -22,6 +22,8 @@
 		}
 		return time.Since(*lastEvent).Seconds()
 	})
+	metrics.GetOrCreateGauge("peridotwinch_view_depth", func() float64 { return float64(v.Depth()) })
+	metrics.GetOrCreateGauge("peridotwinch_view_followers", func() float64 { return float64(v.Followers()) })
 	metrics.GetOrCreateGauge("peridotwinch_view_servers", func() float64 {
 		v.mu.Lock()
 		defer v.mu.Unlock()
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -8,60 +8,57 @@
 
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
-	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
 // reportTimeout limits a load report; the next one carries newer loads anyway.
 const reportTimeout = 400 * time.Millisecond
 
-func (v *View) setFollowed(address string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.address = address
-}
-
-func (v *View) followedAddress() string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.address
-}
-
-// ReportLoads exchanges the servers' loads with the followed replica periodically until
-// ctx is done.
+// ReportLoads exchanges the servers' loads with the followed source periodically until
+// ctx is done. A router that relays does so twice as often, so that the way through it adds
+// less to the loads' age.
 func (v *View) ReportLoads(ctx context.Context) error {
-	var client *rpc.Client
-	for actor.Sleep(ctx, fleetsync.LoadReportInterval) {
-		address := v.followedAddress()
-		if client != nil && client.Address() != address {
-			client.Close()
-			client = nil
-		}
-		if address == "" {
-			continue
+	for interval := fleetsync.LoadReportInterval; actor.Sleep(ctx, interval); {
+		interval = fleetsync.LoadReportInterval
+		if v.relay.Subscribers() > 0 {
+			interval /= 2
 		}
-		if client == nil {
-			client = rpc.NewClient(address, rpc.PurposeFleet)
-		}
-		if err := v.exchangeLoads(ctx, client); err != nil {
-			v.log.Debug().Err(err).Str("control", address).Msg("exchange of server loads with the control replica failed")
+		if err := v.exchangeLoads(ctx, interval); err != nil {
+			v.log.Debug().Err(err).Str("source", v.followedSource().Address).Msg("exchange of server loads with the source failed")
 		}
 	}
 	return nil
 }
 
-// exchangeLoads reports the loads that this router has received, and records those in
-// the replica's response.
-func (v *View) exchangeLoads(ctx context.Context, client *rpc.Client) error {
+// exchangeLoads reports the loads that this router and its followers have received since the
+// last report, and records those in the source's response.
+func (v *View) exchangeLoads(ctx context.Context, interval time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	request := &fleetpb.ReportRequest{Instance: v.instance, Loads: fleetsync.ToLoads(v.fleet.TakeLoadReports(), time.Now())}
-	return client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
+	now := time.Now()
+	own := v.fleet.TakeLoadReports()
+	v.relay.RecordOwnLoads(own, now)
+	loads := v.relay.FollowerLoads(now, interval)
+	for server, load := range own {
+		if load.ReportedAt.After(loads[server].ReportedAt) {
+			loads[server] = load
+		}
+	}
+	request := &fleetpb.ReportRequest{Instance: v.instance, Loads: fleetsync.ToLoads(loads, now)}
+	return v.callSource(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		response, err := fleetpb.NewDRPCFleetClient(conn).Report(ctx, request)
 		if err != nil {
 			return err
 		}
-		v.fleet.RecordPeerLoads(fleetsync.FromLoads(response.GetLoads(), time.Now()))
+		now := time.Now()
+		v.relay.RecordSourceLoads(response.GetLoads(), now)
+		peers := fleetsync.FromLoads(response.GetLoads(), now)
+		for server, load := range v.relay.FollowerLoads(now, interval) {
+			if load.ReportedAt.After(peers[server].ReportedAt) {
+				peers[server] = load
+			}
+		}
+		v.fleet.RecordPeerLoads(peers)
 		return nil
 	})
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,17 +49,34 @@
 	}
 	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers}
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), log)
-	in.view = fleetview.New(s.Instance, s.FailureDomain, s.ControlAddresses(), a.DecodeTable, in.gateway, log)
+	in.view = fleetview.New(fleetview.Config{
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
+		LinkMbps: s.Link.MBitPerSecond, Decode: a.DecodeTable, Fleet: in.gateway,
+	}, log)
 	in.gateway.SetTableSource(in.view)
 	lc.AddCheck(in.view.Ready)
 	return in, nil
 }
 
+// relayAddress returns the address at which other routers follow this one. It is empty if the
+// daemon also has the role control, whose service streams to routers.
+func relayAddress(s *settings.Settings) string {
+	if s.HasRole(settings.RoleControl) {
+		return ""
+	}
+	return s.ReplicaName()
+}
+
 // Reload applies changed seeds.
 func (in *Ingress) Reload(s *settings.Settings) { in.view.SetSeeds(s.ControlAddresses()) }
 
-// Register adds no RPCs: the role has none.
-func (in *Ingress) Register(drpc.Mux) error { return nil }
+// Register adds the RPCs for routers that follow this one, if it relays.
+func (in *Ingress) Register(mux drpc.Mux) error {
+	if relayAddress(in.settings) == "" {
+		return nil
+	}
+	return in.view.Register(mux)
+}
 
 // AddStatus implements status.Reporter.
 func (in *Ingress) AddStatus(status *api.DaemonStatus) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -139,6 +139,31 @@
 	return changed
 }
 
+// Replace sets an entry as another table has it. It is a change if routers use a field that
+// differs.
+func (t *Table) Replace(e Entry) {
+	current := t.entries[e.ID]
+	if current != nil && current.Digest() == e.Digest() {
+		current.Sequence, current.LastAnnounced = e.Sequence, e.LastAnnounced
+		return
+	}
+	if current != nil {
+		delete(t.byHash, current.hash)
+	}
+	e.hash = 0
+	t.entries[e.ID] = t.markChanged(&e)
+}
+
+// DeleteGone deletes the entries of servers that were gone before a time.
+func (t *Table) DeleteGone(before time.Time) {
+	for id, e := range t.entries {
+		if e.State == StateGone && e.LastAnnounced.Before(before) {
+			delete(t.entries, id)
+			delete(t.byHash, e.hash)
+		}
+	}
+}
+
 // IsStale reports whether the table has a newer announcement of the server, or has
 // marked the incarnation as gone, so that Merge drops the announcement.
 func (t *Table) IsStale(s Server) bool {
