--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -46,13 +46,13 @@
 // the wait timeout, or loses its quorum for longer than maxStaleness.
 func (p *publisher) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
 	path := p.path()
-	if !path.CanServe(request.GetAddress()) {
-		return stream.Send(&fleetpb.FollowEvent{Refusal: errTooDeep.Error()})
+	if !path.CanAdmit(request.GetAddress()) {
+		return stream.Send(&fleetpb.FollowEvent{Refusal: fleetpb.Refusal_REFUSAL_PATH})
 	}
 	verdict := p.decide(request)
 	if !verdict.Admitted {
 		if len(verdict.Redirect) == 0 || !path.CanRedirect() {
-			return stream.Send(&fleetpb.FollowEvent{Refusal: errFull.Error()})
+			return stream.Send(&fleetpb.FollowEvent{Refusal: fleetpb.Refusal_REFUSAL_FULL})
 		}
 		p.log.Debug().Str("router", request.GetInstance()).Strs("relays", verdict.Redirect).Msg("router redirected to relays")
 		return stream.Send(&fleetpb.FollowEvent{Redirect: verdict.Redirect})
@@ -61,7 +61,7 @@
 	if err := stream.Send(&fleetpb.FollowEvent{Accepted: true}); err != nil {
 		return err
 	}
-	if err := p.awaitReadBarrier(stream.Context()); err != nil {
+	if err := p.awaitUsable(stream.Context(), request); err != nil {
 		return err
 	}
 	r := &routerStream{publisher: p, stream: stream, generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
@@ -89,18 +89,36 @@
 	p.admission.Remove(id)
 }
 
-// awaitReadBarrier returns once a majority has confirmed that the source is up to date. While
-// the source has no quorum yet, it holds new streams for a time rather than reject
-// them at once: the retries of 80 routers would take CPU time from the election.
+// awaitUsable returns once the source may serve a router. A router without a table could go
+// back behind what an earlier incarnation served, so it needs a read barrier; one with a
+// table installs only later ones.
+func (p *publisher) awaitUsable(ctx context.Context, request *fleetpb.FollowRequest) error {
+	if request.GetGeneration() > 0 {
+		return p.awaitQuorum(ctx)
+	}
+	return p.awaitReadBarrier(ctx)
+}
+
+// awaitReadBarrier returns once a majority has confirmed that the source is up to date.
 func (p *publisher) awaitReadBarrier(ctx context.Context) error {
+	if err := p.awaitQuorum(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	return p.barrier.do(ctx)
+}
+
+// awaitQuorum returns once the source has a quorum. While it has none yet, awaitQuorum holds
+// new streams for a time rather than reject them at once: the retries of 80 routers would
+// take CPU time from the election.
+func (p *publisher) awaitQuorum(ctx context.Context) error {
 	for start := time.Now(); !p.isSynced() || !p.source.HasQuorum(); {
 		if time.Since(start) > p.quorumWaitTimeout || !actor.Sleep(ctx, quorumPollInterval/4) {
 			return errNoQuorum
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
-	defer cancel()
-	return p.barrier.do(ctx)
+	return nil
 }
 
 // routerStream is the fleet stream to one router.
@@ -175,7 +193,7 @@
 		if r.updateStaleness(time.Now()) > maxStaleness {
 			return errNoQuorum
 		}
-		if !r.publisher.path().CanServe("") {
+		if !r.publisher.path().CanKeep("") {
 			return errTooDeep
 		}
 	}
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -28,8 +28,7 @@
 
 var (
 	errNoQuorum = errors.New("source has no quorum or is not synchronized yet")
-	errFull     = errors.New("source serves as many routers as it can, and no router relays")
-	errTooDeep  = errors.New("router cannot follow this source: it would be too far from control, or relays to the source")
+	errTooDeep  = errors.New("the path from control to the source has become too long")
 )
 
 // Source is the state that a process streams to routers: that of a control replica, or what
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -192,8 +192,8 @@
 	if len(path) == 0 {
 		return nil
 	}
-	if !relay.Path(path).CanServe(v.ownAddress) {
-		return errors.Errorf("path from control to the source is not usable: %v", path)
+	if !relay.Path(path).CanKeep(v.ownAddress) {
+		return errors.Wrapf(errPath, "path from control %v", path)
 	}
 	v.mu.Lock()
 	v.path = path
--- a/internal/fleetview/follow.go
+++ b/internal/fleetview/follow.go
@@ -58,6 +58,8 @@
 var (
 	errNotAccepted = errors.New("source did not accept the subscription in time")
 	errNoEvent     = errors.New("source sent no event within the timeout")
+	errFull        = errors.New("source serves as many routers as it can")
+	errPath        = errors.New("source is too far from control, or this router relays to it")
 )
 
 // switchError ends a stream because a better source can be followed.
@@ -118,6 +120,7 @@
 }
 
 func (v *View) redirect(relays []string) {
+	v.log.Debug().Strs("relays", relays).Msg("redirected to relays")
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.selector.Redirect(relays)
@@ -128,6 +131,10 @@
 func (v *View) recordFailure(source relay.Source, err error) (exhausted bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if errors.Is(err, errPath) {
+		v.selector.TooDeep()
+		return false
+	}
 	if refusal := (*refusalError)(nil); errors.As(err, &refusal) {
 		return v.selector.Refused(source, time.Now())
 	}
@@ -201,7 +208,7 @@
 
 // preferredSource returns the source to which the router returns if that can be followed: the
 // preferred control replica. It returns an empty source if the router follows a relay that
-// is not too far from control; as many routers as possible would otherwise follow control.
+// is not far from control; as many routers as possible would otherwise follow control.
 func (v *View) preferredSource(followed relay.Source) relay.Source {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -275,8 +282,10 @@
 			switch {
 			case len(event.GetRedirect()) > 0:
 				return &redirectError{event.GetRedirect()}
-			case event.GetRefusal() != "":
-				return &refusalError{errors.New(event.GetRefusal())}
+			case event.GetRefusal() == fleetpb.Refusal_REFUSAL_PATH:
+				return errPath
+			case event.GetRefusal() != fleetpb.Refusal_REFUSAL_NONE:
+				return &refusalError{errFull}
 			case event.GetAccepted():
 				accepted = true
 				watchdog = time.AfterFunc(openTimeout, func() { cancel(errNoEvent) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,9 +10,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxDepth is the maximum number of hops between a control replica and a router. A router at
-// this depth relays to no other router.
-const MaxDepth = 3
+const (
+	// MaxDepth is the maximum number of hops between a control replica and a router at the
+	// time of its subscription. A router at this depth admits no other router.
+	MaxDepth = 3
+	// MaxKeptDepth is the number of hops beyond which a router leaves its source. It exceeds
+	// MaxDepth by the two levels of followers that a router may have when it has lost its
+	// own source and subscribes to another one at MaxDepth.
+	MaxKeptDepth = MaxDepth + 2
+)
 
 // Path lists the RPC addresses from a control replica to a source, both included.
 type Path []string
@@ -20,12 +26,18 @@
 // Depth returns the number of hops to a router that follows the path's last source.
 func (p Path) Depth() int { return len(p) }
 
-// CanServe reports whether the path's last source may serve the router with the given
+// CanAdmit reports whether the path's last source may admit the router with the given
 // address: the path must not contain the router, and the router must not be too deep.
-func (p Path) CanServe(router string) bool {
+func (p Path) CanAdmit(router string) bool {
 	return p.Depth() <= MaxDepth && !slices.Contains(p, router)
 }
 
+// CanKeep reports whether the router with the given address may go on following the path's
+// last source.
+func (p Path) CanKeep(router string) bool {
+	return p.Depth() <= MaxKeptDepth && !slices.Contains(p, router)
+}
+
 // CanRedirect reports whether the routers that follow the path's last source may serve others.
 func (p Path) CanRedirect() bool { return p.Depth() < MaxDepth }
 
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -124,6 +124,10 @@
 	return false
 }
 
+// TooDeep records that a relay is too far from control to serve the router: so are those
+// that follow the same source, and a control replica is tried next.
+func (s *Selector) TooDeep() { s.untried = nil }
+
 func (s *Selector) controlFailed() (exhausted bool) {
 	s.nextControl++
 	return s.nextControl%len(s.controls) == 0
