Make the limits of relays settings, and soak relays as processes

Cause: the limits were constants, and the soak's three routers all followed control. relay.maxDirect, relay.perDomain and relay.maxFollowers have checked bounds; the soak runs five routers of one failure domain behind control instances that stream to one each, and cuts, delays and drops segments of relays besides pausing and killing them.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,7 @@
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/configpb"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
@@ -87,7 +88,8 @@
 	c.closing, c.close = context.WithCancel(context.Background())
 	if selectedAdapter != nil {
 		c.adapter = selectedAdapter
-		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, s.Link.MBitPerSecond, log)
+		limits := relay.Limits{Unconditional: s.Relay.Direct(), PerDomain: s.Relay.DomainRelays(), Max: settings.MaxStreams}
+		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, limits, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -314,7 +314,7 @@
 	replica := newFakeReplica(address)
 	replica.table = newTable(t, 1)
 	// Beyond the burst of 24 KB a byte takes 0.2 ms on this link.
-	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, 0.053, zerolog.Nop())
+	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, controlLimits, 0.053, zerolog.Nop())
 	serve(t, service, address)
 	view, fleet := startRouter(t, "router-1", proxy.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -57,6 +57,9 @@
 	return f.barrier
 }
 
+// controlLimits are the default limits of the settings.
+var controlLimits = relay.Limits{Unconditional: 8, PerDomain: 2, Max: 64}
+
 var errBarrier = errors.New("no majority")
 
 func (f *fakeReplica) setBarrier(err error) {
@@ -114,7 +117,7 @@
 }
 
 func newTestService(replica fleetsync.Source, own string) *fleetsync.Service {
-	return fleetsync.NewService(own, replica, 0, zerolog.Nop())
+	return fleetsync.NewService(own, replica, controlLimits, 0, zerolog.Nop())
 }
 
 func testServer(i int) registry.Server {
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -32,8 +32,9 @@
 
 // NewRelay returns the relay of the router with the given RPC address. linkMbps is the
 // bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewRelay(address string, source Source, linkMbps float64, log zerolog.Logger) *Relay {
-	r := &Relay{publisher: newPublisher(address, source, relay.RouterLimits, linkMbps, log), sourceLoads: newLoadCache()}
+func NewRelay(address string, source Source, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
+	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
+	r := &Relay{publisher: newPublisher(address, source, limits, linkMbps, log), sourceLoads: newLoadCache()}
 	r.tables.receivedOnly = true
 	r.quorumWaitTimeout = relayQuorumWaitTimeout
 	return r
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -88,7 +88,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	r := &relayingRouter{fleet: &serverCounter{}, address: listener.Addr().String(), gate: newGate(listener)}
 	r.view = fleetview.New(fleetview.Config{
-		Instance: name, FailureDomain: domain, Address: r.address, Seeds: seeds, Decode: decodeTestTable, Fleet: r.fleet,
+		Instance: name, FailureDomain: domain, Address: r.address, Seeds: seeds, MaxFollowers: 16, Decode: decodeTestTable, Fleet: r.fleet,
 	}, zerolog.Nop())
 	server := rpc.NewServer()
 	g.Expect(r.view.Register(server.Mux())).To(Succeed())
@@ -244,7 +244,7 @@
 // because its new source does not have it, and that its followers keep for good.
 func TestServerThatRelayDropsLeavesFollowers(t *testing.T) {
 	g := NewWithT(t)
-	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), 0, zerolog.Nop())
+	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), 16, 0, zerolog.Nop())
 	entry := registry.Entry{Server: testServer(1), LastAnnounced: time.Now()}
 	relayed.UpdateServers([]registry.Entry{entry}, nil, time.Now())
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateReady))
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -59,12 +59,12 @@
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
 // bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewService(address string, source Source, linkMbps float64, log zerolog.Logger) *Service {
+func NewService(address string, source Source, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		started: time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
 		sharePending: make(chan struct{}, 1),
 	}
-	s.publisher = newPublisher(address, source, relay.ControlLimits, linkMbps, log)
+	s.publisher = newPublisher(address, source, limits, linkMbps, log)
 	s.publisher.isSynced = s.isSynced
 	return s
 }
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -96,8 +96,10 @@
 	Seeds []string
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s, or 0 if unknown.
 	LinkMbps float64
-	Decode   routetable.Decoder
-	Fleet    Fleet
+	// MaxFollowers is the number of routers that may follow this one directly.
+	MaxFollowers int
+	Decode       routetable.Decoder
+	Fleet        Fleet
 }
 
 // New returns an empty view.
@@ -107,7 +109,7 @@
 		ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
 		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
-	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, c.LinkMbps, log)
+	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, c.MaxFollowers, c.LinkMbps, log)
 	v.addMetrics()
 	return v
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -51,7 +51,7 @@
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), log)
 	in.view = fleetview.New(fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
-		LinkMbps: s.Link.MBitPerSecond, Decode: a.DecodeTable, Fleet: in.gateway,
+		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway,
 	}, log)
 	in.gateway.SetTableSource(in.view)
 	lc.AddCheck(in.view.Ready)
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -13,14 +13,6 @@
 	Max int
 }
 
-var (
-	// ControlLimits are the limits of a control replica. Small fleets follow control
-	// directly. Two relays per failure domain leave one if the other fails.
-	ControlLimits = Limits{Unconditional: 8, PerDomain: 2, Max: 64}
-	// RouterLimits are the limits of a router that relays.
-	RouterLimits = Limits{Unconditional: 16, Max: 16}
-)
-
 // Subscriber is a router that subscribes to a source.
 type Subscriber struct {
 	Instance      string
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -48,14 +48,14 @@
 	for i := range controls {
 		address := fmt.Sprintf("control-%d", i)
 		addresses = append(addresses, address)
-		f.control[address] = &process{admission: relay.NewAdmission(relay.ControlLimits), alive: true}
+		f.control[address] = &process{admission: relay.NewAdmission(controlLimits), alive: true}
 	}
 	for i := range routers {
 		address := fmt.Sprintf("router-%d", i)
 		f.order = append(f.order, address)
 		f.routers[address] = &process{
 			subscriber: relay.Subscriber{Instance: address, FailureDomain: fmt.Sprintf("domain-%d", i%domains), Address: address},
-			admission:  relay.NewAdmission(relay.RouterLimits), selector: relay.NewSelector(address, addresses), alive: true,
+			admission:  relay.NewAdmission(routerLimits), selector: relay.NewSelector(address, addresses), alive: true,
 		}
 	}
 	return f
@@ -179,7 +179,7 @@
 			continue
 		}
 		g.Expect(len(f.path(address))-1).To(BeNumerically("<=", relay.MaxKeptDepth), "depth of %s", address)
-		g.Expect(p.admission.Len()).To(BeNumerically("<=", relay.RouterLimits.Max))
+		g.Expect(p.admission.Len()).To(BeNumerically("<=", routerLimits.Max))
 	}
 }
 
@@ -227,7 +227,7 @@
 	for _, p := range f.routers {
 		if p.admission.Len() > 0 {
 			f.leave(p)
-			p.alive, p.source, p.admission = false, "", relay.NewAdmission(relay.RouterLimits)
+			p.alive, p.source, p.admission = false, "", relay.NewAdmission(routerLimits)
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,13 +10,19 @@
 	"peridotwinch.example/peridotwinch/internal/relay"
 )
 
+// The default limits of the settings.
+var (
+	controlLimits = relay.Limits{Unconditional: 8, PerDomain: 2, Max: 64}
+	routerLimits  = relay.Limits{Unconditional: 16, Max: 16}
+)
+
 func subscriber(i int, domain string) relay.Subscriber {
 	return relay.Subscriber{Instance: fmt.Sprintf("router-%d", i), FailureDomain: domain, Address: fmt.Sprintf("10.0.0.%d:1", i)}
 }
 
 func TestSmallFleetFollowsControlDirectly(t *testing.T) {
 	g := NewWithT(t)
-	a := relay.NewAdmission(relay.ControlLimits)
+	a := relay.NewAdmission(controlLimits)
 	for i := range 8 {
 		g.Expect(a.Decide(subscriber(i, "domain-a"), nil).Admitted).To(BeTrue())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,7 @@
 	Routing      Routing    `json:"routing"`
 	Memory       Memory     `json:"memory"`
 	Link         Link       `json:"link"`
+	Relay        Relay      `json:"relay"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -268,6 +269,7 @@
 	if s.Link.MBitPerSecond < 0 {
 		v.add("link.mbitPerSecond", "must not be negative")
 	}
+	v.relay(s.Relay)
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -63,21 +63,26 @@
 	return f
 }
 
-// startRelayedFleet starts a fleet in which every control instance has a relay between its
-// peer address and the other daemons.
+// startRelayedFleet starts a fleet in which every daemon has a TCP relay between its peer
+// address and the other daemons, the control instances first. A control instance streams to one
+// router, to which it redirects the others.
 func startRelayedFleet(t *testing.T, routers int) (*fleet, []*testcluster.Relay) {
 	t.Helper()
 	f := newFleet(t, routers)
 	var relays []*testcluster.Relay
 	for _, m := range f.machines() {
-		// All daemons advertise the same peer port. For a control instance the relay listens on it.
+		// All daemons advertise the same peer port. The relay listens on it.
 		m.settings.Join.Address = m.settings.Listen.Peers
 		ip, _, err := net.SplitHostPort(m.settings.Listen.Peers)
 		f.Expect(err).NotTo(HaveOccurred())
 		m.settings.Listen.Peers = ip + ":" + f.freePort(f.subnet)
+		m.settings.Relay = settings.Relay{MaxDirect: 1, PerDomain: 1, MaxFollowers: 2}
+		if m.settings.HasRole(settings.RoleRouter) {
+			m.settings.FailureDomain = "zone-0"
+		}
 		f.prepare(m)
 	}
-	for _, m := range f.controls {
+	for _, m := range f.machines() {
 		relay, err := testcluster.NewRelayAt(m.settings.Join.Address, m.settings.Listen.Peers)
 		f.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(relay.Close)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -29,6 +29,9 @@
 	soakFaultDuration = 8 * time.Second
 	// soakRecoveryTimeout bounds each recovery from a fault: RecoveryS of the platform.
 	soakRecoveryTimeout = 12 * time.Second
+	// soakRouters is the number of routers. Each of the three control instances streams to one;
+	// the others follow routers.
+	soakRouters = 5
 	// soakClients is the number of clients. Each sends requests sequentially over keep-alive connections.
 	soakClients = 6
 )
@@ -50,7 +53,8 @@
 	}
 }
 
-// soak is the run of one seed: a fleet behind relays and the observations of its clients and workers.
+// soak is the run of one seed: a fleet behind TCP relays, whose routers relay to one another,
+// and the observations of its clients and workers.
 type soak struct {
 	*fleet
 	rng     *rand.Rand
@@ -73,7 +77,7 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	f, relays := startRelayedFleet(t, 3)
+	f, relays := startRelayedFleet(t, soakRouters)
 	s := &soak{
 		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
 		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int),
@@ -334,9 +338,9 @@
 // injectFault starts a random fault that ends on its own, unless its target is already faulty.
 func (s *soak) injectFault() {
 	duration := time.Duration(200+s.rng.IntN(1800)) * time.Millisecond
-	control, router, worker := s.rng.IntN(3), s.rng.IntN(3), s.rng.IntN(len(s.workers))
+	control, router, worker := s.rng.IntN(3), s.rng.IntN(soakRouters), s.rng.IntN(len(s.workers))
 	out, back := testcluster.Mode(s.rng.IntN(3)), testcluster.Mode(s.rng.IntN(3))
-	switch s.rng.IntN(10) {
+	switch s.rng.IntN(12) {
 	case 0: // A control instance is partitioned in one or both directions.
 		s.runFault(s.controls[control].settings.Instance, duration, func() { s.relays[control].Set(out, back) },
 			func() { s.relays[control].Set(testcluster.Forward, testcluster.Forward) })
@@ -355,6 +359,14 @@
 		s.restart(s.routers[router], syscall.SIGKILL, duration)
 	case 7:
 		s.restart(s.routers[router], syscall.SIGTERM, duration)
+	case 10: // A router is unreachable for its followers, in one or both directions.
+		s.runFault(s.routers[router].settings.Instance+" relay", duration, func() { s.relays[3+router].Set(out, back) },
+			func() { s.relays[3+router].Set(testcluster.Forward, testcluster.Forward) })
+	case 11: // Its connections are delayed, and some segments are retransmitted.
+		s.runFault(s.routers[router].settings.Instance+" relay", duration, func() {
+			s.relays[3+router].SetDelay(50 * time.Millisecond)
+			s.relays[3+router].SetLoss(0.1)
+		}, func() { s.relays[3+router].SetDelay(0); s.relays[3+router].SetLoss(0) })
 	case 9:
 		s.loseDisk(s.controls[control])
 	case 8: // A worker runs requests, but their answers are lost.
