Show how far behind the furthest router is, and through whom it follows

Cause: control knew only the routers that it streams to itself, so an operator could not see whether a change had reached the others. Routers report the number of routers below them and the one with the lowest generation with the loads that they report anyway (60 to 100 bytes each 0.7 s); status and the resource API show the sum. Ruled out: reports of every router (4 KB an exchange at the target). Test: 24 routers behind one replica are all counted.

--- a/api/change.go
+++ b/api/change.go
@@ -79,6 +79,26 @@
 	SnapshotBytes int64           `json:"snapshotBytes"`
 	Replicas      []ReplicaStatus `json:"replicas"`
 	Routers       []RouterStatus  `json:"routers"`
+	// Followers summarizes the routers that follow this instance through the fleet stream; nil
+	// if the daemons do not join by seeds.
+	Followers *FollowerStatus `json:"followers,omitempty"`
+}
+
+// FollowerStatus summarizes the routers that follow a control instance, directly or through
+// other routers.
+type FollowerStatus struct {
+	// Routers is the number of all these routers, Direct of those that the instance itself
+	// streams to.
+	Routers int `json:"routers"`
+	Direct  int `json:"direct"`
+	// Generation is the generation of the route table at the instance, and LowestGeneration
+	// the lowest one among the routers.
+	Generation       uint64 `json:"generation"`
+	LowestGeneration uint64 `json:"lowestGeneration"`
+	// LowestRouter is a router with the lowest generation, LowestPath the RPC addresses from
+	// the instance to that router.
+	LowestRouter string   `json:"lowestRouter,omitempty"`
+	LowestPath   []string `json:"lowestPath,omitempty"`
 }
 
 // RouterStatus is the last status of a router that control received.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 
 	"peridotwinch.example/peridotwinch/api"
 )
@@ -76,6 +77,12 @@
 	for _, replica := range status.Replicas {
 		fmt.Printf("  replica %016x on %s: %s\n", replica.ID, replica.Instance, replicaRole(replica))
 	}
+	if f := status.Followers; f != nil {
+		fmt.Printf("  %d routers follow at generation %d, %d of them directly\n", f.Routers, f.Generation, f.Direct)
+		if f.LowestGeneration < f.Generation {
+			fmt.Printf("  furthest behind: %s at generation %d, through %s\n", f.LowestRouter, f.LowestGeneration, strings.Join(f.LowestPath, ", "))
+		}
+	}
 	for _, router := range status.Routers {
 		fmt.Printf("  router %s in %s: revision %d, heard: %t\n", router.Instance, router.FailureDomain, router.Revision, router.Heard)
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
@@ -26,6 +27,23 @@
 	return mux
 }
 
+// followerStatus summarizes the routers that follow this instance, or returns nil if it streams
+// to none.
+func (c *Control) followerStatus(now time.Time) *api.FollowerStatus {
+	if c.fleetSync == nil {
+		return nil
+	}
+	subtree := c.fleetSync.Subtree(relay.Applied{}, now)
+	out := &api.FollowerStatus{
+		Routers: subtree.Routers, Direct: c.fleetSync.Subscribers(),
+		LowestGeneration: subtree.Lowest.Generation, LowestRouter: subtree.Lowest.Router, LowestPath: subtree.Lowest.Path,
+	}
+	if table := c.store.RouteTable(); table != nil {
+		out.Generation = table.Generation
+	}
+	return out
+}
+
 // adapterControl implements adapter.Control.
 type adapterControl struct {
 	*Control
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -181,5 +181,6 @@
 			Learner: member.Learner, Leader: member.ID == status.Leader,
 		})
 	}
+	out.Followers = c.followerStatus(time.Now())
 	return out
 }
--- a/internal/fleetsync/codec.go
+++ b/internal/fleetsync/codec.go
@@ -8,6 +8,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/flatepool"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -91,6 +92,20 @@
 	return out
 }
 
+// ToSubtree returns the message for a summary.
+func ToSubtree(s relay.Subtree) *fleetpb.Subtree {
+	return &fleetpb.Subtree{
+		Routers: uint32(max(s.Routers, 0)), LowestGeneration: s.Lowest.Generation, LowestRouter: s.Lowest.Router, LowestPath: s.Lowest.Path,
+	}
+}
+
+func fromSubtree(s *fleetpb.Subtree) relay.Subtree {
+	return relay.Subtree{
+		Routers: int(s.GetRouters()),
+		Lowest:  relay.Applied{Generation: s.GetLowestGeneration(), Router: s.GetLowestRouter(), Path: s.GetLowestPath()},
+	}
+}
+
 const (
 	// minPackedRecords is the number of records from which a list is compressed: 140 records
 	// of 95 bytes take 3 KB instead of 13.
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
@@ -47,16 +48,20 @@
 func (p *publisher) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
 	path := p.path()
 	if !path.CanAdmit(request.GetAddress()) {
+		countSubscription("refused")
 		return stream.Send(&fleetpb.FollowEvent{Refusal: fleetpb.Refusal_REFUSAL_PATH})
 	}
 	verdict := p.decide(request)
 	if !verdict.Admitted {
 		if len(verdict.Redirect) == 0 || !path.CanRedirect() {
+			countSubscription("refused")
 			return stream.Send(&fleetpb.FollowEvent{Refusal: fleetpb.Refusal_REFUSAL_FULL})
 		}
+		countSubscription("redirected")
 		p.log.Debug().Str("router", request.GetInstance()).Strs("relays", verdict.Redirect).Msg("router redirected to relays")
 		return stream.Send(&fleetpb.FollowEvent{Redirect: verdict.Redirect})
 	}
+	countSubscription("admitted")
 	defer p.release(verdict.ID)
 	if err := stream.Send(&fleetpb.FollowEvent{Accepted: true}); err != nil {
 		return err
@@ -75,6 +80,11 @@
 	return err
 }
 
+// countSubscription counts a request for a stream by its result.
+func countSubscription(result string) {
+	metrics.GetOrCreateCounter(`peridotwinch_fleet_subscriptions_total{result="` + result + `"}`).Inc()
+}
+
 func (p *publisher) decide(request *fleetpb.FollowRequest) relay.Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -106,5 +106,6 @@
 func (p *publisher) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
 	p.loads.merge(request.GetLoads(), now)
+	p.recordSubtree(request, now)
 	return &fleetpb.ReportResponse{Loads: ToLoads(p.loads.recent(now, LoadReportInterval+reportSlack), now)}, nil
 }
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -70,6 +70,7 @@
 
 	mu        sync.Mutex
 	admission *relay.Admission
+	subtrees  *relay.Subtrees
 	table     *registry.Table
 	changed   chan struct{}
 	// cachedRecords holds, by base revision, the records that changed between that
@@ -83,7 +84,7 @@
 		log: log, ownAddress: address, source: source, loads: newLoadCache(),
 		barrier: newSharedCall(source.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
 		isSynced: func() bool { return true }, quorumWaitTimeout: quorumWaitTimeout,
-		admission: relay.NewAdmission(limits), table: registry.New(), changed: make(chan struct{}),
+		admission: relay.NewAdmission(limits), subtrees: relay.NewSubtrees(), table: registry.New(), changed: make(chan struct{}),
 		cachedRecords: make(map[uint64]*recordList),
 	}
 }
@@ -100,6 +101,20 @@
 	return p.admission.Len()
 }
 
+// Subtree returns the summary of the routers that follow this process, directly or through
+// relays, and of one more router unless its name is empty.
+func (p *publisher) Subtree(own relay.Applied, now time.Time) relay.Subtree {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.subtrees.Sum(own, now)
+}
+
+func (p *publisher) recordSubtree(request *fleetpb.ReportRequest, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.subtrees.Record(request.GetInstance(), fromSubtree(request.GetSubtree()), now)
+}
+
 // Confirm implements the Confirm RPC of the Fleet service.
 func (p *publisher) Confirm(ctx context.Context, _ *fleetpb.ConfirmRequest) (*fleetpb.ConfirmResponse, error) {
 	if err := p.awaitReadBarrier(ctx); err != nil {
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -75,6 +75,7 @@
 func (r *Relay) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
 	r.loads.merge(request.GetLoads(), now)
+	r.recordSubtree(request, now)
 	loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
 	for server, load := range r.loads.recent(now, LoadReportInterval+reportSlack) {
 		if load.ReportedAt.After(loads[server].ReportedAt) {
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -16,6 +16,7 @@
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/fleetview"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -143,6 +144,20 @@
 	}
 }
 
+// TestControlKnowsAllRouters guards against a status that shows only the routers that control
+// streams to itself.
+func TestControlKnowsAllRouters(t *testing.T) {
+	g := NewWithT(t)
+	replica, service, _, _ := startRelayedFleet(t, 24)
+	subtree := func() relay.Subtree { return service.Subtree(relay.Applied{}, time.Now()) }
+	routers := func() int { return subtree().Routers }
+	lowest := func() uint64 { return subtree().Lowest.Generation }
+	g.Eventually(routers, 5*time.Second, 20*time.Millisecond).Should(Equal(24))
+	g.Expect(subtree().Lowest.Path).NotTo(BeEmpty())
+	replica.setTable(newTable(t, 2))
+	g.Eventually(lowest, 5*time.Second, 20*time.Millisecond).Should(Equal(uint64(2)))
+}
+
 // TestDeltasPassThroughRelays guards against relays that send the whole table for a change of
 // one route.
 func TestDeltasPassThroughRelays(t *testing.T) {
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -8,6 +8,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
@@ -30,6 +31,15 @@
 	return nil
 }
 
+// applied returns what this router applies.
+func (v *View) applied() relay.Applied {
+	out := relay.Applied{Router: v.instance, Path: (&viewSource{v}).Upstream()}
+	if table := v.Table(); table != nil {
+		out.Generation = table.Generation
+	}
+	return out
+}
+
 // exchangeLoads reports the loads that this router and its followers have received since the
 // last report, and records those in the source's response.
 func (v *View) exchangeLoads(ctx context.Context, interval time.Duration) error {
@@ -44,7 +54,10 @@
 			loads[server] = load
 		}
 	}
-	request := &fleetpb.ReportRequest{Instance: v.instance, Loads: fleetsync.ToLoads(loads, now)}
+	request := &fleetpb.ReportRequest{
+		Instance: v.instance, Loads: fleetsync.ToLoads(loads, now),
+		Subtree: fleetsync.ToSubtree(v.relay.Subtree(v.applied(), now)),
+	}
 	return v.callSource(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		response, err := fleetpb.NewDRPCFleetClient(conn).Report(ctx, request)
 		if err != nil {
