Keep a claim that met a holder as held in later rounds

Cause: claim.contended was set on one round's claim and never read by the next, so a claim whose time ended in a later round without a majority was reported as unavailable although it had met a holder. A test with a fake replica fails before (verdict 4 in place of 3) and passes 20 times under the race detector; the listed test passes 6 times beside a load of 12.

--- a/internal/ledger/quorum/claim.go
+++ b/internal/ledger/quorum/claim.go
@@ -14,7 +14,8 @@
 type claim struct {
 	view    *view
 	request ledger.ClaimRequest
-	// contended is set once another attempt had precedence for the key.
+	// contended is set once another attempt had precedence for the key, in this round or an
+	// earlier one.
 	contended bool
 }
 
--- a/internal/ledger/quorum/claim_test.go
+++ b/internal/ledger/quorum/claim_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -30,16 +32,21 @@
 }
 
 func startReleaseRecorder(t *testing.T) (*releaseRecorder, string) {
+	recorder := &releaseRecorder{released: make(chan ledger.AttemptID, 16)}
+	return recorder, serveReplica(t, recorder)
+}
+
+// serveReplica serves a fake replica until the test ends and returns its address.
+func serveReplica(t *testing.T, replica ledgerpb.DRPCLedgerServer) string {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	recorder := &releaseRecorder{released: make(chan ledger.AttemptID, 16)}
 	server := rpc.NewServer()
-	g.Expect(ledgerpb.DRPCRegisterLedger(server.Mux(), recorder)).To(Succeed())
+	g.Expect(ledgerpb.DRPCRegisterLedger(server.Mux(), replica)).To(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Serve(ctx, listener) }()
-	return recorder, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 // TestReleaseKeepsAttemptIDOfLostRound guards against a background release that
@@ -58,3 +65,46 @@
 	g.Eventually(replica.released, "60s").Should(Receive(&released))
 	g.Expect(released).To(Equal(lost))
 }
+
+// contendedReplica is a fake replica that reports the key as held to the first claim, then as
+// free, and does not answer the second claim.
+type contendedReplica struct {
+	ledgerpb.DRPCLedgerUnimplementedServer
+	claims atomic.Int32
+}
+
+// Operate implements ledgerpb.DRPCLedgerServer.
+func (r *contendedReplica) Operate(ctx context.Context, request *ledgerpb.OperateRequest) (*ledgerpb.OperateResponse, error) {
+	response := &ledgerpb.OperateResponse{}
+	for _, operation := range request.GetOperations() {
+		result := &ledgerpb.Result{Status: ledgerpb.Status_FREE}
+		if operation.GetKind() == ledgerpb.OperationKind_CLAIM {
+			if r.claims.Add(1) > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			holder := ledger.NewAttemptID()
+			result = &ledgerpb.Result{Status: ledgerpb.Status_HELD, Holder: holder[:]}
+		}
+		response.Results = append(response.Results, result)
+	}
+	return response, nil
+}
+
+// TestClaimThatMetAHolderEndsAsHeld guards against a claim that is reported as unavailable
+// because its time ends in a round after the one that met the holder.
+func TestClaimThatMetAHolderEndsAsHeld(t *testing.T) {
+	g := NewWithT(t)
+	replica := &contendedReplica{}
+	address := serveReplica(t, replica)
+	list := ledger.MemberList{Members: []string{"one"}, Addresses: []string{address}}
+	c := &Claimer{
+		customerGroups: []*group{newGroup(ledger.FleetGroup, 0, list, nil)},
+		granted:        make(map[ledger.AttemptID]ledger.ClaimRequest),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	decision := c.Claim(ctx, ledger.Key{Customer: "c", Value: "k"}, ledger.NewAttemptID(), ledger.Digest{})
+	g.Expect(replica.claims.Load()).To(BeNumerically(">", 1), "the claim has reached its second round")
+	g.Expect(decision.Verdict).To(Equal(ledger.VerdictHeld))
+}
--- a/internal/ledger/quorum/claimer.go
+++ b/internal/ledger/quorum/claimer.go
@@ -79,10 +79,12 @@
 		return ledger.Decision{Verdict: ledger.VerdictUnavailable}
 	}
 	request.Digest = digest
+	contended := false
 	for round := uint64(0); ; round++ {
 		request.Attempt = roundAttemptID(attempt, round)
-		claim := &claim{view: g.currentView(), request: request}
+		claim := &claim{view: g.currentView(), request: request, contended: contended}
 		decision, decided := claim.runRound(ctx)
+		contended = claim.contended
 		if decision.Verdict == ledger.VerdictGranted {
 			c.recordGrant(attempt, request)
 		}
