--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -1,6 +1,9 @@
 package fleetsync
 
-import "peridotwinch.example/peridotwinch/internal/registry"
+import (
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
 
 // IsSynced reports whether the service accepts router streams as far as synchronization goes.
 func (s *Service) IsSynced() bool { return s.isSynced() }
@@ -12,3 +15,8 @@
 	e, _ := p.table.Get(id)
 	return e.State
 }
+
+// Admit admits a router as if it had subscribed.
+func (p *publisher) Admit(instance string) {
+	p.decide(&fleetpb.FollowRequest{Instance: instance})
+}
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -88,9 +88,14 @@
 func (p *publisher) decide(request *fleetpb.FollowRequest) relay.Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.admission.Decide(relay.Subscriber{
+	isFirst := p.admission.Len() == 0
+	verdict := p.admission.Decide(relay.Subscriber{
 		Instance: request.GetInstance(), FailureDomain: request.GetFailureDomain(), Address: request.GetAddress(),
 	}, request.GetFailed())
+	if verdict.Admitted && isFirst && p.onFirstSubscriber != nil {
+		p.onFirstSubscriber()
+	}
+	return verdict
 }
 
 func (p *publisher) release(id uint64) {
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -65,6 +65,8 @@
 	pacer         *pacer
 	// isSynced reports whether the registry is complete.
 	isSynced func() bool
+	// onFirstSubscriber is called with mu held when a first router is admitted; it may be nil.
+	onFirstSubscriber func()
 	// quorumWaitTimeout is how long a new stream is held while the source has no quorum.
 	quorumWaitTimeout time.Duration
 
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -25,16 +25,20 @@
 // Relay streams to other routers what a router has received. It is safe for concurrent use.
 type Relay struct {
 	*publisher
+	// servers returns all servers of the router.
+	servers func() []registry.Entry
 	// sourceLoads holds the loads received from the source. They are not reported back to
 	// it: with the delay of the way they would look newer than they are.
 	sourceLoads *loadCache
 }
 
-// NewRelay returns the relay of the router with the given RPC address. linkMbps is the
-// bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewRelay(address string, source Source, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
+// NewRelay returns the relay of the router with the given RPC address. servers returns all
+// servers of the router. linkMbps is the bandwidth of the instance's link in Mbit/s; 0 means
+// unknown and disables pacing.
+func NewRelay(address string, source Source, servers func() []registry.Entry, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
 	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
-	r := &Relay{publisher: newPublisher(address, source, limits, linkMbps, log), sourceLoads: newLoadCache()}
+	r := &Relay{publisher: newPublisher(address, source, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache()}
+	r.onFirstSubscriber = r.fillTable
 	r.tables.receivedOnly = true
 	r.quorumWaitTimeout = relayQuorumWaitTimeout
 	return r
@@ -51,11 +55,30 @@
 // SetTable records a table in force on this router.
 func (r *Relay) SetTable(version *TableVersion) { r.tables.record(version) }
 
-// UpdateServers publishes changed entries of the router, and marks those as gone that the
-// router has dropped.
+// fillTable updates the registry when the router gets its first follower; the caller holds mu.
+// Most routers have no followers and need no registry.
+func (r *Relay) fillTable() {
+	present := make(map[string]bool)
+	for _, e := range r.servers() {
+		present[e.ID] = true
+		r.table.Replace(e)
+	}
+	for _, e := range r.table.Since(0) {
+		if !present[e.ID] && e.State != registry.StateGone {
+			e.State, e.LastAnnounced = registry.StateGone, time.Now()
+			r.table.Replace(e)
+		}
+	}
+}
+
+// UpdateServers publishes changed entries of the router to its followers, and marks those as
+// gone that the router has dropped.
 func (r *Relay) UpdateServers(changed []registry.Entry, dropped []registry.Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.admission.Len() == 0 {
+		return
+	}
 	before := r.table.Revision()
 	for _, e := range changed {
 		r.table.Replace(e)
@@ -91,13 +114,10 @@
 	return r.loads.recent(now, within+reportSlack)
 }
 
-// RecordSourceLoads records the loads in the source's response to a report.
-func (r *Relay) RecordSourceLoads(message *fleetpb.Loads, now time.Time) {
-	r.sourceLoads.merge(message, now)
-}
-
-// RecordOwnLoads records the loads that servers have reported to this router, for its
-// followers.
-func (r *Relay) RecordOwnLoads(loads map[uint64]ServerLoad, now time.Time) {
-	r.sourceLoads.mergeLoads(loads, now)
+// RecordLoads records loads for the followers, if there are any: those that servers have
+// reported to this router, or those in the source's response to a report.
+func (r *Relay) RecordLoads(loads map[uint64]ServerLoad, now time.Time) {
+	if r.Subscribers() > 0 {
+		r.sourceLoads.mergeLoads(loads, now)
+	}
 }
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -259,9 +259,12 @@
 // because its new source does not have it, and that its followers keep for good.
 func TestServerThatRelayDropsLeavesFollowers(t *testing.T) {
 	g := NewWithT(t)
-	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), 16, 0, zerolog.Nop())
 	entry := registry.Entry{Server: testServer(1), LastAnnounced: time.Now()}
+	servers := func() []registry.Entry { return []registry.Entry{entry} }
+	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), servers, 16, 0, zerolog.Nop())
 	relayed.UpdateServers([]registry.Entry{entry}, nil, time.Now())
+	g.Expect(relayed.StateOf(entry.ID)).To(BeZero(), "no follower yet")
+	relayed.Admit("router-1")
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateReady))
 	relayed.UpdateServers(nil, []registry.Entry{entry}, time.Now())
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateGone))
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -109,7 +109,7 @@
 		ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
 		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
-	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, c.MaxFollowers, c.LinkMbps, log)
+	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, v.entries, c.MaxFollowers, c.LinkMbps, log)
 	v.addMetrics()
 	return v
 }
@@ -176,6 +176,13 @@
 	return nil
 }
 
+// entries returns all servers of the router.
+func (v *View) entries() []registry.Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Values(v.servers))
+}
+
 // startFollowing records the source of a new stream at its first event; the caller holds mu.
 func (v *View) startFollowing(source relay.Source, event *fleetpb.FollowEvent, now time.Time) {
 	v.followed = source
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -47,7 +47,7 @@
 	defer cancel()
 	now := time.Now()
 	own := v.fleet.TakeLoadReports()
-	v.relay.RecordOwnLoads(own, now)
+	v.relay.RecordLoads(own, now)
 	loads := v.relay.FollowerLoads(now, interval)
 	for server, load := range own {
 		if load.ReportedAt.After(loads[server].ReportedAt) {
@@ -64,8 +64,8 @@
 			return err
 		}
 		now := time.Now()
-		v.relay.RecordSourceLoads(response.GetLoads(), now)
 		peers := fleetsync.FromLoads(response.GetLoads(), now)
+		v.relay.RecordLoads(peers, now)
 		for server, load := range v.relay.FollowerLoads(now, interval) {
 			if load.ReportedAt.After(peers[server].ReportedAt) {
 				peers[server] = load
