Wait until a suspended test process has stopped

Cause: TestReadWithoutMajorityIsRefused failed in 2 of 8 runs at a load of 24 with 200 in place of 503: SIGSTOP had been sent to two of three control instances, and both still confirmed the read, which was right. Ruled out: a read without a majority; with processes that have stopped it is refused 72 times of 72. Suspend now waits for the stopped state. Only the test harness changes.

--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"peridotwinch.example/peridotwinch/internal/adapter"
 	"peridotwinch.example/peridotwinch/internal/cli"
@@ -148,8 +149,22 @@
 	return nil
 }
 
-// Suspend suspends the process with SIGSTOP.
-func (p *Process) Suspend() error { return p.Signal(syscall.SIGSTOP) }
+// Suspend suspends the process with SIGSTOP, and returns once all its threads have stopped: on
+// a busy machine they run on for a while after the signal was sent.
+func (p *Process) Suspend() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if err != unix.EINTR {
+			return errors.Wrapf(err, "wait until process %s is suspended", p.Name)
+		}
+	}
+}
 
 // Resume resumes a suspended process with SIGCONT.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
