--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -40,11 +40,11 @@
 const changeBatchDelay = 40 * time.Millisecond
 
 // Follow implements the Follow RPC of the Fleet service. It redirects the router to relays if
-// this process serves enough routers. If the source has had no quorum for quorumLossGrace,
-// the stream marks its events stale and continues: replicas share server
+// this process serves as many routers as it may. If the source has had no quorum for
+// quorumLossGrace, the stream marks its events stale and continues: replicas share server
 // changes without a quorum, and the router leaves once it has found another source. Follow
 // returns errNoQuorum if the source is not synchronized or has no quorum within
-// the wait timeout, or loses its quorum for longer than maxStaleness.
+// quorumWaitTimeout, or loses its quorum for longer than maxStaleness.
 func (p *publisher) Follow(request *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
 	path := p.path()
 	if !path.CanAdmit(request.GetAddress()) {
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// AddNewerLoads adds to loads those of other that are newer or that loads lacks.
+func AddNewerLoads(loads, other map[uint64]ServerLoad) {
+	for server, load := range other {
+		if load.ReportedAt.After(loads[server].ReportedAt) {
+			loads[server] = load
+		}
+	}
+}
+
 // recent returns the loads that were received within the given time before now, and evicts
 // loads older than MaxLoadAge. A caller with a regular interval has received the other loads
 // with earlier calls.
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -28,7 +28,7 @@
 	// servers returns all servers of the router.
 	servers func() []registry.Entry
 	// sourceLoads holds the loads received from the source. They are not reported back to
-	// it: with the delay of the way they would look newer than they are.
+	// it: the network delay would make them look newer than they are.
 	sourceLoads *loadCache
 }
 
@@ -73,7 +73,7 @@
 
 // UpdateServers publishes changed entries of the router to its followers, and marks those as
 // gone that the router has dropped.
-func (r *Relay) UpdateServers(changed []registry.Entry, dropped []registry.Entry, now time.Time) {
+func (r *Relay) UpdateServers(changed, dropped []registry.Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.admission.Len() == 0 {
@@ -100,11 +100,7 @@
 	r.loads.merge(request.GetLoads(), now)
 	r.recordSubtree(request, now)
 	loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
-	for server, load := range r.loads.recent(now, LoadReportInterval+reportSlack) {
-		if load.ReportedAt.After(loads[server].ReportedAt) {
-			loads[server] = load
-		}
-	}
+	AddNewerLoads(loads, r.loads.recent(now, LoadReportInterval+reportSlack))
 	return &fleetpb.ReportResponse{Loads: ToLoads(loads, now)}, nil
 }
 
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -43,7 +43,7 @@
 	lastEvent atomic.Pointer[time.Time]
 	// version is the table in force as followers of this router receive it.
 	version atomic.Pointer[fleetsync.TableVersion]
-	// declared is the declared source of the table in force, to which deltas apply. Only
+	// declared is the declared form of the table in force, to which deltas apply. Only
 	// the goroutine that follows uses it.
 	declared []byte
 	// ownAddress is the router's RPC address.
@@ -56,7 +56,7 @@
 	seeds    []string
 	// path is the path from a control replica to the followed source.
 	path relay.Path
-	// subscriptions are notified of changes; see Subscribe.
+	// subscriptions are notified of changes; see subscribe.
 	subscriptions map[chan struct{}]bool
 	// upstream is the client of the followed source.
 	upstream *rpc.Client
@@ -284,7 +284,7 @@
 
 // mergeServer merges a server record and reports whether it did. It drops a record of an
 // older incarnation, and one that has both a lower sequence number and an earlier state. It
-// logs a change, at debug level if the record is one of many at a start of a stream.
+// logs a change, at debug level if the record is part of a stream's first event.
 func (v *View) mergeServer(e registry.Entry, isFirst bool) bool {
 	known, ok := v.servers[e.ID]
 	v.confirmed[e.ID] = true
--- a/internal/fleetview/follow.go
+++ b/internal/fleetview/follow.go
@@ -132,7 +132,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if errors.Is(err, errPath) {
-		v.selector.TooDeep()
+		v.selector.RefusedForPath()
 		return false
 	}
 	if refusal := (*refusalError)(nil); errors.As(err, &refusal) {
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -16,8 +16,8 @@
 const reportTimeout = 400 * time.Millisecond
 
 // ReportLoads exchanges the servers' loads with the followed source periodically until
-// ctx is done. A router that relays does so twice as often, so that the way through it adds
-// less to the loads' age.
+// ctx is done. A router that relays does so twice as often, because each hop adds to the age
+// of the loads.
 func (v *View) ReportLoads(ctx context.Context) error {
 	for interval := fleetsync.LoadReportInterval; actor.Sleep(ctx, interval); {
 		interval = fleetsync.LoadReportInterval
@@ -49,11 +49,7 @@
 	own := v.fleet.TakeLoadReports()
 	v.relay.RecordLoads(own, now)
 	loads := v.relay.FollowerLoads(now, interval)
-	for server, load := range own {
-		if load.ReportedAt.After(loads[server].ReportedAt) {
-			loads[server] = load
-		}
-	}
+	fleetsync.AddNewerLoads(loads, own)
 	request := &fleetpb.ReportRequest{
 		Instance: v.instance, Loads: fleetsync.ToLoads(loads, now),
 		Subtree: fleetsync.ToSubtree(v.relay.Subtree(v.applied(), now)),
@@ -66,11 +62,7 @@
 		now := time.Now()
 		peers := fleetsync.FromLoads(response.GetLoads(), now)
 		v.relay.RecordLoads(peers, now)
-		for server, load := range v.relay.FollowerLoads(now, interval) {
-			if load.ReportedAt.After(peers[server].ReportedAt) {
-				peers[server] = load
-			}
-		}
+		fleetsync.AddNewerLoads(peers, v.relay.FollowerLoads(now, interval))
 		v.fleet.RecordPeerLoads(peers)
 		return nil
 	})
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if !path.CanAdmit(address) {
-		p.selector.TooDeep()
+		p.selector.RefusedForPath()
 		return
 	}
 	verdict := target.admission.Decide(p.subscriber, p.selector.FailedRelays(f.now))
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -124,9 +124,10 @@
 	return false
 }
 
-// TooDeep records that a relay is too far from control to serve the router: so are those
-// that follow the same source, and a control replica is tried next.
-func (s *Selector) TooDeep() { s.untried = nil }
+// RefusedForPath records that a relay is too far from control to serve the router, or follows
+// the router. The other relays of the last redirection are likely to be so too, and a control
+// replica is tried next.
+func (s *Selector) RefusedForPath() { s.untried = nil }
 
 func (s *Selector) controlFailed() (exhausted bool) {
 	s.nextControl++
