--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -246,7 +246,8 @@
 		line = line.Dur("loadAge", lease.choice.Age)
 	}
 	if len(c.in.PromptParts) > 0 {
-		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
+		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
+			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
 	}
 	return line
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,6 +53,18 @@
 	return strconv.FormatUint(key, 16)
 }
 
+// promptPartIDs returns the IDs of a prompt's parts in order, separated by commas, for the log.
+func promptPartIDs(parts []placement.PromptPart) string {
+	var out []byte
+	for i, part := range parts {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = strconv.AppendUint(out, part.ID, 16)
+	}
+	return string(out)
+}
+
 func totalTokens(parts []placement.PromptPart) (sum int) {
 	for _, part := range parts {
 		sum += part.Tokens
