--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/internal/gateway"
+	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
@@ -27,6 +28,10 @@
 
 func (testDialect) ParseRequest(r *http.Request) gateway.Inbound {
 	in := gateway.Inbound{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	for field := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		id, _ := strconv.ParseUint(field, 16, 64)
+		in.PromptParts = append(in.PromptParts, placement.PromptPart{ID: id, Tokens: 100})
+	}
 	if ms, err := strconv.Atoi(r.Header.Get("Wait")); err == nil {
 		in.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -34,7 +39,7 @@
 }
 
 func (testDialect) Forward(header http.Header, out gateway.Outbound) http.Header {
-	forward := http.Header{"Id": header["Id"], "Wait": {strconv.FormatInt(out.Timeout.Milliseconds(), 10)}, "Expect-Id": {out.ServerID}}
+	forward := http.Header{"Id": header["Id"], "Parts": header["Parts"], "Wait": {strconv.FormatInt(out.Timeout.Milliseconds(), 10)}, "Expect-Id": {out.ServerID}}
 	if out.LastEventID != "" {
 		forward.Set("Last", out.LastEventID)
 	}
@@ -55,6 +60,17 @@
 	listener    net.Listener
 	mu          sync.Mutex
 	receivedIDs []string
+	conns       []net.Conn
+}
+
+// end closes the listener and all connections, as the end of the server's process does.
+func (s *testServer) end() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
 }
 
 // startTestServer starts a server. handle receives each request with its sequence number on
@@ -73,6 +89,9 @@
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
 			go s.serve(conn, handle)
 		}
 	}()
@@ -143,22 +162,33 @@
 
 // startGateway starts a gateway for the servers and returns its URL.
 func startGateway(t *testing.T, table *routetable.Table, servers ...*testServer) string {
+	t.Helper()
+	_, url := startUpdatableGateway(t, table, servers...)
+	return url
+}
+
+// startUpdatableGateway starts a gateway for the servers and returns it with its URL.
+func startUpdatableGateway(t *testing.T, table *routetable.Table, servers ...*testServer) (*gateway.Gateway, string) {
 	t.Helper()
 	g := gateway.New("zone", testDialect{}, 0, zerolog.Nop())
 	g.SetTableSource(staticTable{table})
+	g.SetServers(entriesOf(servers))
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = g.Run(ctx) }()
+	return g, server.URL
+}
+
+func entriesOf(servers []*testServer) []registry.Entry {
 	var entries []registry.Entry
 	for _, s := range servers {
 		entries = append(entries, registry.Entry{Server: registry.Server{
 			ID: s.id, Pool: "p", Address: s.listener.Addr().String(), Domain: "zone", Slots: 4, State: registry.StateReady,
 		}})
 	}
-	g.SetServers(entries)
-	server := httptest.NewServer(g)
-	t.Cleanup(server.Close)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = g.Run(ctx) }()
-	return server.URL
+	return entries
 }
 
 type answer struct {
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,102 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	commonPart  = "a1"
+	subjectPart = "b2"
+	deadlyPart  = "dead"
+)
+
+// fragileServers are servers that end when they begin to answer a prompt with the deadly part.
+type fragileServers struct {
+	mu       sync.Mutex
+	alive    []*testServer
+	ended    int
+	received int
+	// onEnd is called with the remaining servers after each end.
+	onEnd func(alive []*testServer)
+}
+
+func startFragileServers(t *testing.T, count int) *fragileServers {
+	f := &fragileServers{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range count {
+		var s *testServer
+		s = startTestServer(t, fmt.Sprint("s-", i), func(_ int, conn net.Conn, r *http.Request) bool {
+			writeStreamHead(conn, r)
+			if strings.Contains(r.Header.Get("Parts"), deadlyPart) {
+				time.Sleep(10 * time.Millisecond)
+				f.end(s)
+				return false
+			}
+			writeChunk(conn, eventText(1, 10))
+			writeChunk(conn, "")
+			return true
+		})
+		f.alive = append(f.alive, s)
+	}
+	return f
+}
+
+// end ends a server that has received a request with the deadly part.
+func (f *fragileServers) end(s *testServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received++
+	s.end()
+	if i := slices.Index(f.alive, s); i >= 0 {
+		f.ended++
+		f.alive = slices.Delete(f.alive, i, i+1)
+		f.onEnd(f.alive)
+	}
+}
+
+// counts returns the numbers of servers that ended and of requests with the deadly part.
+func (f *fragileServers) counts() (ended, received int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended, f.received
+}
+
+// TestRequestsWithPromptPartThatEndsServersAreWithheld guards against requests with one prompt
+// part that end one server after the other: every new request is sent to a sound server.
+func TestRequestsWithPromptPartThatEndsServersAreWithheld(t *testing.T) {
+	g := NewWithT(t)
+	servers := startFragileServers(t, 60)
+	gw, url := startUpdatableGateway(t, newTable(t), servers.alive...)
+	servers.onEnd = func(alive []*testServer) { gw.SetServers(entriesOf(alive)) }
+	sendParts := func(parts ...string) answer { return send(t, url, "/resume/x", "Parts", strings.Join(parts, " ")) }
+	for i := range 5 {
+		sendParts(commonPart, subjectPart, deadlyPart, fmt.Sprint("e", i))
+		sendParts(commonPart, subjectPart, fmt.Sprint("f", i))
+	}
+	_, before := servers.counts()
+	soundAnswers := 0
+	for i := range 20 {
+		got := sendParts(commonPart, subjectPart, deadlyPart, fmt.Sprint("1e", i))
+		g.Expect(got.status).To(Or(Equal(503), Equal(502)))
+		if sendParts(commonPart, subjectPart, fmt.Sprint("1f", i)).body == eventText(1, 10) {
+			soundAnswers++
+		}
+	}
+	_, after := servers.counts()
+	g.Expect(after-before).To(BeNumerically("<=", 3), "requests with the part after five others")
+	g.Expect(soundAnswers).To(BeNumerically(">=", 10), "answers to sound prompts with the same other parts")
+	got := sendParts(commonPart, subjectPart, deadlyPart, "2e")
+	g.Expect(got.status).To(Equal(503))
+	g.Expect(got.body).To(ContainSubstring(`"outcome":"not_run"`))
+	g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+}
