--- a/api/code.go
+++ b/api/code.go
@@ -57,6 +57,7 @@
 	CodeLedgerNoMajority Code = 3024
 	CodeDrainCut         Code = 3030
 	CodeAnswerNotKept    Code = 3031
+	CodePromptWithheld   Code = 3032
 	CodeAnnouncement     Code = 4001
 	CodeFencingTokenOld  Code = 4010
 	CodeLoadMixInvalid   Code = 4011
@@ -133,6 +134,7 @@
 	{CodeLedgerNoMajority, "ledger_no_majority", http.StatusServiceUnavailable, ExitUnreachable, "No majority of the group's old members is active; no change was committed; run the command again."},
 	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown aborted requests in progress."},
 	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for retries."},
+	{CodePromptWithheld, "prompt_withheld", http.StatusServiceUnavailable, ExitRefused, "Backend servers have ended one after the other while they began to answer prompts with one part of this prompt; it is not sent to further ones until the time in Retry-After."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
 	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the load description is not valid."},
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +77,12 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Cause }
 
+// IsClosedByServer reports whether a send or the read of an answer failed because the server
+// closed the connection, and not because of a timeout or of this process.
+func IsClosedByServer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Client keeps a pool of connections to all servers. It is safe for concurrent use.
 type Client struct {
 	mu   sync.Mutex
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,7 @@
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/configpb"
 	"peridotwinch.example/peridotwinch/internal/settings"
@@ -89,7 +90,7 @@
 	if selectedAdapter != nil {
 		c.adapter = selectedAdapter
 		limits := relay.Limits{Unconditional: s.Relay.Direct(), PerDomain: s.Relay.DomainRelays(), Max: settings.MaxStreams}
-		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, limits, s.Link.MBitPerSecond, log)
+		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, quarantine.NewStore(s.Instance, log), limits, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -142,7 +142,9 @@
 	stream     fleetpb.DRPCFleet_FollowStream
 	generation uint64
 	revision   uint64
-	lastSent   time.Time
+	// lossRevision is the revision of the losses that the router has.
+	lossRevision uint64
+	lastSent     time.Time
 	// knownDigests holds the digests of the router's records when it subscribed, by the
 	// hash of the server's ID; nil once the first event was prepared.
 	knownDigests map[uint64]uint32
@@ -240,7 +242,9 @@
 	if err != nil {
 		return nil, err
 	}
-	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || !records.isEmpty()
+	losses, lossRevision := r.publisher.losses.SinceWithRevision(r.lossRevision)
+	r.lossRevision, event.Losses = lossRevision, toLosses(losses, time.Now())
+	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || !records.isEmpty() || len(losses) > 0
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -75,7 +75,7 @@
 // test ends.
 func startRouter(t *testing.T, name string, seeds ...string) (*fleetview.View, *serverCounter) {
 	fleet := &serverCounter{}
-	view := fleetview.New(fleetview.Config{Instance: name, FailureDomain: "domain-a", Seeds: seeds, Decode: decodeTestTable, Fleet: fleet}, zerolog.Nop())
+	view := fleetview.New(fleetview.Config{Instance: name, FailureDomain: "domain-a", Seeds: seeds, Decode: decodeTestTable, Fleet: fleet, Losses: newTestLosses()}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = view.Run(ctx) }()
@@ -314,7 +314,7 @@
 	replica := newFakeReplica(address)
 	replica.table = newTable(t, 1)
 	// Beyond the burst of 24 KB a byte takes 0.2 ms on this link.
-	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, controlLimits, 0.053, zerolog.Nop())
+	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, newTestLosses(), controlLimits, 0.053, zerolog.Nop())
 	serve(t, service, address)
 	view, fleet := startRouter(t, "router-1", proxy.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
@@ -117,9 +118,15 @@
 }
 
 func newTestService(replica fleetsync.Source, own string) *fleetsync.Service {
-	return fleetsync.NewService(own, replica, controlLimits, 0, zerolog.Nop())
+	return newTestServiceWithLosses(replica, newTestLosses(), own)
 }
 
+func newTestServiceWithLosses(replica fleetsync.Source, losses *quarantine.Store, own string) *fleetsync.Service {
+	return fleetsync.NewService(own, replica, losses, controlLimits, 0, zerolog.Nop())
+}
+
+func newTestLosses() *quarantine.Store { return quarantine.NewStore("test", zerolog.Nop()) }
+
 func testServer(i int) registry.Server {
 	return registry.Server{
 		ID: fmt.Sprintf("i-%010d", i), StartedMS: int64(1000 + i), Sequence: 1, Pool: "pool-a",
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
@@ -58,6 +59,7 @@
 	ownAddress string
 	source     Source
 	loads      *loadCache
+	losses     *quarantine.Store
 	tables     tableHistory
 	barrier    *sharedCall
 	// openSemaphore limits how many streams send their first event concurrently.
@@ -81,14 +83,16 @@
 	cachedRevision uint64
 }
 
-func newPublisher(address string, source Source, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
-	return &publisher{
-		log: log, ownAddress: address, source: source, loads: newLoadCache(),
+func newPublisher(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
+	p := &publisher{
+		log: log, ownAddress: address, source: source, loads: newLoadCache(), losses: losses,
 		barrier: newSharedCall(source.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
 		isSynced: func() bool { return true }, quorumWaitTimeout: quorumWaitTimeout,
 		admission: relay.NewAdmission(limits), subtrees: relay.NewSubtrees(), table: registry.New(), changed: make(chan struct{}),
 		cachedRecords: make(map[uint64]*recordList),
 	}
+	losses.OnChange(p.wakeStreams)
+	return p
 }
 
 // path returns the path from the control replica to this process.
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
@@ -35,9 +36,9 @@
 // NewRelay returns the relay of the router with the given RPC address. servers returns all
 // servers of the router. linkMbps is the bandwidth of the instance's link in Mbit/s; 0 means
 // unknown and disables pacing.
-func NewRelay(address string, source Source, servers func() []registry.Entry, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
+func NewRelay(address string, source Source, servers func() []registry.Entry, losses *quarantine.Store, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
 	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
-	r := &Relay{publisher: newPublisher(address, source, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache()}
+	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache()}
 	r.onFirstSubscriber = r.fillTable
 	r.tables.receivedOnly = true
 	r.quorumWaitTimeout = relayQuorumWaitTimeout
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -15,6 +15,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/fleetview"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
@@ -25,6 +26,7 @@
 type relayingRouter struct {
 	view    *fleetview.View
 	fleet   *serverCounter
+	losses  *quarantine.Store
 	address string
 	gate    *gate
 	stop    func()
@@ -87,9 +89,9 @@
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	r := &relayingRouter{fleet: &serverCounter{}, address: listener.Addr().String(), gate: newGate(listener)}
+	r := &relayingRouter{fleet: &serverCounter{}, losses: newTestLosses(), address: listener.Addr().String(), gate: newGate(listener)}
 	r.view = fleetview.New(fleetview.Config{
-		Instance: name, FailureDomain: domain, Address: r.address, Seeds: seeds, MaxFollowers: 16, Decode: decodeTestTable, Fleet: r.fleet,
+		Instance: name, FailureDomain: domain, Address: r.address, Seeds: seeds, MaxFollowers: 16, Decode: decodeTestTable, Fleet: r.fleet, Losses: r.losses,
 	}, zerolog.Nop())
 	server := rpc.NewServer()
 	g.Expect(r.view.Register(server.Mux())).To(Succeed())
@@ -98,6 +100,7 @@
 	running.Go(func() { _ = server.Serve(ctx, r.gate) })
 	running.Go(func() { _ = r.view.Run(ctx) })
 	running.Go(func() { _ = r.view.ReportLoads(ctx) })
+	running.Go(func() { _ = r.view.ReportLosses(ctx) })
 	r.stop = sync.OnceFunc(func() {
 		r.gate.setClosed(false)
 		cancel()
@@ -261,7 +264,7 @@
 	g := NewWithT(t)
 	entry := registry.Entry{Server: testServer(1), LastAnnounced: time.Now()}
 	servers := func() []registry.Entry { return []registry.Entry{entry} }
-	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), servers, 16, 0, zerolog.Nop())
+	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), servers, newTestLosses(), 16, 0, zerolog.Nop())
 	relayed.UpdateServers([]registry.Entry{entry}, nil, time.Now())
 	g.Expect(relayed.StateOf(entry.ID)).To(BeZero(), "no follower yet")
 	relayed.Admit("router-1")
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
@@ -41,6 +43,9 @@
 	started time.Time
 	// sharePending signals that changes are to be sent to the other replicas.
 	sharePending chan struct{}
+	// running is done when Run ends.
+	running context.Context
+	stop    context.CancelFunc
 	// announcedAt and the fields below are guarded by the publisher's mu.
 	announcedAt map[uint64]time.Time
 	// synced reports that another replica has answered with all its servers.
@@ -55,16 +60,19 @@
 	// changes.
 	sentRevision uint64
 	mu           sync.Mutex
+	losses       *LossSender
+	stopLosses   context.CancelFunc
 }
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
 // bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewService(address string, source Source, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
+func NewService(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		started: time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
 		sharePending: make(chan struct{}, 1),
 	}
-	s.publisher = newPublisher(address, source, limits, linkMbps, log)
+	s.running, s.stop = context.WithCancel(context.Background())
+	s.publisher = newPublisher(address, source, losses, limits, linkMbps, log)
 	s.publisher.isSynced = s.isSynced
 	return s
 }
@@ -130,6 +138,7 @@
 
 // Run sends digests and changes to the other replicas, and expires servers, until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
+	defer s.stop()
 	go s.runScheduledShares(ctx)
 	for {
 		s.shareAll(ctx, true)
@@ -188,19 +197,35 @@
 	addresses := s.source.Controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for address, p := range s.peers {
+		if !slices.Contains(addresses, address) {
+			p.stopLosses()
+			delete(s.peers, address)
+		}
+	}
 	out := make([]*peer, 0, len(addresses))
 	for _, address := range addresses {
 		if address == s.ownAddress {
 			continue
 		}
 		if s.peers[address] == nil {
-			s.peers[address] = &peer{client: rpc.NewClient(address, rpc.PurposeFleet)}
+			s.peers[address] = s.newPeer(address)
 		}
 		out = append(out, s.peers[address])
 	}
 	return out
 }
 
+// newPeer returns a replica, to which losses are reported until stopLosses is called or the
+// service ends.
+func (s *Service) newPeer(address string) *peer {
+	p := &peer{client: rpc.NewClient(address, rpc.PurposeFleet), losses: NewLossSender(s.losses)}
+	ctx, cancel := context.WithCancel(s.running)
+	p.stopLosses = cancel
+	go p.losses.Run(ctx, p.client.Do)
+	return p
+}
+
 // share sends one replica the changes that it lacks and merges the response. If the call
 // fails, the next one sends the same changes again.
 func (s *Service) share(ctx context.Context, p *peer, digest bool) {
@@ -228,6 +253,9 @@
 		p.sentRevision = 0
 	}
 	s.mergeServers(response.GetServers())
+	if digest {
+		p.losses.Compare(response.GetLossDigest(), time.Now())
+	}
 	if request.GetWantAll() {
 		s.mu.Lock()
 		s.synced = true
@@ -241,6 +269,7 @@
 	defer s.mu.Unlock()
 	request := &fleetpb.ShareRequest{Instance: s.ownAddress, Servers: toServers(s.table.Since(p.sentRevision), now), WantAll: digest && !s.synced}
 	if digest {
+		request.LossDigest = s.losses.Digest()
 		request.Loads = ToLoads(s.loads.recent(now, digestInterval+reportSlack), now)
 		for hash, at := range s.announcedAt {
 			request.Alive = append(request.Alive, hash)
@@ -274,7 +303,7 @@
 	s.loads.merge(request.GetLoads(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	response := &fleetpb.ShareResponse{}
+	response := &fleetpb.ShareResponse{LossDigest: s.losses.Digest()}
 	before := s.table.Revision()
 	for i, hash := range request.GetAlive() {
 		if i >= len(request.GetAgeMs()) {
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -16,6 +16,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
@@ -49,6 +50,8 @@
 	// ownAddress is the router's RPC address.
 	ownAddress string
 	relay      *fleetsync.Relay
+	losses     *quarantine.Store
+	lossSender *fleetsync.LossSender
 
 	mu       sync.Mutex
 	selector *relay.Selector
@@ -100,6 +103,8 @@
 	MaxFollowers int
 	Decode       routetable.Decoder
 	Fleet        Fleet
+	// Losses is the router's evidence against prompt parts, which the view exchanges.
+	Losses *quarantine.Store
 }
 
 // New returns an empty view.
@@ -109,7 +114,8 @@
 		ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
 		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
-	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, v.entries, c.MaxFollowers, c.LinkMbps, log)
+	v.losses, v.lossSender = c.Losses, fleetsync.NewLossSender(c.Losses)
+	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, v.entries, c.Losses, c.MaxFollowers, c.LinkMbps, log)
 	v.addMetrics()
 	return v
 }
@@ -142,6 +148,7 @@
 	if err := v.applyPath(event.GetPath()); err != nil {
 		return err
 	}
+	v.applyLosses(event)
 	if err := v.applyTable(event); err != nil {
 		return err
 	}
@@ -176,6 +183,18 @@
 	return nil
 }
 
+// applyLosses merges the losses that the source has. The first event of a stream has all of
+// them, and precedes or accompanies the first route table.
+func (v *View) applyLosses(event *fleetpb.FollowEvent) {
+	now := time.Now()
+	if event.GetFirst() {
+		v.lossSender.Reset()
+	}
+	losses := fleetsync.FromLosses(event.GetLosses(), now)
+	v.lossSender.MarkKnown(losses)
+	v.losses.Merge(losses, now)
+}
+
 // entries returns all servers of the router.
 func (v *View) entries() []registry.Entry {
 	v.mu.Lock()
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -31,6 +31,13 @@
 	return nil
 }
 
+// ReportLosses reports losses to the followed source as soon as this router learns of them from
+// its own requests or from its followers, until ctx is done.
+func (v *View) ReportLosses(ctx context.Context) error {
+	v.lossSender.Run(ctx, v.callSource)
+	return nil
+}
+
 // applied returns what this router applies.
 func (v *View) applied() relay.Applied {
 	out := relay.Applied{Router: v.instance, Path: (&viewSource{v}).Upstream()}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,11 @@
 		if err != nil {
 			return err
 		}
+		// The request may have waited for the slot for some time.
+		if err := c.checkPrompt(); err != nil {
+			lease.release(placement.Result{Kind: placement.ResultUnknown})
+			return err
+		}
 		failure := c.attempt(lease)
 		if failure == nil {
 			return nil
@@ -73,6 +78,8 @@
 	// unsent reports whether no byte reached the server. Another send then adds no
 	// load to the pool and costs no retry budget.
 	unsent bool
+	// lostServer reports whether the server closed the connection before it began to answer.
+	lostServer bool
 	// answer is the server's error answer, forwarded if no other server answers.
 	answer *bufferedAnswer
 }
@@ -89,7 +96,7 @@
 // mayRetry reports whether the request may be sent to another server. A request that a
 // server may have run is retried only if its route is retryable.
 func (c *call) mayRetry(f *failure) bool {
-	if c.ctx.Err() != nil || c.sends >= maxSends {
+	if c.ctx.Err() != nil || c.sends >= maxSends || f.lostServer && !c.mayRetryAfterLoss() {
 		return false
 	}
 	if !f.notRun && (!c.route.Retryable() || c.attempts >= max(c.route.MaxServers, 1)) {
@@ -109,6 +116,7 @@
 // reports whether the server may have run the request.
 func (c *call) attempt(lease *lease) *failure {
 	c.sends++
+	c.lastServer = lease.hash
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	attemptTimer := time.AfterFunc(c.attemptTimeout(), func() { cancel(errAttemptTimeout) })
@@ -185,10 +193,11 @@
 	}
 	lease.release(placement.Result{Kind: kind})
 	c.logAttempt(lease).Bool("written", written).Err(err).Msg("send failed")
+	lostServer := written && c.recordLoss(lease, err)
 	if c.ctx.Err() != nil {
 		return &failure{err: c.contextError(context.Cause(c.ctx)), notRun: !written}
 	}
-	return &failure{err: api.Errorf(api.CodeBackendFailed, "%s: %v", lease.id, err), notRun: !written, unsent: !written}
+	return &failure{err: api.Errorf(api.CodeBackendFailed, "%s: %v", lease.id, err), notRun: !written, unsent: !written, lostServer: lostServer}
 }
 
 // contextError returns the caller's error for a request whose context ended before an answer.
@@ -220,7 +229,10 @@
 		if c.ctx.Err() != nil {
 			return &failure{err: c.contextError(context.Cause(c.ctx))}
 		}
-		return &failure{err: api.Errorf(api.CodeBackendFailed, "answer of %s ended early: %v", lease.id, contextCause(ctx, err))}
+		return &failure{
+			err:        api.Errorf(api.CodeBackendFailed, "answer of %s ended early: %v", lease.id, contextCause(ctx, err)),
+			lostServer: c.recordLoss(lease, contextCause(ctx, err)),
+		}
 	}
 	answer := &bufferedAnswer{status: ex.StatusCode, header: ex.Header, body: body}
 	if ex.StatusCode >= http.StatusInternalServerError {
@@ -228,6 +240,7 @@
 		c.logAttempt(lease).Int("status", answer.status).Msg("server failed the request")
 		return &failure{err: api.Errorf(api.CodeBackendFailed, "%s answered with status %d", lease.id, ex.StatusCode), answer: answer}
 	}
+	c.recordAnswer()
 	lease.release(placement.Result{Kind: placement.ResultAnswered, FirstByte: firstByte})
 	c.logAttempt(lease).Int("status", answer.status).Dur("total", time.Since(c.receivedAt)).Msg("request answered")
 	if err := c.writeAnswer(answer); err != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,6 +38,14 @@
 	sends    int
 	exclude  []string
 	stream   *streamState
+	// prompt holds the IDs of the prompt's parts that can be at fault if a server ends.
+	prompt []uint64
+	// lostServers counts the servers that closed the connection before they began to answer.
+	lostServers int
+	// lastServer is the incarnation of the server of the last send.
+	lastServer uint64
+	// withheldUntil is until when the prompt is withheld, if the call is refused for that.
+	withheldUntil time.Time
 	// mayHaveRun reports whether a server may have received the request and did not
 	// state that it did not run it.
 	mayHaveRun bool
@@ -71,6 +79,10 @@
 	c.poolName = pickPool(c.route.Targets, rand.Float64())
 	poolConfig := c.table.Pool(c.poolName)
 	c.pool = c.gateway.pools.get(c.poolName, poolConfig != nil && poolConfig.Engine)
+	c.prompt = promptPartsAtRisk(c.in.PromptParts)
+	if err := c.checkPrompt(); err != nil {
+		return err
+	}
 	c.pool.earnRetry()
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/backend"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
@@ -44,6 +45,7 @@
 	tableSource  TableSource
 	client       *backend.Client
 	pools        *pools
+	losses       *lossRecorder
 	metrics      *gatewayMetrics
 	startedAt    time.Time
 
@@ -55,15 +57,17 @@
 }
 
 // New returns the gateway of a router in the failure domain. transitLimit is the longest time
-// that a stream event may take from server to caller, or 0 to send each event at once.
+// that a stream event may take from server to caller, or 0 to send each event at once. losses is
+// the evidence against prompt parts, to which the gateway adds what its requests meet.
 // SetTableSource must be called before the gateway serves.
-func New(domain string, dialect Dialect, transitLimit time.Duration, log zerolog.Logger) *Gateway {
+func New(domain string, dialect Dialect, transitLimit time.Duration, losses *quarantine.Store, log zerolog.Logger) *Gateway {
 	m := newGatewayMetrics()
 	g := &Gateway{
 		log: log, domain: domain, transitLimit: transitLimit, dialect: dialect,
 		pools: newPools(m), metrics: m, startedAt: time.Now(),
 	}
 	g.client = backend.NewClient(g.metrics.connectionsOpened.Inc)
+	g.losses = newLossRecorder(losses, g.client)
 	g.registerGauges()
 	g.abortCtx, g.abort = context.WithCancelCause(context.Background())
 	return g
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 
 	"peridotwinch.example/peridotwinch/internal/gateway"
 	"peridotwinch.example/peridotwinch/internal/placement"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
@@ -170,7 +171,7 @@
 // startUpdatableGateway starts a gateway for the servers and returns it with its URL.
 func startUpdatableGateway(t *testing.T, table *routetable.Table, servers ...*testServer) (*gateway.Gateway, string) {
 	t.Helper()
-	g := gateway.New("zone", testDialect{}, 0, zerolog.Nop())
+	g := gateway.New("zone", testDialect{}, 0, quarantine.NewStore("router", zerolog.Nop()), zerolog.Nop())
 	g.SetTableSource(staticTable{table})
 	g.SetServers(entriesOf(servers))
 	server := httptest.NewServer(g)
@@ -401,7 +402,7 @@
 func TestDrainingServerReceivesNoNewRequest(t *testing.T) {
 	g := NewWithT(t)
 	a, b := startTestServer(t, "a", answerOK), startTestServer(t, "b", answerOK)
-	gw := gateway.New("zone", testDialect{}, 0, zerolog.Nop())
+	gw := gateway.New("zone", testDialect{}, 0, quarantine.NewStore("router", zerolog.Nop()), zerolog.Nop())
 	gw.SetTableSource(staticTable{newTable(t)})
 	entry := func(s *testServer, state registry.State) registry.Entry {
 		return registry.Entry{Server: registry.Server{
@@ -429,7 +430,7 @@
 	}
 	refusing, unreachable, healthy := startTestServer(t, "r", refuse), startTestServer(t, "a", answerOK), startTestServer(t, "c", answerOK)
 	_ = unreachable.listener.Close()
-	gw := gateway.New("zone", testDialect{}, 0, zerolog.Nop())
+	gw := gateway.New("zone", testDialect{}, 0, quarantine.NewStore("router", zerolog.Nop()), zerolog.Nop())
 	gw.SetTableSource(staticTable{newTable(t)})
 	server := httptest.NewServer(gw)
 	defer server.Close()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	connectionsOpened *metrics.Counter
 	retries           *metrics.Counter
 	streamsResumed    *metrics.Counter
+	promptsWithheld   *metrics.Counter
 	loadAge           *metrics.Histogram
 	queueTime         *metrics.Histogram
 }
@@ -24,6 +25,7 @@
 		connectionsOpened: metrics.GetOrCreateCounter("peridotwinch_gateway_connections_opened_total"),
 		retries:           metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
 		streamsResumed:    metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
+		promptsWithheld:   metrics.GetOrCreateCounter("peridotwinch_gateway_prompts_withheld_total"),
 		loadAge:           metrics.GetOrCreateHistogram("peridotwinch_gateway_load_age_seconds"),
 		queueTime:         metrics.GetOrCreateHistogram("peridotwinch_gateway_wait_seconds"),
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -97,8 +97,10 @@
 type lease struct {
 	*placement.Server
 	// id and address are copies: the pool's mutex guards the fields of Server.
-	id       string
-	address  string
+	id      string
+	address string
+	// hash identifies the incarnation of the server.
+	hash     uint64
 	pool     *pool
 	sentAt   time.Time
 	released bool
@@ -172,7 +174,7 @@
 // newLease returns the lease of a taken slot; mu is held.
 func (p *pool) newLease(s *placement.Server, request placement.Request, now time.Time) *lease {
 	return &lease{
-		Server: s, id: s.ID, address: s.Address, pool: p, sentAt: now, choice: s.Choice,
+		Server: s, id: s.ID, address: s.Address, hash: s.Hash, pool: p, sentAt: now, choice: s.Choice,
 		copyFrom: p.servers.CopySource(s, request, now),
 	}
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -76,6 +76,9 @@
 }
 
 func (c *call) retryAfter(code api.Code) time.Duration {
+	if code == api.CodePromptWithheld {
+		return max(time.Until(c.withheldUntil), baseRetryAfter)
+	}
 	delay := baseRetryAfter
 	if code == api.CodeNotConfigured || code == api.CodeNoBackendServer {
 		delay = startupRetryAfter
--- a/internal/gateway/refuse_test.go
+++ b/internal/gateway/refuse_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 )
 
 // TestRetryAfterOutlastsClusterStartup guards against callers that retry before a starting
@@ -15,7 +16,7 @@
 // Each caller is refused at another uptime of its router.
 func TestRetryAfterOutlastsClusterStartup(t *testing.T) {
 	g := NewWithT(t)
-	gateway := New("domain-a", nil, 0, zerolog.Nop())
+	gateway := New("domain-a", nil, 0, quarantine.NewStore("r", zerolog.Nop()), zerolog.Nop())
 	for _, uptime := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
 		c := &call{gateway: gateway, receivedAt: gateway.startedAt.Add(uptime), deadline: time.Now().Add(15 * time.Second)}
 		retryAt := uptime + c.retryAfter(api.CodeNotConfigured)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,8 @@
 	// firstAt is when the first event was forwarded, lastAt when the latest one was.
 	firstAt, lastAt time.Time
 	longestPause    time.Duration
+	// answering reports whether the present server has sent an event.
+	answering bool
 	// intervalEvents counts the events since intervalStart, up to eventsPerInterval.
 	intervalEvents int
 	intervalStart  time.Time
@@ -84,7 +86,7 @@
 	} else if c.stream.headSent {
 		c.gateway.metrics.streamsResumed.Inc()
 	}
-	c.stream.partial, c.stream.intervalEvents = nil, 0
+	c.stream.partial, c.stream.intervalEvents, c.stream.answering = nil, 0, false
 	err := c.relayEvents(ctx, ex, lease)
 	if err == nil && len(c.stream.partial) > 0 {
 		err = io.ErrUnexpectedEOF
@@ -107,7 +109,10 @@
 	}
 	lease.release(placement.Result{Kind: placement.ResultLost})
 	c.logAttempt(lease).Str("lastEvent", c.stream.lastID).Dur("longestPause", c.stream.longestPause).Err(err).Msg("stream broken")
-	return &failure{err: api.Errorf(api.CodeStreamBroken, "stream from %s broke after event %q: %v", lease.id, c.stream.lastID, err)}
+	return &failure{
+		err:        api.Errorf(api.CodeStreamBroken, "stream from %s broke after event %q: %v", lease.id, c.stream.lastID, err),
+		lostServer: !c.stream.answering && c.recordLoss(lease, err),
+	}
 }
 
 // relayEvents forwards the stream's events until its end.
@@ -164,6 +169,10 @@
 		return nil
 	}
 	complete := s.partial[:end+2]
+	if !s.answering {
+		s.answering = true
+		c.recordAnswer()
+	}
 	if !s.headSent {
 		c.writeHead(ex)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"peridotwinch.example/peridotwinch/internal/gateway"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
@@ -48,10 +49,11 @@
 		return nil, err
 	}
 	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers}
-	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), log)
+	losses := quarantine.NewStore(s.Instance, log)
+	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), losses, log)
 	in.view = fleetview.New(fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
-		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway,
+		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
 	}, log)
 	in.gateway.SetTableSource(in.view)
 	lc.AddCheck(in.view.Ready)
@@ -92,6 +94,7 @@
 func (in *Ingress) AddBackground(group *run.Group) {
 	actor.Add(group, in.view.Run)
 	actor.Add(group, in.view.ReportLoads)
+	actor.Add(group, in.view.ReportLosses)
 	actor.Add(group, in.gateway.Run)
 }
 
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,348 @@
+// Package quarantine decides which prompt parts are withheld from backend servers because one
+// server after the other has ended while it began to answer a prompt with such a part (a query of
+// death). The evidence is a set of losses, which merges in any order and any number of times, so
+// that all processes of a deployment reach the same decision. The package does no I/O, starts no
+// goroutine and reads no clock.
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// minLosses is the number of servers, one after the other, whose ends put a part into
+	// quarantine.
+	minLosses = 3
+	// extraLosses is the number of further ends that a part must explain to be blamed instead
+	// of a later, more specific part of the same prompts.
+	extraLosses = 2
+	// holdTime is the shortest time from the last loss until one router tries the part again.
+	// With three trials a day, a part that is still deadly ends three servers a day.
+	holdTime = 8 * time.Hour
+	// trialInterval is the time between two trials of one router.
+	trialInterval = 10 * time.Second
+	// maxLosses limits the losses of a table, about 4 KB in a message.
+	maxLosses = 64
+	// maxParts limits the parts of a loss; those at the start of longer prompts are left out.
+	maxParts = 32
+	// refutedRetention is how long a loss is kept after answers to all of its parts, so that
+	// other processes receive that.
+	refutedRetention = 30 * time.Second
+)
+
+// Part identifies a prompt part in a pool: a part that ends the servers of one pool may be
+// harmless in another one, which runs other models.
+type Part struct {
+	Pool string
+	ID   uint64
+}
+
+// Loss is the end of a backend server while a request waited for the first piece of its answer.
+type Loss struct {
+	// Server is the hash of the server's incarnation.
+	Server uint64
+	Pool   string
+	// Parts are the parts of the request's prompt in order, without the last one, which is
+	// unique to the request.
+	Parts []uint64
+	// SentAt is when the request was sent, LostAt when its connection ended.
+	SentAt, LostAt time.Time
+	// Answered has bit i set if a server has begun to answer a prompt with Parts[i] since
+	// SentAt, which shows that the part is harmless.
+	Answered uint32
+	// Contrasted has bit i set if a server has begun to answer a prompt without Parts[i] after
+	// LostAt and before the next loss. Without that, the pool may be failing on any prompt.
+	Contrasted uint32
+}
+
+// Prompt returns the IDs of a prompt's parts that can be at fault, given all parts in order: all
+// but the last one, limited to maxParts.
+func Prompt(parts []uint64) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	parts = parts[:len(parts)-1]
+	return parts[max(0, len(parts)-maxParts):]
+}
+
+// ID returns a hash that identifies the loss: the server and the prompt.
+func (l *Loss) ID() uint64 {
+	raw := binary.LittleEndian.AppendUint64([]byte(l.Pool), l.Server)
+	for _, part := range l.Parts {
+		raw = binary.LittleEndian.AppendUint64(raw, part)
+	}
+	return xxhash.Sum64(raw)
+}
+
+// allParts returns the mask with a bit for each part.
+func (l *Loss) allParts() uint32 { return uint32(1)<<len(l.Parts) - 1 }
+
+// isRefuted reports whether answers have shown that all parts are harmless.
+func (l *Loss) isRefuted() bool { return l.Answered == l.allParts() }
+
+// blames reports whether the part is in the prompt and not known to be harmless.
+func (l *Loss) blames(part Part) bool {
+	i := slices.Index(l.Parts, part.ID)
+	return i >= 0 && l.Pool == part.Pool && l.Answered&(1<<i) == 0
+}
+
+// Verdict is the evidence against a part in quarantine.
+type Verdict struct {
+	Part Part
+	// Servers is the number of servers that have ended.
+	Servers    int
+	LastLostAt time.Time
+}
+
+type record struct {
+	Loss
+	revision uint64
+}
+
+// Table is the evidence that one process has. It is not safe for concurrent use.
+type Table struct {
+	instance string
+	losses   map[uint64]*record
+	revision uint64
+	answers  answerMemory
+	verdicts map[Part]Verdict
+	// triedAt is when this process last tried a part whose hold time has passed.
+	triedAt map[Part]time.Time
+}
+
+// NewTable returns an empty table. The instance's name determines when it tries a part again.
+func NewTable(instance string) *Table {
+	return &Table{
+		instance: instance, losses: make(map[uint64]*record), verdicts: make(map[Part]Verdict),
+		triedAt: make(map[Part]time.Time),
+	}
+}
+
+// Revision returns the table's revision, which increases with each change.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Merge adds losses, or what is new about known ones. It reports whether the table has changed.
+func (t *Table) Merge(losses []Loss, now time.Time) bool {
+	before := t.revision
+	for _, loss := range losses {
+		t.merge(loss)
+	}
+	t.expire(now)
+	if t.revision != before {
+		t.evaluate()
+	}
+	return t.revision != before
+}
+
+func (t *Table) merge(loss Loss) {
+	if len(loss.Parts) == 0 || len(loss.Parts) > maxParts {
+		return
+	}
+	loss.Answered = loss.Answered&loss.allParts() | t.answers.since(loss.Pool, loss.Parts, loss.SentAt)
+	id := loss.ID()
+	known := t.losses[id]
+	if known == nil {
+		if !loss.isRefuted() {
+			t.losses[id] = &record{Loss: loss}
+			t.markChanged(t.losses[id])
+		}
+		return
+	}
+	// Times are kept as first received: each hop makes them look later than they are.
+	if loss.Answered&^known.Answered != 0 || loss.Contrasted&^known.Contrasted != 0 {
+		known.Answered |= loss.Answered
+		known.Contrasted |= loss.Contrasted
+		t.markChanged(known)
+	}
+}
+
+func (t *Table) markChanged(r *record) {
+	t.revision++
+	r.revision = t.revision
+}
+
+// RecordAnswer records that a server of the pool has begun to answer a prompt with these parts,
+// as returned by Prompt. It reports whether the table has changed.
+func (t *Table) RecordAnswer(pool string, parts []uint64, now time.Time) bool {
+	t.answers.record(pool, parts, now)
+	before := t.revision
+	for _, r := range t.losses {
+		if r.Pool != pool || r.isRefuted() {
+			continue
+		}
+		answered, contrasted := r.Answered, r.Contrasted
+		for i, id := range r.Parts {
+			switch {
+			case slices.Contains(parts, id):
+				answered |= 1 << i
+			case (answered|contrasted)&(1<<i) == 0 && !t.hasLaterLoss(r, Part{pool, id}):
+				contrasted |= 1 << i
+			}
+		}
+		if answered != r.Answered || contrasted != r.Contrasted {
+			r.Answered, r.Contrasted = answered, contrasted
+			t.markChanged(r)
+		}
+	}
+	if t.revision == before {
+		return false
+	}
+	t.evaluate()
+	return true
+}
+
+// hasLaterLoss reports whether a loss that blames the part is of a request sent after r.
+func (t *Table) hasLaterLoss(r *record, part Part) bool {
+	for _, other := range t.losses {
+		if other.blames(part) && !other.SentAt.Before(r.LostAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// Since returns the losses that have changed after a revision.
+func (t *Table) Since(revision uint64) []Loss {
+	var out []Loss
+	for _, r := range t.losses {
+		if r.revision > revision {
+			out = append(out, r.Loss)
+		}
+	}
+	slices.SortFunc(out, func(a, b Loss) int { return a.LostAt.Compare(b.LostAt) })
+	return out
+}
+
+// Digest returns a hash of the set of losses. Tables with equal digests need not be exchanged.
+func (t *Table) Digest() uint64 {
+	digest := uint64(0)
+	for id, r := range t.losses {
+		if !r.isRefuted() {
+			digest ^= id
+		}
+	}
+	return digest
+}
+
+// Verdicts returns the verdicts on the parts in quarantine, in the order of their last loss.
+func (t *Table) Verdicts() []Verdict {
+	out := make([]Verdict, 0, len(t.verdicts))
+	for _, verdict := range t.verdicts {
+		out = append(out, verdict)
+	}
+	slices.SortFunc(out, func(a, b Verdict) int {
+		return cmp.Or(a.LastLostAt.Compare(b.LastLostAt), cmp.Compare(a.Part.ID, b.Part.ID))
+	})
+	return out
+}
+
+// Withholds returns the verdict because of which a prompt with these parts must not be sent at
+// now, and the time until which it holds; ok is false if the prompt may be sent. Once a part's
+// hold time has passed, Withholds lets one prompt pass per trialInterval. Each instance's hold
+// time differs, so that the first trial decides for all of them.
+func (t *Table) Withholds(pool string, parts []uint64, now time.Time) (verdict Verdict, until time.Time, ok bool) {
+	for _, id := range parts {
+		part := Part{pool, id}
+		verdict, found := t.verdicts[part]
+		if !found {
+			continue
+		}
+		until := verdict.LastLostAt.Add(holdTime + t.stagger(part))
+		if tried := t.triedAt[part]; !now.Before(until) && now.Sub(tried) >= trialInterval {
+			t.triedAt[part] = now
+			continue
+		} else if !now.Before(until) {
+			until = tried.Add(trialInterval)
+		}
+		return verdict, until, true
+	}
+	return Verdict{}, time.Time{}, false
+}
+
+// stagger returns the time by which this instance's hold time for a part is longer.
+func (t *Table) stagger(part Part) time.Duration {
+	hash := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(t.instance+part.Pool), part.ID))
+	high, _ := bits.Mul64(hash, uint64(holdTime))
+	return time.Duration(high)
+}
+
+// IsSuspected reports whether another server than the given one has ended on a prompt that
+// shares a part with this one, where no answer has shown that the part is harmless.
+func (t *Table) IsSuspected(pool string, parts []uint64, server uint64) bool {
+	for _, r := range t.losses {
+		if r.Server == server {
+			continue
+		}
+		for _, id := range parts {
+			if r.blames(Part{pool, id}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// expire deletes losses that no longer count, and the least telling ones above maxLosses.
+func (t *Table) expire(now time.Time) {
+	for id, r := range t.losses {
+		age := now.Sub(r.LostAt)
+		if age > 2*holdTime+time.Hour || r.isRefuted() && age > refutedRetention {
+			t.delete(id)
+		}
+	}
+	for len(t.losses) > maxLosses {
+		t.delete(t.leastTelling())
+	}
+}
+
+func (t *Table) delete(id uint64) {
+	delete(t.losses, id)
+	t.revision++
+}
+
+// leastTelling returns the ID of the loss to evict: one on which no verdict rests and whose parts
+// are blamed by the fewest losses, of several the oldest one. If a verdict rests on every loss, it
+// is the newest one, so that the verdict keeps its sequence of ends.
+func (t *Table) leastTelling() uint64 {
+	blamedBy := make(map[Part]int)
+	for _, r := range t.losses {
+		for _, id := range r.Parts {
+			if part := (Part{r.Pool, id}); r.blames(part) {
+				blamedBy[part]++
+			}
+		}
+	}
+	type candidate struct {
+		id      uint64
+		support int
+		blamed  int
+		lostAt  time.Time
+	}
+	var candidates []candidate
+	for id, r := range t.losses {
+		next := candidate{id: id, lostAt: r.LostAt}
+		for _, id := range r.Parts {
+			part := Part{r.Pool, id}
+			if !r.blames(part) {
+				continue
+			}
+			next.blamed = max(next.blamed, blamedBy[part])
+			if _, found := t.verdicts[part]; found {
+				next.support = 1
+			}
+		}
+		candidates = append(candidates, next)
+	}
+	return slices.MinFunc(candidates, func(a, b candidate) int {
+		if a.support == 1 && b.support == 1 {
+			return b.lostAt.Compare(a.lostAt)
+		}
+		return cmp.Or(a.support-b.support, a.blamed-b.blamed, a.lostAt.Compare(b.lostAt), cmp.Compare(a.id, b.id))
+	}).id
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,194 @@
+package quarantine_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"peridotwinch.example/peridotwinch/internal/quarantine"
+)
+
+const (
+	pool    = "engines"
+	common  = 0xa
+	subject = 0xb
+	deadly  = 0xd
+	other   = 0xe
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func loss(server uint64, sentMS, lostMS int, parts ...uint64) quarantine.Loss {
+	return quarantine.Loss{Server: server, Pool: pool, Parts: parts, SentAt: at(sentMS), LostAt: at(lostMS)}
+}
+
+// endServers merges the ends of servers from first to last, one a second, on prompts with these
+// parts. After each, the pool answers a prompt with none of them.
+func endServers(t *quarantine.Table, first, last uint64, parts ...uint64) {
+	for i := first; i <= last; i++ {
+		t.Merge([]quarantine.Loss{loss(i, 1000*int(i), 1000*int(i)+200, parts...)}, at(1000*int(i)+220))
+		t.RecordAnswer(pool, []uint64{other}, at(1000*int(i)+300))
+	}
+}
+
+func withheld(t *quarantine.Table, ms int, parts ...uint64) bool {
+	_, _, ok := t.Withholds(pool, parts, at(ms))
+	return ok
+}
+
+func TestPartIsWithheldAfterServersEndedOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	endServers(table, 1, 2, common, subject, deadly)
+	g.Expect(withheld(table, 3000, common, subject, deadly)).To(BeFalse())
+	endServers(table, 3, 3, common, subject, deadly)
+	g.Expect(withheld(table, 4000, common, subject, deadly)).To(BeTrue())
+	g.Expect(withheld(table, 4000, common, subject, other)).To(BeFalse(), "a prompt with the same other parts")
+	_, _, ok := table.Withholds("other engines", []uint64{deadly}, at(4000))
+	g.Expect(ok).To(BeFalse(), "the part in another pool")
+}
+
+// TestServersThatEndTogetherBlameNoPart guards against a quarantine of the parts that all prompts
+// share when a failure domain, or all servers of a pool, end at the same time.
+func TestServersThatEndTogetherBlameNoPart(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	for i := range uint64(20) {
+		table.Merge([]quarantine.Loss{loss(i, 100+int(i), 500+int(i), common, subject)}, at(600))
+	}
+	table.RecordAnswer(pool, []uint64{other}, at(700))
+	g.Expect(withheld(table, 800, common, subject)).To(BeFalse())
+}
+
+// TestPoolThatAnswersNothingBlamesNoPart guards against a quarantine of shared parts while the
+// servers of a pool end again and again on any prompt.
+func TestPoolThatAnswersNothingBlamesNoPart(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	for i := range 6 {
+		table.Merge([]quarantine.Loss{loss(uint64(i), 1000*i, 1000*i+200, common)}, at(1000*i+220))
+	}
+	table.RecordAnswer(pool, []uint64{other}, at(9000))
+	g.Expect(withheld(table, 9100, common)).To(BeFalse(), "prompts without the part were answered only after the last end")
+}
+
+// TestAnsweredPartIsNotBlamed guards against a quarantine of a part that sound prompts share
+// with deadly ones, also if the answer began before its process knew of the loss.
+func TestAnsweredPartIsNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	for i := 1; i <= 5; i++ {
+		table.RecordAnswer(pool, []uint64{common, subject}, at(1000*i+150))
+		table.Merge([]quarantine.Loss{loss(uint64(i), 1000*i, 1000*i+200, common, subject, uint64(i)<<8)}, at(1000*i+220))
+		table.RecordAnswer(pool, []uint64{other}, at(1000*i+300))
+	}
+	g.Expect(table.Verdicts()).To(BeEmpty())
+	endServers(table, 11, 13, common, subject)
+	g.Expect(withheld(table, 14000, common, subject)).To(BeTrue())
+	table.RecordAnswer(pool, []uint64{subject}, at(14100))
+	g.Expect(withheld(table, 14200, subject, other)).To(BeFalse(), "an answer releases the part")
+}
+
+// TestSharedPartIsBlamedIfLaterPartsDiffer guards against blaming the specific parts of prompts
+// one after the other where the part before them ends the servers.
+func TestSharedPartIsBlamedIfLaterPartsDiffer(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	endServers(table, 1, 3, deadly, 0x101)
+	g.Expect(withheld(table, 4000, deadly, 0x102)).To(BeFalse(), "the later part explains all ends")
+	endServers(table, 4, 5, deadly, 0x102)
+	g.Expect(withheld(table, 6000, deadly, 0x103)).To(BeTrue())
+	g.Expect(withheld(table, 6000, 0x101)).To(BeFalse(), "the earlier part explains its ends")
+}
+
+// TestPartIsTriedByOneInstanceAtATime guards against a trial by each router once the hold time
+// has passed.
+func TestPartIsTriedByOneInstanceAtATime(t *testing.T) {
+	g := NewWithT(t)
+	var tables []*quarantine.Table
+	for i := range 300 {
+		table := quarantine.NewTable(string(rune('a' + i)))
+		endServers(table, 1, 3, deadly)
+		tables = append(tables, table)
+	}
+	passed := 0
+	hour := int(time.Hour / time.Millisecond)
+	for ms := 4000; ms < 16*hour && passed == 0; ms += 5000 {
+		for _, table := range tables {
+			if !withheld(table, ms, deadly) {
+				g.Expect(ms).To(BeNumerically(">", 8*hour))
+				passed++
+			}
+		}
+		if passed > 0 {
+			for _, table := range tables {
+				table.Merge([]quarantine.Loss{loss(9, ms, ms+500, deadly)}, at(ms+500))
+				g.Expect(withheld(table, ms+1000, deadly)).To(BeTrue(), "the trial ended another server")
+			}
+		}
+	}
+	g.Expect(passed).To(BeNumerically("~", 1, 2))
+}
+
+// TestFloodOfOtherLossesKeepsTheVerdict guards against a caller that pushes a deadly part out of
+// the bounded table by sending another part each time.
+func TestFloodOfOtherLossesKeepsTheVerdict(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	endServers(table, 1, 3, common, deadly)
+	for i := range uint64(1000) {
+		table.Merge([]quarantine.Loss{loss(100+i, 5000+int(i), 5100+int(i), common, 0x10000+i)}, at(7000))
+		table.RecordAnswer(pool, []uint64{0x20000 + i}, at(7000))
+	}
+	g.Expect(withheld(table, 8000, common, deadly)).To(BeTrue())
+	g.Expect(len(table.Since(0))).To(BeNumerically("<=", 64))
+}
+
+// TestEvidenceDoesNotDependOnOrderOrRepetition checks that tables that have received the same
+// losses, in any order, repeated and with stale copies, withhold the same parts.
+func TestEvidenceDoesNotDependOnOrderOrRepetition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(t)
+		source := quarantine.NewTable("source")
+		ids := []uint64{common, subject, deadly, other}
+		var history []quarantine.Loss
+		for i := range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			parts := rapid.SliceOfNDistinct(rapid.SampledFrom(ids), 1, 3, rapid.ID[uint64]).Draw(rt, "parts")
+			if rapid.Bool().Draw(rt, "answer") {
+				source.RecordAnswer(pool, parts, at(100*i))
+			} else {
+				source.Merge([]quarantine.Loss{loss(uint64(i), 100*i-rapid.IntRange(10, 400).Draw(rt, "waited"), 100*i, parts...)}, at(100*i))
+			}
+			history = append(history, source.Since(0)...)
+		}
+		seed := rapid.Uint64().Draw(rt, "order")
+		rng := rand.New(rand.NewPCG(seed, 0))
+		replica := quarantine.NewTable("replica")
+		for range 2 {
+			rng.Shuffle(len(history), func(i, j int) { history[i], history[j] = history[j], history[i] })
+			for _, l := range history {
+				replica.Merge([]quarantine.Loss{l}, at(2000))
+			}
+		}
+		g.Expect(replica.Digest()).To(Equal(source.Digest()))
+		for _, id := range ids {
+			g.Expect(withheld(replica, 2000, id)).To(Equal(withheld(source, 2000, id)), "part %x of %v", id, history)
+		}
+		g.Expect(replica.Merge(source.Since(0), at(2000))).To(BeFalse(), "nothing is new")
+	})
+}
+
+func TestLastPartIsNeverBlamed(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(quarantine.Prompt(nil)).To(BeEmpty())
+	g.Expect(quarantine.Prompt([]uint64{1})).To(BeEmpty())
+	g.Expect(quarantine.Prompt([]uint64{1, 2, 3})).To(Equal([]uint64{1, 2}))
+	long := slices.Repeat([]uint64{7}, 50)
+	g.Expect(quarantine.Prompt(long)).To(HaveLen(32))
+}
