Quarantine across restarts, in small pools, and its release by operators

What callers would have seen: after a power loss of all processes, a part that was withheld ends three more servers; in a pool whose few servers a part ends together, it is never withheld, because no answer to another prompt lies between the ends; a part blamed wrongly stays withheld for hours.

Change: control replicas keep the losses on disk while a part is withheld. Ends without another answer between them give a provisional verdict of 30 s and a stagger; the trial after it confirms or releases the part. GET and DELETE on /apis/v1/quarantine list and release parts.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,10 +52,12 @@
 	archive     *archive
 	archiver    *archiver
 	operators   net.Listener
-	// adapter and fleetSync are nil unless the deployment has an adapter, whose daemons
+	// adapter and the fields up to lossArchive are nil unless the deployment has an adapter, whose daemons
 	// join by seeds.
-	adapter   adapter.Adapter
-	fleetSync *fleetsync.Service
+	adapter     adapter.Adapter
+	fleetSync   *fleetsync.Service
+	losses      *quarantine.Store
+	lossArchive *lossArchive
 	// closing is done when the role shuts down; it ends watches.
 	closing context.Context
 	close   context.CancelFunc
@@ -90,7 +92,9 @@
 	if selectedAdapter != nil {
 		c.adapter = selectedAdapter
 		limits := relay.Limits{Unconditional: s.Relay.Direct(), PerDomain: s.Relay.DomainRelays(), Max: settings.MaxStreams}
-		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, quarantine.NewStore(s.Instance, log), limits, s.Link.MBitPerSecond, log)
+		c.losses = quarantine.NewStore(s.Instance, log)
+		c.lossArchive = newLossArchive(filepath.Join(s.DataDir, "control", "losses"), c.losses, log)
+		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, c.losses, limits, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
@@ -108,6 +112,7 @@
 	})
 	if c.fleetSync != nil {
 		actor.Add(actors, c.fleetSync.Run)
+		actor.Add(actors, c.lossArchive.run)
 	}
 	actor.Add(actors, c.sharer.run)
 	actor.Add(actors, c.archiver.run)
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -23,6 +23,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/apis/", c.Handler())
+	mux.HandleFunc("GET /apis/v1/quarantine", c.listQuarantine)
+	mux.HandleFunc("DELETE /apis/v1/quarantine/{pool}/{part}", c.releasePart)
 	mux.Handle("/", c.adapter.ControlHandler(&adapterControl{Control: c}))
 	return mux
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,6 +25,10 @@
 	// holdTime is the shortest time from the last loss until one router tries the part again.
 	// With three trials a day, a part that is still deadly ends three servers a day.
 	holdTime = 8 * time.Hour
+	// provisionalHoldTime applies while the pool may have failed on any prompt, and
+	// provisionalStagger is the range of the time by which it differs between instances.
+	provisionalHoldTime = 30 * time.Second
+	provisionalStagger  = 5 * time.Minute
 	// trialInterval is the time between two trials of one router.
 	trialInterval = 10 * time.Second
 	// maxLosses limits the losses of a table, about 4 KB in a message.
@@ -57,7 +61,7 @@
 	// SentAt, which shows that the part is harmless.
 	Answered uint32
 	// Contrasted has bit i set if a server has begun to answer a prompt without Parts[i] after
-	// LostAt and before the next loss. Without that, the pool may be failing on any prompt.
+	// LostAt and before the next loss. Otherwise the pool may have failed on any prompt.
 	Contrasted uint32
 }
 
@@ -98,6 +102,8 @@
 	// Servers is the number of servers that have ended.
 	Servers    int
 	LastLostAt time.Time
+	// Confirmed is set if the pool answered other prompts between the ends.
+	Confirmed bool
 }
 
 type record struct {
@@ -197,6 +203,20 @@
 	return true
 }
 
+// Release records that a part is harmless, and reports whether it was in quarantine.
+func (t *Table) Release(part Part, now time.Time) bool {
+	_, found := t.verdicts[part]
+	for _, r := range t.losses {
+		if r.blames(part) {
+			r.Answered |= 1 << slices.Index(r.Parts, part.ID)
+			t.markChanged(r)
+		}
+	}
+	t.expire(now)
+	t.evaluate()
+	return found
+}
+
 // hasLaterLoss reports whether a loss that blames the part is of a request sent after r.
 func (t *Table) hasLaterLoss(r *record, part Part) bool {
 	for _, other := range t.losses {
@@ -253,7 +273,7 @@
 		if !found {
 			continue
 		}
-		until := verdict.LastLostAt.Add(holdTime + t.stagger(part))
+		until := verdict.LastLostAt.Add(t.holdTime(verdict))
 		if tried := t.triedAt[part]; !now.Before(until) && now.Sub(tried) >= trialInterval {
 			t.triedAt[part] = now
 			continue
@@ -265,11 +285,16 @@
 	return Verdict{}, time.Time{}, false
 }
 
-// stagger returns the time by which this instance's hold time for a part is longer.
-func (t *Table) stagger(part Part) time.Duration {
-	hash := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(t.instance+part.Pool), part.ID))
-	high, _ := bits.Mul64(hash, uint64(holdTime))
-	return time.Duration(high)
+// holdTime returns how long this instance withholds a part after the last loss. The instances'
+// times are spread evenly.
+func (t *Table) holdTime(v Verdict) time.Duration {
+	shortest, stagger := provisionalHoldTime, provisionalStagger
+	if v.Confirmed {
+		shortest, stagger = holdTime, holdTime
+	}
+	hash := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(t.instance+v.Part.Pool), v.Part.ID))
+	high, _ := bits.Mul64(hash, uint64(stagger))
+	return shortest + time.Duration(high)
 }
 
 // IsSuspected reports whether another server than the given one has ended on a prompt that
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -58,6 +58,15 @@
 	s.update(func(t *Table) bool { return t.RecordAnswer(pool, parts, now) })
 }
 
+// Release calls Table.Release.
+func (s *Store) Release(part Part, now time.Time) (released bool) {
+	s.update(func(t *Table) bool {
+		released = t.Release(part, now)
+		return released
+	})
+	return released
+}
+
 // update changes the table. If it has changed, update logs new verdicts and calls the listeners.
 func (s *Store) update(change func(*Table) bool) {
 	s.mu.Lock()
@@ -78,7 +87,7 @@
 	for part, verdict := range s.table.verdicts {
 		if !s.reported[part] {
 			s.reported[part] = true
-			s.logPart(part).Int("servers", verdict.Servers).Msg("prompt part quarantined")
+			s.logPart(part).Int("servers", verdict.Servers).Bool("confirmed", verdict.Confirmed).Msg("prompt part quarantined")
 		}
 	}
 	for part := range s.reported {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -29,7 +29,10 @@
 		if blamed == nil {
 			break
 		}
-		t.verdicts[blamed.part] = Verdict{Part: blamed.part, Servers: len(blamed.servers), LastLostAt: blamed.lastLostAt}
+		t.verdicts[blamed.part] = Verdict{
+			Part: blamed.part, Servers: len(blamed.servers), LastLostAt: blamed.lastLostAt,
+			Confirmed: blamed.sequentialEnds(true) >= minLosses,
+		}
 		unexplained = slices.DeleteFunc(unexplained, func(r *record) bool { return blamed.servers[r.Server] })
 	}
 	for part := range t.triedAt {
@@ -62,7 +65,7 @@
 	var sufficient []*evidence
 	mostEnds := 0
 	for _, e := range byPart {
-		if e.sequentialEnds() >= minLosses {
+		if e.sequentialEnds(false) >= minLosses {
 			sufficient = append(sufficient, e)
 			mostEnds = max(mostEnds, len(e.servers))
 		}
@@ -90,9 +93,10 @@
 }
 
 // sequentialEnds returns the length of the longest sequence of losses in which each request was
-// sent after the end before it, while the pool answered prompts without the part. Servers that
-// end together for another reason, such as the loss of a failure domain, count as one.
-func (e *evidence) sequentialEnds() int {
+// sent after the end before it; if contrasted is set, only of those between which the pool
+// answered prompts without the part. Servers that end together for another reason, such as the
+// loss of a failure domain, count as one.
+func (e *evidence) sequentialEnds(contrasted bool) int {
 	longest, length := 0, 0
 	var last *record
 	for _, r := range e.losses {
@@ -101,7 +105,7 @@
 			length = 1
 		case r.SentAt.Before(last.LostAt):
 			continue
-		case last.Contrasted&(1<<slices.Index(last.Parts, e.part.ID)) != 0:
+		case !contrasted || last.Contrasted&(1<<slices.Index(last.Parts, e.part.ID)) != 0:
 			length++
 		default:
 			length = 1
--- /dev/null
+++ b/test/platform/quarantine_test.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/testcluster"
+)
+
+// deadlyPrefix is the entry of a prompt part that ends the workers that begin to answer it.
+const deadlyPrefix = "dead:500"
+
+// sendPrompt sends a request with the prompt parts to a router and returns the status.
+func (f *fleet) sendPrompt(m *machine, prefix string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+m.settings.Listen.Callers+"/look/x", bytes.NewReader([]byte("body")))
+	f.Expect(err).NotTo(HaveOccurred())
+	r.Host = host
+	id := fmt.Sprintf("%016x", f.attempts.Add(1))
+	r.Header.Set("Peridotwinch-Attempt-Id", id)
+	r.Header.Set("Peridotwinch-Request-Deadline", "1500")
+	r.Header.Set("Peridotwinch-Prefix-Hash", prefix+","+id+":100")
+	r.Header.Set("Authorization", "Token "+apiKey)
+	response, err := f.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// workerPool keeps workers running: one that ends is replaced by a new one after 200 ms.
+type workerPool struct {
+	fleet *fleet
+	// deadlyReceived counts the requests with the deadly part that workers received, ended the
+	// workers that ended.
+	deadlyReceived, ended atomic.Int64
+	mu                    sync.Mutex
+	started               int
+}
+
+func startWorkerPool(f *fleet, count int) *workerPool {
+	p := &workerPool{fleet: f}
+	for range count {
+		p.startWorker()
+	}
+	return p
+}
+
+func (p *workerPool) startWorker() {
+	p.mu.Lock()
+	p.started++
+	id := fmt.Sprint("i-", p.started)
+	p.mu.Unlock()
+	var w *worker
+	w = p.fleet.startWorkerThat(id, func(r *http.Request) bool {
+		if !bytes.Contains([]byte(r.Header.Get("Peridotwinch-Prefix-Hash")), []byte(deadlyPrefix)) {
+			return false
+		}
+		p.deadlyReceived.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		w.end(func() {
+			p.ended.Add(1)
+			time.AfterFunc(200*time.Millisecond, p.startWorker)
+		})
+		return true
+	})
+}
+
+// TestDeadlyPromptPartIsWithheldByAllRouters guards against requests with one prompt part that
+// end worker after worker, whichever router receives them, and again after a restart of all
+// processes.
+func TestDeadlyPromptPartIsWithheldByAllRouters(t *testing.T) {
+	f := startFleet(t, 3)
+	pool := startWorkerPool(f, 5)
+	f.configure(f.config(1, 1000))
+	for _, router := range f.routers {
+		f.awaitServing(router, "/look/x")
+	}
+	sendAll := func() (sound int) {
+		for _, router := range f.routers {
+			f.sendPrompt(router, "a1:100,b2:100,"+deadlyPrefix)
+			if f.sendPrompt(router, "a1:100,b2:100") == http.StatusOK {
+				sound++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		return sound
+	}
+	for i := 0; pool.ended.Load() < 5 && i < 10; i++ {
+		sendAll()
+	}
+	time.Sleep(time.Second)
+	before, sound := pool.deadlyReceived.Load(), 0
+	for range 10 {
+		sound += sendAll()
+	}
+	f.Expect(pool.deadlyReceived.Load()-before).To(BeNumerically("<=", 3), "deadly requests after the fifth end")
+	f.Expect(sound).To(BeNumerically(">=", 15), "of 30 requests with the same other parts")
+
+	for _, m := range f.machines() {
+		f.Expect(m.Kill()).To(Succeed())
+	}
+	for _, m := range f.machines() {
+		m.settings.Join.Bootstrap = false
+		f.prepare(m)
+		f.Expect(m.Start()).To(Succeed())
+	}
+	for _, router := range f.routers {
+		f.awaitServing(router, "/look/x")
+	}
+	before = pool.deadlyReceived.Load()
+	sendAll()
+	f.Expect(pool.deadlyReceived.Load()-before).To(BeZero(), "deadly requests after a restart of all processes")
+
+	var parts []api.QuarantinedPart
+	status, body := f.callControl(f.controls[0], http.MethodGet, "/apis/v1/quarantine", "")
+	f.Expect(status).To(Equal(http.StatusOK))
+	f.Expect(json.Unmarshal([]byte(body), &parts)).To(Succeed())
+	f.Expect(parts).To(HaveLen(1))
+	f.Expect(parts[0].Part).To(Equal("dead"))
+	status, body = f.callControl(f.controls[1], http.MethodDelete, "/apis/v1/quarantine/app/xyz", "")
+	f.Expect(status).To(Equal(http.StatusUnprocessableEntity))
+	f.Expect(body).To(ContainSubstring(`"field":"part"`))
+	status, body = f.callControl(f.controls[1], http.MethodDelete, "/apis/v1/quarantine/app/dead", "")
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.Eventually(func() int64 {
+		sendAll()
+		return pool.deadlyReceived.Load()
+	}, testcluster.WaitTimeout).Should(BeNumerically(">", before), "the part is sent again after its release")
+	for _, line := range []string{"prompt part quarantined", "prompt part released from quarantine"} {
+		f.Eventually(func() bool {
+			log, err := os.ReadFile(f.routers[0].LogPath())
+			f.Expect(err).NotTo(HaveOccurred())
+			return bytes.Contains(log, []byte(line))
+		}, testcluster.WaitTimeout).Should(BeTrue(), line)
+	}
+}
