Abort a stream whose next server answers with anything but the stream

What callers would see: a stream broke and could be resumed; the next server answered 409, 404 or a plain 200, and its body stood in the middle of the caller's stream, which then ended as if complete. A stream without length and chunks whose server ended before the first event was a complete, empty answer.

Cause: only answers of 500 and more were kept from a started stream; the end of the connection counted as the end of any stream that was not inside an event.

Evidence: TestOtherAnswerDoesNotContinueStream and TestStreamWithoutLengthEndsWithItsConnection fail on the code before (no error for "no stream"; 200 instead of 502).

Now every answer that does not continue the stream counts as a failed attempt: the stream is resumed elsewhere or aborted.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -218,9 +218,12 @@
 	}
 }
 
+// IsFramed reports whether the answer has a length or chunks; otherwise it ends with its
+// connection.
+func (e *Exchange) IsFramed() bool { return e.ContentLength >= 0 || len(e.TransferEncoding) > 0 }
+
 func (e *Exchange) isReusable() bool {
-	framed := e.ContentLength >= 0 || len(e.TransferEncoding) > 0
-	return framed && !e.Response.Close && e.ProtoAtLeast(1, 1) && e.conn.reader.Buffered() == 0
+	return e.IsFramed() && !e.Response.Close && e.ProtoAtLeast(1, 1) && e.conn.reader.Buffered() == 0
 }
 
 // idleTimeout returns how long the connection may stay idle in the pool.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,7 @@
 // finish forwards the server's error answer if there is one, or returns the error with
 // which the call is refused.
 func (f *failure) finish(c *call) error {
-	if f.answer != nil && !f.notRun && (c.stream == nil || !c.stream.headSent) {
+	if f.answer != nil && !f.notRun && !c.streamStarted() {
 		return c.writeAnswer(f.answer)
 	}
 	return f.err
@@ -142,6 +142,9 @@
 		attemptTimer.Stop()
 		return c.relayStream(ctx, ex, lease)
 	}
+	if c.streamStarted() {
+		return c.rejectAsContinuation(ex, lease, firstByte)
+	}
 	return c.relayBuffered(ctx, ex, lease, firstByte)
 }
 
@@ -220,6 +223,14 @@
 	return &failure{err: api.Errorf(api.CodeOverloaded, "%s refused the request with status %d", lease.id, ex.StatusCode), notRun: true}
 }
 
+// rejectAsContinuation handles an answer that is no stream after a part of one was forwarded.
+func (c *call) rejectAsContinuation(ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
+	ex.Close(false)
+	lease.release(placement.Result{Kind: placement.ResultFailed, FirstByte: firstByte})
+	c.logAttempt(lease).Int("status", ex.StatusCode).Str("lastEvent", c.stream.lastID).Msg("server did not resume the stream")
+	return &failure{err: api.Errorf(api.CodeStreamBroken, "%s answered with status %d instead of resuming the stream", lease.id, ex.StatusCode)}
+}
+
 // relayBuffered reads an answer completely and then forwards it.
 func (c *call) relayBuffered(ctx context.Context, ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
 	body, err := io.ReadAll(io.LimitReader(ex.Body, maxAnswerBytes))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -451,3 +451,57 @@
 	g.Expect(send(t, server.URL, "/unsafe/x").status).To(Equal(200))
 	g.Expect(healthy.requestCount()).To(Equal(1))
 }
+
+// breakThenAnswer streams events up to last and closes the connection inside the next one, and
+// answers a resumed request with the given function.
+func breakThenAnswer(last int, resumed func(net.Conn, *http.Request) bool) func(int, net.Conn, *http.Request) bool {
+	return func(_ int, conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last") != "" {
+			return resumed(conn, r)
+		}
+		writeStreamHead(conn, r)
+		writeChunk(conn, eventText(1, last)+"id: 99\nda")
+		return false
+	}
+}
+
+// TestOtherAnswerDoesNotContinueStream guards against the text or the head of an error in the
+// middle of a caller's stream, and against a broken stream that looks complete: the server that
+// should resume the stream answers otherwise.
+func TestOtherAnswerDoesNotContinueStream(t *testing.T) {
+	for name, resumed := range map[string]func(net.Conn, *http.Request) bool{
+		"server error": func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 500, "Stamp: s\r\n", "failed") },
+		"client error": func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 409, "Stamp: s\r\n", "conflict") },
+		"no stream":    func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 200, "Stamp: s\r\n", "whole") },
+		"error stream": func(conn net.Conn, r *http.Request) bool {
+			return writeAnswer(conn, r, 404, "Stamp: s\r\nContent-Type: text/event-stream\r\n", eventText(6, 10))
+		},
+		"empty stream without length": func(conn net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"))
+			return false
+		},
+	} {
+		g := NewWithT(t)
+		a, b := startTestServer(t, "a", breakThenAnswer(5, resumed)), startTestServer(t, "b", breakThenAnswer(5, resumed))
+		got := send(t, startGateway(t, newTable(t), a, b), "/resume/x")
+		g.Expect(got.err).To(HaveOccurred(), "%s: the stream is aborted", name)
+		g.Expect(got.body).To(Equal(eventText(1, 5)), name)
+	}
+}
+
+// TestStreamWithoutLengthEndsWithItsConnection guards against treating a stream that has neither
+// a length nor chunks as broken, and one that ends before its first event as complete.
+func TestStreamWithoutLengthEndsWithItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	stream := func(events string) func(int, net.Conn, *http.Request) bool {
+		return func(_ int, conn net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), events)
+			return false
+		}
+	}
+	got := send(t, startGateway(t, newTable(t), startTestServer(t, "a", stream(eventText(1, 10)))), "/stream/x")
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(got.body).To(Equal(eventText(1, 10)))
+	got = send(t, startGateway(t, newTable(t), startTestServer(t, "a", stream(""))), "/stream/x")
+	g.Expect(got.status).To(Equal(502))
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -44,14 +44,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch {
-	case c.stream != nil && c.stream.headSent:
+	case c.streamStarted():
 		event.Str("lastEvent", c.stream.lastID).Msg("stream cut")
 	case c.mayHaveRun:
 		event.Msg("request failed")
 	default:
 		event.Msg("request refused")
 	}
-	if c.stream != nil && c.stream.headSent {
+	if c.streamStarted() {
 		g.metrics.recordOutcome(c, "cut")
 		c.stream.writer.flushNow()
 		// Aborting the connection shows the caller that the answer is incomplete.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,7 +88,9 @@
 	}
 	c.stream.partial, c.stream.intervalEvents, c.stream.answering = nil, 0, false
 	err := c.relayEvents(ctx, ex, lease)
-	if err == nil && len(c.stream.partial) > 0 {
+	// A stream without a length ends with its connection. Before the first event, only a
+	// server that failed ends it.
+	if err == nil && (len(c.stream.partial) > 0 || !ex.IsFramed() && !c.stream.answering) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err == nil {
@@ -137,6 +139,9 @@
 	}
 }
 
+// streamStarted reports whether a part of a stream was forwarded to the caller.
+func (c *call) streamStarted() bool { return c.stream != nil && c.stream.headSent }
+
 // startStallTimer starts a timer that aborts a stalled stream if another server may resume it.
 func (c *call) startStallTimer(ex *backend.Exchange) *time.Timer {
 	return time.AfterFunc(c.stallTimeout(), func() {
