Take an answer without an ID on a kept connection for a late copy

What callers would see: "not run, try again" (503) for a request that a server runs, if a faulty server writes an earlier refusal once more on a kept connection and the copy bears no request ID.

Cause: an answer without an ID was accepted for any request, because a server that could not read a request answers so.

Evidence: TestRepeatedRefusalDoesNotAnswerNextRequest fails on the code before for copies without an ID; copies with the earlier ID were skipped already. Only a new connection can carry no copy, so only there an answer without an ID is accepted.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -58,8 +58,9 @@
 	Body   []byte
 	// HasBody reports whether the request declares a body, which may be empty.
 	HasBody bool
-	// AcceptAnswer reports whether an answer belongs to the request.
-	AcceptAnswer func(*http.Response) bool
+	// AcceptAnswer reports whether an answer belongs to the request. connReused means that the
+	// connection has carried an earlier request, whose answer may come once more.
+	AcceptAnswer func(answer *http.Response, connReused bool) bool
 }
 
 // SendError is the error of a send that received no answer head.
@@ -175,7 +176,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.AcceptAnswer(response) {
+		if request.AcceptAnswer(response, e.conn.reused) {
 			e.Response = response
 			return nil
 		}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -57,7 +57,7 @@
 func newRequest(id string) *backend.Request {
 	return &backend.Request{
 		Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		AcceptAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		AcceptAnswer: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,7 +174,9 @@
 		Method: c.r.Method, Target: targetOf(c.r), Host: c.r.Host, Body: c.body,
 		HasBody:      c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
 		Header:       dialect.Forward(c.r.Header, out),
-		AcceptAnswer: func(r *http.Response) bool { return dialect.AnswersAttempt(id, r.Header) },
+		AcceptAnswer: func(r *http.Response, connReused bool) bool {
+			return dialect.AnswersAttempt(id, r.Header, connReused)
+		},
 	}
 }
 
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -60,8 +60,9 @@
 	Forward(header http.Header, out Outbound) http.Header
 	// ParseAnswer extracts the metadata of a server's answer.
 	ParseAnswer(status int, header http.Header) Answer
-	// AnswersAttempt reports whether an answer may belong to the attempt with this ID.
-	AnswersAttempt(id string, header http.Header) bool
+	// AnswersAttempt reports whether an answer belongs to the attempt with this ID. connReused
+	// means that it may also be a late copy of an answer to an earlier attempt.
+	AnswersAttempt(id string, header http.Header, connReused bool) bool
 	// MarkRouterAnswer sets the headers of an answer that the router itself generates.
 	MarkRouterAnswer(header http.Header, id string)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,7 +51,10 @@
 	return gateway.Answer{Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != ""}
 }
 
-func (testDialect) AnswersAttempt(id string, header http.Header) bool { return header.Get("Id") == id }
+func (testDialect) AnswersAttempt(id string, header http.Header, connReused bool) bool {
+	echo := header.Get("Id")
+	return echo == id || echo == "" && !connReused
+}
 
 func (testDialect) MarkRouterAnswer(header http.Header, id string) { header.Set("Id", id) }
 
@@ -505,3 +508,31 @@
 	got = send(t, startGateway(t, newTable(t), startTestServer(t, "a", stream(""))), "/stream/x")
 	g.Expect(got.status).To(Equal(502))
 }
+
+// TestRepeatedRefusalDoesNotAnswerNextRequest guards against telling a caller "not run" about a
+// request that runs: a faulty server writes the refusal of an earlier request once more, with and
+// without that request's ID, when the next one arrives on the connection.
+func TestRepeatedRefusalDoesNotAnswerNextRequest(t *testing.T) {
+	for _, withID := range []bool{true, false} {
+		g := NewWithT(t)
+		refusal := func(id string) string {
+			if !withID {
+				return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			}
+			return "HTTP/1.1 503 X\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		s := startTestServer(t, "a", func(n int, conn net.Conn, r *http.Request) bool {
+			if n == 1 {
+				_, err := io.WriteString(conn, refusal("first"))
+				return err == nil
+			}
+			_, _ = io.WriteString(conn, refusal("first"))
+			time.Sleep(20 * time.Millisecond)
+			return answerOK(n, conn, r)
+		})
+		url := startGateway(t, newTable(t), s)
+		g.Expect(send(t, url, "/unsafe/x", "Id", "first").status).To(Or(Equal(503), Equal(502)))
+		got := send(t, url, "/unsafe/x", "Id", "second")
+		g.Expect(got.body).To(Equal("whole"), "with ID: %v", withID)
+	}
+}
