--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -474,8 +474,10 @@
 func TestOtherAnswerDoesNotContinueStream(t *testing.T) {
 	for name, resumed := range map[string]func(net.Conn, *http.Request) bool{
 		"server error": func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 500, "Stamp: s\r\n", "failed") },
-		"client error": func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 409, "Stamp: s\r\n", "conflict") },
-		"no stream":    func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 200, "Stamp: s\r\n", "whole") },
+		"client error": func(conn net.Conn, r *http.Request) bool {
+			return writeAnswer(conn, r, 409, "Stamp: s\r\n", "conflict")
+		},
+		"no stream": func(conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 200, "Stamp: s\r\n", "whole") },
 		"error stream": func(conn net.Conn, r *http.Request) bool {
 			return writeAnswer(conn, r, 404, "Stamp: s\r\nContent-Type: text/event-stream\r\n", eventText(6, 10))
 		},
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -133,6 +133,56 @@
 	_ = w
 }
 
+// TestOddAnnouncementDoesNotStopTheStreams guards against one entry that every router and control
+// replica fails on again and again. Each announcement must be refused with its field, and the
+// routers must go on learning of other workers.
+func TestOddAnnouncementDoesNotStopTheStreams(t *testing.T) {
+	f := startFleet(t, 2)
+	f.startWorker("i-1")
+	f.configure(f.config(7, 1000))
+	for _, router := range f.routers {
+		f.awaitServing(router, "/look/x")
+	}
+	f.awaitControls(f.config(7, 1000))
+	entry := func(pairs ...string) string {
+		entry := `{"Service":"app","Address":"127.0.0.1:9","Zone":"z","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1}`
+		for i := 0; i+1 < len(pairs); i += 2 {
+			f.Expect(entry).To(ContainSubstring(pairs[i]))
+			entry = strings.Replace(entry, pairs[i], pairs[i+1], 1)
+		}
+		return entry
+	}
+	long := strings.Repeat("x", 30_000)
+	for name, call := range map[string][3]string{
+		"ID that is not UTF-8": {"/instances/%ff%fe", entry(), "id"},
+		"long ID":              {"/instances/" + long, entry(), "id"},
+		"nested deeply":        {"/instances/i-odd", strings.Repeat(`{"a":`, 10_000), "body"},
+		"nested lists":         {"/instances/i-odd", entry(`"v1"`, strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)), "body"},
+		"number too large":     {"/instances/i-odd", entry(`"Seq":1`, `"Seq":1e400`), "body"},
+		"negative sequence":    {"/instances/i-odd", entry(`"Seq":1`, `"Seq":-1`), "body"},
+		"port out of range":    {"/instances/i-odd", entry("127.0.0.1:9", "127.0.0.1:99999"), "Address"},
+		"port 0":               {"/instances/i-odd", entry("127.0.0.1:9", "127.0.0.1:0"), "Address"},
+		"no slots":             {"/instances/i-odd", entry(`"Slots":6`, `"Slots":0`), "Slots"},
+		"too many slots":       {"/instances/i-odd", entry(`"Slots":6`, `"Slots":9000000000`), "Slots"},
+		"endless warm-up":      {"/instances/i-odd", entry(`"ColdLeftMs":0`, `"ColdLeftMs":1e300`), "ColdLeftMs"},
+		"long service":         {"/instances/i-odd", entry(`"app"`, `"`+long+`"`), "Service"},
+		"long zone":            {"/instances/i-odd", entry(`"Zone":"z"`, `"Zone":"`+long+`"`), "Zone"},
+		"long version":         {"/instances/i-odd", entry(`"v1"`, `"`+long+`"`), "Version"},
+		"many models":          {"/instances/i-odd", entry(`"Seq":1`, `"Seq":1,"Models":[`+strings.Repeat(`{"Name":"m"},`, 999)+`{"Name":"m"}]`), "Models"},
+	} {
+		status, answer := f.callControl(f.controls[0], http.MethodPut, call[0], call[1])
+		f.Expect(status).To(Equal(http.StatusBadRequest), name)
+		f.Expect(answer).To(ContainSubstring(fmt.Sprintf(`"field":%q`, call[2])), name)
+	}
+	f.startWorker("i-2")
+	for _, router := range f.routers {
+		f.Eventually(func() string {
+			_, body, _ := f.sendRequest(router, http.MethodPost, "/look/x")
+			return body
+		}, 3*time.Second, 10*time.Millisecond).Should(Equal("from i-2"), "a worker that was announced later")
+	}
+}
+
 // TestDrainingWorkerGetsNoRequestAfterAcknowledgment checks that routers stop sending to a worker
 // soon after a control instance has acknowledged its state "draining".
 func TestDrainingWorkerGetsNoRequestAfterAcknowledgment(t *testing.T) {
