Take memory for a caller's body as it arrives

Same class as the query of death, found when looking for other requests that can end one process after the other: a caller that declares bodies of 4 MiB (the limit of the users' tables) and sends nothing made a router allocate them at once. 50 such connections took 210 MB; a router has 184 or 284 MB, and the caller's retry meets the next one.

TestDeclaredBodiesTakeNoMemory fails on the code before (210 MB for 50 requests of 5 bytes; at most 20 allowed) and passes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -16,6 +16,9 @@
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
+// maxInitialBodyBytes limits the memory for a body before it arrives.
+const maxInitialBodyBytes = 32 << 10
+
 // call is a caller's request in progress, with its route, customer and pool.
 type call struct {
 	gateway    *Gateway
@@ -94,14 +97,11 @@
 	if r.ContentLength > limit {
 		return nil, api.Errorf(api.CodeTooLarge, "body has %d bytes; the limit is %d", r.ContentLength, limit)
 	}
-	body := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength > 0 {
-		out := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(body, out)
-		return out, bodyError(err, limit)
-	}
-	out, err := io.ReadAll(body)
-	return out, bodyError(err, limit)
+	// A caller may declare a large body and never send it.
+	var out bytes.Buffer
+	out.Grow(int(min(max(r.ContentLength, 0), maxInitialBodyBytes)) + bytes.MinRead)
+	_, err := out.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	return out.Bytes(), bodyError(err, limit)
 }
 
 func bodyError(err error, limit int64) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -290,6 +291,31 @@
 	g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 }
 
+// TestDeclaredBodiesTakeNoMemory guards against callers that end one router after the other by
+// declaring large bodies without sending them.
+func TestDeclaredBodiesTakeNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t)
+	table.Limits.MaxBodyBytes = 4 << 20
+	address := strings.TrimPrefix(startGateway(t, table, startTestServer(t, "a", answerOK)), "http://")
+	heap := func() int {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int(stats.HeapAlloc)
+	}
+	before := heap()
+	for range 50 {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: i\r\nKey: key\r\nContent-Length: 4194304\r\n\r\nstart")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	time.Sleep(200 * time.Millisecond)
+	g.Expect(heap()-before).To(BeNumerically("<", 20<<20), "bytes for 50 requests of 5 bytes")
+}
+
 // TestTruncatedAnswerIsNotForwarded guards against a partial body that looks complete: the
 // server closes the connection before Content-Length bytes.
 func TestTruncatedAnswerIsNotForwarded(t *testing.T) {
