--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -74,6 +75,8 @@
 	// faulty has the machines and workers under a fault, restarts counts the restarts of each machine.
 	faulty   map[string]bool
 	restarts map[string]int
+	// routerFaults counts the faults of routers.
+	routerFaults int
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -120,6 +123,7 @@
 		s.tasks.Go(func() { s.runClient(i) })
 	}
 	s.tasks.Go(s.runOperator)
+	s.tasks.Go(s.runDeadlyClient)
 	for _, router := range s.routers {
 		s.tasks.Go(func() { s.runProbe(router) })
 	}
@@ -245,6 +249,52 @@
 	}
 }
 
+const (
+	// soakDeadlyInterval is the mean time between two requests with the deadly part.
+	soakDeadlyInterval = 150 * time.Millisecond
+	// soakContact is ContactMs of the platform, after which routers in contact with control
+	// withhold a part that has ended soakDeadlyEnds workers.
+	soakContact    = 3 * time.Second
+	soakDeadlyEnds = 5
+	// soakDeadlyAllowed is how many requests with the part may reach workers after that.
+	soakDeadlyAllowed = 3
+)
+
+// runDeadlyClient sends requests with a part that ends workers. After soakContact from the fifth
+// end, only routers that a fault has put out of contact may still send some to workers.
+func (s *soak) runDeadlyClient() {
+	var since time.Time
+	var receivedBefore, faultsBefore int
+	for i := 0; ; i++ {
+		select {
+		case <-s.stop:
+			_, received := deadlyCounts(s.workers)
+			if !since.IsZero() {
+				s.t.Logf("%d requests with the deadly part, %d of them after the limit", received, received-receivedBefore)
+			}
+			return
+		case <-time.After(time.Duration(float64(soakDeadlyInterval) * (0.5 + rand.Float64()))):
+		}
+		s.sendPrompt(s.routers[i%len(s.routers)], "a1:100,b2:100,"+deadlyPrefix)
+		s.sendPrompt(s.routers[(i+1)%len(s.routers)], "a1:100,b2:100")
+		ends, received := deadlyCounts(s.workers)
+		s.mu.Lock()
+		faults := s.routerFaults
+		s.mu.Unlock()
+		if ends >= soakDeadlyEnds && since.IsZero() {
+			since = time.Now().Add(soakContact)
+		}
+		if since.IsZero() || time.Now().Before(since) {
+			receivedBefore, faultsBefore = received, faults
+			continue
+		}
+		if received-receivedBefore > soakDeadlyAllowed+faults-faultsBefore {
+			s.reportViolation("%d requests with the deadly part after the limit, with %d faults of routers", received-receivedBefore, faults-faultsBefore)
+			receivedBefore, faultsBefore = received, faults
+		}
+	}
+}
+
 // runOperator sends configurations with increasing versions. It retries each until it is
 // acknowledged, then reads the version in force.
 func (s *soak) runOperator() {
@@ -326,6 +376,9 @@
 		return false
 	}
 	s.faulty[name] = true
+	if strings.HasPrefix(name, "front-") {
+		s.routerFaults++
+	}
 	return true
 }
 
