Keep away from servers that say they leave or want a pause

A worker that leaves says so in all its answers (Server-Leaving), and one that turns a request away with 503 may say for how long (Retry-After); both were ignored, so a router sent on until control had the drain, or at once again.

Where all servers want a pause, callers are refused at once with a Retry-After at its end, spread over half of its length. Statements stay on the router that received them: the server tells each router, and control by its announcement, and a garbled statement must not take it from all routers. Headers of workers that mean nothing to clients are no longer forwarded.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,9 +67,28 @@
 	if err != nil && c.ctx.Err() != nil {
 		return nil, c.contextError(context.Cause(c.ctx))
 	}
+	if backedOff := (*backedOffError)(nil); errors.As(err, &backedOff) {
+		c.availableAt = backedOff.availableAt
+		return nil, api.Errorf(api.CodeOverloaded, "%v", err)
+	}
 	return lease, err
 }
 
+// recordWithdrawal records what the server's answer says about further requests to it.
+func (c *call) recordWithdrawal(lease *lease, answer Answer) {
+	leaving, backedOff := lease.recordWithdrawal(answer.Leaving, answer.BackOff)
+	line := func() *zerolog.Event {
+		return c.gateway.log.Info().Str("server", lease.id).Str("address", lease.address).Str("requestId", c.in.ID).Str("source", "answer")
+	}
+	if leaving {
+		c.gateway.client.CloseIdle(lease.address)
+		line().Msg("backend server is leaving")
+	}
+	if backedOff {
+		line().Time("until", time.Now().Add(answer.BackOff)).Msg("backend server wants no requests")
+	}
+}
+
 // failure is why an attempt did not answer the caller.
 type failure struct {
 	err error
@@ -127,6 +146,7 @@
 	}
 	answer := c.gateway.dialect.ParseAnswer(ex.StatusCode, ex.Header)
 	lease.recordLoad(answer.Load)
+	c.recordWithdrawal(lease, answer)
 	firstByte := time.Since(lease.sentAt)
 	if answer.NotRun {
 		return c.handleNotRun(lease, ex)
@@ -271,6 +291,9 @@
 	if lease.choice.Age >= 0 {
 		line = line.Dur("loadAge", lease.choice.Age)
 	}
+	if lease.choice.Leaving+lease.choice.BackedOff > 0 {
+		line = line.Int("leaving", lease.choice.Leaving).Int("backedOff", lease.choice.BackedOff)
+	}
 	if len(c.in.PromptParts) > 0 {
 		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
 			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
@@ -287,7 +310,7 @@
 
 // writeAnswer writes a buffered answer to the caller.
 func (c *call) writeAnswer(answer *bufferedAnswer) error {
-	copyAnswerHeader(c.w.Header(), answer.header)
+	c.copyAnswerHeader(answer.header)
 	c.w.WriteHeader(answer.status)
 	_, err := c.w.Write(answer.body)
 	c.gateway.metrics.recordOutcome(c, "answered")
@@ -298,12 +321,15 @@
 	return nil
 }
 
-func copyAnswerHeader(to, from http.Header) {
+// copyAnswerHeader copies those headers of a server's answer that are for the caller.
+func (c *call) copyAnswerHeader(from http.Header) {
+	to := c.w.Header()
 	connection := to.Get("Connection")
 	for name, values := range from {
 		to[name] = values
 	}
 	httpx.RemoveHopByHopHeaders(to)
+	c.gateway.dialect.ForwardAnswer(to)
 	if connection != "" {
 		to.Set("Connection", connection)
 	}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -47,6 +47,11 @@
 	Signed bool
 	// NotRun is the server's statement that it did not run the request.
 	NotRun bool
+	// Leaving is the server's statement that it is leaving and takes no further request.
+	Leaving bool
+	// BackOff is how long the server wants no further request from this router; 0 if it does
+	// not say so.
+	BackOff time.Duration
 	// Load is the load that the server reports, without At; nil if it reports none.
 	Load *placement.Load
 }
@@ -63,6 +68,8 @@
 	// AnswersAttempt reports whether an answer belongs to the attempt with this ID. connReused
 	// means that it may also be a late copy of an answer to an earlier attempt.
 	AnswersAttempt(id string, header http.Header, connReused bool) bool
+	// ForwardAnswer removes the headers of a server's answer that mean nothing to callers.
+	ForwardAnswer(header http.Header)
 	// MarkRouterAnswer sets the headers of an answer that the router itself generates.
 	MarkRouterAnswer(header http.Header, id string)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -41,7 +41,7 @@
 }
 
 func (testDialect) Forward(header http.Header, out gateway.Outbound) http.Header {
-	forward := http.Header{"Id": header["Id"], "Parts": header["Parts"], "Wait": {strconv.FormatInt(out.Timeout.Milliseconds(), 10)}, "Expect-Id": {out.ServerID}}
+	forward := http.Header{"Id": header["Id"], "Parts": header["Parts"], "Router": header["Router"], "Wait": {strconv.FormatInt(out.Timeout.Milliseconds(), 10)}, "Expect-Id": {out.ServerID}}
 	if out.LastEventID != "" {
 		forward.Set("Last", out.LastEventID)
 	}
@@ -49,7 +49,15 @@
 }
 
 func (testDialect) ParseAnswer(_ int, header http.Header) gateway.Answer {
-	return gateway.Answer{Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != ""}
+	backOff, _ := time.ParseDuration(header.Get("Back-Off"))
+	return gateway.Answer{
+		Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "", BackOff: backOff,
+	}
+}
+
+func (testDialect) ForwardAnswer(header http.Header) {
+	header.Del("Leaving")
+	header.Del("Back-Off")
 }
 
 func (testDialect) AnswersAttempt(id string, header http.Header, connReused bool) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,14 @@
 		}
 		return float64(queued)
 	})
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_withdrawn{statement="leaving"}`, func() float64 {
+		leaving, _ := g.withdrawnServers()
+		return float64(leaving)
+	})
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_withdrawn{statement="backed_off"}`, func() float64 {
+		_, backedOff := g.withdrawnServers()
+		return float64(backedOff)
+	})
 	metrics.GetOrCreateGauge("peridotwinch_gateway_repeats_left", func() float64 {
 		lowest := 0.0
 		for i, p := range g.pools.list() {
@@ -52,6 +60,15 @@
 	})
 }
 
+// withdrawnServers returns how many servers are leaving or backed off.
+func (g *Gateway) withdrawnServers() (leaving, backedOff int) {
+	for _, p := range g.pools.list() {
+		l, b := p.withdrawn()
+		leaving, backedOff = leaving+l, backedOff+b
+	}
+	return leaving, backedOff
+}
+
 func (m *gatewayMetrics) recordOutcome(c *call, outcome string) {
 	priority := "none"
 	if c.customer != nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -59,7 +60,7 @@
 	found := p.byName[name]
 	if found == nil {
 		found = newPool(engine, p.metrics)
-		found.servers.SetServers(p.servers[name])
+		found.servers.SetServers(p.servers[name], time.Now())
 		p.byName[name] = found
 	}
 	return found
@@ -87,8 +88,9 @@
 	p.mu.Unlock()
 	for name, found := range known {
 		found.mu.Lock()
-		found.servers.SetServers(servers[name])
-		found.grantQueued(time.Now())
+		now := time.Now()
+		found.servers.SetServers(servers[name], now)
+		found.grantQueued(now)
 		found.mu.Unlock()
 	}
 }
@@ -125,6 +127,10 @@
 		p.mu.Unlock()
 		return l, nil
 	}
+	if err := p.checkAvailable(now.Add(queueTimeout), now); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	if queueTimeout <= 0 {
 		p.mu.Unlock()
 		return nil, api.Errorf(api.CodeOverloaded, "no server has a free slot")
@@ -146,7 +152,7 @@
 	var err error
 	select {
 	case s := <-w.granted:
-		return p.leaseGranted(s, w.request), nil
+		return p.leaseGranted(s, w.request)
 	case <-timer.C:
 		err = api.Errorf(api.CodeOverloaded, "no slot became free within the queue timeout")
 	case <-ctx.Done():
@@ -158,17 +164,51 @@
 	select {
 	case s := <-w.granted:
 		// The slot was granted between the timeout and the removal from the queue.
-		return p.leaseGranted(s, w.request), nil
+		return p.leaseGranted(s, w.request)
 	default:
 		return nil, err
 	}
 }
 
-// leaseGranted returns the lease of a slot that grantQueued took.
-func (p *pool) leaseGranted(s *placement.Server, request placement.Request) *lease {
+// leaseGranted returns the lease of a slot that grantQueued took, or the error with which
+// refuseQueued ended the wait.
+func (p *pool) leaseGranted(s *placement.Server, request placement.Request) (*lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.newLease(s, request, time.Now())
+	now := time.Now()
+	if s == nil {
+		at, _ := p.servers.AvailableAt(now)
+		return nil, &backedOffError{availableAt: at}
+	}
+	return p.newLease(s, request, now), nil
+}
+
+// backedOffError means that all servers of a pool want no request until availableAt.
+type backedOffError struct{ availableAt time.Time }
+
+// Error implements error.
+func (e *backedOffError) Error() string {
+	return fmt.Sprintf("all servers want no request for %v", time.Until(e.availableAt).Round(time.Millisecond))
+}
+
+// checkAvailable returns a backedOffError if all servers want no request until after the
+// deadline; mu is held.
+func (p *pool) checkAvailable(deadline, now time.Time) error {
+	if at, allBackedOff := p.servers.AvailableAt(now); allBackedOff && at.After(deadline) {
+		return &backedOffError{availableAt: at}
+	}
+	return nil
+}
+
+// refuseQueued ends the wait of the queued requests for which no server accepts requests in
+// time; mu is held.
+func (p *pool) refuseQueued(now time.Time) {
+	for _, w := range slices.Clone(p.queue) {
+		if p.checkAvailable(w.deadline, now) != nil {
+			p.queue.remove(w)
+			w.granted <- nil
+		}
+	}
 }
 
 // newLease returns the lease of a taken slot; mu is held.
@@ -227,6 +267,22 @@
 	l.pool.servers.RecordLoad(l.Server, report)
 }
 
+// recordWithdrawal records what the server stated about itself, and reports which statements
+// are news.
+func (l *lease) recordWithdrawal(leaving bool, backOff time.Duration) (isLeaving, isBackedOff bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	now := time.Now()
+	if leaving {
+		isLeaving = l.pool.servers.MarkLeaving(l.hash, now)
+	}
+	if backOff > 0 {
+		isBackedOff = l.pool.servers.BackOff(l.hash, now.Add(backOff), now)
+		l.pool.refuseQueued(now)
+	}
+	return isLeaving, isBackedOff
+}
+
 // recordEventInterval records the mean time between two events of a stream.
 func (l *lease) recordEventInterval(interval time.Duration) {
 	l.pool.mu.Lock()
@@ -255,6 +311,13 @@
 	return p.retryBudget.Spend(time.Now())
 }
 
+// withdrawn returns how many servers are leaving or backed off.
+func (p *pool) withdrawn() (leaving, backedOff int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.servers.Withdrawn(time.Now())
+}
+
 func (p *pool) queueLength() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -79,6 +79,10 @@
 	if code == api.CodePromptWithheld {
 		return max(time.Until(c.withheldUntil), baseRetryAfter)
 	}
+	if remaining := time.Until(c.availableAt); remaining > 0 {
+		// Servers that have asked for a pause are not to meet all callers at its end.
+		return remaining + rand.N(max(retryAfterJitter, remaining/2))
+	}
 	delay := baseRetryAfter
 	if code == api.CodeNotConfigured || code == api.CodeNoBackendServer {
 		delay = startupRetryAfter
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -212,7 +212,7 @@
 // writeHead writes the first server's status and headers to the caller.
 func (c *call) writeHead(ex *backend.Exchange) {
 	c.stream.headSent = true
-	copyAnswerHeader(c.w.Header(), ex.Header)
+	c.copyAnswerHeader(ex.Header)
 	c.w.WriteHeader(ex.StatusCode)
 	c.gateway.metrics.recordFirstByte(c.kindLabel(), time.Since(c.receivedAt))
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -128,6 +128,10 @@
 	history           *sendHistory
 	shares            *keyShares
 	domains           map[string]*reachability
+	// withdrawals holds what servers stated in their answers, by incarnation.
+	withdrawals map[uint64]*withdrawal
+	// listedAt is when control's list was last set.
+	listedAt time.Time
 }
 
 // NewPool returns an empty pool. hasPrefixCache means that its servers generate
@@ -136,17 +140,20 @@
 	return &Pool{
 		hasPrefixCache: hasPrefixCache, byID: make(map[string]*Server), drainingAddresses: make(map[string]string),
 		history: newSendHistory(), shares: newKeyShares(), domains: make(map[string]*reachability),
+		withdrawals: make(map[uint64]*withdrawal),
 	}
 }
 
-// SetServers replaces the servers with those listed by control. It keeps the state
-// of servers whose ID and address stay the same.
-func (p *Pool) SetServers(infos []ServerInfo) {
+// SetServers replaces the servers with those that control lists at now. It keeps the
+// state of servers whose ID and address stay the same. A server that has stated that it
+// is leaving counts as draining, whatever control lists.
+func (p *Pool) SetServers(infos []ServerInfo, now time.Time) {
 	servers := make([]*Server, 0, len(infos))
 	byID := make(map[string]*Server, len(infos))
 	clear(p.drainingAddresses)
+	p.listedAt = now
 	for _, info := range infos {
-		if info.Draining {
+		if info.Draining || p.isLeaving(info.Hash, now) {
 			p.drainingAddresses[info.ID] = info.Address
 			continue
 		}
@@ -173,6 +180,14 @@
 // Choose returns the server that a request is sent to, or nil if no server may take
 // it now. A server may take a request while its estimated load is below its slots.
 func (p *Pool) Choose(request Request, now time.Time) *Server {
+	s := p.choose(request, now)
+	if s != nil && len(p.withdrawals) > 0 {
+		s.Choice.Leaving, s.Choice.BackedOff = p.Withdrawn(now)
+	}
+	return s
+}
+
+func (p *Pool) choose(request Request, now time.Time) *Server {
 	eligible := p.eligible(request, now)
 	switch {
 	case len(eligible) == 0:
@@ -194,7 +209,7 @@
 	var healthy, suspect []*Server
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
-		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) {
+		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isBackedOff(s, now) {
 			continue
 		}
 		if p.isSuspect(s, mean, now) {
@@ -355,6 +370,9 @@
 func (p *Pool) ServersToProbe(now time.Time) []*Server {
 	var out []*Server
 	for _, s := range p.servers {
+		if p.isBackedOff(s, now) {
+			continue
+		}
 		if (!s.isReachable(now) || p.reachability(s.Domain).isUnreachable(now)) && now.Sub(s.lastProbe) >= probeInterval {
 			s.lastProbe = now
 			out = append(out, s)
--- a/internal/placement/place_test.go
+++ b/internal/placement/place_test.go
@@ -42,10 +42,10 @@
 func TestRoutersChooseSameServerForPrompt(t *testing.T) {
 	g := NewWithT(t)
 	first, second := placement.NewPool(true), placement.NewPool(true)
-	first.SetServers(serverInfos(18))
+	first.SetServers(serverInfos(18), start)
 	list := serverInfos(18)
 	list[0], list[17] = list[17], list[0]
-	second.SetServers(list)
+	second.SetServers(list, start)
 	g.Expect(chosenServers(first)).To(Equal(chosenServers(second)))
 }
 
@@ -54,9 +54,9 @@
 func TestRemovedServerMovesOnlyItsOwnPrompts(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(true)
-	p.SetServers(serverInfos(18))
+	p.SetServers(serverInfos(18), start)
 	before := chosenServers(p)
-	p.SetServers(serverInfos(17))
+	p.SetServers(serverInfos(17), start)
 	for key, server := range chosenServers(p) {
 		if before[key] != "i-17" {
 			g.Expect(server).To(Equal(before[key]))
@@ -70,7 +70,7 @@
 func TestPromptAvoidsOverloadedServerUntilReportDecays(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(true)
-	p.SetServers(serverInfos(6))
+	p.SetServers(serverInfos(6), start)
 	first := p.Choose(promptRequest(42), start)
 	for _, info := range serverInfos(6) {
 		running := 5
@@ -113,7 +113,7 @@
 	var routers []*placement.Pool
 	for range 80 {
 		p := placement.NewPool(true)
-		p.SetServers(serverInfos(140))
+		p.SetServers(serverInfos(140), start)
 		routers = append(routers, p)
 	}
 	type activeRequest struct {
@@ -160,7 +160,7 @@
 func TestMovedPromptIsCopiedFromLastServer(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(true)
-	p.SetServers(serverInfos(6))
+	p.SetServers(serverInfos(6), start)
 	first := p.Choose(promptRequest(42), start)
 	g.Expect(p.CopySource(first, promptRequest(42), start)).NotTo(BeEmpty(), "another router may have sent it to another server before")
 	g.Expect(p.CopySource(first, promptRequest(42), start)).To(BeEmpty(), "the server caches it now")
@@ -168,7 +168,7 @@
 	for i := range draining {
 		draining[i].Draining = draining[i].ID == first.ID
 	}
-	p.SetServers(draining)
+	p.SetServers(draining, start)
 	second := p.Choose(promptRequest(42), start)
 	g.Expect(second.ID).NotTo(Equal(first.ID))
 	g.Expect(p.CopySource(second, promptRequest(42), start)).To(Equal(first.Address), "a draining server still serves copies of its cache")
@@ -180,7 +180,7 @@
 func TestUnreachableDomainIsAvoidedUntilProbeSucceeds(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(9))
+	p.SetServers(serverInfos(9), start)
 	failConnections := func(id string) {
 		for range 100 {
 			s := p.Choose(placement.Request{Domain: "zone-0"}, start)
@@ -215,7 +215,7 @@
 func TestNoRequestIsSentIntoUnreachableDomain(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(9))
+	p.SetServers(serverInfos(9), start)
 	request := placement.Request{Domain: "zone-0", Retryable: true}
 	sentToUnreachable := 0
 	for now := start; now.Before(start.Add(6 * time.Second)); now = now.Add(50 * time.Millisecond) {
@@ -258,7 +258,7 @@
 func TestRetriedRequestIsNotSentToSuspectServer(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(3))
+	p.SetServers(serverInfos(3), start)
 	failing := failFirstChoice(p)
 	later := start.Add(10 * time.Second)
 	for _, other := range serverInfos(3) {
@@ -273,7 +273,7 @@
 func TestSuspectServerGetsOnlyRetryableTrials(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(3))
+	p.SetServers(serverInfos(3), start)
 	failing := failFirstChoice(p)
 	later := start.Add(10 * time.Second)
 	for range 20 {
@@ -288,7 +288,7 @@
 func TestAllServersAreUsedIfAllFail(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(3))
+	p.SetServers(serverInfos(3), start)
 	used := make(map[string]bool)
 	for i := range 60 {
 		now := start.Add(time.Duration(i) * time.Second)
@@ -328,7 +328,7 @@
 func TestPromptsAvoidSlowServerAndReturn(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(true)
-	p.SetServers(serverInfos(6))
+	p.SetServers(serverInfos(6), start)
 	var slow *placement.Server
 	for _, info := range serverInfos(6) {
 		reportLoad(p, info.ID, 5)
@@ -355,7 +355,7 @@
 func TestSlowServerWithoutPrefixCacheIsTriedAgain(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	p.SetServers(serverInfos(2))
+	p.SetServers(serverInfos(2), start)
 	answer := func(firstByte time.Duration, now time.Time) string {
 		s := p.Choose(placement.Request{}, now)
 		p.RecordSend(s, now)
