Keep away from leaving and paused servers on the product's own path

The dispatcher takes such a server out of its views at once, also for queued requests, until a new incarnation or the end of the pause. If all servers are paused, callers are refused at once with Retry-After (and retryAfterMs) at the end of the first pause, spread over half of it.

The statements are kept by internal/withdrawal, which placement uses as well; the parser of Retry-After is there, too. A pause is called a pause everywhere.

TestCallersReturnSpreadOutWhenThereIsRoom failed in 4 of 20 runs beside load: it compared with the first of 20 random delays, which may be among the longest. It now asks for 0.5 s between the shortest and the longest.

--- a/api/chat.go
+++ b/api/chat.go
@@ -2,12 +2,17 @@
 
 // Headers of the protocols of callers and backend servers.
 const (
-	HeaderChat           = "Peridotwinch-Chat"
-	HeaderAffinity       = "Peridotwinch-Affinity"
-	HeaderRequestID      = "Peridotwinch-Request-Id"
-	HeaderPriority       = "Peridotwinch-Priority"
-	HeaderResumeOffset   = "Peridotwinch-Resume-Offset"
-	HeaderOutcome        = "Peridotwinch-Outcome"
+	HeaderChat         = "Peridotwinch-Chat"
+	HeaderAffinity     = "Peridotwinch-Affinity"
+	HeaderRequestID    = "Peridotwinch-Request-Id"
+	HeaderPriority     = "Peridotwinch-Priority"
+	HeaderResumeOffset = "Peridotwinch-Resume-Offset"
+	HeaderOutcome      = "Peridotwinch-Outcome"
+	// HeaderServerState is the state of the backend server, a ServerState, in each of its
+	// answers. A draining server takes no further request. A server that does not run a
+	// request may add Retry-After with the seconds for which it wants no other one.
+	HeaderServerState    = "Peridotwinch-Server-State"
+	HeaderRetryAfter     = "Retry-After"
 	HeaderHop            = "Peridotwinch-Hop"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/api/error.go
+++ b/api/error.go
@@ -24,6 +24,9 @@
 	Field     string  `json:"field,omitempty"`
 	Outcome   Outcome `json:"outcome,omitempty"`
 	RequestID string  `json:"requestId,omitempty"`
+	// RetryAfterMS is the time in milliseconds after which the caller may succeed; 0 if
+	// unknown. The header Retry-After has it in seconds.
+	RetryAfterMS int64 `json:"retryAfterMs,omitempty"`
 }
 
 // ErrorBody is the JSON body of a refusal.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/membership"
 	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
 // Source lists the known backend servers.
@@ -33,6 +35,7 @@
 	Remote    bool
 	firstByte func(time.Duration) bool
 	release   func(balance.Result)
+	statement func(leaving bool, pause time.Duration) Statement
 	// firstByteRecorded reports that the balancer has the time to the first byte.
 	firstByteRecorded bool
 }
@@ -46,6 +49,18 @@
 	}
 }
 
+// Statement tells what is news in what a server stated about itself.
+type Statement struct{ Leaving, Paused bool }
+
+// RecordStatement records that the server is leaving, or wants no request for the time of pause,
+// and returns what is news. The dispatcher grants no lease on such a server.
+func (l *Lease) RecordStatement(leaving bool, pause time.Duration) Statement {
+	if l.statement == nil || !leaving && pause <= 0 {
+		return Statement{}
+	}
+	return l.statement(leaving, pause)
+}
+
 // Release releases the slot on the server and reports the result of the request
 // to the balancer.
 func (l *Lease) Release(result balance.Result) {
@@ -66,12 +81,19 @@
 	reservations reservationState
 	pools        map[string]*pool
 	inFlight     map[balance.ServerID]int
+	withdrawals  withdrawal.Book[serverIncarnation]
 	// overflowLeases counts the open leases on routers of each other failure domain,
 	// and overflowTotal all such leases ever granted.
 	overflowLeases map[string]int
 	overflowTotal  int
 }
 
+// serverIncarnation identifies an incarnation of a server.
+type serverIncarnation struct {
+	server      balance.ServerID
+	incarnation uint64
+}
+
 // Option configures a Dispatcher in New.
 type Option func(*Dispatcher)
 
@@ -137,6 +159,9 @@
 	key := candidateKey{pool: target.UID, model: model}
 	servers := p.view(now, d, current, target, key)
 	if servers.Len() == 0 {
+		if at := p.views[key].availableAt; at.After(now) {
+			return nil, "", errPaused(at.Sub(now))
+		}
 		return nil, "", errNoServer()
 	}
 	verdict, id, waiter := p.admission.Admit(now, request, servers)
@@ -165,11 +190,15 @@
 func (d *Dispatcher) lease(pending *pendingRequest, id balance.ServerID) *Lease {
 	p, request := pending.pool, pending.request
 	d.inFlight[id]++
+	incarnation := p.views[pending.key].view.Incarnation(id)
 	return &Lease{
 		Server:      id,
-		Incarnation: p.views[pending.key].view.Incarnation(id),
-		firstByte:   func(elapsed time.Duration) bool { return d.firstByte(p, request, id, elapsed) },
-		release:     func(result balance.Result) { d.release(p, request, id, result) },
+		Incarnation: incarnation,
+		statement: func(leaving bool, pause time.Duration) Statement {
+			return d.recordStatement(p, serverIncarnation{id, incarnation}, leaving, pause)
+		},
+		firstByte: func(elapsed time.Duration) bool { return d.firstByte(p, request, id, elapsed) },
+		release:   func(result balance.Result) { d.release(p, request, id, result) },
 	}
 }
 
@@ -179,6 +208,33 @@
 	return p.admission.FirstByte(d.now(), request, id, elapsed)
 }
 
+// recordStatement records what a server stated about itself, and takes it out of the views.
+func (d *Dispatcher) recordStatement(p *pool, server serverIncarnation, leaving bool, pause time.Duration) (news Statement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if leaving {
+		news.Leaving = d.withdrawals.MarkLeaving(server, now)
+	}
+	if pause > 0 {
+		news.Paused = d.withdrawals.Pause(server, now.Add(pause), now)
+	}
+	for key, c := range p.views {
+		c.rebuild(now, d, p, key.model)
+	}
+	return news
+}
+
+// withdrawn reports whether a server that is listed at now has stated that it takes no request,
+// and until when if it is not leaving.
+func (d *Dispatcher) withdrawn(server membership.Server, now time.Time) (until time.Time, withdrawn bool) {
+	key := serverIncarnation{balance.ServerID(server.Address), server.Incarnation}
+	if d.withdrawals.RecordListed(key, now) {
+		return time.Time{}, true
+	}
+	return d.withdrawals.PausedUntil(key, now)
+}
+
 // wait blocks until the queued request has a lease, is refused or ctx ends.
 func (d *Dispatcher) wait(ctx context.Context, pending *pendingRequest) (*Lease, error) {
 	timer := time.NewTimer(d.timeToReview(pending))
@@ -312,6 +368,14 @@
 	return api.Errorf(api.CodeNoBackendServer, "the pool has no serving backend server").NotRun()
 }
 
+// errPaused spreads the callers over half of the remaining pause, so that they do not return
+// together.
+func errPaused(remaining time.Duration) error {
+	err := api.Errorf(api.CodeOverloaded, "all servers want no request for %v", remaining.Round(time.Millisecond)).NotRun()
+	err.RetryAfterMS = (remaining + rand.N(remaining/2+time.Millisecond)).Milliseconds() + 1
+	return err
+}
+
 func errOverloaded(message string) error {
 	return api.Errorf(api.CodeOverloaded, "%s", message).NotRun()
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -143,6 +143,46 @@
 		}
 	})
 
+	It("sends no request to an incarnation that has stated that it is leaving, whatever the table lists", func() {
+		members.set(server(1, 4, api.ServerServing))
+		lease, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lease.RecordStatement(true, 0)).To(Equal(dispatch.Statement{Leaving: true}))
+		Expect(lease.RecordStatement(true, 0)).To(Equal(dispatch.Statement{}))
+		_, err = acquire(short)
+		expectNotRun(err, api.CodeNoBackendServer)
+		members.set()
+		members.set(server(1, 4, api.ServerServing))
+		_, err = acquire(short)
+		expectNotRun(err, api.CodeNoBackendServer)
+		restarted := server(1, 4, api.ServerServing)
+		restarted.Incarnation++
+		members.set(restarted)
+		_, err = acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("sends no request to a server during the pause that it wants, and tells callers when there is room", func() {
+		members.set(server(1, 1, api.ServerServing), server(2, 1, api.ServerServing))
+		first, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		queued := acquireInBackground(short)
+		Consistently(queued, "100ms").ShouldNot(Receive())
+		Expect(first.RecordStatement(false, 400*time.Millisecond)).To(Equal(dispatch.Statement{Paused: true}))
+		first.Release(balance.Result{})
+		Consistently(queued, "200ms").ShouldNot(Receive(), "the slot is free, but the server is paused")
+		second.RecordStatement(false, 30*time.Second)
+		_, err = acquire(short)
+		expectNotRun(err, api.CodeOverloaded)
+		Expect(api.AsError(err).RetryAfterMS).To(And(BeNumerically(">", 10), BeNumerically("<", 400)))
+		second.Release(balance.Result{})
+		var lease *dispatch.Lease
+		Eventually(queued, "60s").Should(Receive(&lease), "after the first pause")
+		Expect(lease.Server).To(Equal(first.Server))
+	})
+
 	It("grants a queued request the slot that another request releases", func() {
 		members.set(server(1, 1, api.ServerServing))
 		first, err := acquire(short)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -39,6 +39,9 @@
 	target  catalog.Pool
 	version uint64
 	builtAt time.Time
+	// availableAt is when the first paused server accepts requests again; zero if none is
+	// paused.
+	availableAt time.Time
 }
 
 // pendingRequest is a request without a lease.
@@ -154,13 +157,19 @@
 }
 
 func (c *candidates) rebuild(now time.Time, d *Dispatcher, p *pool, model string) {
-	c.builtAt = now
+	c.builtAt, c.availableAt = now, time.Time{}
 	c.version = versionOf(d.source)
 	var servers []balance.Server
 	for _, server := range d.source.Servers() {
 		if !isCandidate(c.catalog, server, c.target, model) {
 			continue
 		}
+		if until, withdrawn := d.withdrawn(server, now); withdrawn {
+			if !until.IsZero() && (c.availableAt.IsZero() || until.Before(c.availableAt)) {
+				c.availableAt = until
+			}
+			continue
+		}
 		servers = append(servers, balance.Server{
 			ID: balance.ServerID(server.Address), Incarnation: server.Incarnation, Slots: server.Slots,
 			ReportedLoad: server.Load, ReportedAt: server.ReceivedAt, Since: server.Since,
--- a/internal/fakebackend/control.go
+++ b/internal/fakebackend/control.go
@@ -27,6 +27,9 @@
 	CloseBeforeAnswer bool `json:"closeBeforeAnswer,omitempty"`
 	// Refuse rejects each request with an error that marks it as not run.
 	Refuse bool `json:"refuse,omitempty"`
+	// RetryAfterMS is how long a rejected router is to send no other request, in
+	// milliseconds; zero states nothing.
+	RetryAfterMS int `json:"retryAfterMs,omitempty"`
 	// SlowFactor multiplies the duration of work; zero counts as 1.
 	SlowFactor float64 `json:"slowFactor,omitempty"`
 }
--- a/internal/fakebackend/server.go
+++ b/internal/fakebackend/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -116,7 +117,11 @@
 func (s *Server) admit(handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.recordRequestWhileDraining()
+		w.Header().Set(api.HeaderServerState, string(s.state()))
 		if s.faults.refuses() {
+			if pause := s.faults.get().RetryAfterMS; pause > 0 {
+				w.Header().Set(api.HeaderRetryAfter, strconv.FormatFloat(float64(pause)/1000, 'f', -1, 64))
+			}
 			httpx.WriteError(w, api.Errorf(api.CodeOverloaded, "request rejected by an injected fault").NotRun())
 			return
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,8 +67,8 @@
 	if err != nil && c.ctx.Err() != nil {
 		return nil, c.contextError(context.Cause(c.ctx))
 	}
-	if backedOff := (*backedOffError)(nil); errors.As(err, &backedOff) {
-		c.availableAt = backedOff.availableAt
+	if pausedErr := (*pausedError)(nil); errors.As(err, &pausedErr) {
+		c.availableAt = pausedErr.availableAt
 		return nil, api.Errorf(api.CodeOverloaded, "%v", err)
 	}
 	return lease, err
@@ -76,7 +76,7 @@
 
 // recordWithdrawal records what the server's answer says about further requests to it.
 func (c *call) recordWithdrawal(lease *lease, answer Answer) {
-	leaving, backedOff := lease.recordWithdrawal(answer.Leaving, answer.BackOff)
+	leaving, paused := lease.recordWithdrawal(answer.Leaving, answer.Pause)
 	line := func() *zerolog.Event {
 		return c.gateway.log.Info().Str("server", lease.id).Str("address", lease.address).Str("requestId", c.in.ID).Str("source", "answer")
 	}
@@ -84,8 +84,8 @@
 		c.gateway.client.CloseIdle(lease.address)
 		line().Msg("backend server is leaving")
 	}
-	if backedOff {
-		line().Time("until", time.Now().Add(answer.BackOff)).Msg("backend server wants no requests")
+	if paused {
+		line().Time("until", time.Now().Add(answer.Pause)).Msg("backend server wants no requests")
 	}
 }
 
@@ -291,8 +291,8 @@
 	if lease.choice.Age >= 0 {
 		line = line.Dur("loadAge", lease.choice.Age)
 	}
-	if lease.choice.Leaving+lease.choice.BackedOff > 0 {
-		line = line.Int("leaving", lease.choice.Leaving).Int("backedOff", lease.choice.BackedOff)
+	if lease.choice.Leaving+lease.choice.Paused > 0 {
+		line = line.Int("leaving", lease.choice.Leaving).Int("paused", lease.choice.Paused)
 	}
 	if len(c.in.PromptParts) > 0 {
 		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -49,9 +49,9 @@
 	NotRun bool
 	// Leaving is the server's statement that it is leaving and takes no further request.
 	Leaving bool
-	// BackOff is how long the server wants no further request from this router; 0 if it does
+	// Pause is how long the server wants no further request from this router; 0 if it does
 	// not say so.
-	BackOff time.Duration
+	Pause time.Duration
 	// Load is the load that the server reports, without At; nil if it reports none.
 	Load *placement.Load
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,15 +49,15 @@
 }
 
 func (testDialect) ParseAnswer(_ int, header http.Header) gateway.Answer {
-	backOff, _ := time.ParseDuration(header.Get("Back-Off"))
+	pause, _ := time.ParseDuration(header.Get("Pause"))
 	return gateway.Answer{
-		Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "", BackOff: backOff,
+		Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "", Pause: pause,
 	}
 }
 
 func (testDialect) ForwardAnswer(header http.Header) {
 	header.Del("Leaving")
-	header.Del("Back-Off")
+	header.Del("Pause")
 }
 
 func (testDialect) AnswersAttempt(id string, header http.Header, connReused bool) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,9 +45,9 @@
 		leaving, _ := g.withdrawnServers()
 		return float64(leaving)
 	})
-	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_withdrawn{statement="backed_off"}`, func() float64 {
-		_, backedOff := g.withdrawnServers()
-		return float64(backedOff)
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_withdrawn{statement="paused"}`, func() float64 {
+		_, paused := g.withdrawnServers()
+		return float64(paused)
 	})
 	metrics.GetOrCreateGauge("peridotwinch_gateway_repeats_left", func() float64 {
 		lowest := 0.0
@@ -60,13 +60,13 @@
 	})
 }
 
-// withdrawnServers returns how many servers are leaving or backed off.
-func (g *Gateway) withdrawnServers() (leaving, backedOff int) {
+// withdrawnServers returns how many servers are leaving or paused.
+func (g *Gateway) withdrawnServers() (leaving, paused int) {
 	for _, p := range g.pools.list() {
-		l, b := p.withdrawn()
-		leaving, backedOff = leaving+l, backedOff+b
+		l, w := p.withdrawn()
+		leaving, paused = leaving+l, paused+w
 	}
-	return leaving, backedOff
+	return leaving, paused
 }
 
 func (m *gatewayMetrics) recordOutcome(c *call, outcome string) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -178,24 +178,24 @@
 	now := time.Now()
 	if s == nil {
 		at, _ := p.servers.AvailableAt(now)
-		return nil, &backedOffError{availableAt: at}
+		return nil, &pausedError{availableAt: at}
 	}
 	return p.newLease(s, request, now), nil
 }
 
-// backedOffError means that all servers of a pool want no request until availableAt.
-type backedOffError struct{ availableAt time.Time }
+// pausedError means that all servers of a pool want no request until availableAt.
+type pausedError struct{ availableAt time.Time }
 
 // Error implements error.
-func (e *backedOffError) Error() string {
+func (e *pausedError) Error() string {
 	return fmt.Sprintf("all servers want no request for %v", time.Until(e.availableAt).Round(time.Millisecond))
 }
 
-// checkAvailable returns a backedOffError if all servers want no request until after the
+// checkAvailable returns a pausedError if all servers want no request until after the
 // deadline; mu is held.
 func (p *pool) checkAvailable(deadline, now time.Time) error {
-	if at, allBackedOff := p.servers.AvailableAt(now); allBackedOff && at.After(deadline) {
-		return &backedOffError{availableAt: at}
+	if at, allPaused := p.servers.AvailableAt(now); allPaused && at.After(deadline) {
+		return &pausedError{availableAt: at}
 	}
 	return nil
 }
@@ -269,18 +269,18 @@
 
 // recordWithdrawal records what the server stated about itself, and reports which statements
 // are news.
-func (l *lease) recordWithdrawal(leaving bool, backOff time.Duration) (isLeaving, isBackedOff bool) {
+func (l *lease) recordWithdrawal(leaving bool, pause time.Duration) (isLeaving, isPaused bool) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	now := time.Now()
 	if leaving {
 		isLeaving = l.pool.servers.MarkLeaving(l.hash, now)
 	}
-	if backOff > 0 {
-		isBackedOff = l.pool.servers.BackOff(l.hash, now.Add(backOff), now)
+	if pause > 0 {
+		isPaused = l.pool.servers.Pause(l.hash, now.Add(pause), now)
 		l.pool.refuseQueued(now)
 	}
-	return isLeaving, isBackedOff
+	return isLeaving, isPaused
 }
 
 // recordEventInterval records the mean time between two events of a stream.
@@ -311,8 +311,8 @@
 	return p.retryBudget.Spend(time.Now())
 }
 
-// withdrawn returns how many servers are leaving or backed off.
-func (p *pool) withdrawn() (leaving, backedOff int) {
+// withdrawn returns how many servers are leaving or paused.
+func (p *pool) withdrawn() (leaving, paused int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.servers.Withdrawn(time.Now())
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -69,7 +70,7 @@
 		if n > 1 {
 			return answerOK(n, conn, r)
 		}
-		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nBack-Off: 600ms\r\n", "")
+		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nPause: 600ms\r\n", "")
 	}
 	a, b := startTestServer(t, "a", shed), startTestServer(t, "b", answerOK)
 	_, url := startUpdatableGateway(t, newTable(t), a, b)
@@ -90,7 +91,7 @@
 func TestCallersReturnSpreadOutWhenThereIsRoom(t *testing.T) {
 	g := NewWithT(t)
 	shed := func(_ int, conn net.Conn, r *http.Request) bool {
-		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nBack-Off: 3s\r\n", "")
+		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nPause: 3s\r\n", "")
 	}
 	a, b := startTestServer(t, "a", shed), startTestServer(t, "b", shed)
 	_, url := startUpdatableGateway(t, newTable(t), a, b)
@@ -108,7 +109,7 @@
 		delays = append(delays, delay)
 	}
 	g.Expect(delays).To(HaveEach(BeNumerically(">", 2.5)))
-	g.Expect(delays).To(ContainElement(BeNumerically(">", delays[0]+0.2)), "spread out")
+	g.Expect(slices.Max(delays)-slices.Min(delays)).To(BeNumerically(">", 0.5), "spread out over half of the pause")
 	g.Expect(a.requestCount() + b.requestCount()).To(Equal(2))
 }
 
@@ -119,7 +120,7 @@
 	proceed := make(chan struct{})
 	s := startTestServer(t, "a", func(_ int, conn net.Conn, r *http.Request) bool {
 		<-proceed
-		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nBack-Off: 30s\r\n", "")
+		return writeAnswer(conn, r, 503, "Not-Run: 1\r\nPause: 30s\r\n", "")
 	})
 	table := newTable(t)
 	for i := range table.Routes {
@@ -168,8 +169,8 @@
 	}
 	servers := []*testServer{
 		startTestServer(t, "a", guard("a", time.Hour, "Leaving: 1\r\n")),
-		startTestServer(t, "b", guard("b", 400*time.Millisecond, "Back-Off: 400ms\r\n")),
-		startTestServer(t, "c", guard("c", 700*time.Millisecond, "Back-Off: 700ms\r\n")),
+		startTestServer(t, "b", guard("b", 400*time.Millisecond, "Pause: 400ms\r\n")),
+		startTestServer(t, "c", guard("c", 700*time.Millisecond, "Pause: 700ms\r\n")),
 		startTestServer(t, "d", answerOK),
 	}
 	var answered, total atomic.Int64
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,9 @@
 	if apiErr.Outcome != "" {
 		w.Header().Set(api.HeaderOutcome, string(apiErr.Outcome))
 	}
+	if apiErr.RetryAfterMS > 0 {
+		w.Header().Set(api.HeaderRetryAfter, strconv.FormatFloat(float64(apiErr.RetryAfterMS)/1000, 'f', -1, 64))
+	}
 	WriteJSON(w, apiErr.Code.Info().HTTPStatus, &api.ErrorBody{Error: apiErr})
 }
 
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -12,9 +12,9 @@
 	// report; Age is below 0 if there is no report.
 	Load float64
 	Age  time.Duration
-	// Leaving and BackedOff are the numbers of servers that were left out of the choice for
-	// what they stated in their answers.
-	Leaving, BackedOff int
+	// Leaving and Paused are the numbers of servers that were left out of the choice for what
+	// they stated in their answers.
+	Leaving, Paused int
 }
 
 // Reason is why a server was chosen.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
 // PromptPart is a part of a prompt, either shared with other requests or unique to
@@ -129,7 +131,7 @@
 	shares            *keyShares
 	domains           map[string]*reachability
 	// withdrawals holds what servers stated in their answers, by incarnation.
-	withdrawals map[uint64]*withdrawal
+	withdrawals withdrawal.Book[uint64]
 	// listedAt is when control's list was last set.
 	listedAt time.Time
 }
@@ -140,7 +142,6 @@
 	return &Pool{
 		hasPrefixCache: hasPrefixCache, byID: make(map[string]*Server), drainingAddresses: make(map[string]string),
 		history: newSendHistory(), shares: newKeyShares(), domains: make(map[string]*reachability),
-		withdrawals: make(map[uint64]*withdrawal),
 	}
 }
 
@@ -153,7 +154,7 @@
 	clear(p.drainingAddresses)
 	p.listedAt = now
 	for _, info := range infos {
-		if info.Draining || p.isLeaving(info.Hash, now) {
+		if p.withdrawals.RecordListed(info.Hash, now) || info.Draining {
 			p.drainingAddresses[info.ID] = info.Address
 			continue
 		}
@@ -181,8 +182,8 @@
 // it now. A server may take a request while its estimated load is below its slots.
 func (p *Pool) Choose(request Request, now time.Time) *Server {
 	s := p.choose(request, now)
-	if s != nil && len(p.withdrawals) > 0 {
-		s.Choice.Leaving, s.Choice.BackedOff = p.Withdrawn(now)
+	if s != nil && !p.withdrawals.IsEmpty() {
+		s.Choice.Leaving, s.Choice.Paused = p.Withdrawn(now)
 	}
 	return s
 }
@@ -209,7 +210,7 @@
 	var healthy, suspect []*Server
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
-		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isBackedOff(s, now) {
+		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isPaused(s, now) {
 			continue
 		}
 		if p.isSuspect(s, mean, now) {
@@ -370,7 +371,7 @@
 func (p *Pool) ServersToProbe(now time.Time) []*Server {
 	var out []*Server
 	for _, s := range p.servers {
-		if p.isBackedOff(s, now) {
+		if p.isPaused(s, now) {
 			continue
 		}
 		if (!s.isReachable(now) || p.reachability(s.Domain).isUnreachable(now)) && now.Sub(s.lastProbe) >= probeInterval {
--- a/internal/placement/withdrawal_test.go
+++ b/internal/placement/withdrawal_test.go
@@ -35,7 +35,7 @@
 			p.SetServers(infos, now)
 		}
 		list()
-		leaving, backedOff := map[uint64]bool{}, map[uint64]time.Time{}
+		leaving, paused := map[uint64]bool{}, map[uint64]time.Time{}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(incarnations)-1).Draw(rt, "server")
@@ -46,10 +46,10 @@
 				p.MarkLeaving(hash(i), now)
 				leaving[hash(i)] = true
 			case 2:
-				until := now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "back off")) * time.Millisecond)
-				p.BackOff(hash(i), until, now)
-				if until.After(backedOff[hash(i)]) {
-					backedOff[hash(i)] = until
+				until := now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "pause")) * time.Millisecond)
+				p.Pause(hash(i), until, now)
+				if until.After(paused[hash(i)]) {
+					paused[hash(i)] = until
 				}
 			case 3:
 				incarnations[i]++
@@ -61,14 +61,14 @@
 				}
 				s := p.Choose(request, now)
 				for _, probed := range p.ServersToProbe(now) {
-					if leaving[probed.Hash] || now.Before(backedOff[probed.Hash]) {
+					if leaving[probed.Hash] || now.Before(paused[probed.Hash]) {
 						rt.Fatalf("probes %x", probed.Hash)
 					}
 				}
 				if s == nil {
 					continue
 				}
-				if leaving[s.Hash] || now.Before(backedOff[s.Hash]) {
+				if leaving[s.Hash] || now.Before(paused[s.Hash]) {
 					rt.Fatalf("%v places a request on %x", s.Choice.Reason, s.Hash)
 				}
 				p.RecordSend(s, now)
@@ -86,12 +86,12 @@
 	infos[0].Hash, infos[1].Hash = 10, 20
 	p.SetServers(infos, start)
 	p.MarkLeaving(10, start)
-	p.BackOff(20, start.Add(time.Minute), start)
-	_, allBackedOff := p.AvailableAt(start)
-	g.Expect(allBackedOff).To(BeTrue())
+	p.Pause(20, start.Add(time.Minute), start)
+	_, allPaused := p.AvailableAt(start)
+	g.Expect(allPaused).To(BeTrue())
 	g.Expect(p.Choose(placement.Request{}, start)).To(BeNil())
-	leaving, backedOff := p.Withdrawn(start)
-	g.Expect([]int{leaving, backedOff}).To(Equal([]int{1, 1}))
+	leaving, paused := p.Withdrawn(start)
+	g.Expect([]int{leaving, paused}).To(Equal([]int{1, 1}))
 	restarted := slices.Clone(infos)
 	restarted[0].Hash, restarted[1].Hash = 11, 21
 	p.SetServers(restarted, start.Add(time.Second))
@@ -100,6 +100,6 @@
 		g.Expect(s).NotTo(BeNil())
 		p.RecordSend(s, start.Add(time.Second))
 	}
-	leaving, backedOff = p.Withdrawn(start.Add(time.Second))
-	g.Expect([]int{leaving, backedOff}).To(Equal([]int{0, 0}))
+	leaving, paused = p.Withdrawn(start.Add(time.Second))
+	g.Expect([]int{leaving, paused}).To(Equal([]int{0, 0}))
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -6,13 +6,16 @@
 	"mime"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
 // maxAnswerBytes bounds an answer that is not streamed.
@@ -54,6 +57,7 @@
 
 // receive reads a server's answer and passes it to the caller.
 func (t *transfer) receive(ex *exchange, lease *dispatch.Lease) *failure {
+	t.recordStatement(ex, lease)
 	t.setAffinityHeader(ex, lease)
 	if t.job.stream && ex.isStream() {
 		return t.relayStream(ex, lease)
@@ -70,6 +74,29 @@
 	return t.finishAnswer(answer)
 }
 
+// recordStatement records what the head of a server's answer says about further requests.
+func (t *transfer) recordStatement(ex *exchange, lease *dispatch.Lease) {
+	if lease.Remote {
+		// Another router states nothing about its servers.
+		return
+	}
+	leaving := ex.Header.Get(api.HeaderServerState) == string(api.ServerDraining)
+	var pause time.Duration
+	if api.Outcome(ex.Header.Get(api.HeaderOutcome)) == api.OutcomeNotRun {
+		pause = withdrawal.ParseRetryAfter(ex.Header.Values(api.HeaderRetryAfter))
+	}
+	news := lease.RecordStatement(leaving, pause)
+	line := func() *zerolog.Event {
+		return t.proxy.log.Info().Str("server", string(lease.Server)).Str("requestId", t.call.id).Str("source", "answer")
+	}
+	if news.Leaving {
+		line().Msg("backend server is leaving")
+	}
+	if news.Paused {
+		line().Time("until", time.Now().Add(pause)).Msg("backend server wants no requests")
+	}
+}
+
 func (t *transfer) setAffinityHeader(ex *exchange, lease *dispatch.Lease) {
 	affinity := balance.FormatHint(lease.Server, lease.Incarnation)
 	if lease.Remote {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -76,6 +76,22 @@
 	blockAlways bool
 	requests    []balance.Request
 	results     []balance.Result
+	// left counts the statements that a server is leaving, and pauses has the pauses that
+	// servers want.
+	left   int
+	pauses []time.Duration
+}
+
+func (d *listDispatcher) recordStatement(leaving bool, pause time.Duration) dispatch.Statement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if leaving {
+		d.left++
+	}
+	if pause > 0 {
+		d.pauses = append(d.pauses, pause)
+	}
+	return dispatch.Statement{Leaving: leaving, Paused: pause > 0}
 }
 
 func (d *listDispatcher) Acquire(ctx context.Context, _ *catalog.Catalog, _ catalog.Pool, _ string, request balance.Request) (*dispatch.Lease, error) {
@@ -88,11 +104,11 @@
 	d.requests = append(d.requests, request)
 	for _, address := range d.servers {
 		if !slices.Contains(request.Exclude, balance.ServerID(address)) {
-			return dispatch.NewLease(balance.ServerID(address), false, d.recordResult), nil
+			return dispatch.NewLease(balance.ServerID(address), false, d.recordResult, d.recordStatement), nil
 		}
 	}
 	if d.remote != "" && !request.NoOverflow {
-		return dispatch.NewLease(balance.ServerID(d.remote), true, d.recordResult), nil
+		return dispatch.NewLease(balance.ServerID(d.remote), true, d.recordResult, d.recordStatement), nil
 	}
 	return nil, api.Errorf(api.CodeNoBackendServer, "none").NotRun()
 }
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -95,6 +96,26 @@
 		Expect(got.outcome).To(Equal(api.OutcomeRan))
 	})
 
+	It("records what servers state about further requests, and does not forward it", func() {
+		pausing := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(api.HeaderRetryAfter, "1.5")
+			refuse(w, r)
+		}
+		leaving := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(api.HeaderServerState, string(api.ServerDraining))
+			w.Header().Set(api.HeaderRetryAfter, "9")
+			_, _ = io.WriteString(w, "done")
+		}
+		r := newTestProxy(longProgressTimeout, httpServer(pausing), httpServer(leaving))
+		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge")
+		Expect(got.body).To(Equal("done"))
+		Expect(r.dispatcher.pauses).To(Equal([]time.Duration{1500 * time.Millisecond}), "only a server that did not run the request asks for one")
+		Expect(r.dispatcher.left).To(Equal(1))
+		r.dispatcher.servers, r.dispatcher.remote = nil, httpServer(leaving)
+		r.mustCall(http.MethodPost, "/services/gates/a", "charge")
+		Expect(r.dispatcher.left).To(Equal(1), "another router states nothing about its servers")
+	})
+
 	It("is not run if no server is reachable", func() {
 		r := newTestProxy(longProgressTimeout, closedAddress())
 		got := r.mustCall(http.MethodPost, "/services/gates/a", "charge", api.HeaderIdempotencyKey, "k")
