Play leaving and paused workers in the soak

Each worker checks every request by the router that sent it: none later than 2 s after the statement, at most two from 0.5 s on until the end of the pause; a restart or a freeze of the router since excuses it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -553,14 +553,13 @@
 		g := NewWithT(t)
 		refusal := func(id string) string {
 			if !withID {
-				return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nLeaving: 1\r\nPause: 1m\r\nContent-Length: 0\r\n\r\n"
 			}
-			return "HTTP/1.1 503 X\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			return "HTTP/1.1 503 X\r\nId: " + id + "\r\nNot-Run: 1\r\nLeaving: 1\r\nPause: 1m\r\nContent-Length: 0\r\n\r\n"
 		}
 		s := startTestServer(t, "a", func(n int, conn net.Conn, r *http.Request) bool {
 			if n == 1 {
-				_, err := io.WriteString(conn, refusal("first"))
-				return err == nil
+				return writeAnswer(conn, r, 503, "Not-Run: 1\r\n", "")
 			}
 			_, _ = io.WriteString(conn, refusal("first"))
 			time.Sleep(20 * time.Millisecond)
@@ -570,5 +569,6 @@
 		g.Expect(send(t, url, "/unsafe/x", "Id", "first").status).To(Or(Equal(503), Equal(502)))
 		got := send(t, url, "/unsafe/x", "Id", "second")
 		g.Expect(got.body).To(Equal("whole"), "with ID: %v", withID)
+		g.Expect(send(t, url, "/unsafe/x", "Id", "third").body).To(Equal("whole"), "the copy says nothing about the server")
 	}
 }
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -260,8 +260,34 @@
 	modeClose mode = iota + 1
 	// modeCutStream starts a stream and closes the connection inside the third event.
 	modeCutStream
+	// modeLeave answers and states that the worker is leaving.
+	modeLeave
+	// modePause turns requests away and asks for a pause of workerPause.
+	modePause
 )
 
+const (
+	// headerRouter has the name of the router to which a client has sent the request.
+	headerRouter = "Test-Router"
+	// workerPause is the pause for which a worker asks in modePause.
+	workerPause = time.Second
+	// drainLimit is DrainMs of the platform: the time from a worker's statement that it is
+	// leaving until a router sends it no request.
+	drainLimit = 2 * time.Second
+	// pauseSlack and pauseRequests limit the requests during a pause: at most pauseRequests
+	// after pauseSlack.
+	pauseSlack    = 500 * time.Millisecond
+	pauseRequests = 2
+)
+
+// statement is what an incarnation of a worker has last told a router, and how many requests it
+// has received against that.
+type statement struct {
+	mode     mode
+	at       time.Time
+	requests int
+}
+
 const (
 	// deadlyPrefix is the entry of a prompt part that ends each worker that begins to answer it.
 	deadlyPrefix = "dead:500"
@@ -276,14 +302,19 @@
 type worker struct {
 	id, service string
 
-	mu       sync.Mutex
-	server   *http.Server
-	address  string
-	born     int64
+	mu      sync.Mutex
+	server  *http.Server
+	address string
+	born    int64
+	// requests are those that the worker has not turned away.
 	requests []*http.Request
 	mode     mode
 	state    string
 	seq      int
+	// statements holds the statements of this incarnation by router. onIgnored is called when a
+	// router has ignored one that it received at a time; it may be nil.
+	statements map[string]*statement
+	onIgnored  func(router string, at time.Time, format string, args ...any)
 	// down is set from the worker's end to its next start; ends counts the ends.
 	down    bool
 	ends    int
@@ -313,6 +344,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serveRequest)}
+	w.statements = make(map[string]*statement)
 	w.address, w.seq, w.down = listener.Addr().String(), 0, false
 	w.born++
 	go func(server *http.Server) { _ = server.Serve(listener) }(w.server)
@@ -342,8 +374,11 @@
 func (w *worker) serveRequest(response http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.mu.Lock()
-	w.requests = append(w.requests, r)
 	mode := w.mode
+	if mode != modePause {
+		w.requests = append(w.requests, r)
+	}
+	w.checkStatement(r.Header.Get(headerRouter))
 	w.mu.Unlock()
 	if strings.Contains(r.Header.Get("Peridotwinch-Prefix-Hash"), deadlyPrefix) {
 		time.Sleep(deadlyDelay)
@@ -359,6 +394,17 @@
 		response.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch router := r.Header.Get(headerRouter); mode {
+	case modePause:
+		w.tell(router, mode)
+		response.Header().Set("Peridotwinch-Not-Executed", "1")
+		response.Header().Set("Retry-After", fmt.Sprint(workerPause.Seconds()))
+		response.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case modeLeave:
+		w.tell(router, mode)
+		response.Header().Set("Server-Leaving", "1")
+	}
 	response.Header().Set("Peridotwinch-Server-Stamp", "stamp-"+w.id)
 	if mode == modeCutStream {
 		response.Header().Set("Content-Type", "text/event-stream")
@@ -369,6 +415,31 @@
 	_, _ = io.WriteString(response, "from "+w.id)
 }
 
+// tell records a statement to a router.
+func (w *worker) tell(router string, m mode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.statements[router]; s == nil || s.mode != m || m == modePause && time.Since(s.at) > workerPause {
+		w.statements[router] = &statement{mode: m, at: time.Now()}
+	}
+}
+
+// checkStatement reports a request that a router has sent against a statement; mu is held.
+func (w *worker) checkStatement(router string) {
+	s := w.statements[router]
+	if s == nil || w.onIgnored == nil {
+		return
+	}
+	switch since := time.Since(s.at); {
+	case s.mode == modeLeave && since > drainLimit:
+		w.onIgnored(router, s.at, "request to %s %v after it has stated that it is leaving", w.id, since)
+	case s.mode == modePause && since > pauseSlack && since < workerPause:
+		if s.requests++; s.requests > pauseRequests {
+			w.onIgnored(router, s.at, "request to %s %v after it has asked for a pause of %v", w.id, since, workerPause)
+		}
+	}
+}
+
 func (w *worker) received() []*http.Request {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -75,7 +75,9 @@
 	// faulty has the machines and workers under a fault, restarts counts the restarts of each machine.
 	faulty   map[string]bool
 	restarts map[string]int
-	// routerFaults counts the faults of routers.
+	// faultAt is when a fault of each machine last began or ended, and routerFaults counts the
+	// faults of routers.
+	faultAt      map[string]time.Time
 	routerFaults int
 }
 
@@ -83,10 +85,12 @@
 	f, relays := startRelayedFleet(t, soakRouters)
 	s := &soak{
 		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
-		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int),
+		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int), faultAt: make(map[string]time.Time),
 	}
 	for i := range 4 {
-		s.workers = append(s.workers, f.startWorker(fmt.Sprint("i-", i+1)))
+		w := f.startWorker(fmt.Sprint("i-", i+1))
+		w.onIgnored = s.reportIgnored
+		s.workers = append(s.workers, w)
 	}
 	f.configure(s.configWithProbe(1))
 	for _, router := range f.routers {
@@ -118,6 +122,17 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
+// reportIgnored reports that a router has ignored what a worker told it at a time. A restart or a
+// freeze of the router since then excuses it.
+func (s *soak) reportIgnored(router string, at time.Time, format string, args ...any) {
+	s.mu.Lock()
+	excused := s.faulty[router] || s.faultAt[router].After(at)
+	s.mu.Unlock()
+	if !excused {
+		s.reportViolation(router+": "+format, args...)
+	}
+}
+
 func (s *soak) run() {
 	for i := range soakClients {
 		s.tasks.Go(func() { s.runClient(i) })
@@ -227,6 +242,7 @@
 	r.Header.Set("Peridotwinch-Attempt-Id", id)
 	r.Header.Set("Peridotwinch-Request-Deadline", "1000")
 	r.Header.Set("Authorization", "Token "+apiKey)
+	r.Header.Set(headerRouter, router.settings.Instance)
 	response, err := client.Do(r)
 	if err != nil {
 		return
@@ -375,7 +391,7 @@
 	if s.faulty[name] {
 		return false
 	}
-	s.faulty[name] = true
+	s.faulty[name], s.faultAt[name] = true, time.Now()
 	if strings.HasPrefix(name, "front-") {
 		s.routerFaults++
 	}
@@ -386,6 +402,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.faulty, name)
+	s.faultAt[name] = time.Now()
 }
 
 // injectFault starts a random fault that ends on its own, unless its target is already faulty.
@@ -393,7 +410,7 @@
 	duration := time.Duration(200+s.rng.IntN(1800)) * time.Millisecond
 	control, router, worker := s.rng.IntN(3), s.rng.IntN(soakRouters), s.rng.IntN(len(s.workers))
 	out, back := testcluster.Mode(s.rng.IntN(3)), testcluster.Mode(s.rng.IntN(3))
-	switch s.rng.IntN(12) {
+	switch s.rng.IntN(14) {
 	case 0: // A control instance is partitioned in one or both directions.
 		s.runFault(s.controls[control].settings.Instance, duration, func() { s.relays[control].Set(out, back) },
 			func() { s.relays[control].Set(testcluster.Forward, testcluster.Forward) })
@@ -420,6 +437,11 @@
 			s.relays[3+router].SetDelay(50 * time.Millisecond)
 			s.relays[3+router].SetLoss(0.1)
 		}, func() { s.relays[3+router].SetDelay(0); s.relays[3+router].SetLoss(0) })
+	case 12: // A worker is leaving, and ends.
+		s.runFault(s.workers[worker].id, drainLimit+duration, func() { s.workers[worker].setMode(modeLeave) },
+			func() { s.workers[worker].setMode(0); s.workers[worker].end() })
+	case 13: // A worker turns requests away.
+		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(modePause) }, func() { s.workers[worker].setMode(0) })
 	case 9:
 		s.loseDisk(s.controls[control])
 	case 8: // A worker runs requests, but their answers are lost.
