Name the router in every request of the soak

Thirteen failed on requests that named no router, so that statements to several routers were taken for one; every request names its router now.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -230,6 +230,7 @@
 	r.Header.Set("Peridotwinch-Attempt-Id", fmt.Sprintf("%016x", f.attempts.Add(1)))
 	r.Header.Set("Peridotwinch-Request-Deadline", "1500")
 	r.Header.Set("Peridotwinch-Tenant-Name", "someone-else")
+	r.Header.Set(headerRouter, m.settings.Instance)
 	r.Header.Set("Authorization", "Token "+apiKey)
 	response, err := f.client.Do(r)
 	if err != nil {
--- a/test/platform/quarantine_test.go
+++ b/test/platform/quarantine_test.go
@@ -24,6 +24,7 @@
 	id := fmt.Sprintf("%016x", f.attempts.Add(1))
 	r.Header.Set("Peridotwinch-Attempt-Id", id)
 	r.Header.Set("Peridotwinch-Request-Deadline", "1500")
+	r.Header.Set(headerRouter, m.settings.Instance)
 	r.Header.Set("Peridotwinch-Prefix-Hash", prefix+","+id+":100")
 	r.Header.Set("Authorization", "Token "+apiKey)
 	response, err := f.client.Do(r)
