Send the trial of a quarantined part, and count only servers that are down

A prompt is checked when it arrives and again before its send; the first check took the trial and the second one refused it, so that no part would ever have been tried again. A request is now a trial for all of its checks. TestPartIsSentAgainAfterItsHoldTime fails on the code before.

A loss counted if a new connection to the server failed for any reason, also for lack of descriptors on the router. Only a refused connection or a timeout counts.

Names: Decide in place of Withholds, PartsAtRisk in place of Prompt. The line of a loss names the request and the server as other lines do.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -84,6 +85,13 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// IsServerDown reports whether a connection could not be opened because nothing accepts it at the
+// server's address, and not because of a lack of resources of this process.
+func IsServerDown(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Client keeps a pool of connections to all servers. It is safe for concurrent use.
 type Client struct {
 	mu   sync.Mutex
--- a/internal/control/losses_test.go
+++ b/internal/control/losses_test.go
@@ -28,7 +28,7 @@
 		g.Expect(archive.save()).To(Succeed())
 		g.Expect(path).NotTo(BeAnExistingFile(), "nothing is in quarantine")
 		lostAt := now.Add(time.Duration(i) * time.Second)
-		store.RecordLoss(quarantine.Loss{Server: i, Pool: "p", Parts: []uint64{7}, SentAt: lostAt.Add(-time.Second / 2), LostAt: lostAt}, lostAt)
+		store.Merge([]quarantine.Loss{{Server: i, Pool: "p", Parts: []uint64{7}, SentAt: lostAt.Add(-time.Second / 2), LostAt: lostAt}}, lostAt)
 		store.RecordAnswer("p", []uint64{8}, lostAt)
 	}
 	g.Expect(archive.save()).To(Succeed())
--- a/internal/fleetsync/losses.go
+++ b/internal/fleetsync/losses.go
@@ -25,7 +25,9 @@
 	// lossResyncInterval is the minimum time between two transfers of all losses to a replica
 	// that has others.
 	lossResyncInterval = 5 * time.Second
-	lossReportTimeout  = 400 * time.Millisecond
+	// lossReportTimeout limits a report. It leaves time for reports to two more sources before
+	// a router has to know.
+	lossReportTimeout = 400 * time.Millisecond
 )
 
 // caller makes a call to another process.
--- a/internal/fleetsync/losses_test.go
+++ b/internal/fleetsync/losses_test.go
@@ -18,17 +18,16 @@
 	now := time.Now().Add(-10 * time.Second)
 	for i := first; i <= last; i++ {
 		lostAt := now.Add(time.Duration(i) * 100 * time.Millisecond)
-		store.RecordLoss(quarantine.Loss{
+		store.Merge([]quarantine.Loss{{
 			Server: i, Pool: "p", Parts: []uint64{deadlyPart}, SentAt: lostAt.Add(-50 * time.Millisecond), LostAt: lostAt,
-		}, now)
+		}}, now)
 		store.RecordAnswer("p", []uint64{1}, now)
 	}
 }
 
 func withholds(store *quarantine.Store) func() bool {
 	return func() bool {
-		_, _, ok := store.Withholds("p", []uint64{deadlyPart}, time.Now())
-		return ok
+		return store.Decide("p", []uint64{deadlyPart}, time.Now()).Withheld
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,6 +47,8 @@
 	lostServers int
 	// lastServer is the incarnation of the server of the last send.
 	lastServer uint64
+	// isTrial is set if the request tests whether a part of its prompt still ends servers.
+	isTrial bool
 	// withheldUntil is until when the prompt is withheld, if the call is refused for that.
 	withheldUntil time.Time
 	// availableAt is when a server accepts requests again, if the call is refused because all
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 		pools: newPools(m), metrics: m, startedAt: time.Now(),
 	}
 	g.client = backend.NewClient(g.metrics.connectionsOpened.Inc)
-	g.losses = newLossRecorder(losses, g.client)
+	g.losses = newLossRecorder(losses, g.client, log)
 	g.registerGauges()
 	g.abortCtx, g.abort = context.WithCancelCause(context.Background())
 	return g
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -177,7 +177,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if s == nil {
-		at, _ := p.servers.AvailableAt(now)
+		at, allPaused := p.servers.AvailableAt(now)
+		if !allPaused {
+			at = now
+		}
 		return nil, &pausedError{availableAt: at}
 	}
 	return p.newLease(s, request, now), nil
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/internal/gateway"
+	"peridotwinch.example/peridotwinch/internal/quarantine"
 )
 
 const (
@@ -100,3 +105,23 @@
 	g.Expect(got.body).To(ContainSubstring(`"outcome":"not_run"`))
 	g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 }
+
+// TestPartIsSentAgainAfterItsHoldTime guards against a part that is withheld for good although
+// nothing ends servers any more.
+func TestPartIsSentAgainAfterItsHoldTime(t *testing.T) {
+	g := NewWithT(t)
+	store := quarantine.NewStore("router", zerolog.Nop())
+	now := time.Now()
+	for i := range uint64(3) {
+		lostAt := now.Add(-16*time.Hour - 30*time.Minute + time.Duration(i)*time.Minute)
+		store.Merge([]quarantine.Loss{{Server: i, Pool: "p", Parts: []uint64{0xdead}, SentAt: lostAt.Add(-time.Second), LostAt: lostAt, Contrasted: 1}}, now)
+	}
+	g.Expect(store.Verdicts()).To(HaveLen(1))
+	gw := gateway.New("zone", testDialect{}, 0, store, zerolog.Nop())
+	gw.SetTableSource(staticTable{newTable(t)})
+	gw.SetServers(entriesOf([]*testServer{startTestServer(t, "a", answerOK)}))
+	server := httptest.NewServer(gw)
+	defer server.Close()
+	g.Expect(send(t, server.URL, "/safe/x", "Parts", deadlyPart+" 1").body).To(Equal("whole"))
+	g.Expect(store.Verdicts()).To(BeEmpty(), "the answer releases the part")
+}
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/backend"
 	"peridotwinch.example/peridotwinch/internal/placement"
@@ -19,43 +21,54 @@
 // lossRecorder records which requests waited for an answer when a server ended. It is safe for
 // concurrent use.
 type lossRecorder struct {
+	log    zerolog.Logger
 	store  *quarantine.Store
 	client *backend.Client
 
 	mu sync.Mutex
 	// unconfirmed holds the losses by the server's incarnation until it is known whether the
 	// server has ended or has closed only some connections.
-	unconfirmed map[uint64][]quarantine.Loss
+	unconfirmed map[uint64][]unconfirmedLoss
+}
+
+type unconfirmedLoss struct {
+	quarantine.Loss
+	requestID string
 }
 
-func newLossRecorder(store *quarantine.Store, client *backend.Client) *lossRecorder {
-	return &lossRecorder{store: store, client: client, unconfirmed: make(map[uint64][]quarantine.Loss)}
+func newLossRecorder(store *quarantine.Store, client *backend.Client, log zerolog.Logger) *lossRecorder {
+	return &lossRecorder{log: log, store: store, client: client, unconfirmed: make(map[uint64][]unconfirmedLoss)}
 }
 
 // record records a loss once the server refuses a new connection.
-func (r *lossRecorder) record(lease *lease, loss quarantine.Loss) {
+func (r *lossRecorder) record(lease *lease, loss unconfirmedLoss) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	losses, checking := r.unconfirmed[loss.Server]
 	r.unconfirmed[loss.Server] = append(losses, loss)
 	if !checking {
-		time.AfterFunc(lossConfirmDelay, func() { r.confirm(lease, loss.Server) })
+		time.AfterFunc(lossConfirmDelay, func() { r.confirm(lease) })
 	}
 }
 
-func (r *lossRecorder) confirm(lease *lease, server uint64) {
+// confirm records the losses of the lease's server if it has ended.
+func (r *lossRecorder) confirm(lease *lease) {
 	err := r.client.Probe(context.Background(), lease.address)
 	r.mu.Lock()
-	losses := r.unconfirmed[server]
-	delete(r.unconfirmed, server)
+	unconfirmed := r.unconfirmed[lease.hash]
+	delete(r.unconfirmed, lease.hash)
 	r.mu.Unlock()
-	if err == nil {
+	if !backend.IsServerDown(err) {
 		return
 	}
 	lease.pool.recordConnectFailure(lease.Server)
-	for _, loss := range losses {
-		r.store.RecordLoss(loss, time.Now())
+	losses := make([]quarantine.Loss, 0, len(unconfirmed))
+	for _, loss := range unconfirmed {
+		r.log.Info().Str("server", lease.id).Str("address", lease.address).Str("requestId", loss.requestID).
+			Dur("waited", loss.LostAt.Sub(loss.SentAt)).Msg("backend server ended before it answered the prompt")
+		losses = append(losses, loss.Loss)
 	}
+	r.store.Merge(losses, time.Now())
 }
 
 // promptPartsAtRisk returns the IDs of the prompt's parts that can be at fault if a server ends.
@@ -64,22 +77,25 @@
 	for _, part := range parts {
 		ids = append(ids, part.ID)
 	}
-	return quarantine.Prompt(ids)
+	return quarantine.PartsAtRisk(ids)
 }
 
 // checkPrompt returns CodePromptWithheld if a part of the prompt is in quarantine.
 func (c *call) checkPrompt() error {
-	if len(c.prompt) == 0 {
+	if len(c.prompt) == 0 || c.isTrial {
 		return nil
 	}
-	verdict, until, withheld := c.gateway.losses.store.Withholds(c.poolName, c.prompt, time.Now())
-	if !withheld {
+	decision := c.gateway.losses.store.Decide(c.poolName, c.prompt, time.Now())
+	if c.isTrial = decision.Trial; c.isTrial {
+		c.log(zerolog.InfoLevel).Str("parts", promptPartIDs(c.in.PromptParts)).Msg("prompt part in quarantine is tried")
+	}
+	if !decision.Withheld {
 		return nil
 	}
 	c.gateway.metrics.promptsWithheld.Inc()
-	c.withheldUntil = until
+	c.withheldUntil = decision.Until
 	return api.Errorf(api.CodePromptWithheld, "%d servers ended when they began to answer prompts with part %s",
-		verdict.Servers, strconv.FormatUint(verdict.Part.ID, 16))
+		decision.Verdict.Servers, strconv.FormatUint(decision.Verdict.Part.ID, 16))
 }
 
 // recordAnswer records that a server has begun to answer the prompt.
@@ -97,9 +113,9 @@
 	}
 	c.lostServers++
 	if len(c.prompt) > 0 {
-		c.gateway.losses.record(lease, quarantine.Loss{
+		c.gateway.losses.record(lease, unconfirmedLoss{requestID: c.in.ID, Loss: quarantine.Loss{
 			Server: lease.hash, Pool: c.poolName, Parts: c.prompt, SentAt: lease.sentAt, LostAt: time.Now(),
-		})
+		}})
 	}
 	return true
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,9 +65,9 @@
 	Contrasted uint32
 }
 
-// Prompt returns the IDs of a prompt's parts that can be at fault, given all parts in order: all
-// but the last one, limited to maxParts.
-func Prompt(parts []uint64) []uint64 {
+// PartsAtRisk returns the parts of a prompt that can be at fault if a server ends, given the IDs of
+// all parts in order: all but the last one, limited to maxParts.
+func PartsAtRisk(parts []uint64) []uint64 {
 	if len(parts) < 2 {
 		return nil
 	}
@@ -174,7 +174,7 @@
 }
 
 // RecordAnswer records that a server of the pool has begun to answer a prompt with these parts,
-// as returned by Prompt. It reports whether the table has changed.
+// as returned by PartsAtRisk. It reports whether the table has changed.
 func (t *Table) RecordAnswer(pool string, parts []uint64, now time.Time) bool {
 	t.answers.record(pool, parts, now)
 	before := t.revision
@@ -262,32 +262,49 @@
 	return out
 }
 
-// Withholds returns the verdict because of which a prompt with these parts must not be sent at
-// now, and the time until which it holds; ok is false if the prompt may be sent. Once a part's
-// hold time has passed, Withholds lets one prompt pass per trialInterval. Each instance's hold
-// time differs, so that the first trial decides for all of them.
-func (t *Table) Withholds(pool string, parts []uint64, now time.Time) (verdict Verdict, until time.Time, ok bool) {
+// Decision is whether a prompt is sent.
+type Decision struct {
+	// Withheld is set if the prompt must not be sent until Until because of Verdict.
+	Withheld bool
+	Verdict  Verdict
+	Until    time.Time
+	// Trial is set if the prompt may be sent to test a part whose hold time has passed.
+	Trial bool
+}
+
+// Decide returns whether a prompt with these parts may be sent at now. Once a part's hold time has
+// passed, one prompt per trialInterval is a trial. Each instance's hold time differs, so that the
+// first trial decides for all of them.
+func (t *Table) Decide(pool string, parts []uint64, now time.Time) (decision Decision) {
 	for _, id := range parts {
 		part := Part{pool, id}
 		verdict, found := t.verdicts[part]
 		if !found {
 			continue
 		}
-		until := verdict.LastLostAt.Add(t.holdTime(verdict))
-		if tried := t.triedAt[part]; !now.Before(until) && now.Sub(tried) >= trialInterval {
-			t.triedAt[part] = now
-			continue
-		} else if !now.Before(until) {
-			until = tried.Add(trialInterval)
+		until := verdict.LastLostAt.Add(t.timeWithheld(verdict))
+		if nextTrial := t.triedAt[part].Add(trialInterval); nextTrial.After(until) {
+			until = nextTrial
+		}
+		if now.Before(until) {
+			return Decision{Withheld: true, Verdict: verdict, Until: until}
+		}
+		decision.Trial = true
+	}
+	if !decision.Trial {
+		return decision
+	}
+	for _, id := range parts {
+		if _, found := t.verdicts[Part{pool, id}]; found {
+			t.triedAt[Part{pool, id}] = now
 		}
-		return verdict, until, true
 	}
-	return Verdict{}, time.Time{}, false
+	return decision
 }
 
-// holdTime returns how long this instance withholds a part after the last loss. The instances'
+// timeWithheld returns how long this instance withholds a part after the last loss. The instances'
 // times are spread evenly.
-func (t *Table) holdTime(v Verdict) time.Duration {
+func (t *Table) timeWithheld(v Verdict) time.Duration {
 	shortest, stagger := provisionalHoldTime, provisionalStagger
 	if v.Confirmed {
 		shortest, stagger = holdTime, holdTime
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -38,8 +38,7 @@
 }
 
 func withheld(t *quarantine.Table, ms int, parts ...uint64) bool {
-	_, _, ok := t.Withholds(pool, parts, at(ms))
-	return ok
+	return t.Decide(pool, parts, at(ms)).Withheld
 }
 
 func TestPartIsWithheldAfterServersEndedOneAfterTheOther(t *testing.T) {
@@ -50,8 +49,7 @@
 	endServers(table, 3, 3, common, subject, deadly)
 	g.Expect(withheld(table, 4000, common, subject, deadly)).To(BeTrue())
 	g.Expect(withheld(table, 4000, common, subject, other)).To(BeFalse(), "a prompt with the same other parts")
-	_, _, ok := table.Withholds("other engines", []uint64{deadly}, at(4000))
-	g.Expect(ok).To(BeFalse(), "the part in another pool")
+	g.Expect(table.Decide("other engines", []uint64{deadly}, at(4000)).Withheld).To(BeFalse(), "the part in another pool")
 }
 
 // TestServersThatEndTogetherBlameNoPart guards against a quarantine of the parts that all prompts
@@ -197,9 +195,9 @@
 
 func TestLastPartIsNeverBlamed(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(quarantine.Prompt(nil)).To(BeEmpty())
-	g.Expect(quarantine.Prompt([]uint64{1})).To(BeEmpty())
-	g.Expect(quarantine.Prompt([]uint64{1, 2, 3})).To(Equal([]uint64{1, 2}))
+	g.Expect(quarantine.PartsAtRisk(nil)).To(BeEmpty())
+	g.Expect(quarantine.PartsAtRisk([]uint64{1})).To(BeEmpty())
+	g.Expect(quarantine.PartsAtRisk([]uint64{1, 2, 3})).To(Equal([]uint64{1, 2}))
 	long := slices.Repeat([]uint64{7}, 50)
-	g.Expect(quarantine.Prompt(long)).To(HaveLen(32))
+	g.Expect(quarantine.PartsAtRisk(long)).To(HaveLen(32))
 }
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -37,18 +37,7 @@
 	s.listeners = append(s.listeners, listener)
 }
 
-// RecordLoss adds a loss that this process has observed.
-func (s *Store) RecordLoss(loss Loss, now time.Time) {
-	parts := make([]string, 0, len(loss.Parts))
-	for _, id := range loss.Parts {
-		parts = append(parts, strconv.FormatUint(id, 16))
-	}
-	s.log.Info().Str("server", strconv.FormatUint(loss.Server, 16)).Str("pool", loss.Pool).Strs("parts", parts).
-		Dur("waited", loss.LostAt.Sub(loss.SentAt)).Msg("backend server ended before it answered a prompt")
-	s.Merge([]Loss{loss}, now)
-}
-
-// Merge adds losses that another process knows.
+// Merge adds losses that this process has observed, or that another one has reported.
 func (s *Store) Merge(losses []Loss, now time.Time) {
 	s.update(func(t *Table) bool { return t.Merge(losses, now) })
 }
@@ -102,11 +91,11 @@
 	return s.log.Warn().Str("pool", part.Pool).Str("part", strconv.FormatUint(part.ID, 16))
 }
 
-// Withholds calls Table.Withholds.
-func (s *Store) Withholds(pool string, parts []uint64, now time.Time) (Verdict, time.Time, bool) {
+// Decide calls Table.Decide.
+func (s *Store) Decide(pool string, parts []uint64, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Withholds(pool, parts, now)
+	return s.table.Decide(pool, parts, now)
 }
 
 // IsSuspected calls Table.IsSuspected.
