--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -241,6 +241,19 @@
 	return response, string(raw), err
 }
 
+// lastLines returns a description of a failure with the last lines of a machine's log.
+func lastLines(m *machine) func() string {
+	const count = 10
+	return func() string {
+		log, err := os.ReadFile(m.LogPath())
+		if err != nil {
+			return err.Error()
+		}
+		lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+		return m.settings.Instance + ": " + strings.Join(lines[max(0, len(lines)-count):], "\n")
+	}
+}
+
 // awaitServing waits until a router answers a request on the path with 200.
 func (f *fleet) awaitServing(m *machine, path string) {
 	f.t.Helper()
@@ -250,7 +263,7 @@
 			return 0
 		}
 		return response.StatusCode
-	}, testcluster.WaitTimeout, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	}, testcluster.WaitTimeout, 50*time.Millisecond).Should(Equal(http.StatusOK), lastLines(m))
 }
 
 // mode is a fault of a worker. The zero value answers correctly.
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -162,7 +162,7 @@
 	start := time.Now()
 	for _, m := range s.routers {
 		s.Eventually(func() int { return s.readyStatus(m) }, testcluster.WaitTimeout, 50*time.Millisecond).
-			Should(Equal(http.StatusOK), func() string { return m.settings.Instance + ": " + lastLines(m, 10) })
+			Should(Equal(http.StatusOK), lastLines(m))
 		s.awaitServing(m, "/look/x")
 	}
 	if elapsed := time.Since(start); elapsed > soakRecoveryTimeout {
@@ -170,16 +170,6 @@
 	}
 }
 
-// lastLines returns the last lines of a machine's log.
-func lastLines(m *machine, count int) string {
-	log, err := os.ReadFile(m.LogPath())
-	if err != nil {
-		return err.Error()
-	}
-	lines := strings.Split(strings.TrimSpace(string(log)), "\n")
-	return strings.Join(lines[max(0, len(lines)-count):], "\n")
-}
-
 // checkHistory checks the observations of the whole run.
 func (s *soak) checkHistory() {
 	s.mu.Lock()
