--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -118,8 +118,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	if p.servers.Size() == 0 {
+		leaving, _ := p.servers.Withdrawn(now)
 		p.mu.Unlock()
-		return nil, api.Errorf(api.CodeNoBackendServer, "the pool has no ready server")
+		return nil, api.Errorf(api.CodeNoBackendServer, "the pool has no ready server; %d have stated that they are leaving", leaving)
 	}
 	if s := p.servers.Choose(request, now); s != nil {
 		p.servers.RecordSend(s, now)
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -46,6 +46,7 @@
 		}
 		got := send(t, url, "/safe/x")
 		g.Expect(got.status).To(Equal(503), "%s: the only server is leaving", name)
+		g.Expect(got.body).To(ContainSubstring("1 have stated that they are leaving"), name)
 		gw.SetServers(nil)
 		gw.SetServers(entriesOf([]*testServer{a}))
 		g.Expect(send(t, url, "/safe/x").status).To(Equal(503), "%s: a delayed announcement", name)
