Count ends that follow within 300 ms as one, and keep requests apart

Cause: all servers end within some 40 ms, and requests that one of them loses reach the next one in between (waited 4 ms), so that ends of one event counted as one after the other. The next request has to be sent 300 ms or more after an end now.

A loss was identified by server and parts, and the first of two requests with the same parts on one server was kept, another one on each router. The request's ID is part of the identity now.

A third one, found by the spacing of a test: the refutation of a loss older than 30 s was dropped at once, so other processes never learned of it, neither of an answer after a trial nor of an operator's release. It is kept for 30 s from the refutation on.

A trial that spread verdicts themselves as marks on losses was dropped: the property test showed that a conclusion from outdated refutations would stay.

--- a/internal/fleetsync/losses.go
+++ b/internal/fleetsync/losses.go
@@ -180,7 +180,7 @@
 	for _, l := range losses {
 		out = append(out, &fleetpb.Loss{
 			Server: l.Server, Pool: l.Pool, Parts: l.Parts, SentAgeMs: ageMS(l.SentAt, now), LostAgeMs: ageMS(l.LostAt, now),
-			Answered: l.Answered, Contrasted: l.Contrasted,
+			Answered: l.Answered, Contrasted: l.Contrasted, Request: l.Request,
 		})
 	}
 	return out
@@ -193,6 +193,7 @@
 		out = append(out, quarantine.Loss{
 			Server: l.GetServer(), Pool: l.GetPool(), Parts: l.GetParts(), SentAt: timeOf(l.GetSentAgeMs(), now),
 			LostAt: timeOf(l.GetLostAgeMs(), now), Answered: l.GetAnswered(), Contrasted: l.GetContrasted(),
+			Request: l.GetRequest(),
 		})
 	}
 	return out
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -114,7 +115,7 @@
 	c.lostServers++
 	if len(c.prompt) > 0 {
 		c.gateway.losses.record(lease, unconfirmedLoss{requestID: c.in.ID, Loss: quarantine.Loss{
-			Server: lease.hash, Pool: c.poolName, Parts: c.prompt, SentAt: lease.sentAt, LostAt: time.Now(),
+			Server: lease.hash, Request: xxhash.Sum64String(c.in.ID), Pool: c.poolName, Parts: c.prompt, SentAt: lease.sentAt, LostAt: time.Now(),
 		}})
 	}
 	return true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,6 +19,10 @@
 	// minLosses is the number of servers, one after the other, whose ends put a part into
 	// quarantine.
 	minLosses = 3
+	// minGap is the shortest time from an end to the send of the next request that counts as
+	// sent after it: servers that fail together end within some tens of milliseconds, and
+	// requests that one of them has lost reach the next one in between.
+	minGap = 300 * time.Millisecond
 	// extraLosses is the number of further ends that a part must explain to be blamed instead
 	// of a later, more specific part of the same prompts.
 	extraLosses = 2
@@ -49,9 +53,10 @@
 
 // Loss is the end of a backend server while a request waited for the first piece of its answer.
 type Loss struct {
-	// Server is the hash of the server's incarnation.
-	Server uint64
-	Pool   string
+	// Server is the hash of the server's incarnation, Request that of the request's ID.
+	Server  uint64
+	Request uint64
+	Pool    string
 	// Parts are the parts of the request's prompt in order, without the last one, which is
 	// unique to the request.
 	Parts []uint64
@@ -75,9 +80,10 @@
 	return parts[max(0, len(parts)-maxParts):]
 }
 
-// ID returns a hash that identifies the loss: the server and the prompt.
+// ID returns a hash that identifies the loss: the server, the request and its prompt.
 func (l *Loss) ID() uint64 {
 	raw := binary.LittleEndian.AppendUint64([]byte(l.Pool), l.Server)
+	raw = binary.LittleEndian.AppendUint64(raw, l.Request)
 	for _, part := range l.Parts {
 		raw = binary.LittleEndian.AppendUint64(raw, part)
 	}
@@ -90,6 +96,9 @@
 // isRefuted reports whether answers have shown that all parts are harmless.
 func (l *Loss) isRefuted() bool { return l.Answered == l.allParts() }
 
+// bit returns the mask of a part of the prompt.
+func (l *Loss) bit(part Part) uint32 { return 1 << slices.Index(l.Parts, part.ID) }
+
 // blames reports whether the part is in the prompt and not known to be harmless.
 func (l *Loss) blames(part Part) bool {
 	i := slices.Index(l.Parts, part.ID)
@@ -109,6 +118,8 @@
 type record struct {
 	Loss
 	revision uint64
+	// refutedAt is when the table was first found to have answers to all parts.
+	refutedAt time.Time
 }
 
 // Table is the evidence that one process has. It is not safe for concurrent use.
@@ -208,7 +219,7 @@
 	_, found := t.verdicts[part]
 	for _, r := range t.losses {
 		if r.blames(part) {
-			r.Answered |= 1 << slices.Index(r.Parts, part.ID)
+			r.Answered |= r.bit(part)
 			t.markChanged(r)
 		}
 	}
@@ -333,8 +344,10 @@
 // expire deletes losses that no longer count, and the least telling ones above maxLosses.
 func (t *Table) expire(now time.Time) {
 	for id, r := range t.losses {
-		age := now.Sub(r.LostAt)
-		if age > 2*holdTime+time.Hour || r.isRefuted() && age > refutedRetention {
+		if r.isRefuted() && r.refutedAt.IsZero() {
+			r.refutedAt = now
+		}
+		if now.Sub(r.LostAt) > 2*holdTime+time.Hour || r.isRefuted() && now.Sub(r.refutedAt) > refutedRetention {
 			t.delete(id)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -64,6 +64,34 @@
 	g.Expect(withheld(table, 800, common, subject)).To(BeFalse())
 }
 
+// TestServersThatEndShortlyOneAfterTheOtherBlameNoPart guards against a quarantine of shared parts
+// when all servers of a pool end within some tens of milliseconds: a request that one server has
+// lost is sent to the next one, which then ends, too.
+func TestServersThatEndShortlyOneAfterTheOtherBlameNoPart(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	for i := range 12 {
+		lostMS := 500 + 20*i
+		table.Merge([]quarantine.Loss{loss(uint64(i), lostMS-15, lostMS, common, subject)}, at(lostMS))
+		table.RecordAnswer(pool, []uint64{other}, at(lostMS+1))
+	}
+	g.Expect(withheld(table, 900, common, subject)).To(BeFalse())
+}
+
+// TestRequestsWithOnePromptOnOneServerAreDistinct guards against routers that reach different
+// verdicts because each kept another one of two requests with the same parts on one server.
+func TestRequestsWithOnePromptOnOneServerAreDistinct(t *testing.T) {
+	g := NewWithT(t)
+	early, late := loss(2, 100, 1000, deadly), loss(2, 800, 1000, deadly)
+	early.Request, late.Request = 1, 2
+	others := []quarantine.Loss{loss(1, 0, 400, deadly), loss(3, 1500, 1600, deadly)}
+	for _, order := range [][]quarantine.Loss{{early, late}, {late, early}} {
+		table := quarantine.NewTable("r")
+		table.Merge(append(order, others...), at(2000))
+		g.Expect(withheld(table, 2000, deadly)).To(BeTrue())
+	}
+}
+
 // TestPartIsTriedSoonIfThePoolAnsweredNothing guards against a long quarantine of a shared part
 // after the servers of a pool have ended again and again on any prompt, and against a pool whose
 // few servers a deadly part ends together with all other answers.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -23,7 +24,9 @@
 	for _, r := range t.losses {
 		unexplained = append(unexplained, r)
 	}
-	slices.SortFunc(unexplained, func(a, b *record) int { return a.LostAt.Compare(b.LostAt) })
+	slices.SortFunc(unexplained, func(a, b *record) int {
+		return cmp.Or(a.LostAt.Compare(b.LostAt), b.SentAt.Compare(a.SentAt))
+	})
 	for {
 		blamed := mostLikely(unexplained)
 		if blamed == nil {
@@ -93,7 +96,7 @@
 }
 
 // sequentialEnds returns the length of the longest sequence of losses in which each request was
-// sent after the end before it; if contrasted is set, only of those between which the pool
+// sent minGap or more after the end before it; if contrasted is set, only of those between which the pool
 // answered prompts without the part. Servers that end together for another reason, such as the
 // loss of a failure domain, count as one.
 func (e *evidence) sequentialEnds(contrasted bool) int {
@@ -103,9 +106,9 @@
 		switch {
 		case last == nil:
 			length = 1
-		case r.SentAt.Before(last.LostAt):
+		case r.SentAt.Before(last.LostAt.Add(minGap)):
 			continue
-		case !contrasted || last.Contrasted&(1<<slices.Index(last.Parts, e.part.ID)) != 0:
+		case !contrasted || last.Contrasted&last.bit(e.part) != 0:
 			length++
 		default:
 			length = 1
