Give the daemons of a test's fleet ports that differ

The test drew each port by itself, on the first address of the fleet, so two ports of a daemon could be equal. Ports are drawn on the daemon's own address and never twice.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -49,8 +49,9 @@
 	controls []*machine
 	routers  []*machine
 	client   *http.Client
-	subnet   int
 	attempts atomic.Int64
+	// usedPorts has the ports that freePort has returned.
+	usedPorts map[string]bool
 }
 
 // subnetCounter gives each fleet of a test process its own subnet.
@@ -75,7 +76,7 @@
 		m.settings.Join.Address = m.settings.Listen.Peers
 		ip, _, err := net.SplitHostPort(m.settings.Listen.Peers)
 		f.Expect(err).NotTo(HaveOccurred())
-		m.settings.Listen.Peers = ip + ":" + f.freePort(f.subnet)
+		m.settings.Listen.Peers = ip + ":" + f.freePort(ip)
 		m.settings.Relay = settings.Relay{MaxDirect: 1, PerDomain: 1, MaxFollowers: 2}
 		if m.settings.HasRole(settings.RoleRouter) {
 			m.settings.FailureDomain = "zone-0"
@@ -95,8 +96,9 @@
 func newFleet(t *testing.T, routers int) *fleet {
 	t.Helper()
 	subnet := int(subnetCounter.Add(1)) + os.Getpid()%100*2
-	f := &fleet{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, subnet: subnet}
-	peers, operators := f.freePort(subnet), f.freePort(subnet)
+	f := &fleet{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, usedPorts: make(map[string]bool)}
+	first := fmt.Sprintf("127.%d.0.1", subnet)
+	peers, operators := f.freePort(first), f.freePort(first)
 	var seeds []string
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("127.%d.0.%d:%s", subnet, i+1, operators))
@@ -106,7 +108,7 @@
 		m := &machine{settings: settings.Settings{
 			Instance: fmt.Sprint("core-", i+1), FailureDomain: fmt.Sprint("zone-", i%3), Adapter: platform.Name,
 			NameSchemes: []api.Scheme{"site"}, Join: &settings.Join{Seeds: seeds, Bootstrap: true},
-			Listen: settings.Listen{Peers: ip + ":" + peers, Platform: ip + ":" + f.freePort(subnet)},
+			Listen: settings.Listen{Peers: ip + ":" + peers, Platform: ip + ":" + f.freePort(ip)},
 		}}
 		if i < 3 {
 			m.settings.Roles = []settings.Role{settings.RoleControl}
@@ -117,7 +119,7 @@
 		} else {
 			m.settings.Instance = fmt.Sprint("front-", i-2)
 			m.settings.Roles = []settings.Role{settings.RoleRouter}
-			m.settings.Listen.Callers = ip + ":" + f.freePort(subnet)
+			m.settings.Listen.Callers = ip + ":" + f.freePort(ip)
 			m.settings.Timeouts = settings.Timeouts{DrainMS: 7600, AnnounceMS: 1000}
 			f.routers = append(f.routers, m)
 		}
@@ -137,15 +139,21 @@
 	})
 }
 
-// freePort returns a port that is free on the first loopback address of the subnet.
-func (f *fleet) freePort(subnet int) string {
+// freePort returns a port that is free on the address and that no daemon of the fleet uses: a
+// daemon listens on several ports of its address, and restarts.
+func (f *fleet) freePort(ip string) string {
 	f.t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:0", subnet))
-	f.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	f.Expect(err).NotTo(HaveOccurred())
-	return port
+	for {
+		listener, err := net.Listen("tcp", ip+":0")
+		f.Expect(err).NotTo(HaveOccurred())
+		_, port, err := net.SplitHostPort(listener.Addr().String())
+		_ = listener.Close()
+		f.Expect(err).NotTo(HaveOccurred())
+		if !f.usedPorts[port] {
+			f.usedPorts[port] = true
+			return port
+		}
+	}
 }
 
 // prepare writes the settings file of a machine and creates its process without starting it.
