--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -37,3 +37,44 @@
 func (r *reachability) isUnreachable(now time.Time) bool {
 	return len(r.lostServers) >= minLostServers && now.Sub(r.lostAt) < lossWindow
 }
+
+// ServersToProbe returns the unreachable servers that are due for a probe of whether
+// they are reachable again, and counts each as probed. A server is probed at most
+// once per probeInterval.
+func (p *Pool) ServersToProbe(now time.Time) []*Server {
+	var out []*Server
+	for _, s := range p.servers {
+		if p.isPaused(s, now) {
+			continue
+		}
+		if (!s.isReachable(now) || p.reachability(s.Domain).isUnreachable(now)) && now.Sub(s.lastProbe) >= probeInterval {
+			s.lastProbe = now
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// RecordConnectFailure records that a connection to the server could not be set up.
+// Failed probes keep an unreachable failure domain out of use.
+func (p *Pool) RecordConnectFailure(s *Server, now time.Time) {
+	s.health.connectFailures++
+	p.reachability(s.Domain).recordLoss(s.ID, now)
+}
+
+// RecordConnectSuccess records that a connection to the server was set up.
+func (p *Pool) RecordConnectSuccess(s *Server, now time.Time) {
+	s.lastAnswer = now
+	s.health.connectFailures = 0
+	s.health.pausedUntil = time.Time{}
+	p.reachability(s.Domain).recordAnswer()
+}
+
+func (p *Pool) reachability(domain string) *reachability {
+	r := p.domains[domain]
+	if r == nil {
+		r = &reachability{}
+		p.domains[domain] = r
+	}
+	return r
+}
