Bound the memory for answers

Cause: no reader of a server's bytes was bounded for all requests together. http.ReadResponse keeps a head of any size; the gateway buffered 16 MiB of a body and 1 MiB of an event for each request, and took what the limit let through for the whole; the proxy relied on a transport's 10 MiB a head and had no bound for the lines of an event or the tokens of a stream.

Ruled out: a queue to the caller, as nothing is written before the head is complete.

Now heads are bounded at 32 KiB in both paths. The gateway forwards what exceeds 64 KiB as it arrives and aborts the caller's connection if the server breaks off. Incomplete events and the proxy's answers draw on one budget, of which answers of an ordinary size are free.

A head that a server cuts was no answer before either; a test keeps it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -42,11 +42,14 @@
 	maxUnmatchedAnswers = 2
 	// maxUnmatchedAnswerBytes bounds the body of a skipped answer.
 	maxUnmatchedAnswerBytes = 256 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 32 << 10
 )
 
 // Errors of a send.
 var (
 	ErrUnmatchedAnswer = errors.New("connection delivered answers to other requests")
+	ErrHeadTooLarge    = errors.New("head of the answer exceeds the size limit")
 )
 
 // Request is one attempt to send a request to a server.
@@ -177,7 +180,7 @@
 func (e *Exchange) readHead(request *Request) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxUnmatchedAnswers + 1 {
-		response, err := http.ReadResponse(e.conn.reader, httpRequest)
+		response, err := e.conn.readHead(httpRequest)
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
@@ -247,5 +250,12 @@
 	return defaultIdleTimeout
 }
 
+// Discard reads the rest of the answer's body, up to limitBytes, and closes the exchange. The
+// connection is kept if the body has ended by then.
+func (e *Exchange) Discard(limitBytes int64) {
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Body, limitBytes+1))
+	e.Close(err == nil && n <= limitBytes)
+}
+
 // Abort closes the connection, so that a read of the answer fails.
 func (e *Exchange) Abort() { _ = e.conn.Close() }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -234,3 +236,87 @@
 	}
 	g.Expect(opened.Load()).To(Equal(int32(3)))
 }
+
+// sendWithoutEnd writes text again and again until the connection fails.
+func sendWithoutEnd(conn net.Conn, text string) (sentBytes int) {
+	block := []byte(strings.Repeat(text, 1+(64<<10)/len(text)))
+	for {
+		n, err := conn.Write(block)
+		sentBytes += n
+		if err != nil {
+			return sentBytes
+		}
+	}
+}
+
+// TestHeadWithoutEndIsCutOff guards against an answer's head of any size in memory: a faulty
+// server sends bytes until its connection is closed.
+func TestHeadWithoutEndIsCutOff(t *testing.T) {
+	for name, noise := range map[string]struct {
+		start, repeated string
+		err             error
+	}{
+		"no line end":     {"", "noise ", backend.ErrHeadTooLarge},
+		"header line":     {"HTTP/1.1 200 OK\r\nId: 1\r\nA: ", "noise ", backend.ErrHeadTooLarge},
+		"header lines":    {"HTTP/1.1 200 OK\r\n", "a: b\r\n", backend.ErrHeadTooLarge},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", backend.ErrUnmatchedAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent := make(chan int, 1)
+			address := startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
+				if _, ok := readRequest(requests); ok {
+					_, _ = conn.Write([]byte(noise.start))
+					sent <- sendWithoutEnd(conn, noise.repeated)
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := send(newClient(&atomic.Int32{}), address, "1")
+			runtime.ReadMemStats(&after)
+			g.Expect(err).To(MatchError(noise.err))
+			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 4<<20))
+			// What the kernel buffers is sent but not received.
+			g.Eventually(sent, 5*time.Second).Should(Receive(BeNumerically("<", 64<<20)))
+		})
+	}
+}
+
+// TestCutHeadIsNoAnswer guards against a complete answer made of the part of a head that a server
+// sent before it closed the connection.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 800\r\n\r\n"
+	for length := range len(head) {
+		address := startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
+			if _, ok := readRequest(requests); ok {
+				_, _ = conn.Write([]byte(head[:length]))
+			}
+		})
+		body, err := send(newClient(&atomic.Int32{}), address, "1")
+		g.Expect(err).To(HaveOccurred(), "head cut after %q; body %q", head[:length], body)
+	}
+}
+
+// TestDiscardKeepsOnlyCompleteAnswers guards against a connection that returns to the pool with
+// unread bytes of a body.
+func TestDiscardKeepsOnlyCompleteAnswers(t *testing.T) {
+	g := NewWithT(t)
+	address := startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, ok := readRequest(requests)
+			if !ok {
+				return
+			}
+			writeAnswer(conn, id, "0123456789")
+		}
+	})
+	var opened atomic.Int32
+	c := newClient(&opened)
+	for i, limit := range []int64{9, 10, 10} {
+		ex, err := c.Send(context.Background(), address, newRequest(strconv.Itoa(i)))
+		g.Expect(err).NotTo(HaveOccurred())
+		ex.Discard(limit)
+	}
+	g.Expect(opened.Load()).To(Equal(int32(2)))
+}
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,12 +14,48 @@
 // conn is a connection to a server. It may be idle in the pool until idleDeadline.
 type conn struct {
 	net.Conn
+	// limit is the source of reader.
+	limit        *limitedReader
 	reader       *bufio.Reader
 	address      string
 	idleDeadline time.Time
 	reused       bool
 }
 
+func newConn(raw net.Conn, address string) *conn {
+	limit := &limitedReader{source: raw}
+	return &conn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), address: address}
+}
+
+// readHead reads the head of an answer. http.ReadResponse itself keeps a head of any size in
+// memory. The error wraps ErrHeadTooLarge if the head exceeds maxHeadBytes.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.limit.active, c.limit.remainingBytes = true, maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.limit.active = false
+	return response, err
+}
+
+// limitedReader fails with ErrHeadTooLarge after remainingBytes while it is active.
+type limitedReader struct {
+	source         io.Reader
+	active         bool
+	remainingBytes int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.remainingBytes <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remainingBytes)])
+	l.remainingBytes -= n
+	return n, err
+}
+
 func (c *Client) acquireConn(ctx context.Context, address string) (*conn, error) {
 	for {
 		connection := c.popIdle(address)
@@ -71,7 +109,7 @@
 				return nil, errors.Wrapf(result.err, "connect to %s", address)
 			}
 			c.onOpen()
-			return &conn{Conn: result.conn, reader: bufio.NewReaderSize(result.conn, readBufferBytes), address: address}, nil
+			return newConn(result.conn, address), nil
 		}
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,11 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is buffered before it is forwarded.
-	maxAnswerBytes = 16 << 20
+	// maxBufferedAnswerBytes is the largest answer that is read completely before it is forwarded.
+	// A larger one is forwarded as it arrives, so that it takes no memory.
+	maxBufferedAnswerBytes = 64 << 10
+	// maxDiscardedBytes bounds the body of an answer by which a server refuses a request.
+	maxDiscardedBytes = 64 << 10
 	// maxSends bounds the sends of one request, including those that a server refuses.
 	maxSends = 4
 	// attemptTimeoutShare is the share of the remaining time that an attempt may take until the
@@ -106,7 +110,7 @@
 // finish forwards the server's error answer if there is one, or returns the error with
 // which the call is refused.
 func (f *failure) finish(c *call) error {
-	if f.answer != nil && !f.notRun && !c.streamStarted() {
+	if f.answer != nil && !f.notRun && !c.answerStarted() {
 		return c.writeAnswer(f.answer)
 	}
 	return f.err
@@ -115,7 +119,7 @@
 // mayRetry reports whether the request may be sent to another server. A request that a
 // server may have run is retried only if its route is retryable.
 func (c *call) mayRetry(f *failure) bool {
-	if c.ctx.Err() != nil || c.sends >= maxSends || f.lostServer && !c.mayRetryAfterLoss() {
+	if c.ctx.Err() != nil || c.forwarding || c.sends >= maxSends || f.lostServer && !c.mayRetryAfterLoss() {
 		return false
 	}
 	if !f.notRun && (!c.route.Retryable() || c.attempts >= max(c.route.MaxServers, 1)) {
@@ -124,7 +128,7 @@
 	return f.unsent || c.pool.spendRetry()
 }
 
-// bufferedAnswer is a server's answer that was read completely.
+// bufferedAnswer is a server's answer that was read completely; see maxBufferedAnswerBytes.
 type bufferedAnswer struct {
 	status int
 	header http.Header
@@ -165,7 +169,7 @@
 	if c.streamStarted() {
 		return c.rejectAsContinuation(ex, lease, firstByte)
 	}
-	return c.relayBuffered(ctx, ex, lease, firstByte)
+	return c.relayAnswer(ctx, ex, lease, firstByte)
 }
 
 // attemptTimeout returns how long the server may take until the first byte. The last attempt
@@ -238,8 +242,7 @@
 
 // handleNotRun handles an answer by which the server states that it did not run the request.
 func (c *call) handleNotRun(lease *lease, ex *backend.Exchange) *failure {
-	_, err := io.Copy(io.Discard, io.LimitReader(ex.Body, maxAnswerBytes))
-	ex.Close(err == nil)
+	ex.Discard(maxDiscardedBytes)
 	lease.release(placement.Result{Kind: placement.ResultRefused})
 	c.logAttempt(lease).Int("status", ex.StatusCode).Msg("server did not run the request")
 	return &failure{err: api.Errorf(api.CodeOverloaded, "%s refused the request with status %d", lease.id, ex.StatusCode), notRun: true}
@@ -253,19 +256,16 @@
 	return &failure{err: api.Errorf(api.CodeStreamBroken, "%s answered with status %d instead of resuming the stream", lease.id, ex.StatusCode)}
 }
 
-// relayBuffered reads an answer completely and then forwards it.
-func (c *call) relayBuffered(ctx context.Context, ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
-	body, err := io.ReadAll(io.LimitReader(ex.Body, maxAnswerBytes))
+// relayAnswer forwards an answer that is no stream. One of up to maxBufferedAnswerBytes is read
+// completely first, so that another server can take over if it ends early.
+func (c *call) relayAnswer(ctx context.Context, ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
+	body, err := io.ReadAll(io.LimitReader(ex.Body, maxBufferedAnswerBytes+1))
+	if err == nil && len(body) > maxBufferedAnswerBytes {
+		return c.relayLargeAnswer(ctx, ex, lease, body, firstByte)
+	}
 	ex.Close(err == nil)
 	if err != nil {
-		lease.release(placement.Result{Kind: placement.ResultLost})
-		if c.ctx.Err() != nil {
-			return &failure{err: c.contextError(context.Cause(c.ctx))}
-		}
-		return &failure{
-			err:        api.Errorf(api.CodeBackendFailed, "answer of %s ended early: %v", lease.id, contextCause(ctx, err)),
-			lostServer: c.recordLoss(lease, contextCause(ctx, err)),
-		}
+		return c.handleBrokenAnswer(ctx, lease, err)
 	}
 	answer := &bufferedAnswer{status: ex.StatusCode, header: ex.Header, body: body}
 	if ex.StatusCode >= http.StatusInternalServerError {
@@ -282,6 +282,64 @@
 	return nil
 }
 
+// relayLargeAnswer forwards an answer as it arrives. If it ends early, the caller's connection is
+// aborted, so that the answer does not look complete.
+func (c *call) relayLargeAnswer(ctx context.Context, ex *backend.Exchange, lease *lease, start []byte, firstByte time.Duration) *failure {
+	c.forwarding = true
+	c.recordAnswer()
+	c.copyAnswerHeader(ex.Header)
+	if ex.ContentLength >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(ex.ContentLength, 10))
+	}
+	controller := http.NewResponseController(c.w)
+	if err := controller.SetWriteDeadline(c.deadline); err != nil {
+		c.log(zerolog.WarnLevel).Err(err).Msg("the caller's connection has no write deadline")
+	}
+	c.w.WriteHeader(ex.StatusCode)
+	c.gateway.metrics.recordFirstByte(c.kindLabel(), time.Since(c.receivedAt))
+	_, err := c.w.Write(start)
+	size := int64(len(start))
+	if err == nil {
+		var rest int64
+		rest, err = io.Copy(c.w, ex.Body)
+		size += rest
+	}
+	ex.Close(err == nil)
+	if err != nil {
+		return c.handleBrokenAnswer(ctx, lease, err)
+	}
+	kind := placement.ResultAnswered
+	if ex.StatusCode >= http.StatusInternalServerError {
+		kind = placement.ResultFailed
+	}
+	lease.release(placement.Result{Kind: kind, FirstByte: firstByte})
+	c.gateway.metrics.recordOutcome(c, "answered")
+	c.logAttempt(lease).Int("status", ex.StatusCode).Int64("bytes", size).Dur("total", time.Since(c.receivedAt)).Msg("request answered")
+	// The server has no write timeout, so the deadline would apply to the connection's next answers.
+	if err := controller.SetWriteDeadline(time.Time{}); err != nil {
+		c.log(zerolog.WarnLevel).Err(err).Msg("the caller's connection keeps its write deadline")
+	}
+	return nil
+}
+
+// handleBrokenAnswer handles an answer whose body ended early.
+func (c *call) handleBrokenAnswer(ctx context.Context, lease *lease, err error) *failure {
+	kind := placement.ResultLost
+	if c.ctx.Err() != nil {
+		kind = placement.ResultUnknown
+	}
+	lease.release(placement.Result{Kind: kind})
+	cause := contextCause(ctx, err)
+	c.logAttempt(lease).Err(cause).Msg("answer ended early")
+	if c.ctx.Err() != nil {
+		return &failure{err: c.contextError(context.Cause(c.ctx))}
+	}
+	return &failure{
+		err:        api.Errorf(api.CodeBackendFailed, "answer of %s ended early: %v", lease.id, cause),
+		lostServer: !c.forwarding && c.recordLoss(lease, cause),
+	}
+}
+
 // logAttempt returns a log event with the server of the last send and the reason for
 // choosing it.
 func (c *call) logAttempt(lease *lease) *zerolog.Event {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,6 +41,8 @@
 	sends    int
 	exclude  []string
 	stream   *streamState
+	// forwarding is set once the head of an answer that is forwarded as it arrives was sent.
+	forwarding bool
 	// prompt holds the IDs of the prompt's parts that can be at fault if a server ends.
 	prompt []uint64
 	// lostServers counts the servers that closed the connection before they began to answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/internal/backend"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
@@ -27,6 +28,9 @@
 	// maintenanceInterval is how often expired connections are closed and unreachable servers
 	// are probed.
 	maintenanceInterval = 200 * time.Millisecond
+	// answerMemoryBytes bounds the sum of large incomplete stream events. It is a tenth of the
+	// memory of a router's machine.
+	answerMemoryBytes = 24 << 20
 )
 
 var (
@@ -48,6 +52,8 @@
 	losses       *lossRecorder
 	metrics      *gatewayMetrics
 	startedAt    time.Time
+	// answerMemory bounds the memory for incomplete stream events.
+	answerMemory *bytebudget.Budget
 
 	inProgress atomic.Int64
 	// closeConnections makes each answer close its keep-alive connection.
@@ -64,7 +70,7 @@
 	m := newGatewayMetrics()
 	g := &Gateway{
 		log: log, domain: domain, transitLimit: transitLimit, dialect: dialect,
-		pools: newPools(m), metrics: m, startedAt: time.Now(),
+		pools: newPools(m), metrics: m, startedAt: time.Now(), answerMemory: bytebudget.New(answerMemoryBytes),
 	}
 	g.client = backend.NewClient(g.metrics.connectionsOpened.Inc)
 	g.losses = newLossRecorder(losses, g.client, log)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -30,7 +30,7 @@
 )
 
 // refuse ends a call without a server's answer. The outcome that it reports (not run, or
-// may have run) depends on what was sent, not on the error. A started stream, and a call
+// may have run) depends on what was sent, not on the error. A started answer, and a call
 // whose caller disconnected, are aborted by a panic with http.ErrAbortHandler.
 func (c *call) refuse(err error) {
 	g := c.gateway
@@ -46,14 +46,18 @@
 	switch {
 	case c.streamStarted():
 		event.Str("lastEvent", c.stream.lastID).Msg("stream cut")
+	case c.forwarding:
+		event.Msg("answer cut")
 	case c.mayHaveRun:
 		event.Msg("request failed")
 	default:
 		event.Msg("request refused")
 	}
-	if c.streamStarted() {
+	if c.answerStarted() {
 		g.metrics.recordOutcome(c, "cut")
-		c.stream.writer.flushNow()
+		if c.stream != nil {
+			c.stream.writer.flushNow()
+		}
 		// Aborting the connection shows the caller that the answer is incomplete.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/backend"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/placement"
 )
 
@@ -33,8 +35,9 @@
 	writer   *eventWriter
 	// lastID is the ID of the last event that was forwarded.
 	lastID string
-	// partial is the received part of an incomplete event.
+	// partial is the received part of an incomplete event, and memory its share of the budget.
 	partial []byte
+	memory  *bytebudget.Share
 	// firstAt is when the first event was forwarded, lastAt when the latest one was.
 	firstAt, lastAt time.Time
 	longestPause    time.Duration
@@ -82,11 +85,12 @@
 // the last forwarded event.
 func (c *call) relayStream(ctx context.Context, ex *backend.Exchange, lease *lease) *failure {
 	if c.stream == nil {
-		c.stream = &streamState{writer: newEventWriter(c.w, mergeInterval(c.gateway.transitLimit, c.route.PauseObjective))}
+		c.stream = &streamState{memory: c.gateway.answerMemory.Share(), writer: newEventWriter(c.w, mergeInterval(c.gateway.transitLimit, c.route.PauseObjective))}
 	} else if c.stream.headSent {
 		c.gateway.metrics.streamsResumed.Inc()
 	}
 	c.stream.partial, c.stream.intervalEvents, c.stream.answering = nil, 0, false
+	defer c.stream.memory.Release()
 	err := c.relayEvents(ctx, ex, lease)
 	// A stream without a length ends with its connection. Before the first event, only a
 	// server that failed ends it.
@@ -142,6 +146,9 @@
 // streamStarted reports whether a part of a stream was forwarded to the caller.
 func (c *call) streamStarted() bool { return c.stream != nil && c.stream.headSent }
 
+// answerStarted reports whether a part of an answer was forwarded to the caller.
+func (c *call) answerStarted() bool { return c.forwarding || c.streamStarted() }
+
 // startStallTimer starts a timer that aborts a stalled stream if another server may resume it.
 func (c *call) startStallTimer(ex *backend.Exchange) *time.Timer {
 	return time.AfterFunc(c.stallTimeout(), func() {
@@ -165,6 +172,9 @@
 // forwardEvents forwards the complete events in the received data and keeps the rest in partial.
 func (c *call) forwardEvents(ex *backend.Exchange, lease *lease, data []byte) error {
 	s := c.stream
+	if !s.memory.Resize(len(s.partial) + len(data)) {
+		return errors.New("incomplete stream events exceed the memory limit")
+	}
 	s.partial = append(s.partial, data...)
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
 	if end < 0 {
@@ -187,6 +197,9 @@
 	}
 	err := s.writer.write(complete)
 	s.partial = append(s.partial[:0], s.partial[end+2:]...)
+	if cap(s.partial) > bytebudget.FreeBytes {
+		s.partial = slices.Clone(s.partial)
+	}
 	return errors.Wrap(err, "write to the caller")
 }
 
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -13,19 +13,26 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
-// maxAnswerBytes bounds an answer that is not streamed.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds an answer, streamed or not.
+	maxAnswerBytes = 16 << 20
+	// answerMemoryBytes bounds the sum of the large answers that are in memory.
+	answerMemoryBytes = maxAnswerBytes
+)
 
 const (
 	mediaTypeJSON        = "application/json"
 	mediaTypeEventStream = "text/event-stream"
 )
 
+var errNoAnswerMemory = errors.New("the answers in progress exceed the memory limit")
+
 // answer is a complete answer of a backend server.
 type answer struct {
 	ledger.Answer
@@ -64,7 +71,9 @@
 	}
 	ex.recordFirstByte()
 	ex.recordProgress()
-	answer, err := readAnswer(ex)
+	memory := t.proxy.answerMemory.Share()
+	defer memory.Release()
+	answer, err := readAnswer(ex, memory)
 	if err != nil {
 		return t.handleServerFailure(lease, ex.readError(err))
 	}
@@ -164,9 +173,9 @@
 	return nil
 }
 
-// readAnswer reads an answer to its end.
-func readAnswer(ex *exchange) (*answer, error) {
-	body, err := io.ReadAll(io.LimitReader(&progressReader{ex}, maxAnswerBytes+1))
+// readAnswer reads an answer to its end into memory that it draws from the share.
+func readAnswer(ex *exchange, memory *bytebudget.Share) (*answer, error) {
+	body, err := io.ReadAll(io.LimitReader(&progressReader{ex: ex, memory: memory}, maxAnswerBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -180,8 +189,12 @@
 }
 
 // progressReader reads an answer and restarts the progress timeout whenever a read
-// returns data.
-type progressReader struct{ ex *exchange }
+// returns data. It fails if the answer exceeds the memory that is left for answers.
+type progressReader struct {
+	ex        *exchange
+	memory    *bytebudget.Share
+	readBytes int
+}
 
 // Read implements io.Reader.
 func (r *progressReader) Read(b []byte) (int, error) {
@@ -189,6 +202,9 @@
 	if n > 0 {
 		r.ex.recordProgress()
 	}
+	if r.readBytes += n; !r.memory.Resize(r.readBytes) {
+		return n, errNoAnswerMemory
+	}
 	return n, err
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/httpx"
@@ -47,6 +48,8 @@
 	retryBudgets    *retryBudgets
 	progressTimeout time.Duration
 	activeCalls     *callSet
+	// answerMemory bounds the memory for large answers and stream events.
+	answerMemory *bytebudget.Budget
 
 	// closeConnections is set when each answer must close its connection.
 	closeConnections atomic.Bool
@@ -67,6 +70,7 @@
 		retryBudgets:    newRetryBudgets(),
 		progressTimeout: s.Timeouts.Progress(),
 		activeCalls:     newCallSet(),
+		answerMemory:    bytebudget.New(answerMemoryBytes),
 		abortCtx:        abortCtx,
 		abort:           abort,
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -73,7 +73,9 @@
 		t.runCtx = runCtx
 	}
 	if j.stream {
-		c.callerStream = newCallerStream(w, c.key != "")
+		memory := p.answerMemory.Share()
+		defer memory.Release()
+		c.callerStream = newCallerStream(w, c.key != "", memory)
 	}
 	if c.key != "" {
 		return t.runWithClaim()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 )
@@ -24,7 +25,9 @@
 	if failed != nil {
 		return failed
 	}
-	events := newEventReader(ex.Body)
+	memory := t.proxy.answerMemory.Share()
+	defer memory.Release()
+	events := newEventReader(ex.Body, memory)
 	for {
 		data, err := events.next()
 		if err != nil {
@@ -78,6 +81,9 @@
 	}
 	text := chunkText(chunk)
 	if skip == 0 {
+		if !t.call.callerStream.mayAdd(len(data)) {
+			return 0, t.failStream("the stream exceeds the size limit")
+		}
 		t.call.callerStream.sendChunk(data, text, hasFinishReason(chunk))
 		return 0, nil
 	}
@@ -176,10 +182,13 @@
 	finishReasonSent bool
 	// storedBody collects the events if the stream is to be stored, else it is nil.
 	storedBody *bytes.Buffer
+	// sentBytes is the size of the events, and memory what tokens and storedBody draw on.
+	sentBytes int
+	memory    *bytebudget.Share
 }
 
-func newCallerStream(w http.ResponseWriter, store bool) *callerStream {
-	s := &callerStream{w: w}
+func newCallerStream(w http.ResponseWriter, store bool, memory *bytebudget.Share) *callerStream {
+	s := &callerStream{w: w, memory: memory}
 	if store {
 		s.storedBody = &bytes.Buffer{}
 	}
@@ -197,6 +206,12 @@
 // hasToken reports whether text is the token at an offset.
 func (s *callerStream) hasToken(offset int, text string) bool { return s.tokens[offset] == text }
 
+// mayAdd reports whether an event of the given size fits the limits of a stream.
+func (s *callerStream) mayAdd(eventBytes int) bool {
+	s.sentBytes += eventBytes
+	return s.sentBytes <= maxAnswerBytes && s.memory.Resize(s.sentBytes)
+}
+
 // sendChunk sends a chunk to the caller.
 func (s *callerStream) sendChunk(data []byte, text string, isFinal bool) {
 	if text != "" {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -17,6 +17,8 @@
 	connectTimeout      = 2 * time.Second
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerHost = 64
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 32 << 10
 	// transportRetention is how long the transport of an unused server is kept.
 	transportRetention = 5 * time.Minute
 	// drainTimeout and maxDrainBytes bound the read of what follows a stream's
@@ -75,10 +77,11 @@
 func newTransport() *http.Transport {
 	dialer := &trackedDialer{net.Dialer{Timeout: connectTimeout}}
 	return &http.Transport{
-		DialContext:         dialer.dial,
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		DisableCompression:  true,
+		DialContext:            dialer.dial,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 }
 
