Let one of two voters continue once the other has lost its disk

Cause: while a voter is replaced the group has two, both of them a majority. The one that loses its disk never votes again, and its vote was not replaced, though the other has every committed entry.

Evidence: the status of the survivor shows pre-votes for good, with the change in its log and in the learner's. Ruled out: entries that are missing, a join that fails. To promote the learner first has the same end: of four voters two are left.

An instance that answers with another replica ID has lost its disk. Then the other voter of two is a quorum, and a member wins an election with the votes of all members whose disks are not lost: a learner that the lost leader had promoted rejects a candidate without that entry. The membership must be known to be committed, so that index is durable, and nothing beyond it is committed before the other voter knows it. The last two voters are not removed.

Open: a disk lost within 2 s after the replaced voter has ended.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -48,7 +48,7 @@
 // the other replicas do not grant the pre-vote, because they receive its heartbeats.
 func (r *Replica) CampaignOnNextTick() { r.electionElapsed = r.electionTimeout - 1 }
 
-// requestVotes sends vote requests to the voters that have not responded in this
+// requestVotes sends vote requests to the electors that have not responded in this
 // campaign. Repeated requests are idempotent: a replica responds as it did before.
 func (r *Replica) requestVotes() {
 	request := Message{Type: MessagePreVote, Term: r.term + 1}
@@ -56,7 +56,8 @@
 		request = Message{Type: MessageVote, Term: r.term}
 	}
 	request.LogIndex, request.LogTerm = r.log.lastIndex(), r.log.lastTerm()
-	for _, id := range r.log.membership.Voters() {
+	electors, _ := r.electors()
+	for _, id := range electors {
 		if _, responded := r.votes[id]; !responded {
 			request.To = id
 			r.send(request)
@@ -117,9 +118,13 @@
 // countVotes counts the votes and reports whether they decide the campaign. If so, it
 // moves the replica to its next role.
 func (r *Replica) countVotes() bool {
-	voters := r.log.membership.Voters()
+	electors, all := r.electors()
+	needed, decisive := majority(len(electors)), majority(len(electors))
+	if all {
+		needed, decisive = len(electors), 1
+	}
 	granted, rejected := 0, 0
-	for _, id := range voters {
+	for _, id := range electors {
 		vote, responded := r.votes[id]
 		switch {
 		case responded && vote:
@@ -128,11 +133,11 @@
 			rejected++
 		}
 	}
-	if granted >= majority(len(voters)) {
+	if granted >= needed {
 		r.winCampaign()
 		return true
 	}
-	if rejected >= majority(len(voters)) {
+	if rejected >= decisive {
 		r.becomeFollower(r.term, 0)
 		return true
 	}
@@ -157,5 +162,6 @@
 	r.progress = make(map[ReplicaID]*progress)
 	r.updateProgress()
 	// Entries of earlier terms are committed only together with an entry of this term.
+	r.termStart = r.log.lastIndex() + 1
 	r.appendAsLeader(Entry{Type: EntryNoOp})
 }
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -40,8 +40,8 @@
 	return nil
 }
 
-// membershipAfter returns the newest membership with the change applied. The last voter
-// cannot be removed.
+// membershipAfter returns the newest membership with the change applied. The last two voters
+// cannot be removed: a survivor of two relies on entries that no single voter has committed.
 func (r *Replica) membershipAfter(change Change) (Membership, error) {
 	members := slices.Clone(r.log.membership.Members)
 	position := slices.IndexFunc(members, func(m Member) bool { return m.ID == change.Member.ID })
@@ -62,7 +62,7 @@
 		members[position].Learner = false
 		return NewMembership(members...), nil
 	}
-	if position < 0 || len(r.log.membership.Voters()) == 1 && !members[position].Learner {
+	if position < 0 || len(r.log.membership.Voters()) <= 2 && !members[position].Learner {
 		return Membership{}, ErrInvalidChange
 	}
 	return NewMembership(slices.Delete(members, position, position+1)...), nil
@@ -71,6 +71,9 @@
 // IsCaughtUp reports whether a replica is active and has confirmed all committed
 // entries to this leader.
 func (r *Replica) IsCaughtUp(id ReplicaID) bool {
+	if id == r.config.ID {
+		return r.role == RoleLeader
+	}
 	p := r.progress[id]
 	return r.IsActive(id) && p != nil && p.match >= r.commit
 }
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 )
 
 // entryOverheadBytes is the approximate encoded size of an entry without its data.
@@ -31,6 +32,8 @@
 	probing bool
 	// ticksSinceResponse is the number of ticks since the replica's last response.
 	ticksSinceResponse int
+	// commit is the highest commit index that the replica has confirmed to know.
+	commit uint64
 	// readAck is the highest read sequence number that the replica has acknowledged.
 	readAck uint64
 	// snapshotRetryTicks is the number of ticks until a snapshot may be sent again.
@@ -62,6 +65,10 @@
 	votes    map[ReplicaID]bool
 	progress map[ReplicaID]*progress
 	reads    readQueue
+	// termStart is the index of the leader's first entry in its term.
+	termStart uint64
+	// lostDisks has the members whose disks are known to be lost.
+	lostDisks map[ReplicaID]bool
 
 	// persisted is the hard state that Ready returned last.
 	persisted HardState
@@ -83,8 +90,10 @@
 		commit:    state.Snapshot.Index,
 		applied:   state.Snapshot.Index,
 		persisted: state.HardState,
+		lostDisks: make(map[ReplicaID]bool),
 	}
 	r.stable = r.log.lastIndex()
+	r.commit = max(r.commit, min(state.HardState.Commit, r.log.lastIndex()))
 	r.becomeFollower(r.term, 0)
 	return r
 }
@@ -116,14 +125,19 @@
 	}
 }
 
-// mayCampaign reports whether the replica is a voter, or was one before a
+// mayCampaign reports whether the replica is an elector, or was one before a
 // membership entry that is not committed: it may be the only replica that can
 // commit that entry.
 func (r *Replica) mayCampaign() bool {
+	if electors, _ := r.electors(); slices.Contains(electors, r.config.ID) {
+		return true
+	}
 	if r.log.membership.IsVoter(r.config.ID) {
 		return true
 	}
-	return r.log.membershipIndex > r.commit && r.log.membershipAt(r.commit).IsVoter(r.config.ID)
+	committed := r.log.membershipAt(r.commit)
+	member, isMember := committed.Find(r.config.ID)
+	return isMember && r.log.membershipIndex > r.commit && (!member.Learner || r.survivorOf(committed) != 0)
 }
 
 // tickLeader advances the leader's timers, steps down if the leader has lost its quorum,
@@ -135,7 +149,7 @@
 		p.snapshotRetryTicks = max(p.snapshotRetryTicks-1, 0)
 		p.probing = p.probing || !r.IsActive(id)
 	}
-	if !r.hasActiveQuorum() {
+	if !r.isQuorum(r.IsActive) {
 		r.becomeFollower(r.term, 0)
 		return
 	}
@@ -145,21 +159,6 @@
 	}
 }
 
-// hasActiveQuorum reports whether a majority of the voters, including the leader, has
-// responded within the minimum election timeout.
-func (r *Replica) hasActiveQuorum() bool {
-	active := 0
-	voters := r.log.membership.Voters()
-	for _, id := range voters {
-		if r.IsActive(id) {
-			active++
-		}
-	}
-	return active >= majority(len(voters))
-}
-
-func majority(voters int) int { return voters/2 + 1 }
-
 // Step handles a message from another replica.
 func (r *Replica) Step(m Message) {
 	if m.To != r.config.ID {
@@ -242,7 +241,7 @@
 		r.commitTo(min(m.Commit, r.log.lastIndex()))
 		r.send(Message{
 			Type: MessageHeartbeatResponse, To: m.From,
-			LogIndex: r.log.lastIndex(), ReadSequence: m.ReadSequence,
+			LogIndex: r.log.lastIndex(), ReadSequence: m.ReadSequence, Commit: r.commit,
 		})
 	case MessageSnapshot:
 		r.handleSnapshot(m)
@@ -261,7 +260,7 @@
 func (r *Replica) Ready() Ready {
 	ready := Ready{Snapshot: r.receivedSnapshot, Messages: r.messages, ReadStates: r.readStates}
 	r.receivedSnapshot, r.messages, r.readStates = nil, nil, nil
-	if hard := (HardState{Term: r.term, Vote: r.vote}); hard != r.persisted {
+	if hard := (HardState{Term: r.term, Vote: r.vote, Commit: r.committedMembershipIndex()}); hard != r.persisted {
 		ready.HardState = &hard
 		r.persisted = hard
 	}
@@ -277,6 +276,14 @@
 	return ready
 }
 
+// committedMembershipIndex returns the durable commit index; see HardState.
+func (r *Replica) committedMembershipIndex() uint64 {
+	if index := r.log.membershipIndex; index > r.snapshot.Index && index <= r.commit {
+		return index
+	}
+	return r.persisted.Commit
+}
+
 const unlimitedBytes = int(^uint(0) >> 1)
 
 // Compact records that the driver has a snapshot of the state machine at an applied
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -80,7 +80,7 @@
 }
 
 func (r *Replica) handleAppend(m Message) {
-	response := Message{Type: MessageAppendResponse, To: m.From, LogIndex: r.commit}
+	response := Message{Type: MessageAppendResponse, To: m.From, LogIndex: r.commit, Commit: r.commit}
 	if m.LogIndex < r.commit {
 		r.send(response)
 		return
@@ -95,7 +95,7 @@
 	r.appendMissing(m.Entries)
 	last := m.LogIndex + uint64(len(m.Entries))
 	r.commitTo(min(m.Commit, last))
-	response.LogIndex = last
+	response.LogIndex, response.Commit = last, r.commit
 	r.send(response)
 }
 
@@ -130,7 +130,7 @@
 		r.commit, r.applied, r.stable = snapshot.Index, snapshot.Index, snapshot.Index
 		r.receivedSnapshot = snapshot
 	}
-	r.send(Message{Type: MessageAppendResponse, To: m.From, LogIndex: r.commit})
+	r.send(Message{Type: MessageAppendResponse, To: m.From, LogIndex: r.commit, Commit: r.commit})
 }
 
 func (r *Replica) handleAppendResponse(m Message) {
@@ -145,8 +145,8 @@
 	}
 	p.probing = false
 	p.snapshotRetryTicks = 0
-	advanced := m.LogIndex > p.match
-	p.match = max(p.match, m.LogIndex)
+	advanced := m.LogIndex > p.match || m.Commit > p.commit
+	p.match, p.commit = max(p.match, m.LogIndex), max(p.commit, m.Commit)
 	p.next = max(p.next, p.match+1)
 	if advanced {
 		r.advanceCommit()
@@ -175,7 +175,7 @@
 		return
 	}
 	p.ticksSinceResponse = 0
-	p.readAck = max(p.readAck, m.ReadSequence)
+	p.readAck, p.commit = max(p.readAck, m.ReadSequence), max(p.commit, m.Commit)
 	if m.LogIndex < p.match {
 		// The replica lost confirmed entries at the end of its log.
 		p.match, p.next, p.probing = m.LogIndex, m.LogIndex+1, true
@@ -183,31 +183,17 @@
 	if p.match < r.log.lastIndex() {
 		r.sendAppend(m.From)
 	}
-	r.confirmReads()
-}
-
-// quorumValue returns the highest value that a majority of the voters has reached. own is
-// the leader's value; get returns that of another replica.
-func (r *Replica) quorumValue(own uint64, get func(*progress) uint64) uint64 {
-	voters := r.log.membership.Voters()
-	values := make([]uint64, 0, len(voters))
-	for _, id := range voters {
-		if id == r.config.ID {
-			values = append(values, own)
-			continue
-		}
-		values = append(values, get(r.progress[id]))
+	r.advanceCommit()
+	if r.role == RoleLeader {
+		r.confirmReads()
 	}
-	slices.Sort(values)
-	return values[len(values)-majority(len(values))]
 }
 
-// advanceCommit raises the commit index to the highest index that a majority of the
-// voters holds. Only an entry of the leader's own term is committed by counting
+// advanceCommit raises the commit index to the highest index that a quorum holds. Only an entry of the leader's own term is committed by counting
 // replicas; earlier entries are committed with it. The leader steps down once a
-// membership in which it is not a voter is committed.
+// membership without it is committed.
 func (r *Replica) advanceCommit() {
-	index := r.quorumValue(r.log.lastIndex(), func(p *progress) uint64 { return p.match })
+	index := min(r.quorumValue(r.log.lastIndex(), func(p *progress) uint64 { return p.match }), r.commitLimit())
 	if index <= r.commit {
 		return
 	}
@@ -216,7 +202,7 @@
 	}
 	r.commitTo(index)
 	r.startDeferredReads()
-	if !r.log.membership.IsVoter(r.config.ID) && r.log.membershipIndex <= r.commit {
+	if _, isMember := r.log.membership.Find(r.config.ID); !isMember && r.log.membershipIndex <= r.commit {
 		r.broadcastAppend()
 		r.becomeFollower(r.term, 0)
 		return
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -100,6 +100,9 @@
 type HardState struct {
 	Term uint64
 	Vote ReplicaID
+	// Commit is the index of the newest membership entry that is known to be committed, or lower if
+	// a snapshot covers that entry.
+	Commit uint64
 }
 
 // Snapshot replaces all entries up to and including Index.
--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -95,7 +95,7 @@
 			return nil, d.damagedError(logFile, "record %d: %v", i, err)
 		}
 		if h := record.GetHardState(); h != nil {
-			*hardState = consensus.HardState{Term: h.GetTerm(), Vote: consensus.ReplicaID(h.GetVote())}
+			*hardState = consensus.HardState{Term: h.GetTerm(), Vote: consensus.ReplicaID(h.GetVote()), Commit: h.GetCommit()}
 		}
 		appended := fromEntries(record.GetEntries())
 		if len(appended) == 0 {
@@ -178,5 +178,5 @@
 }
 
 func toHardState(hardState consensus.HardState) *consensuspb.HardState {
-	return &consensuspb.HardState{Term: hardState.Term, Vote: uint64(hardState.Vote)}
+	return &consensuspb.HardState{Term: hardState.Term, Vote: uint64(hardState.Vote), Commit: hardState.Commit}
 }
--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -124,7 +124,8 @@
 
 // maintainMembership checks the membership once per heartbeat setting until ctx ends. The
 // leader proposes the next change that is due, a replica that is not a voter requests to
-// join, and a voter without an active leader checks whether the group has removed it.
+// join, and a replica without an active leader checks whether members have lost their disks and
+// whether the group has removed it.
 func (r *Replica) maintainMembership(ctx context.Context) {
 	for ctx.Err() == nil {
 		actor.Sleep(ctx, r.settings.Timeouts.Heartbeat())
@@ -133,6 +134,9 @@
 		case status.Role == consensus.RoleLeader:
 			r.enqueue(ctx, r.proposeNextChange)
 		case !status.Membership.IsVoter(status.ID):
+			if !status.HasActiveLeader {
+				r.recordLostDisks(ctx, status.Membership, r.helloAll(ctx))
+			}
 			r.requestJoin(ctx)
 		case !status.HasActiveLeader:
 			r.checkRemoved(ctx)
@@ -158,7 +162,9 @@
 // requests to join again instead.
 func (r *Replica) checkRemoved(ctx context.Context) {
 	status := r.Status()
-	existing := mostAdvanced(r.helloAll(ctx))
+	responses := r.helloAll(ctx)
+	r.recordLostDisks(ctx, status.Membership, responses)
+	existing := mostAdvanced(responses)
 	if status.Removed || existing == nil || existing.GetGroup() != status.Group || existing.GetApplied() <= status.Applied {
 		return
 	}
@@ -179,6 +185,35 @@
 	})
 }
 
+// recordLostDisks reports to the core the members whose instances responded with other replicas.
+func (r *Replica) recordLostDisks(ctx context.Context, membership consensus.Membership, responses []*consensuspb.HelloResponse) {
+	lost := lostDisks(membership, responses)
+	if len(lost) == 0 {
+		return
+	}
+	for _, member := range lost {
+		r.log.Warn().Str("peer", member.Instance).Bool("learner", member.Learner).Msg("instance of a control group member has lost its disk")
+	}
+	r.enqueue(ctx, func() {
+		for _, member := range lost {
+			r.core.RecordLostDisks(member.ID)
+		}
+	})
+}
+
+// lostDisks returns the members whose instances run replicas with other IDs, which an instance
+// does only once its disk is lost.
+func lostDisks(membership consensus.Membership, responses []*consensuspb.HelloResponse) (lost []consensus.Member) {
+	for _, member := range membership.Members {
+		if slices.ContainsFunc(responses, func(response *consensuspb.HelloResponse) bool {
+			return response.GetInstance() == member.Instance && response.GetReplica() != 0 && response.GetReplica() != uint64(member.ID)
+		}) {
+			lost = append(lost, member)
+		}
+	}
+	return lost
+}
+
 // addLearner proposes a replica as a learner, and reports whether it is already a member or
 // the change is proposed. It reports false if this replica is not the leader.
 func (r *Replica) addLearner(member consensus.Member) bool {
@@ -209,18 +244,23 @@
 
 // proposeNextChange proposes the next step to replace a voter by a learner that has caught
 // up: it first removes the lost voter and then promotes the learner, so that each step
-// needs only active replicas. With seeds, adjustMembership chooses the step.
+// needs only active replicas. Of two voters it removes none before the learner is promoted. With
+// seeds, adjustMembership chooses the step.
 func (r *Replica) proposeNextChange() {
 	if r.transport.usesSeeds {
 		r.adjustMembership(time.Now())
 		return
 	}
+	if member, ok := r.obsoleteVoter(); ok {
+		_ = r.core.ProposeChange(consensus.Change{Type: consensus.RemoveReplica, Member: member})
+		return
+	}
 	for _, learner := range r.core.Membership().Members {
 		if !learner.Learner || !r.core.IsCaughtUp(learner.ID) {
 			continue
 		}
 		change := consensus.Change{Type: consensus.PromoteLearner, Member: learner}
-		if replaced, ok := r.voterReplacedBy(learner); ok {
+		if replaced, ok := r.voterReplacedBy(learner); ok && len(r.core.Membership().Voters()) > 2 {
 			change = consensus.Change{Type: consensus.RemoveReplica, Member: replaced}
 		}
 		if err := r.core.ProposeChange(change); err == nil {
@@ -230,6 +270,19 @@
 	}
 }
 
+// obsoleteVoter returns an inactive voter whose instance runs an active one.
+func (r *Replica) obsoleteVoter() (consensus.Member, bool) {
+	members := r.core.Membership().Members
+	for _, member := range members {
+		if !member.Learner && !r.core.IsActive(member.ID) && slices.ContainsFunc(members, func(other consensus.Member) bool {
+			return !other.Learner && other.Instance == member.Instance && r.core.IsActive(other.ID)
+		}) {
+			return member, true
+		}
+	}
+	return consensus.Member{}, false
+}
+
 // voterReplacedBy returns the voter that a learner replaces: the voter of the same
 // instance, or otherwise one whose instance is no longer in the settings.
 func (r *Replica) voterReplacedBy(learner consensus.Member) (consensus.Member, bool) {
--- a/test/configfaults/group_faults_test.go
+++ b/test/configfaults/group_faults_test.go
@@ -64,6 +64,30 @@
 	g.Expect(g.listPools(g.client(followers[1])).Items).To(HaveLen(21))
 }
 
+// TestGroupOfTwoOutlivesLostDisks guards against a group that has two voters, be it for a moment, and
+// has no leader any more once one of them has lost its disk.
+func TestGroupOfTwoOutlivesLostDisks(t *testing.T) {
+	t.Parallel()
+	g := deployControls(t, 2, 1)
+	client := g.client(g.controls...)
+	lose := []string{g.leader(), g.followers()[0]}
+	for i, name := range lose {
+		g.putPool(client, poolResource(fmt.Sprint("before-", i), 2), "")
+		g.restartWithoutDisk(name)
+		g.putPool(client, poolResource(fmt.Sprint("after-", i), 2), "")
+		g.awaitReady(name)
+		g.Expect(g.listPools(g.client(name)).Items).To(HaveLen(2*i + 2))
+		g.Eventually(func() ([]api.ReplicaStatus, error) {
+			status, err := g.status(name)
+			if err != nil {
+				return nil, err
+			}
+			return status.Replicas, nil
+		}, "10s", "50ms").Should(HaveLen(2))
+	}
+	g.awaitReady(g.routers...)
+}
+
 // restartWithoutDisk kills a daemon and starts it again with an empty disk.
 func (g *group) restartWithoutDisk(name string) {
 	g.t.Helper()
