Refuse what a stopping router cannot finish

Cause: a stopping gateway admitted every request until it aborted all of them. A stream whose head was written before the stop does not announce that its connection closes, and a client that goes on at once is faster than the poll that closes idle connections.

Ruled out: new connections, of which there were none.

A stopping gateway admits only requests whose deadlines end before the abort, and refuses others at once as not run with the shortest Retry-After. The proxy, whose requests have no deadline as a rule, admits none in the second half of the drain timeout.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -86,6 +86,9 @@
 	if c.in.Timeout > 0 && c.in.Timeout < c.route.Timeout {
 		c.deadline = c.receivedAt.Add(c.in.Timeout)
 	}
+	if end := c.gateway.drainEnd.Load(); end != nil && c.deadline.After(*end) {
+		return api.Errorf(api.CodeDraining, "the router stops in %v, before the request's deadline", time.Until(*end).Round(time.Millisecond))
+	}
 	c.poolName = pickPool(c.route.Targets, rand.Float64())
 	poolConfig := c.table.Pool(c.poolName)
 	c.pool = c.gateway.pools.get(c.poolName, poolConfig != nil && poolConfig.Engine)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,10 +56,10 @@
 	answerMemory *bytebudget.Budget
 
 	inProgress atomic.Int64
-	// closeConnections makes each answer close its keep-alive connection.
-	closeConnections atomic.Bool
-	abortCtx         context.Context
-	abort            context.CancelCauseFunc
+	// drainEnd is when a shutdown aborts the requests in progress; nil before a shutdown.
+	drainEnd atomic.Pointer[time.Time]
+	abortCtx context.Context
+	abort    context.CancelCauseFunc
 }
 
 // New returns the gateway of a router in the failure domain. transitLimit is the longest time
@@ -140,8 +140,9 @@
 func (g *Gateway) InProgress() int { return int(g.inProgress.Load()) }
 
 // AnnounceDrain makes each answer close its connection, so that callers reconnect to
-// other routers. The gateway still serves requests.
-func (g *Gateway) AnnounceDrain() { g.closeConnections.Store(true) }
+// other routers. The gateway still serves the requests whose deadlines end before end, at which
+// the shutdown aborts those in progress, and refuses all others: another router can serve them.
+func (g *Gateway) AnnounceDrain(end time.Time) { g.drainEnd.Store(&end) }
 
 // AbortRequests cancels the requests in progress.
 func (g *Gateway) AbortRequests() { g.abort(errAborted) }
@@ -151,7 +152,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	c := &call{gateway: g, w: w, r: r, receivedAt: time.Now(), table: g.tableSource.Table(), in: g.dialect.ParseRequest(r)}
-	if g.closeConnections.Load() {
+	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if err := c.admit(); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -208,6 +208,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes reports whether the answer announces the close of its connection.
+	closes bool
 	err    error
 }
 
@@ -229,7 +231,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, err: err}
 }
 
 func TestCompleteAnswerIsForwarded(t *testing.T) {
@@ -572,3 +574,23 @@
 		g.Expect(send(t, url, "/unsafe/x", "Id", "third").body).To(Equal("whole"), "the copy says nothing about the server")
 	}
 }
+
+// TestDrainingGatewayAdmitsOnlyWhatItCanFinish guards against a request that a stopping router
+// admits late and aborts: a kept connection delivers the next request as soon as its answer ends.
+func TestDrainingGatewayAdmitsOnlyWhatItCanFinish(t *testing.T) {
+	g := NewWithT(t)
+	server := startTestServer(t, "a", answerOK)
+	gateway, url := startUpdatableGateway(t, newTable(t), server)
+	gateway.AnnounceDrain(time.Now().Add(time.Second))
+	answered := send(t, url, "/unsafe/x", "Wait", "700")
+	g.Expect(answered.status).To(Equal(200))
+	g.Expect(answered.closes).To(BeTrue())
+	for _, wait := range []string{"1100", ""} {
+		refused := send(t, url, "/unsafe/x", "Wait", wait)
+		g.Expect(refused.status).To(Equal(503))
+		g.Expect(refused.closes).To(BeTrue())
+		g.Expect(strconv.ParseFloat(refused.header.Get("Retry-After"), 64)).To(BeNumerically("<", 0.01))
+		g.Expect(refused.body).To(ContainSubstring("not_run"))
+	}
+	g.Expect(server.requestCount()).To(Equal(1))
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -14,6 +14,7 @@
 
 // Constants of the Retry-After header of a refusal.
 const (
+	minRetryAfter = time.Millisecond
 	// baseRetryAfter is about the time in which a busy server frees a slot.
 	baseRetryAfter = 150 * time.Millisecond
 	// startupDuration is about the time from a router's start to its first route table after a
@@ -83,6 +84,10 @@
 	if code == api.CodePromptWithheld {
 		return max(time.Until(c.withheldUntil), baseRetryAfter)
 	}
+	if code == api.CodeDraining {
+		// Another router can serve the request at once.
+		return minRetryAfter
+	}
 	if remaining := time.Until(c.availableAt); remaining > 0 {
 		// Servers that have asked for a pause are not to meet all callers at its end.
 		return remaining + rand.N(max(retryAfterJitter, remaining/2))
@@ -98,7 +103,7 @@
 	if remaining := c.remainingTime(); remaining > 0 {
 		delay = min(delay, time.Duration(retryAfterShare*float64(remaining)))
 	}
-	return max(delay, time.Millisecond)
+	return max(delay, minRetryAfter)
 }
 
 // remainingTime returns the time until the caller's deadline; at most 0 if it is unknown or
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -112,9 +112,10 @@
 		return err
 	case <-ctx.Done():
 	}
-	drainCtx, cancel := context.WithTimeout(in.lifecycle.ForcedContext(), in.settings.Timeouts.Drain())
+	end := time.Now().Add(in.settings.Timeouts.Drain())
+	drainCtx, cancel := context.WithDeadline(in.lifecycle.ForcedContext(), end)
 	defer cancel()
-	in.gateway.AnnounceDrain()
+	in.gateway.AnnounceDrain(end)
 	actor.Sleep(drainCtx, in.settings.Timeouts.Announce())
 	_ = in.callers.Close()
 	if err := <-serveResult; err != nil {
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -52,8 +53,9 @@
 func (p *Proxy) InProgress() int { return p.activeCalls.len() }
 
 // AnnounceDrain makes each answer close its connection, so that callers reconnect
-// to other routers. Requests are still served.
-func (p *Proxy) AnnounceDrain() { p.closeConnections.Store(true) }
+// to other routers. Requests are served until lastAdmission, and then refused with
+// CodeDraining: the shutdown would not leave them enough time.
+func (p *Proxy) AnnounceDrain(lastAdmission time.Time) { p.lastAdmission.Store(&lastAdmission) }
 
 // AbortRequests ends the requests in progress with an explicit error and returns
 // their request IDs. Requests that have not been dispatched release their claims.
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -26,7 +27,7 @@
 	It("closes each connection after its answer once the drain is announced", func() {
 		server := newRawServer(answerFirstOnly)
 		r := newTestProxy(longProgressTimeout, server.address())
-		r.proxy.AnnounceDrain()
+		r.proxy.AnnounceDrain(time.Now().Add(time.Minute))
 		req, err := http.NewRequest(http.MethodGet, r.server.URL+"/services/gates/a", nil)
 		Expect(err).NotTo(HaveOccurred())
 		req.Header.Set("Authorization", "Bearer "+testToken)
@@ -37,6 +38,17 @@
 		Expect(resp.Close).To(BeTrue())
 	})
 
+	// Guards against a request of a kept connection that is admitted late and aborted by the shutdown.
+	It("refuses requests after the last admission", func() {
+		server := newRawServer(answerFirstOnly)
+		r := newTestProxy(longProgressTimeout, server.address())
+		r.proxy.AnnounceDrain(time.Now())
+		refused := r.mustCall(http.MethodPost, "/services/gates/a", "charge")
+		Expect(refused.errorOrEmpty().Code).To(Equal(api.CodeDraining))
+		Expect(refused.errorOrEmpty().Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(server.requestCount()).To(BeZero())
+	})
+
 	It("releases the claims of requests that have not been dispatched", func() {
 		r := newTestProxy(longProgressTimeout)
 		r.dispatcher.blockAlways = true
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -51,8 +51,9 @@
 	// answerMemory bounds the memory for large answers and stream events.
 	answerMemory *bytebudget.Budget
 
-	// closeConnections is set when each answer must close its connection.
-	closeConnections atomic.Bool
+	// lastAdmission is until when requests are admitted; nil before a shutdown, during which each
+	// answer closes its connection.
+	lastAdmission atomic.Pointer[time.Time]
 	// abortCtx is canceled to abort the requests in progress.
 	abortCtx context.Context
 	abort    context.CancelCauseFunc
@@ -109,7 +110,7 @@
 		p.activeCalls.add(c)
 		defer p.activeCalls.remove(c)
 		w.Header().Set(api.HeaderRequestID, c.id)
-		if p.closeConnections.Load() {
+		if p.lastAdmission.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
 		err := p.admit(w, r, c)
@@ -131,7 +132,7 @@
 
 // admit authenticates the caller, reads the body and fills in the call.
 func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, c *call) error {
-	if p.abortCtx.Err() != nil {
+	if last := p.lastAdmission.Load(); p.abortCtx.Err() != nil || last != nil && time.Now().After(*last) {
 		return api.Errorf(api.CodeDraining, "the router is shutting down")
 	}
 	c.config = p.catalogSource.Catalog()
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -28,7 +28,8 @@
 // serveCallers serves callers until ctx ends, then drains: the readiness probe
 // already fails, the listener stays open for the announce time, and then all
 // requests in progress finish. The drain timeout or a second signal aborts those
-// that remain.
+// that remain. Callers may send requests on kept connections throughout; those of the
+// second half of the drain timeout are refused.
 func (r *Router) serveCallers(ctx context.Context) error {
 	server := &http.Server{Handler: r.proxy.Handler(), ReadHeaderTimeout: httpx.ReadHeaderTimeout}
 	failed := make(chan error, 1)
@@ -40,7 +41,7 @@
 	}
 	drainCtx, cancel := context.WithTimeout(r.lifecycle.ForcedContext(), r.settings.Timeouts.Drain())
 	defer cancel()
-	r.proxy.AnnounceDrain()
+	r.proxy.AnnounceDrain(time.Now().Add(r.settings.Timeouts.Drain() / 2))
 	actor.Sleep(drainCtx, r.settings.Timeouts.Announce())
 	_ = r.callers.Close()
 	r.waitUntilIdle(drainCtx)
