Store the departures of servers

Cause: the registry of servers is only in memory and rebuilt from announcements, and a worker that has left announces nothing. A late heartbeat then counts as that of an unknown worker.

Evidence: after the restart the registry has no entry and the stream to the routers has no record. Ruled out: an acknowledgement before the other replicas have the record.

Each replica stores the records of servers that are draining or gone before it confirms them, and starts with them.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -20,10 +20,11 @@
 	// CurrentRouteTable returns the table that a majority confirms, or nil if there is
 	// none yet.
 	CurrentRouteTable(ctx context.Context) (*routetable.Document, error)
-	// Announce applies a backend server's announcement.
-	Announce(ctx context.Context, server registry.Server)
-	// Withdraw marks a backend server as gone.
-	Withdraw(ctx context.Context, id string)
+	// Announce applies a backend server's announcement. It returns an error with
+	// api.CodeNoQuorum if the server leaves and no replica could store that.
+	Announce(ctx context.Context, server registry.Server) error
+	// Withdraw marks a backend server as gone. It returns an error as Announce does.
+	Withdraw(ctx context.Context, id string) error
 	// LogRefusal logs a call that was refused because it could not be decoded. The
 	// subject is the kind of call or the server's ID.
 	LogRefusal(subject string, err error)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -94,7 +94,8 @@
 		limits := relay.Limits{Unconditional: s.Relay.Direct(), PerDomain: s.Relay.DomainRelays(), Max: settings.MaxStreams}
 		c.losses = quarantine.NewStore(s.Instance, log)
 		c.lossArchive = newLossArchive(filepath.Join(s.DataDir, "control", "losses"), c.losses, log)
-		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, c.losses, limits, s.Link.MBitPerSecond, log)
+		departures := fleetsync.OpenDepartureLog(filepath.Join(s.DataDir, "control", "departures"), log)
+		c.fleetSync = fleetsync.NewService(s.ReplicaName(), &fleetSource{c}, c.losses, departures, limits, s.Link.MBitPerSecond, log)
 	}
 	c.addMetrics()
 	return c, nil
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -52,12 +52,14 @@
 }
 
 // Announce implements adapter.Control.
-func (a *adapterControl) Announce(ctx context.Context, server registry.Server) {
-	a.fleetSync.Announce(ctx, server)
+func (a *adapterControl) Announce(ctx context.Context, server registry.Server) error {
+	return a.fleetSync.Announce(ctx, server)
 }
 
 // Withdraw implements adapter.Control.
-func (a *adapterControl) Withdraw(ctx context.Context, id string) { a.fleetSync.Withdraw(ctx, id) }
+func (a *adapterControl) Withdraw(ctx context.Context, id string) error {
+	return a.fleetSync.Withdraw(ctx, id)
+}
 
 // LogRefusal implements adapter.Control.
 func (a *adapterControl) LogRefusal(subject string, err error) {
--- /dev/null
+++ b/internal/fleetsync/departures.go
@@ -0,0 +1,199 @@
+package fleetsync
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"peridotwinch.example/peridotwinch/internal/durable"
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+// maxDepartureLogBytes is the size from which on the log is rewritten without the records that have
+// expired. A record takes about 100 bytes.
+const maxDepartureLogBytes = 256 << 10
+
+// DepartureLog stores the records of servers that are draining or gone, so that a restart of all
+// control replicas does not forget what was confirmed to a server. All other records are announced
+// again within seconds. It is safe for concurrent use.
+type DepartureLog struct {
+	path string
+	log  zerolog.Logger
+	// file is nil until it has been opened; isDamaged is set if its end is undefined. Only the
+	// writer uses them.
+	file      *durable.Log
+	isDamaged bool
+
+	mu sync.Mutex
+	// departures has the newest record of each server by its ID.
+	departures map[string]registry.Entry
+	// stored has the states of incarnations that are durable, by Server.Hash.
+	stored  map[uint64]registry.State
+	pending []pendingDeparture
+	// isWriting is set while a goroutine writes the pending records.
+	isWriting bool
+}
+
+// pendingDeparture is a record that is not durable yet.
+type pendingDeparture struct {
+	entry  registry.Entry
+	result chan<- error
+}
+
+// OpenDepartureLog opens or creates a log. If the file cannot be opened, the log is empty and opens
+// it again when it writes: the records matter for minutes only, and a replica has to start on a full
+// disk.
+func OpenDepartureLog(path string, log zerolog.Logger) *DepartureLog {
+	d := &DepartureLog{path: path, log: log, departures: make(map[string]registry.Entry), stored: make(map[uint64]registry.State)}
+	records, err := d.open()
+	if err != nil {
+		log.Error().Err(err).Msg("departures of backend servers not loaded")
+	}
+	now := time.Now()
+	for _, raw := range records {
+		record := &fleetpb.Departures{}
+		if err := proto.Unmarshal(raw, record); err != nil {
+			log.Error().Err(err).Msg("departure of a backend server cannot be decoded")
+			continue
+		}
+		for _, server := range record.GetServers() {
+			// The time of day may have been set back since.
+			age := max(now.Sub(time.UnixMilli(record.GetRecordedMs())), 0)
+			entry := FromServer(server, now.Add(-age))
+			d.departures[entry.ID], d.stored[entry.Hash()] = entry, entry.State
+		}
+	}
+	return d
+}
+
+func (d *DepartureLog) open() (records [][]byte, err error) {
+	if err := durable.CreateDir(filepath.Dir(d.path)); err != nil {
+		return nil, err
+	}
+	d.file, records, err = durable.OpenLog(d.path)
+	if err != nil {
+		d.file = nil
+	}
+	return records, err
+}
+
+// Entries returns the newest record of each server that has not expired.
+func (d *DepartureLog) Entries(now time.Time) []registry.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unexpired(now)
+}
+
+// unexpired deletes expired records and returns the others; the caller holds mu.
+func (d *DepartureLog) unexpired(now time.Time) (entries []registry.Entry) {
+	for id, e := range d.departures {
+		if now.Sub(e.LastAnnounced) > registry.EntryRetention {
+			delete(d.departures, id)
+			delete(d.stored, e.Hash())
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// IsStored reports whether the departure of an incarnation is durable, in its state or a later one.
+func (d *DepartureLog) IsStored(server registry.Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stored[server.Hash()] >= server.State
+}
+
+// Append makes records durable. It returns an error if that fails or takes until ctx ends; the
+// records may then become durable later.
+func (d *DepartureLog) Append(ctx context.Context, entries ...registry.Entry) error {
+	results := make(chan error, len(entries))
+	d.mu.Lock()
+	for _, e := range entries {
+		d.pending = append(d.pending, pendingDeparture{entry: e, result: results})
+	}
+	if !d.isWriting && len(d.pending) > 0 {
+		d.isWriting = true
+		go d.writePending()
+	}
+	d.mu.Unlock()
+	for range entries {
+		select {
+		case err := <-results:
+			if err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "store departures of backend servers")
+		}
+	}
+	return nil
+}
+
+// writePending writes until no record is pending. One sync covers all records that wait for it.
+func (d *DepartureLog) writePending() {
+	for {
+		d.mu.Lock()
+		batch := d.pending
+		d.pending = nil
+		if len(batch) == 0 {
+			d.isWriting = false
+			d.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		var added []registry.Entry
+		for _, p := range batch {
+			d.departures[p.entry.ID] = p.entry
+			added = append(added, p.entry)
+		}
+		rewrite := d.file == nil || d.isDamaged || d.file.Size() > maxDepartureLogBytes
+		if rewrite {
+			added = d.unexpired(now)
+		}
+		d.mu.Unlock()
+		err := d.write(added, now, rewrite)
+		if err != nil {
+			d.log.Error().Err(err).Int("servers", len(batch)).Msg("departures of backend servers not stored")
+		}
+		d.mu.Lock()
+		for _, p := range batch {
+			if err == nil {
+				d.stored[p.entry.Hash()] = p.entry.State
+			}
+			p.result <- err
+		}
+		d.mu.Unlock()
+	}
+}
+
+// write adds one record with the entries to the file, or replaces all records by it.
+func (d *DepartureLog) write(entries []registry.Entry, now time.Time, replace bool) error {
+	raw, err := proto.Marshal(&fleetpb.Departures{RecordedMs: now.UnixMilli(), Servers: toServers(entries, now)})
+	if err != nil {
+		return errors.Wrap(err, "encode departures of backend servers")
+	}
+	if !replace {
+		err := d.file.Append(raw)
+		d.isDamaged = err != nil && !errors.Is(err, durable.ErrNotWritten)
+		return err
+	}
+	if d.file == nil {
+		// A damaged file is replaced: what it held is in the other replicas' files, too.
+		if err := durable.WriteFile(d.path, nil); err != nil {
+			return err
+		}
+		if _, err := d.open(); err != nil {
+			return err
+		}
+	}
+	err = d.file.Replace(raw)
+	d.isDamaged = err != nil
+	return err
+}
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -171,7 +171,7 @@
 	proxy := newCountingProxy(t, address)
 	replica := newFakeReplica(address)
 	replica.table = newTable(t, 1)
-	service := newTestService(&readdressedReplica{replica, []string{proxy.address}}, address)
+	service := newTestService(t, &readdressedReplica{replica, []string{proxy.address}}, address)
 	serve(t, service, address)
 	return replica, service, proxy
 }
@@ -267,8 +267,8 @@
 	addresses := []string{first.address, second.address}
 	replicas := []*fakeReplica{newFakeReplica(one), newFakeReplica(two)}
 	replicas[0].table, replicas[1].table = newTable(t, 1), newTable(t, 1)
-	serve(t, newTestService(&readdressedReplica{replicas[0], addresses}, one), one)
-	serve(t, newTestService(&readdressedReplica{replicas[1], addresses}, two), two)
+	serve(t, newTestService(t, &readdressedReplica{replicas[0], addresses}, one), one)
+	serve(t, newTestService(t, &readdressedReplica{replicas[1], addresses}, two), two)
 	preferred := 0
 	if fleetview.PreferredReplica("router-1", addresses) == second.address {
 		preferred = 1
@@ -289,7 +289,7 @@
 	addresses := []string{first.address, second.address}
 	replicas := []*fakeReplica{newFakeReplica(one, two), newFakeReplica(one, two)}
 	replicas[0].table, replicas[1].table = newTable(t, 1), newTable(t, 1)
-	serve(t, newTestService(&readdressedReplica{replicas[0], addresses}, one), one)
+	serve(t, newTestService(t, &readdressedReplica{replicas[0], addresses}, one), one)
 	name := ""
 	for i := 0; ; i++ {
 		name = fmt.Sprintf("router-%d", i)
@@ -299,7 +299,7 @@
 	}
 	view, _ := startRouter(t, name, addresses...)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
-	serve(t, newTestService(&readdressedReplica{replicas[1], addresses}, two), two)
+	serve(t, newTestService(t, &readdressedReplica{replicas[1], addresses}, two), two)
 	replicas[1].setTable(newTable(t, 2))
 	g.Eventually(generationOf(view), 9*time.Second, 20*time.Millisecond).Should(Equal(uint64(2)), "only the preferred replica has generation 2")
 }
@@ -314,7 +314,7 @@
 	replica := newFakeReplica(address)
 	replica.table = newTable(t, 1)
 	// Beyond the burst of 24 KB a byte takes 0.2 ms on this link.
-	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, newTestLosses(), controlLimits, 0.053, zerolog.Nop())
+	service := fleetsync.NewService(address, &readdressedReplica{replica, []string{proxy.address}}, newTestLosses(), newTestDepartures(t), controlLimits, 0.053, zerolog.Nop())
 	serve(t, service, address)
 	view, fleet := startRouter(t, "router-1", proxy.address)
 	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"path/filepath"
 	"sync"
 	"testing"
 
@@ -117,12 +118,16 @@
 	go func() { _ = service.Run(ctx) }()
 }
 
-func newTestService(replica fleetsync.Source, own string) *fleetsync.Service {
-	return newTestServiceWithLosses(replica, newTestLosses(), own)
+func newTestService(t *testing.T, replica fleetsync.Source, own string) *fleetsync.Service {
+	return newTestServiceWithLosses(t, replica, newTestLosses(), own)
 }
 
-func newTestServiceWithLosses(replica fleetsync.Source, losses *quarantine.Store, own string) *fleetsync.Service {
-	return fleetsync.NewService(own, replica, losses, controlLimits, 0, zerolog.Nop())
+func newTestServiceWithLosses(t *testing.T, replica fleetsync.Source, losses *quarantine.Store, own string) *fleetsync.Service {
+	return fleetsync.NewService(own, replica, losses, newTestDepartures(t), controlLimits, 0, zerolog.Nop())
+}
+
+func newTestDepartures(t *testing.T) *fleetsync.DepartureLog {
+	return fleetsync.OpenDepartureLog(filepath.Join(t.TempDir(), "departures"), zerolog.Nop())
 }
 
 func newTestLosses() *quarantine.Store { return quarantine.NewStore("test", zerolog.Nop()) }
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -6,11 +6,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
@@ -46,6 +48,8 @@
 	// running is done when Run ends.
 	running context.Context
 	stop    context.CancelFunc
+	// departures stores what was confirmed to servers that leave.
+	departures *DepartureLog
 	// announcedAt and the fields below are guarded by the publisher's mu.
 	announcedAt map[uint64]time.Time
 	// synced reports that another replica has answered with all its servers.
@@ -65,15 +69,20 @@
 }
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
-// bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing.
-func NewService(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
+// bandwidth of the instance's link in Mbit/s; 0 means unknown and disables pacing. The registry
+// starts with the stored departures.
+func NewService(address string, source Source, losses *quarantine.Store, departures *DepartureLog, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
-		started: time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
+		departures: departures,
+		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
 		sharePending: make(chan struct{}, 1),
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	s.publisher = newPublisher(address, source, losses, limits, linkMbps, log)
 	s.publisher.isSynced = s.isSynced
+	for _, e := range departures.Entries(s.started) {
+		s.table.Merge(e.Server, e.LastAnnounced)
+	}
 	return s
 }
 
@@ -81,9 +90,10 @@
 func (s *Service) Register(mux drpc.Mux) error { return fleetpb.DRPCRegisterFleet(mux, s) }
 
 // Announce merges an announcement into the registry, or drops it if it is stale. If the
-// server is not ready, for example because it drains, Announce returns after it has sent the
-// change to the other replicas; a replica that does not answer in time receives it later.
-func (s *Service) Announce(ctx context.Context, server registry.Server) {
+// server is not ready, for example because it drains, Announce returns after it has stored the
+// change and sent it to the other replicas, which store it too; a replica that does not answer in
+// time receives it later. The error has api.CodeNoQuorum if no replica has stored it in time.
+func (s *Service) Announce(ctx context.Context, server registry.Server) error {
 	now := time.Now()
 	s.mu.Lock()
 	if s.table.IsStale(server) {
@@ -92,7 +102,7 @@
 		s.log.Info().Str("server", server.ID).Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).
 			Int64("born", server.StartedMS).Uint8("knownState", uint8(known.State)).Uint64("knownSequence", known.Sequence).
 			Int64("knownBorn", known.StartedMS).Msg("late announcement dropped")
-		return
+		return nil
 	}
 	changed := s.table.Merge(server, now)
 	s.announcedAt[server.Hash()] = now
@@ -101,7 +111,7 @@
 	}
 	s.mu.Unlock()
 	if !changed {
-		return
+		return s.storeDeparture(ctx, server.ID)
 	}
 	s.log.Info().Str("server", server.ID).Str("address", server.Address).Str("pool", server.Pool).
 		Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).Int64("born", server.StartedMS).Msg("backend server changed")
@@ -110,9 +120,29 @@
 		// After a restart of all instances every announcement is a change, so changes are
 		// batched.
 		s.scheduleShare()
-		return
+		return nil
 	}
-	s.shareAll(ctx, false)
+	return s.storeDeparture(ctx, server.ID)
+}
+
+// storeDeparture returns nil once the record of a server is durable on a replica, or if the server
+// is ready. It waits for all replicas, up to shareTimeout.
+func (s *Service) storeDeparture(ctx context.Context, id string) error {
+	s.mu.Lock()
+	entry, known := s.table.Get(id)
+	s.mu.Unlock()
+	if !known || entry.State == registry.StateReady || s.departures.IsStored(entry.Server) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	stored := make(chan error, 1)
+	go func() { stored <- s.departures.Append(ctx, entry) }()
+	confirmed := s.shareAll(ctx, false)
+	if err := <-stored; err != nil && confirmed == 0 {
+		return api.Errorf(api.CodeNoQuorum, "no control replica has stored that server %q leaves: %v", id, err)
+	}
+	return nil
 }
 
 // scheduleShare requests that changes be sent to the other replicas, without blocking.
@@ -123,17 +153,15 @@
 	}
 }
 
-// Withdraw marks a server as gone and sends the change to the other replicas before it
-// returns, as Announce does.
-func (s *Service) Withdraw(ctx context.Context, id string) {
+// Withdraw marks a server as gone, and stores the change and sends it to the other replicas before
+// it returns, as Announce does.
+func (s *Service) Withdraw(ctx context.Context, id string) error {
 	s.mu.Lock()
 	known := s.table.Withdraw(id, time.Now())
 	s.notifyChanged()
 	s.mu.Unlock()
 	s.log.Info().Str("server", id).Bool("known", known).Msg("backend server withdrawn")
-	if known {
-		s.shareAll(ctx, false)
-	}
+	return s.storeDeparture(ctx, id)
 }
 
 // Run sends digests and changes to the other replicas, and expires servers, until ctx ends.
@@ -184,13 +212,19 @@
 }
 
 // shareAll sends every other replica the changes that it lacks, with or without a digest of
-// live servers, and waits for the responses.
-func (s *Service) shareAll(ctx context.Context, digest bool) {
+// live servers, waits for the responses and returns how many replicas have all changes.
+func (s *Service) shareAll(ctx context.Context, digest bool) (confirmed int) {
 	var wait sync.WaitGroup
+	var count atomic.Int32
 	for _, p := range s.otherReplicas() {
-		wait.Go(func() { s.share(ctx, p, digest) })
+		wait.Go(func() {
+			if s.share(ctx, p, digest) {
+				count.Add(1)
+			}
+		})
 	}
 	wait.Wait()
+	return int(count.Load())
 }
 
 func (s *Service) otherReplicas() []*peer {
@@ -226,14 +260,15 @@
 	return p
 }
 
-// share sends one replica the changes that it lacks and merges the response. If the call
-// fails, the next one sends the same changes again.
-func (s *Service) share(ctx context.Context, p *peer, digest bool) {
+// share sends one replica the changes that it lacks and merges the response. It reports whether
+// the replica has all changes of before the call. If the call fails, the next one sends the same
+// changes again.
+func (s *Service) share(ctx context.Context, p *peer, digest bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	request, revision := s.newShareRequest(p, digest)
 	if !digest && len(request.GetServers()) == 0 {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
@@ -245,14 +280,17 @@
 	})
 	if err != nil {
 		s.log.Debug().Err(err).Str("peer", p.client.Address()).Msg("failed to share backend servers with a control replica")
-		return
+		return false
 	}
 	p.sentRevision = revision
 	if len(response.GetUnknown()) > 0 {
 		// The replica has restarted and lacks these servers; the next call sends all.
 		p.sentRevision = 0
 	}
-	s.mergeServers(response.GetServers())
+	if departed := s.mergeServers(response.GetServers()); len(departed) > 0 {
+		// The replica that sent them has stored them; an error is logged.
+		go func() { _ = s.departures.Append(s.running, departed...) }()
+	}
 	if digest {
 		p.losses.Compare(response.GetLossDigest(), time.Now())
 	}
@@ -261,6 +299,7 @@
 		s.synced = true
 		s.mu.Unlock()
 	}
+	return true
 }
 
 func (s *Service) newShareRequest(p *peer, digest bool) (*fleetpb.ShareRequest, uint64) {
@@ -279,8 +318,9 @@
 	return request, s.table.Revision()
 }
 
-// mergeServers merges server records of another replica into the registry.
-func (s *Service) mergeServers(servers []*fleetpb.Server) {
+// mergeServers merges server records of another replica into the registry. It returns the records
+// of servers that leave and that this replica has not stored yet.
+func (s *Service) mergeServers(servers []*fleetpb.Server) (departed []registry.Entry) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -288,17 +328,27 @@
 	for _, record := range servers {
 		entry := FromServer(record, now)
 		changed = s.table.Merge(entry.Server, entry.LastAnnounced) || changed
+		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged.Server) {
+			departed = append(departed, merged)
+		}
 	}
 	if changed {
 		s.notifyChanged()
 	}
+	return departed
 }
 
 // Share implements the Share RPC of the Fleet service. It merges another replica's changes,
-// loads and digest. The response holds the hashes in the digest for which this replica has no
+// loads and digest, and stores departures before it returns. The response holds the hashes in the digest for which this replica has no
 // server and, if requested, all its servers.
-func (s *Service) Share(_ context.Context, request *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
-	s.mergeServers(request.GetServers())
+func (s *Service) Share(ctx context.Context, request *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
+	departed := s.mergeServers(request.GetServers())
+	response := s.mergeDigest(request)
+	// An error makes the sender send the same changes again.
+	return response, s.departures.Append(ctx, departed...)
+}
+
+func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
 	now := time.Now()
 	s.loads.merge(request.GetLoads(), now)
 	s.mu.Lock()
@@ -319,7 +369,7 @@
 	if request.GetWantAll() {
 		response.Servers = toServers(s.table.Since(0), now)
 	}
-	return response, nil
+	return response
 }
 
 // isSynced reports whether another replica's servers have been merged, or
--- a/internal/fleetsync/spread_test.go
+++ b/internal/fleetsync/spread_test.go
@@ -16,7 +16,7 @@
 func TestReplicasStartedTogetherSyncBeforeNextDigest(t *testing.T) {
 	g := NewWithT(t)
 	one, two := reserveAddress(t), reserveAddress(t)
-	first, second := newTestService(newFakeReplica(one, two), one), newTestService(newFakeReplica(one, two), two)
+	first, second := newTestService(t, newFakeReplica(one, two), one), newTestService(t, newFakeReplica(one, two), two)
 	serve(t, first, one)
 	time.Sleep(150 * time.Millisecond)
 	g.Expect(first.IsSynced()).To(BeFalse())
@@ -31,7 +31,7 @@
 func TestAnnouncementReachesOtherReplicas(t *testing.T) {
 	g := NewWithT(t)
 	one, two := reserveAddress(t), reserveAddress(t)
-	first, second := newTestService(newFakeReplica(one, two), one), newTestService(newFakeReplica(one, two), two)
+	first, second := newTestService(t, newFakeReplica(one, two), one), newTestService(t, newFakeReplica(one, two), two)
 	serve(t, first, one)
 	serve(t, second, two)
 	g.Eventually(second.IsSynced, time.Second, 10*time.Millisecond).Should(BeTrue())
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -27,10 +27,10 @@
 	// silent. Servers announce themselves about every 1.2 s, and an announcement may be
 	// delayed by seconds. Routers continue to use a silent server that answers them.
 	SilentAfter = 4 * time.Second
-	// entryRetention is how long the table keeps an incarnation that is gone or silent, so
+	// EntryRetention is how long the table keeps an incarnation that is gone or silent, so
 	// that a delayed announcement does not revive it. Calls last 1 s at most, and a
 	// partition some tens of seconds.
-	entryRetention = 2 * time.Minute
+	EntryRetention = 2 * time.Minute
 )
 
 // Model is a model that a server has loaded.
@@ -246,11 +246,11 @@
 }
 
 // Expire marks servers as silent after SilentAfter and deletes entries after
-// entryRetention. It reports whether it marked a server as silent.
+// EntryRetention. It reports whether it marked a server as silent.
 func (t *Table) Expire(now time.Time) (changed bool) {
 	for id, e := range t.entries {
 		age := now.Sub(e.LastAnnounced)
-		if age > entryRetention {
+		if age > EntryRetention {
 			delete(t.entries, id)
 			delete(t.byHash, e.hash)
 			continue
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -494,6 +494,13 @@
 	return f.callControl(control, http.MethodPut, "/instances/"+w.id, body)
 }
 
+// silence ends the heartbeats of the worker, which goes on serving.
+func (w *worker) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = true
+}
+
 func (w *worker) isDown() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -342,3 +342,43 @@
 	clients.Wait()
 	f.Expect(failures).To(BeEmpty())
 }
+
+// TestRestartOfAllControlsKeepsDepartures guards against requests to a worker whose departure was
+// acknowledged: all control processes are killed right after that, and a heartbeat that the worker
+// sent before arrives after their restart.
+func TestRestartOfAllControlsKeepsDepartures(t *testing.T) {
+	f := startFleet(t, 2)
+	leaving := f.startWorker("i-1")
+	f.startWorker("i-2")
+	f.configure(f.config(7, 1000))
+	for _, router := range f.routers {
+		f.awaitServing(router, "/look/x")
+	}
+	f.awaitControls(f.config(7, 1000))
+	leaving.silence()
+	status, _ := f.callControl(f.controls[1], http.MethodDelete, "/instances/i-1", "")
+	f.Expect(status).To(Equal(http.StatusOK))
+	for _, control := range f.controls {
+		f.Expect(control.Signal(syscall.SIGKILL)).To(Succeed())
+	}
+	for _, control := range f.controls {
+		_ = control.Wait()
+		control.settings.Join.Bootstrap = false
+		f.writeSettings(control)
+		f.Expect(control.Start()).To(Succeed())
+	}
+	f.awaitControls(f.config(7, 1000))
+	status, _ = leaving.sendHeartbeat(f, f.controls[0])
+	f.Expect(status).To(Equal(http.StatusOK))
+	// Machines are in contact again after 3 s.
+	time.Sleep(3 * time.Second)
+	before := len(leaving.received())
+	for range 20 {
+		for _, router := range f.routers {
+			_, body, err := f.sendRequest(router, http.MethodPost, "/look/x")
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(body).To(Equal("from i-2"))
+		}
+	}
+	f.Expect(leaving.received()).To(HaveLen(before))
+}
