Add streams, stuttering and breaking servers to the soak

The soak had no streams, so it could not see what the users saw in runs of their own: streams that were cut around a planned stop, answers out of order, answers of others. Clients now read one stream after the other over kept connections until their router refuses or is gone, routers stop in turn and two at once, and servers break off inside a head, inside a body, or send answers twice, the second time late. Each stream must have its own events in order, must not end as complete early, and may be cut only beside an unplanned fault.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -284,6 +284,11 @@
 	modeCutStream
 	// modeLeave answers and states that the worker is leaving.
 	modeLeave
+	// modeCutHead closes the connection inside the answer's head, modeCutAnywhere inside its body.
+	modeCutHead
+	modeCutAnywhere
+	// modeStutter sends some answers twice, the second time late.
+	modeStutter
 	// modePause turns requests away and asks for a pause of workerPause.
 	modePause
 )
@@ -340,6 +345,7 @@
 	// down is set from the worker's end to its next start; ends counts the ends.
 	down    bool
 	ends    int
+	endedAt time.Time
 	stopped chan struct{}
 }
 
@@ -381,7 +387,7 @@
 	if w.down {
 		return
 	}
-	w.down = true
+	w.down, w.endedAt = true, time.Now()
 	w.ends++
 	_ = w.server.Close()
 	time.AfterFunc(workerDowntime, func() {
@@ -407,7 +413,11 @@
 		w.end()
 		panic(http.ErrAbortHandler)
 	}
-	if mode == modeClose {
+	switch mode {
+	case modeClose:
+		panic(http.ErrAbortHandler)
+	case modeCutHead, modeCutAnywhere, modeStutter:
+		w.serveFaulty(response, r, mode)
 		panic(http.ErrAbortHandler)
 	}
 	response.Header().Set("Peridotwinch-Attempt-Id", r.Header.Get("Peridotwinch-Attempt-Id"))
@@ -434,6 +444,10 @@
 		_ = http.NewResponseController(response).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if isStream(r) {
+		w.serveStream(response, r)
+		return
+	}
 	_, _ = io.WriteString(response, "from "+w.id)
 }
 
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -35,6 +36,8 @@
 	soakRouters = 5
 	// soakClients is the number of clients. Each sends requests sequentially over keep-alive connections.
 	soakClients = 6
+	// soakStreamClients is the number of clients that read streams.
+	soakStreamClients = 6
 )
 
 // regressionSeeds are seeds that violated a guarantee before; each has a line on its cause.
@@ -71,7 +74,7 @@
 	// violated guarantees, and successes counts the answers with status 200.
 	highestAcknowledged, highestSent uint64
 	violations                       []string
-	successes                        int
+	successes, streams               int
 	// faulty has the machines and workers under a fault, restarts counts the restarts of each machine.
 	faulty   map[string]bool
 	restarts map[string]int
@@ -79,6 +82,8 @@
 	// faults of routers.
 	faultAt      map[string]time.Time
 	routerFaults int
+	// unplannedUntil is when the last fault that may cut streams ended, by machine and worker.
+	unplannedUntil map[string]time.Time
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -86,6 +91,7 @@
 	s := &soak{
 		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
 		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int), faultAt: make(map[string]time.Time),
+		unplannedUntil: make(map[string]time.Time),
 	}
 	for i := range 4 {
 		w := f.startWorker(fmt.Sprint("i-", i+1))
@@ -110,7 +116,14 @@
 		probe[key] = value
 	}
 	probe["Name"], probe["PathPrefix"] = "probe", fmt.Sprintf("/v%d/", version)
-	declared["Routes"] = append(routes, probe)
+	routes = append(routes, probe)
+	for _, name := range streamRoutes {
+		stream := maps.Clone(probe)
+		stream["Name"], stream["PathPrefix"], stream["Kind"], stream["TimeoutMs"] = name, "/"+name+"/", "streaming", streamTimeoutMs
+		stream["Resumable"] = name == "resume"
+		routes = append(routes, stream)
+	}
+	declared["Routes"] = routes
 	raw, err := json.Marshal(declared)
 	s.Expect(err).NotTo(HaveOccurred())
 	return string(raw)
@@ -139,6 +152,9 @@
 	}
 	s.tasks.Go(s.runOperator)
 	s.tasks.Go(s.runDeadlyClient)
+	for i := range soakStreamClients {
+		s.tasks.Go(func() { s.runStreamClient(i) })
+	}
 	for _, router := range s.routers {
 		s.tasks.Go(func() { s.runProbe(router) })
 	}
@@ -200,7 +216,7 @@
 			s.reportViolation("request %s ran, but its answer reported it as not run", id)
 		}
 	}
-	s.t.Logf("%d answered, %d charges ran, version %d acknowledged", s.successes, len(runs), acknowledged)
+	s.t.Logf("%d answered, %d charges ran, %d streams complete, version %d acknowledged", s.successes, len(runs), s.streams, acknowledged)
 	s.Expect(s.successes).To(BeNumerically(">", 100), "too few requests succeeded for a meaningful run")
 	s.Expect(s.violations).To(BeEmpty())
 }
@@ -411,7 +427,7 @@
 	duration := time.Duration(200+s.rng.IntN(1800)) * time.Millisecond
 	control, router, worker := s.rng.IntN(3), s.rng.IntN(soakRouters), s.rng.IntN(len(s.workers))
 	out, back := testcluster.Mode(s.rng.IntN(3)), testcluster.Mode(s.rng.IntN(3))
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(18) {
 	case 0: // A control instance is partitioned in one or both directions.
 		s.runFault(s.controls[control].settings.Instance, duration, func() { s.relays[control].Set(out, back) },
 			func() { s.relays[control].Set(testcluster.Forward, testcluster.Forward) })
@@ -443,6 +459,12 @@
 			func() { s.workers[worker].setMode(0); s.workers[worker].end() })
 	case 13: // A worker turns requests away.
 		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(modePause) }, func() { s.workers[worker].setMode(0) })
+	case 14, 15, 16: // A worker breaks off its answers, or sends some of them twice.
+		faulty := []mode{modeCutHead, modeCutAnywhere, modeStutter}[s.rng.IntN(3)]
+		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(faulty) }, func() { s.workers[worker].setMode(0) })
+	case 17: // Routers are stopped and started in turn, at times two at once.
+		s.restart(s.routers[router], syscall.SIGTERM, duration/4)
+		s.restart(s.routers[(router+1)%soakRouters], syscall.SIGTERM, duration/4)
 	case 9:
 		s.loseDisk(s.controls[control])
 	case 8: // A worker runs requests, but their answers are lost.
@@ -456,8 +478,26 @@
 	if !s.acquire(name) {
 		return
 	}
+	s.extendUnplanned(name, time.Hour)
 	apply()
-	time.AfterFunc(duration, func() { revert(); s.release(name) })
+	time.AfterFunc(duration, func() { revert(); s.extendUnplanned(name, faultAftermath); s.release(name) })
+}
+
+// faultAftermath is how long after a fault streams may still be cut because of it.
+const faultAftermath = time.Second
+
+// extendUnplanned records that a fault that may cut streams lasts for a duration from now on.
+func (s *soak) extendUnplanned(name string, duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unplannedUntil[name] = time.Now().Add(duration)
+}
+
+// isUnplanned reports whether a fault that may cut streams lasted until a time or later.
+func (s *soak) isUnplanned(name string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unplannedUntil[name].After(since)
 }
 
 func (s *soak) suspend(m *machine, duration time.Duration) {
@@ -505,12 +545,18 @@
 	if !s.acquire(m.settings.Instance) {
 		return
 	}
+	if signal == syscall.SIGKILL {
+		s.extendUnplanned(m.settings.Instance, time.Hour)
+	}
 	_ = m.Signal(signal)
 	s.tasks.Go(func() {
 		defer s.release(m.settings.Instance)
 		_ = m.Wait()
 		time.Sleep(duration)
 		s.startWithoutBootstrap(m)
+		if signal == syscall.SIGKILL {
+			s.extendUnplanned(m.settings.Instance, faultAftermath)
+		}
 	})
 }
 
