--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -287,6 +287,8 @@
 	// modeCutHead closes the connection inside the answer's head, modeCutAnywhere inside its body.
 	modeCutHead
 	modeCutAnywhere
+	// modeResetUnframed sends streams without a length and resets the connection inside them.
+	modeResetUnframed
 	// modeStutter sends some answers twice, the second time late.
 	modeStutter
 	// modePause turns requests away and asks for a pause of workerPause.
@@ -408,7 +410,7 @@
 	}
 	w.checkStatement(r.Header.Get(headerRouter))
 	w.mu.Unlock()
-	if strings.Contains(r.Header.Get("Peridotwinch-Prefix-Hash"), deadlyPrefix) {
+	if isDeadly(r) {
 		time.Sleep(deadlyDelay)
 		w.end()
 		panic(http.ErrAbortHandler)
@@ -416,7 +418,7 @@
 	switch mode {
 	case modeClose:
 		panic(http.ErrAbortHandler)
-	case modeCutHead, modeCutAnywhere, modeStutter:
+	case modeCutHead, modeCutAnywhere, modeResetUnframed, modeStutter:
 		w.serveFaulty(response, r, mode)
 		panic(http.ErrAbortHandler)
 	}
@@ -451,6 +453,10 @@
 	_, _ = io.WriteString(response, "from "+w.id)
 }
 
+func isDeadly(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Peridotwinch-Prefix-Hash"), deadlyPrefix)
+}
+
 // tell records a statement to a router.
 func (w *worker) tell(router string, m mode) {
 	w.mu.Lock()
@@ -527,7 +533,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.requests {
-		if strings.Contains(r.Header.Get("Peridotwinch-Prefix-Hash"), deadlyPrefix) {
+		if isDeadly(r) {
 			received++
 		}
 	}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -460,7 +460,7 @@
 	case 13: // A worker turns requests away.
 		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(modePause) }, func() { s.workers[worker].setMode(0) })
 	case 14, 15, 16: // A worker breaks off its answers, or sends some of them twice.
-		faulty := []mode{modeCutHead, modeCutAnywhere, modeStutter}[s.rng.IntN(3)]
+		faulty := []mode{modeCutHead, modeCutAnywhere, modeResetUnframed, modeStutter}[s.rng.IntN(4)]
 		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(faulty) }, func() { s.workers[worker].setMode(0) })
 	case 17: // Routers are stopped and started in turn, at times two at once.
 		s.restart(s.routers[router], syscall.SIGTERM, duration/4)
--- a/test/platform/streams_test.go
+++ b/test/platform/streams_test.go
@@ -27,6 +27,10 @@
 	lateRepeat = 100 * time.Millisecond
 )
 
+// longPrompt is the body of the requests for streams, which are sent in chunks. It is longer than a
+// router writes at once.
+var longPrompt = strings.Repeat("prompt ", 2000)
+
 // streamRoutes are the routes with streams. Only those of "resume" may be resumed.
 var streamRoutes = []string{"talk", "resume"}
 
@@ -84,6 +88,9 @@
 		switch mode {
 		case modeCutHead:
 			err = w.rawAnswer(&cutWriter{Conn: conn, left: 1 + rand.IntN(60)}, r, 0)
+		case modeResetUnframed:
+			w.resetUnframed(conn, r)
+			return
 		case modeCutAnywhere:
 			err = w.rawAnswer(&cutWriter{Conn: conn, left: 150 + rand.IntN(1000)}, r, streamEventGap)
 		default:
@@ -105,12 +112,30 @@
 		w.mu.Lock()
 		w.requests = append(w.requests, r)
 		w.mu.Unlock()
+		if isDeadly(r) {
+			time.Sleep(deadlyDelay)
+			w.end()
+			return
+		}
 		if repeats {
 			_, err = conn.Write(copied.Bytes())
 		}
 	}
 }
 
+// resetUnframed answers with a stream that has no length, and resets the connection after some
+// events of it.
+func (w *worker) resetUnframed(conn net.Conn, r *http.Request) {
+	id := r.Header.Get("Peridotwinch-Attempt-Id")
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPeridotwinch-Attempt-Id: "+id+"\r\nPeridotwinch-Server-Stamp: stamp-"+w.id+"\r\nContent-Type: text/event-stream\r\n\r\n")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n < min(last+8, streamEvents) && isStream(r); n++ {
+		time.Sleep(time.Duration(rand.Float64() * float64(streamEventGap)))
+		_, _ = io.WriteString(conn, streamEvent(id, n))
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
+
 // serveFaulty serves the rest of a connection in a faulty mode.
 func (w *worker) serveFaulty(response http.ResponseWriter, r *http.Request, mode mode) {
 	conn, buffered, err := http.NewResponseController(response).Hijack()
@@ -152,7 +177,7 @@
 func (s *soak) readStream(client *http.Client, router *machine, route, id string) (out streamResult) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*streamTimeoutMs*time.Millisecond)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router.settings.Listen.Callers+"/"+route+"/x", io.NopCloser(strings.NewReader("body")))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router.settings.Listen.Callers+"/"+route+"/x", io.NopCloser(strings.NewReader(longPrompt)))
 	s.Expect(err).NotTo(HaveOccurred())
 	r.Host = host
 	r.Header.Set("Peridotwinch-Attempt-Id", id)
