Treat an answer that ends after a head without a length as broken

Callers saw (another operator's report): a 200 with an empty body, framed as whole, from a server that stopped while it answered.

Cause: an answer without a length ends with its connection, and an end before any byte of the body was taken for an empty body. Streams had this rule already.

Ruled out by tests that passed at first: heads that are cut at any byte, and streams without a length before their first event.

TestAnswerThatEndsAfterItsHeadIsNotForwarded got 200 before, and 502 now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -263,6 +263,11 @@
 	if err == nil && len(body) > maxBufferedAnswerBytes {
 		return c.relayLargeAnswer(ctx, ex, lease, body, firstByte)
 	}
+	if err == nil && len(body) == 0 && !ex.IsFramed() && c.r.Method != http.MethodHead {
+		// An answer without a length ends with its connection. Before its body, only a server that
+		// failed ends it.
+		err = io.ErrUnexpectedEOF
+	}
 	ex.Close(err == nil)
 	if err != nil {
 		return c.handleBrokenAnswer(ctx, lease, err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -338,6 +338,17 @@
 	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(502))
 }
 
+// TestAnswerThatEndsAfterItsHeadIsNotForwarded guards against an empty answer that looks complete:
+// the server closes the connection after a head without a length.
+func TestAnswerThatEndsAfterItsHeadIsNotForwarded(t *testing.T) {
+	g := NewWithT(t)
+	url := startGateway(t, newTable(t), startTestServer(t, "a", func(_ int, conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n\r\n", r.Header.Get("Id"))
+		return false
+	}))
+	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(502))
+}
+
 func TestUnsignedAnswerIsNotForwardedAsSuccess(t *testing.T) {
 	g := NewWithT(t)
 	unsigned := func(_ int, conn net.Conn, r *http.Request) bool { return writeAnswer(conn, r, 200, "", "odd") }
