Keep serving calls between daemons while descriptors are short

The review read that a single error of Accept ends the process. A test with the errors of a lack of descriptors or memory confirms it: Serve returns, the actor ends, and so does the process with all of its requests.

Such errors pass, so the server tries again after 20 ms and counts them; any other one still ends it. Whether this is what ended processes in the users' own runs is not known: their record shows no such line.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,16 +6,19 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
@@ -30,8 +33,12 @@
 	// connection is closed: a stream to a client that lost power would otherwise stay open
 	// for minutes.
 	unackedTimeout = 5 * time.Second
+	// acceptRetryDelay is the time until connections are accepted again after a lack of resources.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
+var acceptErrors = metrics.NewCounter("peridotwinch_rpc_accept_errors_total")
+
 // maxIdleConns is the maximum number of idle connections that a client keeps.
 const maxIdleConns = 4
 
@@ -86,7 +93,8 @@
 func (s *Server) Mux() drpc.Mux { return s.mux }
 
 // Serve accepts and serves connections until ctx is done, and then returns nil. It closes
-// the listener. If Accept fails before that, Serve returns the error.
+// the listener. While the process lacks descriptors or memory it tries again, and it returns any
+// other error of Accept.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := drpcserver.New(s.mux)
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -95,6 +103,12 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if isResourceShortage(err) {
+			// The process would lose all of its connections with an exit.
+			acceptErrors.Inc()
+			actor.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "accept a connection")
 		}
@@ -102,6 +116,13 @@
 	}
 }
 
+// isResourceShortage reports whether a call failed for lack of descriptors or memory.
+func isResourceShortage(err error) bool {
+	return slices.ContainsFunc([]syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}, func(errno syscall.Errno) bool {
+		return errors.Is(err, errno)
+	})
+}
+
 // serveConn reads the purpose byte and serves calls until the connection ends.
 func (s *Server) serveConn(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
