--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -229,3 +229,21 @@
 	long := slices.Repeat([]uint64{7}, 50)
 	g.Expect(quarantine.PartsAtRisk(long)).To(HaveLen(32))
 }
+
+// TestRepeatedPromptThatEndsServersIsWithheld guards against a prompt that is sent again whole, under
+// new request IDs, and ends one server after the other, while sound prompts share all of its parts
+// but the last one.
+func TestRepeatedPromptThatEndsServersIsWithheld(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	repeated := quarantine.PartsAtRisk([]uint64{common, subject, deadly})
+	sound := quarantine.PartsAtRisk([]uint64{common, subject, other})
+	for i := range uint64(3) {
+		lost := loss(i+1, 1000*int(i), 1000*int(i)+200, repeated...)
+		lost.Request = i
+		table.Merge([]quarantine.Loss{lost}, at(1000*int(i)+220))
+		table.RecordAnswer(pool, sound, at(1000*int(i)+300))
+	}
+	g.Expect(table.Decide(pool, repeated, at(4000)).Withheld).To(BeTrue())
+	g.Expect(table.Decide(pool, sound, at(4000)).Withheld).To(BeFalse())
+}
