Refuse text after a JSON value

Cause: json.Decoder.More is false before '}' and ']'.

The new row of the test of invalid configurations got 200 before, and 400 now.

--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -1,13 +1,13 @@
 package control
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 // maxResourceBytes is the maximum size of a write's body.
@@ -67,9 +67,7 @@
 
 func (c *Control) put(w http.ResponseWriter, r *http.Request) {
 	resource := &api.Resource{}
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxResourceBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(resource); err != nil {
+	if err := jsonx.DecodeKnown(http.MaxBytesReader(w, r.Body, maxResourceBytes), resource); err != nil {
 		httpx.WriteError(w, api.Errorf(api.CodeResourceInvalid, "decode the request body: %v", err))
 		return
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +16,7 @@
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 	"peridotwinch.example/peridotwinch/internal/rpc/memberpb"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
@@ -79,7 +79,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	announcement := api.Announcement{}
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
-	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+	if err := jsonx.Decode(body, &announcement); err != nil {
 		httpx.WriteError(w, api.Errorf(api.CodeAnnouncement, "decode the request body: %v", err))
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 // Role is a role of a daemon. A daemon runs one or several.
@@ -227,10 +228,8 @@
 // every field that is not valid, and an *api.Error with CodeSettingsInvalid if raw cannot
 // be decoded.
 func Parse(raw []byte) (*Settings, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	s := &Settings{}
-	if err := decoder.Decode(s); err != nil {
+	if err := jsonx.DecodeKnown(bytes.NewReader(raw), s); err != nil {
 		return nil, decodeError(err)
 	}
 	if errs := s.Validate(); len(errs) > 0 {
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -65,6 +65,7 @@
 		"other content, same version":  f.config(7, 2000),
 		"an older version":             f.config(3, 2000),
 		"truncated":                    f.config(9, 2000)[:200],
+		"text after the JSON value":    f.config(9, 2000) + "]}",
 		"no version":                   strings.Replace(f.config(9, 2000), `"Version":9,`, "", 1),
 		"an unknown service":           strings.Replace(f.config(9, 2000), `"Service":"app"`, `"Service":"none"`, 1),
 		"two routes with one prefix":   strings.Replace(f.config(9, 2000), "/look/", "/debit/", 1),
