Send routers the control replicas whenever they change

Cause: only the first event of a stream listed the replicas. Ruled out: refusals of the new ones, and a router that forgets addresses.

The list is now an update like the path, and the router takes it over at once. The new test timed out before.

--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -149,8 +149,10 @@
 	// hash of the server's ID; nil once the first event was prepared.
 	knownDigests map[uint64]uint32
 	firstSent    bool
-	// path is the path from the control replica to this process that was sent last.
-	path relay.Path
+	// path is the path from the control replica to this process that was sent last, controls are
+	// the control replicas that were sent last.
+	path     relay.Path
+	controls []string
 	// queued is the route table whose transmission is rate-limited, or nil.
 	queued *queuedTable
 	// lastQuorum is when the replica last had a quorum; stale reports that this was longer
@@ -238,13 +240,14 @@
 	}
 	r.addGrantedTable(event)
 	r.addPath(event)
+	r.addControls(event)
 	records, changed, err := r.nextRecords(event)
 	if err != nil {
 		return nil, err
 	}
 	losses, lossRevision := r.publisher.losses.SinceWithRevision(r.lossRevision)
 	r.lossRevision, event.Losses = lossRevision, toLosses(losses, time.Now())
-	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || !records.isEmpty() || len(losses) > 0
+	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
@@ -298,6 +301,14 @@
 	}
 }
 
+// addControls adds the control replicas if they have changed. A router whose stream outlasts all
+// replicas that it knows would not find their successors.
+func (r *routerStream) addControls(event *fleetpb.FollowEvent) {
+	if controls := r.publisher.source.Controls(); len(controls) > 0 && !slices.Equal(controls, r.controls) {
+		r.controls, event.Controls = controls, controls
+	}
+}
+
 // tableGranted returns a channel that is closed once the queued table may be sent, or nil if
 // no table is queued.
 func (r *routerStream) tableGranted() <-chan struct{} {
@@ -332,7 +343,6 @@
 	r.revision = p.table.Revision()
 	if isFirst {
 		event.First = true
-		event.Controls = p.source.Controls()
 	}
 	if len(r.knownDigests) == 0 {
 		records, err := p.recordsSince(from)
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -280,6 +280,23 @@
 	g.Eventually(generationOf(view), 1500*time.Millisecond, 5*time.Millisecond).Should(Equal(uint64(2)))
 }
 
+// TestRouterFindsSuccessorsOfItsReplicas guards against a router that stays on one replica while all
+// others are replaced, and then knows no replica any more.
+func TestRouterFindsSuccessorsOfItsReplicas(t *testing.T) {
+	g := NewWithT(t)
+	one, two := reserveAddress(t), reserveAddress(t)
+	first, second := newFakeReplica(one), newFakeReplica(two)
+	first.table, second.table = newTable(t, 1), newTable(t, 2)
+	serve(t, newTestService(t, first, one), one)
+	serve(t, newTestService(t, second, two), two)
+	view, _ := startRouter(t, "router-1", one)
+	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+	first.setReplicas(one, two)
+	time.Sleep(500 * time.Millisecond)
+	first.setQuorum(false)
+	g.Eventually(generationOf(view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(2)))
+}
+
 // TestRouterReturnsToPreferredReplica guards against routers that stay at another replica and
 // share its link permanently. The router starts while only one of two replicas listens.
 func TestRouterReturnsToPreferredReplica(t *testing.T) {
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -76,7 +76,17 @@
 	return f.hasQuorum
 }
 
-func (f *fakeReplica) Controls() []string { return f.replicas }
+func (f *fakeReplica) Controls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicas
+}
+
+func (f *fakeReplica) setReplicas(replicas ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replicas = replicas
+}
 
 func (f *fakeReplica) setTable(d *routetable.Document) {
 	f.mu.Lock()
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -158,6 +158,7 @@
 	}
 	now := time.Now()
 	v.mu.Lock()
+	v.setControls(event.GetControls())
 	if event.GetFirst() {
 		v.startFollowing(source, event, now)
 		v.log.Info().Str("source", source.Address).Bool("relay", source.IsRelay).Int("depth", v.path.Depth()).
@@ -205,15 +206,21 @@
 // startFollowing records the source of a new stream at its first event; the caller holds mu.
 func (v *View) startFollowing(source relay.Source, event *fleetpb.FollowEvent, now time.Time) {
 	v.followed = source
-	v.controls = event.GetControls()
-	if known := slices.Concat(v.controls, v.seeds); len(known) > 0 {
-		v.selector.SetControls(known)
-	}
 	v.selector.Followed(source)
 	v.setConfirmed(event.GetUnknown())
 	v.followedSince, v.newlyFollowed = now, true
 }
 
+// setControls records the control replicas, if there are any; the caller holds mu.
+func (v *View) setControls(controls []string) {
+	if len(controls) == 0 || slices.Equal(controls, v.controls) {
+		return
+	}
+	v.controls = controls
+	v.selector.SetControls(slices.Concat(v.controls, v.seeds))
+	v.log.Info().Strs("controls", controls).Msg("control replicas changed")
+}
+
 // applyPath records the path from control to the source, if the event has one. It returns an
 // error if the path contains this router, or if the router is too far from control.
 func (v *View) applyPath(path []string) error {
