--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -189,9 +189,9 @@
 	}
 }
 
-// advanceCommit raises the commit index to the highest index that a quorum holds. Only an entry of the leader's own term is committed by counting
-// replicas; earlier entries are committed with it. The leader steps down once a
-// membership without it is committed.
+// advanceCommit raises the commit index to the highest index that a quorum holds. Only an
+// entry of the leader's own term is committed by counting replicas; earlier entries are
+// committed with it. The leader steps down once a membership without it is committed.
 func (r *Replica) advanceCommit() {
 	index := min(r.quorumValue(r.log.lastIndex(), func(p *progress) uint64 { return p.match }), r.commitLimit())
 	if index <= r.commit {
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -339,8 +339,8 @@
 }
 
 // Share implements the Share RPC of the Fleet service. It merges another replica's changes,
-// loads and digest, and stores departures before it returns. The response holds the hashes in the digest for which this replica has no
-// server and, if requested, all its servers.
+// loads and digest, and stores departures before it returns. The response holds the hashes in
+// the digest for which this replica has no server and, if requested, all its servers.
 func (s *Service) Share(ctx context.Context, request *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
 	departed := s.mergeServers(request.GetServers())
 	response := s.mergeDigest(request)
@@ -348,6 +348,7 @@
 	return response, s.departures.Append(ctx, departed...)
 }
 
+// mergeDigest merges the loads and the digest of a request and returns the response to it.
 func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
 	now := time.Now()
 	s.loads.merge(request.GetLoads(), now)
