--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -137,6 +137,8 @@
 		return fmt.Sprintf("failed after it may have run on %s: %s", t.lastServer(), cause)
 	case "stream cut":
 		return fmt.Sprintf("the stream was cut after event %q from %s: %s", text(last.Fields["lastEvent"]), t.lastServer(), cause)
+	case "answer cut":
+		return fmt.Sprintf("the answer was cut after a part of it from %s: %s", t.lastServer(), cause)
 	case "stream complete":
 		return fmt.Sprintf("answered by %s: first event after %v ms, longest pause %v ms, last event %q",
 			t.lastServer(), last.Fields["first"], last.Fields["longestPause"], text(last.Fields["lastEvent"]))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -35,6 +35,11 @@
 	g.Expect(lines[2]).To(Equal("r1: failed after it may have run on i-1: it broke"))
 }
 
+func TestCutAnswerIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(printedTrace(g, `{"requestId":"r1","message":"answer cut","cause":"it broke"}`)).To(ContainSubstring("the answer was cut"))
+}
+
 func TestDroppedLinesAreReported(t *testing.T) {
 	g := NewWithT(t)
 	got := printedTrace(g, `{"requestId":"r1","message":"request refused","cause":"full","leftOutBefore":7}`)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,7 @@
 // registerGauges registers the gauges that are computed from the pools on each scrape.
 func (g *Gateway) registerGauges() {
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_in_progress", func() float64 { return float64(g.InProgress()) })
+	metrics.GetOrCreateGauge("peridotwinch_gateway_answer_memory_bytes", func() float64 { return float64(g.answerMemory.UsedBytes()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_waiting", func() float64 {
 		queued := 0
 		for _, p := range g.pools.list() {
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -200,15 +200,7 @@
 	f.Expect(status).To(Equal(http.StatusOK))
 	// The platform allows 2 s; pushing the change to the routers takes milliseconds.
 	time.Sleep(500 * time.Millisecond)
-	before := len(draining.received())
-	for range 20 {
-		for _, router := range f.routers {
-			_, body, err := f.sendRequest(router, http.MethodPost, "/look/x")
-			f.Expect(err).NotTo(HaveOccurred())
-			f.Expect(body).To(Equal("from i-2"))
-		}
-	}
-	f.Expect(draining.received()).To(HaveLen(before))
+	f.expectNoRequest(draining, "from i-2")
 }
 
 // TestAcknowledgedConfigurationSurvivesRestartOfAllProcesses kills all processes at once after
@@ -344,6 +336,20 @@
 	f.Expect(failures).To(BeEmpty())
 }
 
+// expectNoRequest sends requests to all routers and expects that another worker gives the answer.
+func (f *fleet) expectNoRequest(w *worker, answer string) {
+	f.t.Helper()
+	before := len(w.received())
+	for range 20 {
+		for _, router := range f.routers {
+			_, body, err := f.sendRequest(router, http.MethodPost, "/look/x")
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(body).To(Equal(answer))
+		}
+	}
+	f.Expect(w.received()).To(HaveLen(before))
+}
+
 // TestRestartOfAllControlsKeepsDepartures guards against requests to a worker whose departure was
 // acknowledged: all control processes are killed right after that, and a heartbeat that the worker
 // sent before arrives after their restart.
@@ -373,13 +379,5 @@
 	f.Expect(status).To(Equal(http.StatusOK))
 	// Machines are in contact again after 3 s.
 	time.Sleep(3 * time.Second)
-	before := len(leaving.received())
-	for range 20 {
-		for _, router := range f.routers {
-			_, body, err := f.sendRequest(router, http.MethodPost, "/look/x")
-			f.Expect(err).NotTo(HaveOccurred())
-			f.Expect(body).To(Equal("from i-2"))
-		}
-	}
-	f.Expect(leaving.received()).To(HaveLen(before))
+	f.expectNoRequest(leaving, "from i-2")
 }
