End a faulty mode of the soak on open connections, too

By reading: the double keeps the mode in which a connection was opened, so a kept connection cut streams after the fault was over.

--- a/test/platform/streams_test.go
+++ b/test/platform/streams_test.go
@@ -80,7 +80,8 @@
 	return n, err
 }
 
-// serveConn answers the requests of a connection, the first of which is r, in a faulty mode.
+// serveConn answers the requests of a connection, the first of which is r, in a faulty mode, and
+// correctly once the fault is over.
 func (w *worker) serveConn(conn net.Conn, requests *bufio.Reader, r *http.Request, mode mode) {
 	defer func() { _ = conn.Close() }()
 	for err := error(nil); err == nil; {
@@ -111,7 +112,11 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.mu.Lock()
 		w.requests = append(w.requests, r)
+		isOver := w.mode != mode
 		w.mu.Unlock()
+		if isOver {
+			mode = 0
+		}
 		if isDeadly(r) {
 			time.Sleep(deadlyDelay)
 			w.end()
