Count and log the answers that belong to another request

A router skips the answer to an earlier request that arrives once more where the next one is due, and left no trace of it: neither the logs nor a metric could tell whether a server copies answers.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -193,14 +193,11 @@
 		priority := min(max(c.priority(), 0), 9)
 		out.Priority = &priority
 	}
-	dialect, id := c.gateway.dialect, c.in.ID
 	return &backend.Request{
 		Method: c.r.Method, Target: targetOf(c.r), Host: c.r.Host, Body: c.body,
-		HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
-		Header:  dialect.Forward(c.r.Header, out),
-		AcceptAnswer: func(r *http.Response, connReused bool) bool {
-			return dialect.AnswersAttempt(id, r.Header, connReused)
-		},
+		HasBody:      c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
+		Header:       c.gateway.dialect.Forward(c.r.Header, out),
+		AcceptAnswer: func(r *http.Response, connReused bool) bool { return c.acceptAnswer(lease, r, connReused) },
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 // outcomes, customers' priorities, servers' failure domains.
 type gatewayMetrics struct {
 	connectionsOpened *metrics.Counter
+	answersUnmatched  *metrics.Counter
 	retries           *metrics.Counter
 	streamsResumed    *metrics.Counter
 	promptsWithheld   *metrics.Counter
@@ -23,6 +24,7 @@
 func newGatewayMetrics() *gatewayMetrics {
 	return &gatewayMetrics{
 		connectionsOpened: metrics.GetOrCreateCounter("peridotwinch_gateway_connections_opened_total"),
+		answersUnmatched:  metrics.GetOrCreateCounter("peridotwinch_gateway_answers_unmatched_total"),
 		retries:           metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
 		streamsResumed:    metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
 		promptsWithheld:   metrics.GetOrCreateCounter("peridotwinch_gateway_prompts_withheld_total"),
