Carry each request ID at most once on a connection to a server

What callers saw: a request that must run once ran twice, or was answered "not run" (503) while a server ran it, if a server repeated a refusal late.

Cause: an answer was matched by the caller's ID, which two sends of one request have in common. A router does not send a request to the same server twice, but it knows servers by ID and idle connections by address. When a worker restarts at its address under a new ID, a request for the old one is refused there and sent again on the same connection; the late copy of the refusal then counted as the answer to that send, and the router sent the request elsewhere while the worker ran it. A caller that uses an ID again, or sends none, met the same.

Why this works: a connection remembers the hashes of all IDs that it has carried, and the pool does not hand it to a request with one of them; a request without an ID takes a new connection. The ID thus identifies the send. Refusals are not told from other answers: a copied success or error is as wrong as an answer to a later send. A connection is closed after 256 requests instead of forgetting one of them. Two IDs with the same hash cost a new connection and nothing else. Closing every connection that carried a refusal would open one connection for each refusal, of which a server that sheds load makes hundreds a second, and leave copies of other answers. Sends that pass over an idle connection are counted in peridotwinch_gateway_connections_passed_over_total.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,6 +1,7 @@
 // Package backend is an HTTP/1.1 client for backend servers with its own connection
 // pool. It sends a request at most once, reports whether a byte of it may have been
-// written, and accepts only the answer that belongs to the request.
+// written, and accepts only the answer that belongs to the request. No connection carries
+// two requests with the same ID, so an answer's ID identifies the send.
 package backend
 
 import (
@@ -42,6 +43,9 @@
 	maxUnmatchedAnswers = 2
 	// maxUnmatchedAnswerBytes bounds the body of a skipped answer.
 	maxUnmatchedAnswerBytes = 256 << 10
+	// MaxRequestsPerConn bounds the requests that a connection carries, and with them its memory of
+	// their IDs. To forget one of them instead would let a late copy of its answer pass.
+	MaxRequestsPerConn = 256
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 32 << 10
 )
@@ -54,6 +58,9 @@
 
 // Request is one attempt to send a request to a server.
 type Request struct {
+	// ID is what the server echoes in its answers. A request without an ID takes a new
+	// connection, because any answer without one seems to belong to it.
+	ID     string
 	Method string
 	// Target is the undecoded path and query as the caller sent them.
 	Target string
@@ -97,15 +104,23 @@
 
 // Client keeps a pool of connections to all servers. It is safe for concurrent use.
 type Client struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
-	// onOpen is called for each new connection.
-	onOpen func()
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	hooks Hooks
 }
 
-// NewClient returns a client that calls onOpen for each new connection.
-func NewClient(onOpen func()) *Client {
-	return &Client{idle: make(map[string][]*conn), onOpen: onOpen}
+// Hooks are called at events of a client's pool. All must be set.
+type Hooks struct {
+	// Opened is called for each new connection.
+	Opened func()
+	// PassedOver is called for each send for which an idle connection was not used because it
+	// has carried a request with the same ID.
+	PassedOver func()
+}
+
+// NewClient returns a client that calls the hooks.
+func NewClient(hooks Hooks) *Client {
+	return &Client{idle: make(map[string][]*conn), hooks: hooks}
 }
 
 // Exchange is a request and the answer whose head has arrived. Close must be called.
@@ -121,7 +136,7 @@
 // Send sends a request at most once and waits for the answer's head. When ctx ends, it
 // closes the connection; most servers then cancel the request. Errors are *SendError.
 func (c *Client) Send(ctx context.Context, address string, request *Request) (*Exchange, error) {
-	connection, err := c.acquireConn(ctx, address)
+	connection, err := c.acquireConn(ctx, address, request.ID)
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
@@ -209,7 +224,7 @@
 	}
 	e.closed = true
 	stopped := e.stopCancel()
-	if !bodyRead || !stopped || !e.isBodyWritten() || !e.isReusable() {
+	if !bodyRead || !stopped || !e.isBodyWritten() || !e.isReusable() || len(e.conn.carried) >= MaxRequestsPerConn {
 		_ = e.conn.Close()
 		return
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -71,7 +71,7 @@
 
 func newRequest(id string) *backend.Request {
 	return &backend.Request{
-		Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		ID: id, Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
 		AcceptAnswer: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
@@ -90,7 +90,7 @@
 }
 
 func newClient(opened *atomic.Int32) *backend.Client {
-	return backend.NewClient(func() { opened.Add(1) })
+	return backend.NewClient(backend.Hooks{Opened: func() { opened.Add(1) }, PassedOver: func() {}})
 }
 
 func TestConnectionsAreReused(t *testing.T) {
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -20,6 +22,8 @@
 	address      string
 	idleDeadline time.Time
 	reused       bool
+	// carried holds the hashes of the IDs of the requests sent on the connection.
+	carried []uint64
 }
 
 func newConn(raw net.Conn, address string) *conn {
@@ -56,31 +60,58 @@
 	return n, err
 }
 
-func (c *Client) acquireConn(ctx context.Context, address string) (*conn, error) {
+// acquireConn returns a connection that has not carried a request with this ID. With an empty ID,
+// the connection is new.
+func (c *Client) acquireConn(ctx context.Context, address, id string) (*conn, error) {
+	hash := xxhash.Sum64String(id)
+	connection, passedOver := c.takeIdle(address, id, hash)
+	if passedOver {
+		c.hooks.PassedOver()
+	}
+	if connection == nil {
+		var err error
+		if connection, err = c.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	connection.carried = append(connection.carried, hash)
+	return connection, nil
+}
+
+// takeIdle removes a usable connection from the pool, or returns nil. passedOver reports whether an
+// idle connection was left there because it has carried a request with this ID.
+func (c *Client) takeIdle(address, id string, hash uint64) (connection *conn, passedOver bool) {
+	if id == "" {
+		return nil, false
+	}
 	for {
-		connection := c.popIdle(address)
+		connection, skipped := c.popIdle(address, hash)
+		passedOver = passedOver || skipped
 		if connection == nil {
-			return c.dial(ctx, address)
+			return nil, passedOver
 		}
 		if connection.isUsable(time.Now()) {
 			connection.reused = true
-			return connection, nil
+			return connection, passedOver
 		}
 		_ = connection.Close()
 	}
 }
 
-func (c *Client) popIdle(address string) *conn {
+func (c *Client) popIdle(address string, hash uint64) (connection *conn, skipped bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if slices.Contains(list[i].carried, hash) {
+			skipped = true
+			continue
+		}
+		connection = list[i]
+		c.idle[address] = slices.Delete(list, i, i+1)
+		return connection, skipped
 	}
-	last := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idle[address] = list[:len(list)-1]
-	return last
+	return nil, skipped
 }
 
 // dial opens a connection. If both parallel attempts succeed, the later one is closed.
@@ -108,7 +139,7 @@
 			if result.err != nil {
 				return nil, errors.Wrapf(result.err, "connect to %s", address)
 			}
-			c.onOpen()
+			c.hooks.Opened()
 			return newConn(result.conn, address), nil
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,7 @@
 		out.Priority = &priority
 	}
 	return &backend.Request{
-		Method: c.r.Method, Target: targetOf(c.r), Host: c.r.Host, Body: c.body,
+		ID: c.in.ID, Method: c.r.Method, Target: targetOf(c.r), Host: c.r.Host, Body: c.body,
 		HasBody:      c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
 		Header:       c.gateway.dialect.Forward(c.r.Header, out),
 		AcceptAnswer: func(r *http.Response, connReused bool) bool { return c.acceptAnswer(lease, r, connReused) },
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,24 +12,26 @@
 // gatewayMetrics are the metrics of the routes. Label values are bounded: route kinds,
 // outcomes, customers' priorities, servers' failure domains.
 type gatewayMetrics struct {
-	connectionsOpened *metrics.Counter
-	answersUnmatched  *metrics.Counter
-	retries           *metrics.Counter
-	streamsResumed    *metrics.Counter
-	promptsWithheld   *metrics.Counter
-	loadAge           *metrics.Histogram
-	queueTime         *metrics.Histogram
+	connectionsOpened     *metrics.Counter
+	answersUnmatched      *metrics.Counter
+	connectionsPassedOver *metrics.Counter
+	retries               *metrics.Counter
+	streamsResumed        *metrics.Counter
+	promptsWithheld       *metrics.Counter
+	loadAge               *metrics.Histogram
+	queueTime             *metrics.Histogram
 }
 
 func newGatewayMetrics() *gatewayMetrics {
 	return &gatewayMetrics{
-		connectionsOpened: metrics.GetOrCreateCounter("peridotwinch_gateway_connections_opened_total"),
-		answersUnmatched:  metrics.GetOrCreateCounter("peridotwinch_gateway_answers_unmatched_total"),
-		retries:           metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
-		streamsResumed:    metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
-		promptsWithheld:   metrics.GetOrCreateCounter("peridotwinch_gateway_prompts_withheld_total"),
-		loadAge:           metrics.GetOrCreateHistogram("peridotwinch_gateway_load_age_seconds"),
-		queueTime:         metrics.GetOrCreateHistogram("peridotwinch_gateway_wait_seconds"),
+		connectionsOpened:     metrics.GetOrCreateCounter("peridotwinch_gateway_connections_opened_total"),
+		connectionsPassedOver: metrics.GetOrCreateCounter("peridotwinch_gateway_connections_passed_over_total"),
+		answersUnmatched:      metrics.GetOrCreateCounter("peridotwinch_gateway_answers_unmatched_total"),
+		retries:               metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
+		streamsResumed:        metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
+		promptsWithheld:       metrics.GetOrCreateCounter("peridotwinch_gateway_prompts_withheld_total"),
+		loadAge:               metrics.GetOrCreateHistogram("peridotwinch_gateway_load_age_seconds"),
+		queueTime:             metrics.GetOrCreateHistogram("peridotwinch_gateway_wait_seconds"),
 	}
 }
 
