Log the connection on which a server refused a request

Two refusals of one request at one address were logged, but not whether they came on one connection, which decides whether the second could be a copy of the first. The line of a refusal now has the connection's local address.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -245,6 +245,9 @@
 	}
 }
 
+// LocalAddress returns the local address of the connection, which identifies it.
+func (e *Exchange) LocalAddress() string { return e.conn.LocalAddr().String() }
+
 // IsFramed reports whether the answer has a length or chunks; otherwise it ends with its
 // connection.
 func (e *Exchange) IsFramed() bool { return e.ContentLength >= 0 || len(e.TransferEncoding) > 0 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -241,7 +241,7 @@
 func (c *call) handleNotRun(lease *lease, ex *backend.Exchange) *failure {
 	ex.Discard(maxDiscardedBytes)
 	lease.release(placement.Result{Kind: placement.ResultRefused})
-	c.logAttempt(lease).Int("status", ex.StatusCode).Msg("server did not run the request")
+	c.logAttempt(lease).Str("localAddress", ex.LocalAddress()).Int("status", ex.StatusCode).Msg("server did not run the request")
 	return &failure{err: api.Errorf(api.CodeOverloaded, "%s refused the request with status %d", lease.id, ex.StatusCode), notRun: true}
 }
 
