Let a client of backend servers set the limits of its connections

The time for connection setup and for unacknowledged data were constants for the users' platform. The limits of NewClient stay as they were; its tests pass.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -104,9 +104,10 @@
 
 // Client keeps a pool of connections to all servers. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	hooks Hooks
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	hooks  Hooks
+	limits Limits
 }
 
 // Hooks are called at events of a client's pool. All must be set.
@@ -118,9 +119,23 @@
 	PassedOver func()
 }
 
+// Limits are the time limits of a client's connections.
+type Limits struct {
+	// Connect bounds connection setup.
+	Connect time.Duration
+	// Unacked is how long sent data may stay unacknowledged before the kernel closes the
+	// connection. Zero stands for the kernel's own limit.
+	Unacked time.Duration
+}
+
 // NewClient returns a client that calls the hooks.
 func NewClient(hooks Hooks) *Client {
-	return &Client{idle: make(map[string][]*conn), hooks: hooks}
+	return NewClientWithLimits(hooks, Limits{Connect: ConnectTimeout, Unacked: unackedTimeout})
+}
+
+// NewClientWithLimits returns a client with other limits than those of NewClient.
+func NewClientWithLimits(hooks Hooks, limits Limits) *Client {
+	return &Client{idle: make(map[string][]*conn), hooks: hooks, limits: limits}
 }
 
 // Exchange is a request and the answer whose head has arrived. Close must be called.
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -116,10 +116,10 @@
 
 // dial opens a connection. If both parallel attempts succeed, the later one is closed.
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.limits.Connect)
 	defer cancel()
 	results := make(chan dialResult, 2)
-	go func() { results <- dialOnce(ctx, address) }()
+	go func() { results <- c.dialOnce(ctx, address) }()
 	secondTimer := time.NewTimer(secondDialDelay)
 	defer secondTimer.Stop()
 	pending := 1
@@ -127,7 +127,7 @@
 		select {
 		case <-secondTimer.C:
 			pending++
-			go func() { results <- dialOnce(ctx, address) }()
+			go func() { results <- c.dialOnce(ctx, address) }()
 		case result := <-results:
 			pending--
 			if result.err != nil && pending > 0 {
@@ -156,8 +156,8 @@
 	}
 }
 
-func dialOnce(ctx context.Context, address string) dialResult {
-	dialer := net.Dialer{KeepAlive: -1, Control: setUnackedTimeout}
+func (c *Client) dialOnce(ctx context.Context, address string) dialResult {
+	dialer := net.Dialer{KeepAlive: -1, Control: c.setUnackedTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	return dialResult{conn: conn, err: err}
 }
--- a/internal/backend/usable_linux.go
+++ b/internal/backend/usable_linux.go
@@ -8,8 +8,8 @@
 )
 
 // setUnackedTimeout is the control function of the dialer.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	return httpx.SetUnackedTimeout(raw, unackedTimeout)
+func (c *Client) setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	return httpx.SetUnackedTimeout(raw, c.limits.Unacked)
 }
 
 // isUsable reports whether an idle connection has not expired, is open and has no unread
