Accept only the answer to this send on the product's own path

What callers saw: shown by tests, not by an incident. A server that sends a copy of an earlier answer, late, had it taken for the answer to the next request of the connection. A copied refusal made the router run a charge a second time and release the claim of one that ran; a copied 200 was stored under another customer's key.

Cause: net/http's transport hands out the answer that comes next, and nothing but the body of a chat carried an ID, that of the request, which a retry on the same connection shares.

Fix: each send has an ID of its own, Peridotwinch-Send-Id, which servers and routers echo. On a used connection an answer is believed only with that echo; any other is discarded before its status, outcome, Retry-After or state is read, and the next one is awaited. A connection to a server that does not echo is not used again. internal/backend's client takes the place of net/http's transport, which can't go on to the next answer; it sends a request once, and counts a send as written from before its first write. Discarded answers are counted and logged.

The raw servers and the engine of the tests now echo, so that the tests of kept connections still have kept connections; their checks are unchanged.

--- a/api/chat.go
+++ b/api/chat.go
@@ -2,9 +2,12 @@
 
 // Headers of the protocols of callers and backend servers.
 const (
-	HeaderChat         = "Peridotwinch-Chat"
-	HeaderAffinity     = "Peridotwinch-Affinity"
-	HeaderRequestID    = "Peridotwinch-Request-Id"
+	HeaderChat      = "Peridotwinch-Chat"
+	HeaderAffinity  = "Peridotwinch-Affinity"
+	HeaderRequestID = "Peridotwinch-Request-Id"
+	// HeaderSendID identifies one transmission of a request to a backend server or another
+	// router, which echoes it in its answers. A retry of the request has another one.
+	HeaderSendID       = "Peridotwinch-Send-Id"
 	HeaderPriority     = "Peridotwinch-Priority"
 	HeaderResumeOffset = "Peridotwinch-Resume-Offset"
 	HeaderOutcome      = "Peridotwinch-Outcome"
--- a/internal/fakebackend/server.go
+++ b/internal/fakebackend/server.go
@@ -112,12 +112,15 @@
 	return mux
 }
 
-// admit wraps a handler: it counts each request as load while it is handled, and rejects it
-// if the Refuse fault is set.
+// admit wraps a handler: it echoes the send ID, counts each request as load while it is
+// handled, and rejects it if the Refuse fault is set.
 func (s *Server) admit(handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.recordRequestWhileDraining()
 		w.Header().Set(api.HeaderServerState, string(s.state()))
+		if sendID := r.Header.Get(api.HeaderSendID); sendID != "" {
+			w.Header().Set(api.HeaderSendID, sendID)
+		}
 		if s.faults.refuses() {
 			if pause := s.faults.get().RetryAfterMS; pause > 0 {
 				w.Header().Set(api.HeaderRetryAfter, strconv.FormatFloat(float64(pause)/1000, 'f', -1, 64))
--- a/internal/fakebackend/server_test.go
+++ b/internal/fakebackend/server_test.go
@@ -132,6 +132,24 @@
 	s.g.Eventually(ended).Should(Receive(BeNil()))
 }
 
+func TestEachAnswerEchoesTheSendID(t *testing.T) {
+	s := start(t, Config{})
+	expectEcho := func(path string, body any) {
+		resp, err := s.send(context.Background(), path, body, map[string]string{api.HeaderSendID: "s1"})
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(resp.Body.Close()).To(Succeed())
+		s.g.Expect(resp.Header.Values(api.HeaderSendID)).To(Equal([]string{"s1"}), path)
+	}
+	expectAll := func() {
+		expectEcho("/charges/1", "x")
+		expectEcho("/v1/chat/completions", chatRequest(false, 2))
+		expectEcho("/v1/chat/completions", chatRequest(true, 2))
+	}
+	expectAll()
+	s.faults.set(Faults{Refuse: true})
+	expectAll()
+}
+
 func TestCancelledRequestCancelsJob(t *testing.T) {
 	s := start(t, Config{TokenTime: DefaultTokenTime})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -67,7 +67,7 @@
 		catalogSource:   catalogSource,
 		dispatcher:      dispatcher,
 		claimer:         claimer,
-		upstream:        newUpstream(s.Timeouts.Progress()),
+		upstream:        newUpstream(s.Timeouts.Progress(), log),
 		retryBudgets:    newRetryBudgets(),
 		progressTimeout: s.Timeouts.Progress(),
 		activeCalls:     newCallSet(),
@@ -77,6 +77,9 @@
 	}
 }
 
+// Run closes expired idle connections to backend servers until ctx ends. It returns nil.
+func (p *Proxy) Run(ctx context.Context) error { return p.upstream.run(ctx) }
+
 // Handler returns the handler of the callers' API.
 func (p *Proxy) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -110,6 +113,9 @@
 		p.activeCalls.add(c)
 		defer p.activeCalls.remove(c)
 		w.Header().Set(api.HeaderRequestID, c.id)
+		if sendID := r.Header.Get(api.HeaderSendID); sendID != "" {
+			w.Header().Set(api.HeaderSendID, sendID)
+		}
 		if p.lastAdmission.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -278,6 +279,17 @@
 // of its connection and its number on that connection. It closes the connection
 // if serve returns false.
 func newRawServer(serve func(conn net.Conn, connection, request int) (keep bool)) *rawServer {
+	return newRequestServer(func(conn net.Conn, r *http.Request, connection, request int) bool {
+		return serve(echoConn{Conn: conn, sendID: r.Header.Get(api.HeaderSendID)}, connection, request)
+	})
+}
+
+// requestHandler answers a request whose body has been read into it. The numbers and the
+// result are those of newRawServer.
+type requestHandler func(conn net.Conn, r *http.Request, connection, request int) (keep bool)
+
+// newRequestServer returns a server like newRawServer whose serve sees the request.
+func newRequestServer(serve requestHandler) *rawServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	s := &rawServer{listener: listener}
@@ -286,7 +298,24 @@
 	return s
 }
 
-func (s *rawServer) accept(serve func(net.Conn, int, int) bool) {
+// sendIDMark stands for the request's send ID in what a raw server writes.
+const sendIDMark = "{send-id}"
+
+// echoConn is a server's connection that writes the request's send ID for sendIDMark.
+type echoConn struct {
+	net.Conn
+	sendID string
+}
+
+// Write implements net.Conn. It returns the length of b after a complete write.
+func (c echoConn) Write(b []byte) (int, error) {
+	if _, err := c.Conn.Write(bytes.ReplaceAll(b, []byte(sendIDMark), []byte(c.sendID))); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+func (s *rawServer) accept(serve requestHandler) {
 	for connection := 1; ; connection++ {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -299,7 +328,7 @@
 	}
 }
 
-func (s *rawServer) serve(conn net.Conn, connection int, serve func(net.Conn, int, int) bool) {
+func (s *rawServer) serve(conn net.Conn, connection int, serve requestHandler) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for request := 1; ; request++ {
@@ -307,11 +336,12 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, req.Body)
+		body, _ := io.ReadAll(req.Body)
+		req.Body = io.NopCloser(bytes.NewReader(body))
 		s.mu.Lock()
 		s.requestsRead++
 		s.mu.Unlock()
-		if !serve(conn, connection, request) {
+		if !serve(conn, req, connection, request) {
 			return
 		}
 	}
@@ -325,7 +355,13 @@
 	return s.requestsRead
 }
 
-const rawOK = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone"
+func (s *rawServer) connCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acceptedConns
+}
+
+const rawOK = "HTTP/1.1 200 OK\r\n" + api.HeaderSendID + ": " + sendIDMark + "\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone"
 
 func writeRaw(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -4,6 +4,8 @@
 
 var (
 	lateAnswers           = metrics.NewCounter("peridotwinch_late_answers_total")
+	unmatchedAnswers      = metrics.NewCounter("peridotwinch_unmatched_answers_total")
+	connectionsOpened     = metrics.NewCounter("peridotwinch_backend_connections_opened_total")
 	retries               = metrics.NewCounter("peridotwinch_retries_total")
 	streamResumes         = metrics.NewCounter("peridotwinch_stream_resumes_total")
 	retryBudgetExhausted  = metrics.NewCounter("peridotwinch_retry_budget_exhausted_total")
--- a/internal/proxy/outgoing.go
+++ b/internal/proxy/outgoing.go
@@ -1,13 +1,12 @@
 package proxy
 
 import (
-	"bytes"
-	"context"
-	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/backend"
 )
 
 // outboundRequest is a request to a backend server or to another router.
@@ -18,25 +17,20 @@
 	body   []byte
 }
 
-// nonReplayableBody is a body that net/http can neither rewind nor take for empty,
-// so that net/http never replays the request on a second connection.
-type nonReplayableBody struct{ io.Reader }
-
-// Close implements io.Closer.
-func (nonReplayableBody) Close() error { return nil }
-
-// build returns the HTTP request to the server at address.
-func (o outboundRequest) build(ctx context.Context, address string) (*http.Request, error) {
-	body := nonReplayableBody{bytes.NewReader(o.body)}
-	req, err := http.NewRequestWithContext(ctx, o.method, "http://"+address+o.path, body)
-	if err != nil {
-		return nil, err
+// build returns the request with a send ID to the server at address.
+func (o outboundRequest) build(address, sendID string) *backend.Request {
+	header := o.header.Clone()
+	header.Set(api.HeaderSendID, sendID)
+	return &backend.Request{
+		ID:     sendID,
+		Method: o.method, Target: o.path, Host: address, Header: header, Body: o.body,
+		HasBody: slices.Contains(methodsWithBody, o.method),
 	}
-	req.ContentLength = int64(len(o.body))
-	req.Header = o.header.Clone()
-	return req, nil
 }
 
+// methodsWithBody lists the methods whose requests declare a body also if it is empty.
+var methodsWithBody = []string{http.MethodPost, http.MethodPut, http.MethodPatch}
+
 // resumeAt returns a copy of the request that resumes its stream at offset.
 func (o outboundRequest) resumeAt(offset int) outboundRequest {
 	resumed := o
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -52,6 +52,7 @@
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	e.requests.Add(1)
 	w.Header().Set("Content-Type", mediaTypeEventStream)
+	w.Header().Set(api.HeaderSendID, r.Header.Get(api.HeaderSendID))
 	start := 0
 	if header := r.Header.Get(api.HeaderResumeOffset); header != "" && e.canResume {
 		start, _ = strconv.Atoi(header)
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/backend"
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
@@ -33,8 +34,7 @@
 	waitCtx, runCtx context.Context
 	// attemptID identifies the attempt that holds the claim of the call's key.
 	attemptID ledger.AttemptID
-	// excluded lists the servers that failed or declined the request, except those
-	// whose reused connection failed before a byte was written.
+	// excluded lists the servers that failed or declined the request.
 	excluded []balance.ServerID
 }
 
@@ -179,18 +179,16 @@
 
 // handleSendError handles the failure of a server that did not begin to answer.
 func (t *transfer) handleSendError(lease *dispatch.Lease, err error) *failure {
-	var sendErr *sendError
+	var sendErr *backend.SendError
 	if !errors.As(err, &sendErr) {
 		return &failure{apiErr: toAPIError(err)}
 	}
-	if sendErr.written {
-		return t.handleServerFailure(lease, sendErr.cause)
+	if sendErr.Written {
+		return t.handleServerFailure(lease, sendErr.Cause)
 	}
 	t.recordDecline()
-	if !sendErr.connReused {
-		t.excluded = append(t.excluded, lease.Server)
-	}
-	return &failure{apiErr: toAPIError(sendErr.cause), unsent: true, retryable: true, notServerFault: t.runCtx.Err() != nil}
+	t.excluded = append(t.excluded, lease.Server)
+	return &failure{apiErr: toAPIError(sendErr.Cause), unsent: true, retryable: true, notServerFault: t.runCtx.Err() != nil}
 }
 
 // recordDecline records that the request did not run on the last server.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -3,24 +3,23 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
+	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/backend"
 )
 
 // Limits of the connections to backend servers.
 const (
-	connectTimeout      = 2 * time.Second
-	idleConnTimeout     = 30 * time.Second
-	maxIdleConnsPerHost = 64
-	// maxHeadBytes bounds the head of an answer.
-	maxHeadBytes = 32 << 10
-	// transportRetention is how long the transport of an unused server is kept.
-	transportRetention = 5 * time.Minute
+	connectTimeout = 2 * time.Second
+	// idleCheckInterval is how often idle connections are closed that have expired.
+	idleCheckInterval = time.Second
 	// drainTimeout and maxDrainBytes bound the read of what follows a stream's
 	// explicit end.
 	drainTimeout  = time.Second
@@ -32,111 +31,103 @@
 	errExchangeDone = errors.New("the exchange has ended")
 )
 
-// upstream sends requests to backend servers. Each server has its own transport,
-// so that the connections to one server can be closed separately.
+// upstream sends requests to backend servers and to other routers.
 type upstream struct {
 	progressTimeout time.Duration
-
-	mu         sync.Mutex
-	transports map[string]*serverTransport
-}
-
-// serverTransport is the transport of one server and the time of its last use.
-type serverTransport struct {
-	*http.Transport
-	usedAt time.Time
+	log             zerolog.Logger
+	client          *backend.Client
 }
 
-func newUpstream(progressTimeout time.Duration) *upstream {
-	return &upstream{progressTimeout: progressTimeout, transports: make(map[string]*serverTransport)}
+func newUpstream(progressTimeout time.Duration, log zerolog.Logger) *upstream {
+	client := backend.NewClientWithLimits(backend.Hooks{Opened: connectionsOpened.Inc, PassedOver: func() {}}, backend.Limits{Connect: connectTimeout})
+	return &upstream{progressTimeout: progressTimeout, log: log, client: client}
 }
 
-func (u *upstream) transport(address string) *http.Transport {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := time.Now()
-	entry := u.transports[address]
-	if entry == nil {
-		u.evictUnused(now)
-		entry = &serverTransport{Transport: newTransport()}
-		u.transports[address] = entry
-	}
-	entry.usedAt = now
-	return entry.Transport
-}
-
-func (u *upstream) evictUnused(now time.Time) {
-	for address, transport := range u.transports {
-		if now.Sub(transport.usedAt) > transportRetention {
-			transport.CloseIdleConnections()
-			delete(u.transports, address)
+// run closes expired idle connections until ctx ends. It returns nil.
+func (u *upstream) run(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			u.client.CloseExpired(now)
 		}
 	}
 }
 
-func newTransport() *http.Transport {
-	dialer := &trackedDialer{net.Dialer{Timeout: connectTimeout}}
-	return &http.Transport{
-		DialContext:            dialer.dial,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		MaxResponseHeaderBytes: maxHeadBytes,
-		DisableCompression:     true,
-	}
-}
-
 // exchange is a request that a server has begun to answer.
 type exchange struct {
-	*http.Response
+	*backend.Exchange
 	upstream *upstream
 	address  string
+	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
+	// echoed is set if the answer carries the send ID.
+	echoed bool
+	body   *endTracker
 	// sentAt is when the request was sent. onFirstByte is called once with the time
 	// to the first byte.
 	sentAt      time.Time
 	onFirstByte func(took time.Duration)
 }
 
-// sendError describes why a server did not begin to answer.
-type sendError struct {
-	cause error
-	// written is set if a byte of the request may have reached the server.
-	written bool
-	// connReused is set if the connection had carried an earlier request.
-	connReused bool
+// endTracker is the body of an answer and records whether it was read to its end.
+type endTracker struct {
+	io.ReadCloser
+	ended bool
 }
 
-// Error implements error.
-func (e *sendError) Error() string { return e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *sendError) Unwrap() error { return e.cause }
+// Read implements io.Reader.
+func (t *endTracker) Read(b []byte) (int, error) {
+	n, err := t.ReadCloser.Read(b)
+	t.ended = t.ended || err == io.EOF
+	return n, err
+}
 
 // send sends a request once and waits up to firstByteTimeout for its answer to
 // begin: for the first event of a stream, for the head of any other answer. It
-// never repeats a request. Errors have the type *sendError.
+// never repeats a request. Errors have the type *backend.SendError.
 func (u *upstream) send(ctx context.Context, outbound outboundRequest, address string, firstByteTimeout time.Duration) (*exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracker := &writeTracker{}
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { tracker.recordConn(info.Conn, info.Reused) },
-	})
-	req, err := outbound.build(traced, address)
-	if err != nil {
-		cancel(errExchangeDone)
-		return nil, &sendError{cause: err}
+	sendID := uuid.NewString()
+	ex := &exchange{upstream: u, address: address, ctx: ctx, cancel: cancel, sentAt: time.Now()}
+	ex.watchdog = time.AfterFunc(firstByteTimeout, func() { cancel(errNoProgress) })
+	request := outbound.build(address, sendID)
+	request.AcceptAnswer = func(answer *http.Response, connReused bool) bool {
+		return u.acceptAnswer(answer, connReused, address, sendID)
 	}
-	sentAt := time.Now()
-	watchdog := time.AfterFunc(firstByteTimeout, func() { cancel(errNoProgress) })
-	resp, err := u.transport(address).RoundTrip(req)
-	if err != nil {
-		watchdog.Stop()
-		cause := u.failureCause(ctx, address, err)
+	var err error
+	if ex.Exchange, err = u.client.Send(ctx, address, request); err != nil {
+		ex.watchdog.Stop()
+		err = u.sendError(ctx, address, err)
 		cancel(errExchangeDone)
-		return nil, &sendError{cause: cause, written: tracker.abandon(), connReused: tracker.connReused()}
+		return nil, err
+	}
+	ex.echoed = echoes(ex.Header, sendID)
+	ex.body = &endTracker{ReadCloser: ex.Body}
+	ex.Body = ex.body
+	return ex, nil
+}
+
+// acceptAnswer reports whether an answer belongs to a send. Without the send ID, it does
+// only if the connection has carried no earlier request, whose answer could come again.
+func (u *upstream) acceptAnswer(answer *http.Response, connReused bool, address, sendID string) bool {
+	if echoes(answer.Header, sendID) || !connReused && len(answer.Header.Values(api.HeaderSendID)) == 0 {
+		return true
 	}
-	return &exchange{Response: resp, upstream: u, address: address, cancel: cancel, watchdog: watchdog, sentAt: sentAt}, nil
+	unmatchedAnswers.Inc()
+	u.log.Warn().Str("server", address).Int("status", answer.StatusCode).
+		Str("outcome", answer.Header.Get(api.HeaderOutcome)).
+		Str("sendId", sendID).Str("answeredSendId", answer.Header.Get(api.HeaderSendID)).
+		Msg("discarded an answer that belongs to another send")
+	return false
+}
+
+func echoes(header http.Header, sendID string) bool {
+	return slices.Equal(header.Values(api.HeaderSendID), []string{sendID})
 }
 
 // isStream reports whether the answer is a stream of server-sent events.
@@ -153,6 +144,17 @@
 	e.onFirstByte = nil
 }
 
+// sendError returns the error of a failed send with the cause for which ctx ended, if any.
+func (u *upstream) sendError(ctx context.Context, address string, err error) error {
+	out := backend.SendError{Cause: err}
+	var sendErr *backend.SendError
+	if errors.As(err, &sendErr) {
+		out = *sendErr
+	}
+	out.Cause = u.failureCause(ctx, address, out.Cause)
+	return &out
+}
+
 // failureCause returns why an exchange failed. After a progress timeout it also
 // closes the idle connections to the server, which may be as unresponsive as the
 // one that failed.
@@ -163,7 +165,7 @@
 	}
 	if errors.Is(cause, errNoProgress) {
 		progressTimeouts.Inc()
-		u.transport(address).CloseIdleConnections()
+		u.client.CloseIdle(address)
 	}
 	return cause
 }
@@ -176,7 +178,7 @@
 
 // readError returns why reading the answer failed.
 func (e *exchange) readError(err error) error {
-	return e.upstream.failureCause(e.Request.Context(), e.address, err)
+	return e.upstream.failureCause(e.ctx, e.address, err)
 }
 
 // drainBody reads what follows the explicit end of an answer, so that the
@@ -187,9 +189,9 @@
 }
 
 // close ends the exchange. The request is canceled at the server unless the answer
-// was read to its end.
+// was read to its end. A connection is kept only if its server echoes send IDs.
 func (e *exchange) close() {
 	e.watchdog.Stop()
-	_ = e.Body.Close()
+	e.Exchange.Close(e.body.ended && e.echoed)
 	e.cancel(errExchangeDone)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,7 @@
 	actor.Add(group, r.members.Run)
 	actor.Add(group, r.reservations.Run)
 	actor.Add(group, r.dispatch.Run)
+	actor.Add(group, r.proxy.Run)
 	actor.Add(group, func(ctx context.Context) error {
 		return httpx.Serve(ctx, r.backends, announcements, httpx.ReadHeaderTimeout)
 	})
