Do not count interim answers among those of other sends

What callers saw: shown by a test. A server that sent three or more interim answers (1xx) before its answer had the request fail as one that may have run.

Cause: the client reads at most three heads a send, two of them of other sends, and interim answers counted among them.

Evidence: TestInterimAnswersCostNoAnswerOfTheSend failed with 'connection delivered answers to other requests'.

Fix: interim answers have a bound of their own, 100 before each final answer; the test of interim answers without end holds unchanged.

Result: the tests of internal/backend, internal/gateway and internal/proxy hold with -race.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -46,6 +46,8 @@
 	// MaxRequestsPerConn bounds the requests that a connection carries, and with them its memory of
 	// their IDs. To forget one of them instead would let a late copy of its answer pass.
 	MaxRequestsPerConn = 256
+	// maxInterimAnswers bounds the interim answers (1xx) before one final answer.
+	maxInterimAnswers = 100
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 32 << 10
 )
@@ -210,13 +212,10 @@
 func (e *Exchange) readHead(request *Request) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxUnmatchedAnswers + 1 {
-		response, err := e.conn.readHead(httpRequest)
+		response, err := e.conn.readFinalHead(httpRequest)
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.AcceptAnswer(response, e.conn.reused) {
 			e.Response = response
 			return nil
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -40,6 +40,17 @@
 	return response, err
 }
 
+// readFinalHead skips interim answers, and returns ErrUnmatchedAnswer after maxInterimAnswers.
+func (c *conn) readFinalHead(request *http.Request) (*http.Response, error) {
+	for range maxInterimAnswers + 1 {
+		response, err := c.readHead(request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, ErrUnmatchedAnswer
+}
+
 // limitedReader fails with ErrHeadTooLarge after remainingBytes while it is active.
 type limitedReader struct {
 	source         io.Reader
