Give each call of the resource API a connection of its own

What callers saw: shown by a test. If something between an operator and control sends an answer once more, the client took it for the acknowledgment of the next write, which may have been refused.

Cause: as on the product's own path, net/http matches an answer by its place on a kept connection.

Evidence: TestRepeatedAnswerAcknowledgesNoOtherWrite failed with Expected <string>: a to equal <string>: b

Fix: the client keeps no connections, so no answer to an earlier call can arrive. An operator's command makes few calls. An ID in each answer was weighed: it would bind clients to control instances of the same release.

Result: the tests of api, internal/control, test/configfaults and test/claims hold with -race.

--- a/api/client.go
+++ b/api/client.go
@@ -36,9 +36,11 @@
 }
 
 // NewClient returns a client for the control instances at the given addresses
-// ("ip:port", separated by commas).
+// ("ip:port", separated by commas). Each call has a connection of its own, on which no answer to
+// an earlier call can arrive.
 func NewClient(addresses, operator string) *Client {
-	c := &Client{operator: operator, http: &http.Client{}}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true}
+	c := &Client{operator: operator, http: &http.Client{Transport: transport}}
 	for _, address := range strings.Split(addresses, ",") {
 		c.bases = append(c.bases, "http://"+strings.TrimSpace(address))
 	}
