Run the campaign of charges with servers that repeat their answers

The fake backend server sends each answer to a router again when the next request of its connection arrives (-repeat-answers). net/http's server cannot do that, so no campaign had it.

Its checks are unchanged: both tests share them, and the new one also compares each answer with its charge.

--- a/internal/cli/fakebackend.go
+++ b/internal/cli/fakebackend.go
@@ -58,6 +58,7 @@
 	f.DurationVar(&config.SlowFor, "slow-for", 0, "length of a slow period")
 	f.BoolVar(&config.EarlyHead, "early-head", false, "send the response headers of a stream before its first token")
 	f.BoolVar(&config.NoResume, "no-resume", false, "ignore the Peridotwinch-Resume-Offset header")
+	f.BoolVar(&config.RepeatAnswers, "repeat-answers", false, "send each answer to a router again when the next request of its connection arrives")
 	f.BoolVar(&config.ChecksFencing, "checks-fencing", false, "refuse orders whose fencing token is below the highest one seen")
 	f.DurationVar(&config.DrainGrace, "drain-grace", fakebackend.DefaultDrainGrace, "how long a draining server still accepts new requests")
 	f.Uint64Var(&config.Seed, "seed", 1, "seed of the random number generator")
--- a/internal/fakebackend/config.go
+++ b/internal/fakebackend/config.go
@@ -44,6 +44,9 @@
 	EarlyHead bool
 	// NoResume ignores the resume header.
 	NoResume bool
+	// RepeatAnswers sends each answer to a router again when the next request of its
+	// connection arrives.
+	RepeatAnswers bool
 	// ChecksFencing rejects orders with an old fencing token.
 	ChecksFencing bool
 	// DrainGrace is how long a draining server still accepts new requests, because
--- a/internal/fakebackend/server.go
+++ b/internal/fakebackend/server.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.RepeatAnswers {
+		listener = repeatingListener{listener}
+	}
 	config = config.withDefaults()
 	faults := &faultSwitch{}
 	return &Server{
--- a/test/faults/campaign_test.go
+++ b/test/faults/campaign_test.go
@@ -65,8 +65,28 @@
 // outcomes and lost charges. Charges with and without request keys are sent and
 // resent while routers, ledger replicas and gate servers crash, are suspended,
 // lose connections or fail, and one ledger replica loses its disk.
-func TestChargesRunAtMostOnceUnderFaults(t *testing.T) {
-	c := &campaign{deployment: deploy(t, campaignSpec()), random: rand.New(rand.NewPCG(*seed, 1)), routers: campaignRouters}
+func TestChargesRunAtMostOnceUnderFaults(t *testing.T) { runCampaign(t, campaignSpec()) }
+
+// TestChargesRunAtMostOnceWhileServersRepeatAnswers guards against copies of answers that
+// are taken for the answers to later charges.
+func TestChargesRunAtMostOnceWhileServersRepeatAnswers(t *testing.T) {
+	spec := campaignSpec()
+	for i := range spec.Backends {
+		spec.Backends[i].Flags = append(spec.Backends[i].Flags, "-repeat-answers")
+	}
+	c := runCampaign(t, spec)
+	for _, h := range c.histories {
+		for _, r := range h.results {
+			if r.outcome == api.OutcomeRan {
+				c.Expect(r.body).To(ContainSubstring(h.charge.id + `"`))
+			}
+		}
+	}
+}
+
+// runCampaign sends the charges while faults are injected, and checks their histories.
+func runCampaign(t *testing.T, spec testcluster.Spec) *campaign {
+	c := &campaign{deployment: deploy(t, spec), random: rand.New(rand.NewPCG(*seed, 1)), routers: campaignRouters}
 	c.waitClaimsGranted(campaignRouters)
 	charges := c.newCharges(*chargeCount)
 	schedule := newSchedule(c.deployment)
@@ -82,6 +102,7 @@
 	c.Expect(report.Charges).To(Equal(2 * *chargeCount))
 	c.Expect(schedule.counts()["lose disk"]).To(Equal(1))
 	c.Expect(report.Ran).To(BeNumerically(">", report.Charges/2), "most charges run despite the faults")
+	return c
 }
 
 // newCharges returns count charges with a request key, half of them minted, and
