Repeat refusals in the soak, too

The soak's stuttering workers sent answers of requests that had run a second time, never refusals. They now turn away a quarter of the requests on their kept connections and repeat these answers like the others.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -289,7 +289,7 @@
 	modeCutAnywhere
 	// modeResetUnframed sends streams without a length and resets the connection inside them.
 	modeResetUnframed
-	// modeStutter sends some answers twice, the second time late.
+	// modeStutter turns some requests away, and sends some answers twice, the second time late.
 	modeStutter
 	// modePause turns requests away and asks for a pause of workerPause.
 	modePause
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -459,7 +459,7 @@
 			func() { s.workers[worker].setMode(0); s.workers[worker].end() })
 	case 13: // A worker turns requests away.
 		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(modePause) }, func() { s.workers[worker].setMode(0) })
-	case 14, 15, 16: // A worker breaks off its answers, or sends some of them twice.
+	case 14, 15, 16: // A worker breaks off its answers, or sends some of them, also refusals, twice.
 		faulty := []mode{modeCutHead, modeCutAnywhere, modeResetUnframed, modeStutter}[s.rng.IntN(4)]
 		s.runFault(s.workers[worker].id, duration, func() { s.workers[worker].setMode(faulty) }, func() { s.workers[worker].setMode(0) })
 	case 17: // Routers are stopped and started in turn, at times two at once.
--- a/test/platform/streams_test.go
+++ b/test/platform/streams_test.go
@@ -25,6 +25,8 @@
 	// lateRepeat is the time after which a stuttering worker sends an answer again, unless the next
 	// request on the connection comes first.
 	lateRepeat = 100 * time.Millisecond
+	// refusedShare is the share of the requests that a stuttering worker turns away.
+	refusedShare = 0.25
 )
 
 // longPrompt is the body of the requests for streams, which are sent in chunks. It is longer than a
@@ -84,15 +86,18 @@
 // correctly once the fault is over.
 func (w *worker) serveConn(conn net.Conn, requests *bufio.Reader, r *http.Request, mode mode) {
 	defer func() { _ = conn.Close() }()
+	refuses := false
 	for err := error(nil); err == nil; {
 		var copied bytes.Buffer
-		switch mode {
-		case modeCutHead:
+		switch {
+		case refuses:
+			err = writeRefusal(io.MultiWriter(conn, &copied), r)
+		case mode == modeCutHead:
 			err = w.rawAnswer(&cutWriter{Conn: conn, left: 1 + rand.IntN(60)}, r, 0)
-		case modeResetUnframed:
+		case mode == modeResetUnframed:
 			w.resetUnframed(conn, r)
 			return
-		case modeCutAnywhere:
+		case mode == modeCutAnywhere:
 			err = w.rawAnswer(&cutWriter{Conn: conn, left: 150 + rand.IntN(1000)}, r, streamEventGap)
 		default:
 			err = w.rawAnswer(io.MultiWriter(conn, &copied), r, streamEventGap)
@@ -110,8 +115,11 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		refuses = mode == modeStutter && !isDeadly(r) && rand.Float64() < refusedShare
 		w.mu.Lock()
-		w.requests = append(w.requests, r)
+		if !refuses {
+			w.requests = append(w.requests, r)
+		}
 		isOver := w.mode != mode
 		w.mu.Unlock()
 		if isOver {
@@ -128,6 +136,13 @@
 	}
 }
 
+// writeRefusal turns a request away.
+func writeRefusal(out io.Writer, r *http.Request) error {
+	_, err := fmt.Fprintf(out, "HTTP/1.1 503 Service Unavailable\r\nPeridotwinch-Attempt-Id: %s\r\nPeridotwinch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		r.Header.Get("Peridotwinch-Attempt-Id"))
+	return err
+}
+
 // resetUnframed answers with a stream that has no length, and resets the connection after some
 // events of it.
 func (w *worker) resetUnframed(conn net.Conn, r *http.Request) {
