Sync a log when it is opened

Callers saw nothing yet; this was found by reading. A process that is killed between the write of a record and its sync leaves the record in the page cache. The restarted process read it as durable: a control replica then confirmed the entry to the leader, or the record of a departure counted as stored, without any sync. A loss of power after that removed what had been acknowledged. The same held for the directory entry of a log that had just been replaced.

OpenLog now syncs the file and its directory before it returns the records, so all records that a caller gets are as durable as those that it appends.

--- a/internal/durable/file.go
+++ b/internal/durable/file.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 
@@ -9,6 +10,18 @@
 	"peridotwinch.example/peridotwinch/api"
 )
 
+// file is the part of os.File through which the package writes.
+type file interface {
+	io.Writer
+	io.Seeker
+	io.Closer
+	Truncate(size int64) error
+	Sync() error
+}
+
+// openFile opens a file or, to sync it, a directory. Tests replace it by a faulty disk.
+var openFile = func(path string, flag int) (file, error) { return os.OpenFile(path, flag, 0o644) }
+
 // WriteFile atomically and durably replaces a file by the concatenated parts: after a
 // crash it holds either the old or the new content. It creates missing directories.
 func WriteFile(path string, parts ...[]byte) error {
@@ -28,7 +41,7 @@
 
 // writeSynced writes the parts to a file and syncs it.
 func writeSynced(path string, parts [][]byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	file, err := openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return errors.Wrap(err, "create the temporary file")
 	}
@@ -84,7 +97,7 @@
 
 // SyncDir makes the creation, renaming and removal of files in a directory durable.
 func SyncDir(dir string) error {
-	handle, err := os.Open(dir)
+	handle, err := openFile(dir, os.O_RDONLY)
 	if err != nil {
 		return errors.Wrap(err, "open a directory")
 	}
--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/pkg/errors"
 
@@ -16,13 +17,15 @@
 // It is not safe for concurrent use.
 type Log struct {
 	path string
-	file *os.File
+	file file
 	size int64
 }
 
 // OpenLog opens or creates a log and returns its records. It truncates a torn last
-// record, since Append has not reported it as written to any caller. For a damaged record
-// before the last one it returns an error with api.CodeDataDamaged that names the file.
+// record, since Append has not reported it as written to any caller. It syncs the file and
+// its directory: a process that was killed before its own sync leaves records that a power
+// loss would remove. For a damaged record before the last one it returns an error with
+// api.CodeDataDamaged that names the file.
 func OpenLog(path string) (*Log, [][]byte, error) {
 	if _, err := os.Stat(path); os.IsNotExist(err) {
 		if err := WriteFile(path, nil); err != nil {
@@ -42,14 +45,19 @@
 		return nil, nil, err
 	}
 	if validBytes < len(raw) {
-		return l, records, l.truncate()
+		if err := l.truncate(); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := l.file.Sync(); err != nil {
+		return nil, nil, errors.Wrap(err, "sync a log")
 	}
-	return l, records, nil
+	return l, records, SyncDir(filepath.Dir(path))
 }
 
 // open opens the file for writing at its end.
 func (l *Log) open() error {
-	file, err := os.OpenFile(l.path, os.O_WRONLY, 0)
+	file, err := openFile(l.path, os.O_WRONLY)
 	if err != nil {
 		return errors.Wrap(err, "open a log")
 	}
@@ -62,10 +70,7 @@
 
 // truncate removes a torn record after the last valid one.
 func (l *Log) truncate() error {
-	if err := l.file.Truncate(l.size); err != nil {
-		return errors.Wrap(err, "truncate a torn record")
-	}
-	return errors.Wrap(l.file.Sync(), "sync a log")
+	return errors.Wrap(l.file.Truncate(l.size), "truncate a torn record")
 }
 
 // decode returns the valid records at the start of raw and their total size in bytes.
