Keep a log usable after every failed write

A control replica whose disk was full ended its process, or went on with a log that lost records, depending on the call that the disk refused. Only a refused write was rolled back. After a failed sync the record stayed in the file, counted as written in the log's size, and a restart read it as durable. After a refused truncation the end of the file was undefined and the process ended. After a failed sync of the directory Replace kept the old file open: compaction passes over a full disk, so later records went to a file that no path led to. A failed WriteFile left its temporary file, which takes up the space that the disk lacks.

The class: what a failed operation has left behind was not part of the log's state. The log now knows whether bytes may follow its last record and whether its directory entry may not be durable, and the next Append repairs both before it writes. Append, Replace and WriteFile fail only with ErrNotWritten, after which they may be repeated.

--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -324,7 +323,7 @@
 	}
 	snapshot.Data = data
 	err = r.disk.saveSnapshot(snapshot, r.core.Entries())
-	if errors.Is(err, syscall.ENOSPC) {
+	if errors.Is(err, durable.ErrNotWritten) {
 		// No data is lost: the log on disk still has all entries, and a later snapshot covers
 		// them.
 		r.log.Warn().Err(err).Msg("snapshot not written because the disk is full")
--- a/internal/durable/faulty_test.go
+++ b/internal/durable/faulty_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 )
 
 // faultyDisk makes the operations of the package fail that are set, and records the paths
@@ -91,3 +92,73 @@
 	expectRecords(g, path, "first", "second")
 	g.Expect(disk.synced).To(ContainElements(path, filepath.Dir(path)))
 }
+
+// TestAppendWithFailedSyncLeavesLogUnchanged guards against a record that was reported as not
+// written and is read after a restart although it may not be durable.
+func TestAppendWithFailedSyncLeavesLogUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	disk := useFaultyDisk(t)
+	path := filepath.Join(t.TempDir(), "log")
+	log, _, err := OpenLog(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("first"))).To(Succeed())
+	disk.failsSync = true
+	err = log.Append([]byte("second"))
+	g.Expect(errors.Is(err, ErrNotWritten)).To(BeTrue(), "%v", err)
+	disk.failsSync = false
+	g.Expect(log.Append([]byte("third"))).To(Succeed())
+	expectRecords(g, path, "first", "third")
+}
+
+// TestAppendRepairsLogThatCouldNotBeTruncated guards against a log that stays unusable after a
+// full disk has refused to truncate a partial record.
+func TestAppendRepairsLogThatCouldNotBeTruncated(t *testing.T) {
+	g := NewWithT(t)
+	disk := useFaultyDisk(t)
+	path := filepath.Join(t.TempDir(), "log")
+	log, _, err := OpenLog(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("first"))).To(Succeed())
+	disk.failsWrite, disk.failsTruncate = true, true
+	for range 2 {
+		err = log.Append([]byte("second"))
+		g.Expect(errors.Is(err, ErrNotWritten)).To(BeTrue(), "%v", err)
+	}
+	disk.failsWrite, disk.failsTruncate = false, false
+	g.Expect(log.Append([]byte("third"))).To(Succeed())
+	expectRecords(g, path, "first", "third")
+}
+
+// TestAppendAfterReplaceWithFailedDirectorySync guards against records that are appended to the
+// replaced file, which no path leads to any more.
+func TestAppendAfterReplaceWithFailedDirectorySync(t *testing.T) {
+	g := NewWithT(t)
+	disk := useFaultyDisk(t)
+	path := filepath.Join(t.TempDir(), "log")
+	log, _, err := OpenLog(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("first"))).To(Succeed())
+	disk.failsDirectorySync = true
+	g.Expect(errors.Is(log.Replace([]byte("all")), ErrNotWritten)).To(BeTrue())
+	g.Expect(errors.Is(log.Append([]byte("refused")), ErrNotWritten)).To(BeTrue())
+	disk.failsDirectorySync = false
+	g.Expect(log.Append([]byte("more"))).To(Succeed())
+	expectRecords(g, path, "all", "more")
+}
+
+// TestFailedWriteFileLeavesNoTemporaryFile guards against a partial file that takes up the space of
+// a full disk.
+func TestFailedWriteFileLeavesNoTemporaryFile(t *testing.T) {
+	g := NewWithT(t)
+	disk := useFaultyDisk(t)
+	path := filepath.Join(t.TempDir(), "file")
+	g.Expect(WriteFile(path, []byte("old"))).To(Succeed())
+	disk.failsWrite = true
+	g.Expect(errors.Is(WriteFile(path, []byte("new content")), ErrNotWritten)).To(BeTrue())
+	entries, err := os.ReadDir(filepath.Dir(path))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entries).To(HaveLen(1))
+	raw, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(raw)).To(Equal("old"))
+}
--- a/internal/durable/file.go
+++ b/internal/durable/file.go
@@ -10,6 +10,13 @@
 	"peridotwinch.example/peridotwinch/api"
 )
 
+// ErrNotWritten reports that data could not be made durable, for example because the disk is
+// full. The call may be repeated.
+var ErrNotWritten = errors.New("the data is not durable")
+
+// notWritten returns ErrNotWritten with the cause in its message.
+func notWritten(cause error) error { return errors.Wrap(ErrNotWritten, cause.Error()) }
+
 // file is the part of os.File through which the package writes.
 type file interface {
 	io.Writer
@@ -23,29 +30,49 @@
 var openFile = func(path string, flag int) (file, error) { return os.OpenFile(path, flag, 0o644) }
 
 // WriteFile atomically and durably replaces a file by the concatenated parts: after a
-// crash it holds either the old or the new content. It creates missing directories.
+// crash it holds either the old or the new content. It creates missing directories. After
+// ErrNotWritten the file has either content, too, and no temporary file takes up space.
 func WriteFile(path string, parts ...[]byte) error {
-	dir := filepath.Dir(path)
-	if err := CreateDir(dir); err != nil {
-		return err
+	if err := CreateDir(filepath.Dir(path)); err != nil {
+		return notWritten(err)
 	}
-	temporary := path + ".tmp"
-	if err := writeSynced(temporary, parts); err != nil {
-		return err
+	written, err := replaceFile(path, parts)
+	if err != nil {
+		return notWritten(err)
 	}
-	if err := os.Rename(temporary, path); err != nil {
-		return errors.Wrap(err, "rename the temporary file")
+	if err := written.Close(); err != nil {
+		return notWritten(err)
 	}
-	return SyncDir(dir)
+	if err := SyncDir(filepath.Dir(path)); err != nil {
+		return notWritten(err)
+	}
+	return nil
 }
 
-// writeSynced writes the parts to a file and syncs it.
-func writeSynced(path string, parts [][]byte) error {
-	file, err := openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+// replaceFile replaces a file by the concatenated parts and returns it open at its end. The
+// content is durable, but not the directory entry. After an error the file is unchanged.
+func replaceFile(path string, parts [][]byte) (file, error) {
+	temporary := path + ".tmp"
+	written, err := openFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
-		return errors.Wrap(err, "create the temporary file")
+		return nil, errors.Wrap(err, "create the temporary file")
 	}
-	defer func() { _ = file.Close() }()
+	err = writeSynced(written, parts)
+	if err == nil {
+		err = errors.Wrap(os.Rename(temporary, path), "rename the temporary file")
+	}
+	if err == nil {
+		return written, nil
+	}
+	_ = written.Close()
+	if removeErr := os.Remove(temporary); removeErr != nil {
+		return nil, errors.Wrapf(err, "removing the temporary file failed (%v)", removeErr)
+	}
+	return nil, err
+}
+
+// writeSynced writes the parts to a file and syncs it.
+func writeSynced(file file, parts [][]byte) error {
 	for _, part := range parts {
 		if _, err := file.Write(part); err != nil {
 			return errors.Wrap(err, "write the temporary file")
--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -18,13 +18,18 @@
 type Log struct {
 	path string
 	file file
+	// size is the length of the valid records in bytes.
 	size int64
+	// hasTail is set while the file may have bytes after the valid records.
+	hasTail bool
+	// isRenamed is set while the directory entry of the file may not be durable.
+	isRenamed bool
 }
 
-// OpenLog opens or creates a log and returns its records. It truncates a torn last
-// record, since Append has not reported it as written to any caller. It syncs the file and
-// its directory: a process that was killed before its own sync leaves records that a power
-// loss would remove. For a damaged record before the last one it returns an error with
+// OpenLog opens or creates a log and returns its records. It ignores a torn last record,
+// since Append has not reported it as written to any caller. It syncs the file and its
+// directory: a process that was killed before its own sync leaves records that a power loss
+// would remove. For a damaged record before the last one it returns an error with
 // api.CodeDataDamaged that names the file.
 func OpenLog(path string) (*Log, [][]byte, error) {
 	if _, err := os.Stat(path); os.IsNotExist(err) {
@@ -40,37 +45,51 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &Log{path: path, size: int64(validBytes)}
-	if err := l.open(); err != nil {
+	l := &Log{path: path, size: int64(validBytes), hasTail: validBytes < len(raw), isRenamed: true}
+	if l.file, err = openFile(path, os.O_WRONLY); err != nil {
+		return nil, nil, errors.Wrap(err, "open a log")
+	}
+	if err := l.makeDurable(); err != nil {
+		_ = l.file.Close()
 		return nil, nil, err
 	}
-	if validBytes < len(raw) {
-		if err := l.truncate(); err != nil {
-			return nil, nil, err
-		}
+	return l, records, nil
+}
+
+// makeDurable syncs the file and its directory, and seeks to the end of the records.
+func (l *Log) makeDurable() error {
+	if _, err := l.file.Seek(l.size, io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek to the end of a log")
 	}
 	if err := l.file.Sync(); err != nil {
-		return nil, nil, errors.Wrap(err, "sync a log")
+		return errors.Wrap(err, "sync a log")
 	}
-	return l, records, SyncDir(filepath.Dir(path))
+	return l.syncName()
 }
 
-// open opens the file for writing at its end.
-func (l *Log) open() error {
-	file, err := openFile(l.path, os.O_WRONLY)
-	if err != nil {
-		return errors.Wrap(err, "open a log")
-	}
-	if _, err := file.Seek(l.size, io.SeekStart); err != nil {
-		return errors.Wrap(err, "seek to the end of a log")
+// syncName makes the directory entry of the file durable.
+func (l *Log) syncName() error {
+	if err := SyncDir(filepath.Dir(l.path)); err != nil {
+		return err
 	}
-	l.file = file
+	l.isRenamed = false
 	return nil
 }
 
-// truncate removes a torn record after the last valid one.
-func (l *Log) truncate() error {
-	return errors.Wrap(l.file.Truncate(l.size), "truncate a torn record")
+// removeTail removes the bytes after the valid records: a torn record, or one that could
+// not be synced. The sync keeps a part of it from returning after a power loss.
+func (l *Log) removeTail() error {
+	if err := l.file.Truncate(l.size); err != nil {
+		return errors.Wrap(err, "truncate a log after its last record")
+	}
+	if _, err := l.file.Seek(l.size, io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek to the end of a log")
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync a log")
+	}
+	l.hasTail = false
+	return nil
 }
 
 // decode returns the valid records at the start of raw and their total size in bytes.
@@ -91,42 +110,56 @@
 	return records, validBytes, nil
 }
 
-// ErrNotWritten reports that a record could not be written, for example because the disk
-// is full. The log is unchanged, and the record may be appended again.
-var ErrNotWritten = errors.New("the record was not written and the log is unchanged")
-
-// Append writes one record and syncs it. After any error other than ErrNotWritten the
-// end of the file is undefined, and the log must not be used any more.
+// Append writes one record and syncs it. After ErrNotWritten the log has the same records
+// as before, and the call may be repeated.
 func (l *Log) Append(payload []byte) error {
+	if err := l.finishRepair(); err != nil {
+		return notWritten(err)
+	}
 	record := AppendFrame(nil, payload)
-	if _, err := l.file.Write(record); err != nil {
-		return l.rollBack(err)
+	l.hasTail = true
+	_, err := l.file.Write(record)
+	if err == nil {
+		err = l.file.Sync()
+	}
+	if err == nil {
+		l.size += int64(len(record))
+		l.hasTail = false
+		return nil
 	}
-	l.size += int64(len(record))
-	return errors.Wrap(l.file.Sync(), "sync a log")
+	if tailErr := l.removeTail(); tailErr != nil {
+		err = errors.Wrapf(err, "the next append repeats this: %v", tailErr)
+	}
+	return notWritten(errors.Wrap(err, "append to a log"))
 }
 
-// rollBack truncates the partial record that a failed write left behind. It returns
-// ErrNotWritten if that succeeds.
-func (l *Log) rollBack(cause error) error {
-	if err := l.file.Truncate(l.size); err != nil {
-		return errors.Wrapf(cause, "append to a log; truncating the partial record failed (%v)", err)
+// finishRepair does what earlier calls could not do on a faulty disk.
+func (l *Log) finishRepair() error {
+	if l.isRenamed {
+		if err := l.syncName(); err != nil {
+			return err
+		}
 	}
-	if _, err := l.file.Seek(l.size, io.SeekStart); err != nil {
-		return errors.Wrapf(cause, "append to a log; seeking back to its end failed (%v)", err)
+	if l.hasTail {
+		return l.removeTail()
 	}
-	return errors.Wrap(ErrNotWritten, cause.Error())
+	return nil
 }
 
-// Replace atomically replaces all records by one record.
+// Replace atomically replaces all records by one record. After ErrNotWritten the log holds
+// either the old records or the new one, and the call may be repeated.
 func (l *Log) Replace(payload []byte) error {
 	record := AppendFrame(nil, payload)
-	if err := WriteFile(l.path, record); err != nil {
-		return err
+	replacement, err := replaceFile(l.path, [][]byte{record})
+	if err != nil {
+		return notWritten(err)
 	}
 	_ = l.file.Close()
-	l.size = int64(len(record))
-	return l.open()
+	l.file, l.size, l.hasTail, l.isRenamed = replacement, int64(len(record)), false, true
+	if err := l.syncName(); err != nil {
+		return notWritten(err)
+	}
+	return nil
 }
 
 // Size returns the length of the file in bytes.
--- a/internal/fleetsync/departures.go
+++ b/internal/fleetsync/departures.go
@@ -25,10 +25,8 @@
 type DepartureLog struct {
 	path string
 	log  zerolog.Logger
-	// file is nil until it has been opened; isDamaged is set if its end is undefined. Only the
-	// writer uses them.
-	file      *durable.Log
-	isDamaged bool
+	// file is nil until it has been opened. Only the writer uses it.
+	file *durable.Log
 
 	mu sync.Mutex
 	// departures has the newest record of each server by its ID.
@@ -153,7 +151,7 @@
 			d.departures[p.entry.ID] = p.entry
 			added = append(added, p.entry)
 		}
-		rewrite := d.file == nil || d.isDamaged || d.file.Size() > maxDepartureLogBytes
+		rewrite := d.file == nil || d.file.Size() > maxDepartureLogBytes
 		if rewrite {
 			added = d.unexpired(now)
 		}
@@ -180,9 +178,7 @@
 		return errors.Wrap(err, "encode departures of backend servers")
 	}
 	if !replace {
-		err := d.file.Append(raw)
-		d.isDamaged = err != nil && !errors.Is(err, durable.ErrNotWritten)
-		return err
+		return d.file.Append(raw)
 	}
 	if d.file == nil {
 		// A damaged file is replaced: what it held is in the other replicas' files, too.
@@ -193,7 +189,5 @@
 			return err
 		}
 	}
-	err = d.file.Replace(raw)
-	d.isDamaged = err != nil
-	return err
+	return d.file.Replace(raw)
 }
