--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -247,11 +247,14 @@
 	if node.down || node.applied < node.durable.Snapshot.Index+testSnapshotInterval {
 		return
 	}
-	snapshot, ok := node.replica.Compact(node.applied, uint64(n.random.IntN(testSnapshotInterval)), n.random.IntN(testMaxRetainedBytes))
-	if ok {
-		node.durable.Snapshot = snapshot
-		node.durable.Entries = slices.Clone(node.replica.Entries())
+	snapshot, ok := node.replica.SnapshotAt(node.applied)
+	// One write in four fails, as on a full disk.
+	if !ok || n.random.IntN(4) == 0 {
+		return
 	}
+	node.durable.Snapshot = snapshot
+	node.durable.Entries = slices.Clone(node.replica.EntriesAbove(snapshot.Index))
+	node.replica.Compact(snapshot, uint64(n.random.IntN(testSnapshotInterval)), n.random.IntN(testMaxRetainedBytes))
 }
 
 // proposeChange proposes one step of a replacement: a new learner, its promotion or the
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -286,26 +286,31 @@
 
 const unlimitedBytes = int(^uint(0) >> 1)
 
-// Compact records that the driver has a snapshot of the state machine at an applied
-// index, and returns the snapshot without its data. The driver stores the data and
-// adds it to messages that carry a snapshot. Up to maxEntries entries and maxBytes
-// bytes of entries at or below the index stay in memory, so that a replica that is
-// only slightly behind needs no snapshot. Compact does nothing and returns false if
-// the index is not above the last snapshot's index or is not applied yet.
-func (r *Replica) Compact(index, maxEntries uint64, maxBytes int) (Snapshot, bool) {
+// SnapshotAt returns the snapshot of the state machine at an applied index, without its
+// data, which the driver adds. It returns false if the index is not above the last
+// snapshot's index or is not applied yet.
+func (r *Replica) SnapshotAt(index uint64) (Snapshot, bool) {
 	if index <= r.snapshot.Index || index > r.applied {
 		return Snapshot{}, false
 	}
 	term, _ := r.log.term(index)
-	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index)}
-	if base := r.log.compactionIndex(index, maxEntries, maxBytes); base > r.log.base.Index {
+	return Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index)}, true
+}
+
+// Compact records that a snapshot which SnapshotAt has returned is durable; the driver adds
+// its data to messages that carry a snapshot. Up to maxEntries entries and maxBytes bytes of
+// entries that it covers stay in memory, so that a replica that is only slightly behind
+// needs no snapshot. The others are dropped: without a durable snapshot, a replica that
+// lacks them could not catch up any more.
+func (r *Replica) Compact(snapshot Snapshot, maxEntries uint64, maxBytes int) {
+	r.snapshot = withoutData(snapshot)
+	if base := r.log.compactionIndex(snapshot.Index, maxEntries, maxBytes); base > r.log.base.Index {
 		r.log.compact(base)
 	}
-	return r.snapshot, true
 }
 
-// Entries returns the entries above the newest snapshot.
-func (r *Replica) Entries() []Entry { return r.log.slice(r.snapshot.Index+1, unlimitedBytes) }
+// EntriesAbove returns the entries above the index of a snapshot.
+func (r *Replica) EntriesAbove(index uint64) []Entry { return r.log.slice(index+1, unlimitedBytes) }
 
 // SnapshotIndex returns the index of the newest snapshot.
 func (r *Replica) SnapshotIndex() uint64 { return r.snapshot.Index }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -50,6 +50,8 @@
 	eventQueueLength = 1024
 	// fullDiskRetryDelay is the delay before a write to a full disk is retried.
 	fullDiskRetryDelay = 100 * time.Millisecond
+	// snapshotRetryDelay is the delay before a snapshot that the disk has refused is retried.
+	snapshotRetryDelay = time.Second
 	// retryDelay is the delay before a proposal or a read is retried.
 	retryDelay = 20 * time.Millisecond
 )
@@ -86,6 +88,8 @@
 	pendingReads      map[uint64]chan<- uint64
 	lastReadContext   uint64
 	pendingHeartbeats []pendingHeartbeat
+	// compactAfter is the time before which no snapshot is taken.
+	compactAfter time.Time
 	// inactiveSince is the time at which the leader first found a member inactive, for the
 	// members that are inactive now.
 	inactiveSince map[consensus.ReplicaID]time.Time
@@ -307,29 +311,39 @@
 }
 
 // compact takes a snapshot and compacts the log if enough entries were applied since the
-// last snapshot, or if the log has become too large.
+// last snapshot, or if the log has become too large. While the disk is full, the log keeps
+// its entries, on disk and in memory.
 func (r *Replica) compact() error {
-	logTooLarge := r.disk.log.Size() > max(minCompactLogBytes, maxLogToSnapshotRatio*r.disk.snapshotBytes) && r.applied > r.core.SnapshotIndex()
-	if !logTooLarge && r.applied < r.core.SnapshotIndex()+snapshotIntervalEntries {
+	if !r.isCompactionDue() || time.Now().Before(r.compactAfter) {
 		return nil
 	}
-	data, err := r.stateMachine.Snapshot()
-	if err != nil {
-		return err
-	}
-	snapshot, ok := r.core.Compact(r.applied, retainedEntries, retainedBytes)
+	snapshot, ok := r.core.SnapshotAt(r.applied)
 	if !ok {
 		return nil
 	}
-	snapshot.Data = data
-	err = r.disk.saveSnapshot(snapshot, r.core.Entries())
+	var err error
+	if snapshot.Data, err = r.stateMachine.Snapshot(); err != nil {
+		return err
+	}
+	err = r.disk.saveSnapshot(snapshot, r.core.EntriesAbove(snapshot.Index))
 	if errors.Is(err, durable.ErrNotWritten) {
-		// No data is lost: the log on disk still has all entries, and a later snapshot covers
-		// them.
-		r.log.Warn().Err(err).Msg("snapshot not written because the disk is full")
+		r.compactAfter = time.Now().Add(snapshotRetryDelay)
+		r.log.Warn().Err(err).Uint64("index", snapshot.Index).Msg("snapshot not written; retrying with a later entry")
 		return nil
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	r.core.Compact(snapshot, retainedEntries, retainedBytes)
+	return nil
+}
+
+// isCompactionDue reports whether the entries since the last snapshot or the log's size
+// require a new snapshot.
+func (r *Replica) isCompactionDue() bool {
+	maxLogBytes := max(minCompactLogBytes, maxLogToSnapshotRatio*r.disk.snapshotBytes)
+	logTooLarge := r.disk.log.Size() > maxLogBytes && r.applied > r.core.SnapshotIndex()
+	return logTooLarge || r.applied >= r.core.SnapshotIndex()+snapshotIntervalEntries
 }
 
 // publishStatus stores the status for other goroutines. If the replica is not the leader,
