Retry every write of a control replica while its disk is full

A control replica waited for a full disk only when it appended to its log.

full_test.go:38: Failed after 0.011s. Expected <chan error | len:0, cap:1> not to receive anything.

TestReplicaStartsWithFullDisk failed before, for the log in the same way, for the identity in New:

create the temporary file: open .../control/identity.tmp: is a directory: the data is not durable

All writes of the replica's state now go through one retry. A new identity is written by Run, where it can wait; until it is durable the replica announces no ID, and no group is formed with it.

--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -19,23 +19,44 @@
 // disk cannot be told apart locally, so a replica forms a group only if all initial members
 // respond and none belongs to a group; otherwise it joins the existing group.
 func (r *Replica) formOrJoinGroup(ctx context.Context) error {
+	if err := r.createIdentity(ctx); err != nil {
+		return err
+	}
 	for ctx.Err() == nil {
 		id, found := r.findGroup(ctx)
 		if !found {
 			actor.Sleep(ctx, r.settings.Timeouts.Heartbeat())
 			continue
 		}
-		if err := r.disk.joinGroup(id); err != nil {
+		if err := r.writeWithRetry(ctx, func() error { return r.disk.joinGroup(id) }); err != nil {
 			return err
 		}
-		r.identityMu.Lock()
-		r.identity = id
-		r.identityMu.Unlock()
+		r.setIdentity(id)
 		return r.loadState()
 	}
 	return nil
 }
 
+// createIdentity generates an ID unless the replica has one, and announces it once it is
+// durable.
+func (r *Replica) createIdentity(ctx context.Context) error {
+	if r.identity.Replica != 0 {
+		return nil
+	}
+	id := identity{Replica: newReplicaID()}
+	if err := r.writeWithRetry(ctx, func() error { return r.disk.saveIdentity(id) }); err != nil {
+		return err
+	}
+	r.setIdentity(id)
+	return nil
+}
+
+func (r *Replica) setIdentity(id identity) {
+	r.identityMu.Lock()
+	defer r.identityMu.Unlock()
+	r.identity = id
+}
+
 // findGroup queries the other instances. It returns the identity with the group to join or
 // to form, or false if neither is possible yet.
 func (r *Replica) findGroup(ctx context.Context) (identity, bool) {
@@ -56,6 +77,9 @@
 	if r.transport.usesSeeds || len(responses) < len(r.transport.peers) || !r.mayFormGroup() {
 		return id, false
 	}
+	if slices.ContainsFunc(responses, func(response *consensuspb.HelloResponse) bool { return response.GetReplica() == 0 }) {
+		return id, false
+	}
 	members := []consensus.Member{{ID: id.Replica, Instance: r.instanceName()}}
 	for _, response := range responses {
 		members = append(members, consensus.Member{ID: consensus.ReplicaID(response.GetReplica()), Instance: response.GetInstance()})
--- a/internal/control/replica/full_test.go
+++ b/internal/control/replica/full_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 // TestFollowerCatchesUpWithLeaderThatCouldNotWriteSnapshot guards against a leader that drops entries
@@ -20,3 +22,46 @@
 	defer resumeOther()
 	behind.expectCount(leader.propose(1))
 }
+
+// TestReplicaOutlastsFullDiskWhileItReceivesSnapshot guards against a replica that ends because its
+// disk refuses the snapshot or the log of a leader, or stays behind after the disk has room again.
+func TestReplicaOutlastsFullDiskWhileItReceivesSnapshot(t *testing.T) {
+	for _, file := range []string{snapshotFile, logFile} {
+		t.Run(file, func(t *testing.T) {
+			members := startGroup(t, 3)
+			leader, behind := members[0], members[1]
+			resume := behind.block()
+			time.Sleep(inactivityDuration)
+			leader.proposeUntilLogIsTooLarge()
+			accept := behind.refuseFile(file)
+			resume()
+			leader.g.Consistently(behind.ended, inactivityDuration).ShouldNot(Receive())
+			accept()
+			behind.expectCount(leader.propose(1))
+		})
+	}
+}
+
+// TestReplicaStartsWithFullDisk guards against a replica that ends because its disk refuses the files
+// with which it forms a group.
+func TestReplicaStartsWithFullDisk(t *testing.T) {
+	for _, file := range []string{identityFile, logFile} {
+		t.Run(file, func(t *testing.T) {
+			peers, listeners := newPeers(t, 3)
+			var members []*member
+			for i := range listeners {
+				members = append(members, newMember(t, peers, i))
+			}
+			accept := members[0].refuseFile(file)
+			for i, m := range members {
+				m.start(t, listeners[i])
+			}
+			members[0].g.Consistently(members[0].ended, inactivityDuration).ShouldNot(Receive())
+			accept()
+			for _, m := range members {
+				m.g.Eventually(m.CheckReady, formTimeout).Should(Succeed())
+			}
+			members[0].propose(1)
+		})
+	}
+}
--- a/internal/control/replica/group_test.go
+++ b/internal/control/replica/group_test.go
@@ -62,32 +62,37 @@
 // member is a replica of a test group with its files.
 type member struct {
 	*Replica
-	g       *WithT
-	dir     string
-	machine *counter
+	g        *WithT
+	dir      string
+	settings *settings.Settings
+	machine  *counter
 	// ended receives the error of Run.
 	ended chan error
 }
 
-// startGroup forms a group of replicas on loopback and returns them, the leader first.
-func startGroup(t *testing.T, size int) []*member {
-	g := NewWithT(t)
-	var peers []settings.Peer
-	var listeners []net.Listener
+// newPeers returns the settings of the instances of a group, and their listeners.
+func newPeers(t *testing.T, size int) (peers []settings.Peer, listeners []net.Listener) {
 	for i := range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		listeners = append(listeners, listener)
 		peers = append(peers, settings.Peer{
 			Instance: fmt.Sprint("control-", i+1), Address: listener.Addr().String(), Roles: []settings.Role{settings.RoleControl},
 		})
 	}
-	var members []*member
+	return peers, listeners
+}
+
+// startGroup forms a group of replicas on loopback and returns them, the leader first.
+func startGroup(t *testing.T, size int) (members []*member) {
+	peers, listeners := newPeers(t, size)
 	for i, listener := range listeners {
-		members = append(members, startMember(t, peers, i, listener))
+		m := newMember(t, peers, i)
+		m.start(t, listener)
+		members = append(members, m)
 	}
 	for _, m := range members {
-		g.Eventually(m.CheckReady, formTimeout).Should(Succeed())
+		m.g.Eventually(m.CheckReady, formTimeout).Should(Succeed())
 	}
 	for i, m := range members {
 		if m.Status().Leader == m.Status().ID {
@@ -97,12 +102,18 @@
 	return members
 }
 
-func startMember(t *testing.T, peers []settings.Peer, i int, listener net.Listener) *member {
+func newMember(t *testing.T, peers []settings.Peer, i int) *member {
 	m := &member{g: NewWithT(t), dir: t.TempDir(), machine: &counter{}, ended: make(chan error, 1)}
-	var err error
-	m.Replica, err = New(&settings.Settings{
+	m.settings = &settings.Settings{
 		Instance: peers[i].Instance, DataDir: m.dir, Peers: peers, Timeouts: settings.Timeouts{HeartbeatMS: 100},
-	}, m.machine, zerolog.Nop())
+	}
+	return m
+}
+
+// start loads the replica and runs it until the test ends.
+func (m *member) start(t *testing.T, listener net.Listener) {
+	var err error
+	m.Replica, err = New(m.settings, m.machine, zerolog.Nop())
 	m.g.Expect(err).NotTo(HaveOccurred())
 	server := rpc.NewServer()
 	m.g.Expect(m.Register(server.Mux())).To(Succeed())
@@ -111,7 +122,6 @@
 	running.Go(func() { _ = server.Serve(ctx, listener) })
 	running.Go(func() { m.ended <- m.Run(ctx) })
 	t.Cleanup(func() { cancel(); running.Wait() })
-	return m
 }
 
 // refuseFile makes each WriteFile of the named file fail, as on a full disk. It returns a function
--- a/internal/control/replica/identity.go
+++ b/internal/control/replica/identity.go
@@ -14,6 +14,7 @@
 // generates a new ID and never votes under the old one again: it no longer has the votes
 // and entries that it acknowledged.
 type identity struct {
+	// Replica is 0 until the ID is durable.
 	Replica consensus.ReplicaID `json:"replica"`
 	// Group is empty until the replica has joined a group.
 	Group string `json:"group,omitempty"`
@@ -21,9 +22,9 @@
 	Initial consensus.Membership `json:"initial"`
 }
 
-// loadIdentity reads the identity, or generates and stores a new one if the directory is
-// empty. A log without an identity, or an identity with a group but without a log, means
-// that a file was lost; loadIdentity then returns an error with api.CodeDataDamaged.
+// loadIdentity reads the identity; it returns one without an ID if the directory is empty. A
+// log without an identity, or an identity with a group but without a log, means that a file
+// was lost; loadIdentity then returns an error with api.CodeDataDamaged.
 func (d *disk) loadIdentity() (identity, error) {
 	id := identity{}
 	raw, err := durable.ReadRecord(d.path(identityFile))
@@ -34,8 +35,7 @@
 		if d.hasLog() {
 			return id, d.damagedError(identityFile, "the file is missing, but the log exists")
 		}
-		id.Replica = newReplicaID()
-		return id, d.saveIdentity(id)
+		return id, nil
 	}
 	if err := json.Unmarshal(raw, &id); err != nil {
 		return id, d.damagedError(identityFile, "%v", err)
