Keep a ledger replica running while its disk is full

With three replicas whose disks are full one after another, claims wait for three restarts.

A segment is now a durable.Log. A refused commit is retried; meanwhile new updates fail at once, so that entries that cannot be written do not pile up in memory.

With durable.Log the newest segment is also synced when it is opened, and the names in its directory with it, before older files are removed. Before, a replica that was killed between a write and its sync answered from a record that a power loss would remove.

--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -45,19 +45,42 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &Log{path: path, size: int64(validBytes), hasTail: validBytes < len(raw), isRenamed: true}
-	if l.file, err = openFile(path, os.O_WRONLY); err != nil {
-		return nil, nil, errors.Wrap(err, "open a log")
+	l, err := OpenLogAt(path, int64(validBytes))
+	return l, records, err
+}
+
+// OpenLogAt opens a log whose records the caller has read; they end at size bytes. It syncs
+// the file and its directory like OpenLog, and ignores the bytes after size.
+func OpenLogAt(path string, size int64) (*Log, error) {
+	file, err := openFile(path, os.O_WRONLY)
+	if err != nil {
+		return nil, errors.Wrap(err, "open a log")
 	}
+	l := &Log{path: path, file: file, size: size, hasTail: true, isRenamed: true}
 	if err := l.makeDurable(); err != nil {
-		_ = l.file.Close()
-		return nil, nil, err
+		_ = file.Close()
+		return nil, err
 	}
-	return l, records, nil
+	return l, nil
+}
+
+// CreateLog creates an empty log in place of any file. Its directory entry becomes durable
+// with the first record.
+func CreateLog(path string) (*Log, error) {
+	file, err := replaceFile(path, nil)
+	if err != nil {
+		return nil, notWritten(err)
+	}
+	return &Log{path: path, file: file, isRenamed: true}, nil
 }
 
 // makeDurable syncs the file and its directory, and seeks to the end of the records.
 func (l *Log) makeDurable() error {
+	end, err := l.file.Seek(0, io.SeekEnd)
+	if err != nil {
+		return errors.Wrap(err, "seek to the end of a log")
+	}
+	l.hasTail = end > l.size
 	if _, err := l.file.Seek(l.size, io.SeekStart); err != nil {
 		return errors.Wrap(err, "seek to the end of a log")
 	}
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotwinch.example/peridotwinch/internal/actor"
+	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/ledger"
 	"peridotwinch.example/peridotwinch/internal/ledger/storage"
 )
@@ -21,6 +23,8 @@
 	defaultCompactBytes = 32 << 20
 	// expireInterval is the time between two removals of expired records.
 	expireInterval = time.Minute
+	// writeRetryDelay is the delay before a write to a full disk is retried.
+	writeRetryDelay = 100 * time.Millisecond
 )
 
 // Options configures a replica.
@@ -57,7 +61,7 @@
 	pending *batch
 	// committing is the batch that is being made durable, or nil.
 	committing *batch
-	// failed is the error that stopped the replica.
+	// failed is the error that stopped the replica, or that of a write which is retried.
 	failed error
 
 	snapshots sync.WaitGroup
@@ -100,9 +104,9 @@
 // Update returns its error, but the change remains in the state.
 func (r *Replica) Update(ctx context.Context, change func(state *ledger.State) []ledger.Entry) error {
 	r.mu.Lock()
-	if r.failed != nil {
+	if err := r.failed; err != nil {
 		r.mu.Unlock()
-		return r.failed
+		return err
 	}
 	r.pending.entries = append(r.pending.entries, change(r.state)...)
 	awaited := r.committing
@@ -130,8 +134,8 @@
 	}
 }
 
-// Run makes entries durable until ctx ends. It returns an error if a write, a sync
-// or a snapshot fails. After Run has returned, every Update fails.
+// Run makes entries durable until ctx ends. While the disk is full, it retries, and new
+// updates fail. After Run has returned, every Update fails.
 func (r *Replica) Run(ctx context.Context) error {
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
@@ -139,16 +143,16 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return r.commit()
+			return r.commit(ctx)
 		case <-expire.C:
 			r.expire()
 		case err := <-r.compacting:
 			r.compacting = nil
 			if err != nil {
-				return err
+				r.log.Error().Err(err).Msg("snapshot not written; the log keeps its segments")
 			}
 		case <-r.wake:
-			if err := r.commit(); err != nil {
+			if err := r.commit(ctx); err != nil {
 				return err
 			}
 		}
@@ -182,7 +186,7 @@
 // commit writes and syncs the pending entries of all callers together. If the
 // segment is larger than CompactBytes, it also starts a snapshot of the state,
 // which includes these entries.
-func (r *Replica) commit() error {
+func (r *Replica) commit(ctx context.Context) error {
 	r.mu.Lock()
 	current := r.pending
 	r.pending, r.committing = newBatch(), current
@@ -191,17 +195,37 @@
 		snapshot = r.copyState()
 	}
 	r.mu.Unlock()
-	current.err = r.wal.Append(current.entries)
-	if current.err == nil && snapshot != nil {
-		current.err = r.startSnapshot(snapshot)
-	}
+	current.err = r.append(ctx, current.entries)
 	r.mu.Lock()
 	r.committing, r.failed = nil, current.err
 	r.mu.Unlock()
 	close(current.done)
+	if current.err == nil && snapshot != nil {
+		r.startSnapshot(snapshot)
+	}
 	return current.err
 }
 
+// append makes entries durable. It retries while the disk is full; meanwhile updates fail
+// instead of adding entries that cannot be written.
+func (r *Replica) append(ctx context.Context, entries []ledger.Entry) error {
+	for logged := false; ; logged = true {
+		err := r.wal.Append(entries)
+		if !errors.Is(err, durable.ErrNotWritten) {
+			return err
+		}
+		if !logged {
+			r.log.Error().Err(err).Msg("ledger entries not written; retrying until the disk accepts them")
+		}
+		r.mu.Lock()
+		r.failed = err
+		r.mu.Unlock()
+		if !actor.Sleep(ctx, writeRetryDelay) {
+			return err
+		}
+	}
+}
+
 // copyState returns the whole state as entries, the metadata first. The caller
 // holds mu.
 func (r *Replica) copyState() []ledger.Entry {
@@ -215,16 +239,17 @@
 }
 
 // startSnapshot starts a new segment and writes a snapshot of the state before it,
-// concurrently with later commits.
-func (r *Replica) startSnapshot(entries []ledger.Entry) error {
+// concurrently with later commits. If the disk refuses that, the log keeps its segments, and
+// the next large segment starts another snapshot.
+func (r *Replica) startSnapshot(entries []ledger.Entry) {
 	number, err := r.wal.Rotate()
 	if err != nil {
-		return err
+		r.log.Error().Err(err).Msg("log segment not rotated; no snapshot is written")
+		return
 	}
 	finished := make(chan error, 1)
 	r.compacting = finished
 	r.snapshots.Go(func() { finished <- r.wal.WriteSnapshot(number, entries) })
-	return nil
 }
 
 // Copy returns the replica's metadata, followed by all of its records, as entries.
--- a/internal/ledger/storage/load.go
+++ b/internal/ledger/storage/load.go
@@ -14,7 +14,8 @@
 const firstSegment uint64 = 1
 
 // load replays the newest snapshot and the segments from its number on, opens the
-// newest segment, and removes the files that the snapshot replaces.
+// newest segment, and removes the files that the snapshot replaces. Opening the segment makes
+// the name of the snapshot durable, too.
 func (l *Log) load(apply func(ledger.Entry)) error {
 	files, err := listFiles(l.dir)
 	if err != nil {
@@ -82,24 +83,9 @@
 	if !newest {
 		return nil
 	}
-	return l.reopen(number, int64(validBytes), validBytes < len(raw))
-}
-
-// reopen opens the newest segment for appending after size bytes of valid frames.
-// If a torn write follows them, reopen truncates it.
-func (l *Log) reopen(number uint64, size int64, torn bool) error {
-	file, err := os.OpenFile(l.path(number, segmentSuffix), os.O_WRONLY|os.O_APPEND, 0o644)
-	if err != nil {
-		return errors.Wrap(err, "open a log segment")
-	}
-	l.file, l.number, l.size = file, number, size
-	if !torn {
-		return nil
-	}
-	if err := file.Truncate(size); err != nil {
-		return errors.Wrap(err, "truncate a torn write")
-	}
-	return errors.Wrap(file.Sync(), "sync a log segment")
+	l.number = number
+	l.segment, err = durable.OpenLogAt(path, int64(validBytes))
+	return err
 }
 
 // loadSnapshot replays a snapshot. A valid snapshot ends with an empty frame; one
--- a/internal/ledger/storage/log.go
+++ b/internal/ledger/storage/log.go
@@ -4,7 +4,6 @@
 package storage
 
 import (
-	"os"
 	"path/filepath"
 
 	"github.com/pkg/errors"
@@ -23,13 +22,9 @@
 // safe for concurrent use, except for WriteSnapshot.
 type Log struct {
 	dir string
-	// file is the newest segment.
-	file *os.File
-	// number is the number of the newest segment, size its length in bytes.
-	number uint64
-	size   int64
-	// failed is the first write error. The log rejects all writes after it.
-	failed error
+	// segment is the newest segment, number its number.
+	segment *durable.Log
+	number  uint64
 }
 
 // Open replays the newest snapshot and the segments from its number on, in order,
@@ -47,69 +42,52 @@
 	return l, nil
 }
 
-// Append writes entries and returns once they are durable. After an error, all
-// later calls of Append and Rotate return that error.
+// Append writes entries and returns once they are durable. After durable.ErrNotWritten some
+// of them may be durable, and the call may be repeated: entries replace earlier ones.
 func (l *Log) Append(entries []ledger.Entry) error {
-	if l.failed != nil {
-		return l.failed
-	}
 	for len(entries) > 0 {
 		count := min(len(entries), maxFrameEntries)
-		if l.failed = l.appendFrame(entries[:count]); l.failed != nil {
-			return l.failed
+		payload, err := encodeEntries(entries[:count])
+		if err != nil {
+			return err
+		}
+		if err := l.segment.Append(payload); err != nil {
+			return err
 		}
 		entries = entries[count:]
 	}
 	return nil
 }
 
-// appendFrame writes entries as one frame and syncs the segment.
-func (l *Log) appendFrame(entries []ledger.Entry) error {
-	payload, err := encodeEntries(entries)
-	if err != nil {
-		return err
-	}
-	frame := durable.AppendFrame(nil, payload)
-	if _, err := l.file.Write(frame); err != nil {
-		return errors.Wrap(err, "write a log segment")
-	}
-	l.size += int64(len(frame))
-	return syncFile(l.file)
-}
-
-// syncFile makes all data written to a file durable.
-func syncFile(file *os.File) error {
-	return errors.Wrapf(file.Sync(), "sync %s", file.Name())
-}
-
 // Size returns the size of the newest segment in bytes.
-func (l *Log) Size() int64 { return l.size }
+func (l *Log) Size() int64 { return l.segment.Size() }
 
-// Rotate starts a new segment and returns its number. The snapshot of the state
-// before that segment has the same number.
+// Rotate starts a new segment and returns its number. The snapshot of the state before that
+// segment has the same number. After durable.ErrNotWritten the log remains usable, but has
+// no segment at whose start a snapshot may be taken.
 func (l *Log) Rotate() (uint64, error) {
-	if l.failed != nil {
-		return 0, l.failed
+	previous := l.segment
+	if err := l.createSegment(l.number + 1); err != nil {
+		return 0, err
 	}
-	previous := l.file
-	if l.failed = l.createSegment(l.number + 1); l.failed != nil {
-		return 0, l.failed
+	if err := previous.Close(); err != nil {
+		return 0, err
 	}
-	return l.number, errors.Wrap(previous.Close(), "close the previous log segment")
+	return l.number, durable.SyncDir(l.dir)
 }
 
 // createSegment creates the segment with the given number and makes it the newest one.
 func (l *Log) createSegment(number uint64) error {
-	file, err := os.OpenFile(l.path(number, segmentSuffix), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o644)
+	segment, err := durable.CreateLog(l.path(number, segmentSuffix))
 	if err != nil {
-		return errors.Wrap(err, "create a log segment")
+		return err
 	}
-	l.file, l.number, l.size = file, number, 0
-	return durable.SyncDir(l.dir)
+	l.segment, l.number = segment, number
+	return nil
 }
 
 // Close closes the newest segment.
-func (l *Log) Close() error { return l.file.Close() }
+func (l *Log) Close() error { return l.segment.Close() }
 
 func (l *Log) path(number uint64, suffix string) string {
 	return filepath.Join(l.dir, fileName(number, suffix))
--- a/internal/ledger/storage/snapshot.go
+++ b/internal/ledger/storage/snapshot.go
@@ -13,15 +13,19 @@
 // WriteSnapshot durably writes the state before the segment with the given
 // number, and removes the segments and snapshots that it replaces. The snapshot
 // gets its final name only when it is complete and synced. WriteSnapshot may run
-// concurrently with Append.
+// concurrently with Append. After an error the log still holds the whole state.
 func (l *Log) WriteSnapshot(number uint64, entries []ledger.Entry) error {
 	path := l.path(number, snapshotSuffix)
 	temporary := path + temporarySuffix
-	if err := writeSnapshotFile(temporary, entries); err != nil {
-		return err
+	err := writeSnapshotFile(temporary, entries)
+	if err == nil {
+		err = errors.Wrap(os.Rename(temporary, path), "rename a snapshot")
 	}
-	if err := os.Rename(temporary, path); err != nil {
-		return errors.Wrap(err, "rename a snapshot")
+	if err != nil {
+		if removeErr := os.Remove(temporary); removeErr != nil && !os.IsNotExist(removeErr) {
+			err = errors.Wrapf(err, "removing the temporary file failed (%v)", removeErr)
+		}
+		return err
 	}
 	if err := durable.SyncDir(l.dir); err != nil {
 		return err
@@ -55,5 +59,5 @@
 	if err := writer.Flush(); err != nil {
 		return errors.Wrap(err, "write a snapshot")
 	}
-	return syncFile(file)
+	return errors.Wrap(file.Sync(), "sync a snapshot")
 }
