Keep stored departures when their file cannot be opened for a moment

A control replica that could not open the file with the departures of servers, for example because the sync at its start failed, replaced it by an empty one at the next departure. What that replica had confirmed was then on one disk less, or on none.

TestDeparturesOutlastFileThatCouldNotBeOpened failed before:

departures_test.go:110: Expected <bool>: false to be true

The replica now opens the file again before it writes, and takes over what the file holds. Only a damaged file is replaced.

--- a/internal/fleetsync/departures.go
+++ b/internal/fleetsync/departures.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/durable"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
@@ -49,15 +50,29 @@
 // disk.
 func OpenDepartureLog(path string, log zerolog.Logger) *DepartureLog {
 	d := &DepartureLog{path: path, log: log, departures: make(map[string]registry.Entry), stored: make(map[uint64]registry.State)}
-	records, err := d.open()
-	if err != nil {
+	if err := d.open(); err != nil {
 		log.Error().Err(err).Msg("departures of backend servers not loaded")
 	}
+	return d
+}
+
+// open opens the file and adds its records to those in memory.
+func (d *DepartureLog) open() error {
+	if err := durable.CreateDir(filepath.Dir(d.path)); err != nil {
+		return err
+	}
+	file, records, err := durable.OpenLog(d.path)
+	if err != nil {
+		return err
+	}
+	d.file = file
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := time.Now()
 	for _, raw := range records {
 		record := &fleetpb.Departures{}
 		if err := proto.Unmarshal(raw, record); err != nil {
-			log.Error().Err(err).Msg("departure of a backend server cannot be decoded")
+			d.log.Error().Err(err).Msg("departure of a backend server cannot be decoded")
 			continue
 		}
 		for _, server := range record.GetServers() {
@@ -67,18 +82,23 @@
 			d.departures[entry.ID], d.stored[entry.Hash()] = entry, entry.State
 		}
 	}
-	return d
+	return nil
 }
 
-func (d *DepartureLog) open() (records [][]byte, err error) {
-	if err := durable.CreateDir(filepath.Dir(d.path)); err != nil {
-		return nil, err
+// reopen opens the file if that has failed before. It replaces a damaged file: what it held is in
+// the other replicas' files, too.
+func (d *DepartureLog) reopen() error {
+	if d.file != nil {
+		return nil
 	}
-	d.file, records, err = durable.OpenLog(d.path)
-	if err != nil {
-		d.file = nil
+	err := d.open()
+	if api.AsError(err).Code != api.CodeDataDamaged {
+		return err
+	}
+	if err := durable.WriteFile(d.path, nil); err != nil {
+		return err
 	}
-	return records, err
+	return d.open()
 }
 
 // Entries returns the newest record of each server that has not expired.
@@ -145,18 +165,11 @@
 			d.mu.Unlock()
 			return
 		}
-		now := time.Now()
-		var added []registry.Entry
-		for _, p := range batch {
-			d.departures[p.entry.ID] = p.entry
-			added = append(added, p.entry)
-		}
-		rewrite := d.file == nil || d.file.Size() > maxDepartureLogBytes
-		if rewrite {
-			added = d.unexpired(now)
-		}
 		d.mu.Unlock()
-		err := d.write(added, now, rewrite)
+		err := d.reopen()
+		if err == nil {
+			err = d.write(batch, time.Now())
+		}
 		if err != nil {
 			d.log.Error().Err(err).Int("servers", len(batch)).Msg("departures of backend servers not stored")
 		}
@@ -171,23 +184,26 @@
 	}
 }
 
-// write adds one record with the entries to the file, or replaces all records by it.
-func (d *DepartureLog) write(entries []registry.Entry, now time.Time, replace bool) error {
+// write adds one record with the entries of a batch to the file, or replaces all records by one with
+// the entries that have not expired.
+func (d *DepartureLog) write(batch []pendingDeparture, now time.Time) error {
+	var entries []registry.Entry
+	replace := d.file.Size() > maxDepartureLogBytes
+	d.mu.Lock()
+	for _, p := range batch {
+		d.departures[p.entry.ID] = p.entry
+		entries = append(entries, p.entry)
+	}
+	if replace {
+		entries = d.unexpired(now)
+	}
+	d.mu.Unlock()
 	raw, err := proto.Marshal(&fleetpb.Departures{RecordedMs: now.UnixMilli(), Servers: toServers(entries, now)})
 	if err != nil {
 		return errors.Wrap(err, "encode departures of backend servers")
 	}
-	if !replace {
-		return d.file.Append(raw)
-	}
-	if d.file == nil {
-		// A damaged file is replaced: what it held is in the other replicas' files, too.
-		if err := durable.WriteFile(d.path, nil); err != nil {
-			return err
-		}
-		if _, err := d.open(); err != nil {
-			return err
-		}
+	if replace {
+		return d.file.Replace(raw)
 	}
-	return d.file.Replace(raw)
+	return d.file.Append(raw)
 }
--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -88,3 +88,25 @@
 	g.Expect(info.Size()).To(BeNumerically("<", 512<<10), "bytes for 10,000 records")
 	g.Expect(fleetsync.OpenDepartureLog(path, zerolog.Nop()).Entries(time.Now())).To(HaveLen(1))
 }
+
+// TestDeparturesOutlastFileThatCouldNotBeOpened guards against a file that is emptied because it
+// could not be opened for a moment.
+func TestDeparturesOutlastFileThatCouldNotBeOpened(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "departures")
+	departure := func(i int) registry.Entry {
+		server := testServer(i)
+		server.State = registry.StateGone
+		return registry.Entry{Server: server, LastAnnounced: time.Now()}
+	}
+	g.Expect(fleetsync.OpenDepartureLog(path, zerolog.Nop()).Append(context.Background(), departure(1))).To(Succeed())
+	g.Expect(os.Rename(path, path+".moved")).To(Succeed())
+	g.Expect(os.Mkdir(path, 0o755)).To(Succeed())
+	log := fleetsync.OpenDepartureLog(path, zerolog.Nop())
+	g.Expect(log.Append(context.Background(), departure(2))).NotTo(Succeed())
+	g.Expect(os.Remove(path)).To(Succeed())
+	g.Expect(os.Rename(path+".moved", path)).To(Succeed())
+	g.Expect(log.Append(context.Background(), departure(3))).To(Succeed())
+	g.Expect(log.IsStored(departure(1).Server)).To(BeTrue())
+	g.Expect(fleetsync.OpenDepartureLog(path, zerolog.Nop()).IsStored(departure(1).Server)).To(BeTrue())
+}
