Store a release from quarantine before it is confirmed

A control replica confirmed an operator's release of a prompt part at once and wrote it up to half a second later, or not at all if the disk refused that one write. A loss of power in between put the part back into quarantine.

TestReleaseIsStoredBeforeItIsConfirmed failed before:

losses_test.go:69: the disk refuses the file Expected <int>: 200 to equal <int>: 503

The release is now written first; if that fails, the operator gets no_quorum and may repeat the request. Whether the file is current is decided by its content: the hash of the losses does not cover which of their parts are harmless (found by reading; no test failed on that).

Open: a release is durable on one replica. Another one whose file is older puts the part back after all have lost power, because the table does not take over losses that are refuted.

--- a/internal/control/losses.go
+++ b/internal/control/losses.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -28,13 +30,17 @@
 	path    string
 	store   *quarantine.Store
 	changed chan struct{}
-	// saved is the digest of the losses in the file; 0 if there are none.
+
+	mu sync.Mutex
+	// saved is a hash of the losses in the file; 0 if there are none.
 	saved uint64
+	// released has the parts whose release is not durable yet.
+	released map[quarantine.Part]bool
 }
 
 // newLossArchive loads the losses of a file into the store.
 func newLossArchive(path string, store *quarantine.Store, log zerolog.Logger) *lossArchive {
-	a := &lossArchive{log: log, path: path, store: store, changed: make(chan struct{}, 1)}
+	a := &lossArchive{log: log, path: path, store: store, changed: make(chan struct{}, 1), released: make(map[quarantine.Part]bool)}
 	if err := a.load(time.Now()); err != nil {
 		log.Error().Err(err).Str("path", path).Msg("losses of backend servers not loaded")
 	}
@@ -66,7 +72,9 @@
 		losses[i].LostAt = now.Add(losses[i].LostAt.Sub(now) - ahead)
 	}
 	a.store.Merge(losses, now)
-	a.saved = a.store.Digest()
+	if len(losses) > 0 {
+		a.saved = xxhash.Sum64(raw)
+	}
 	return nil
 }
 
@@ -87,23 +95,51 @@
 	}
 }
 
+// release releases a part from quarantine and makes that durable. It reports whether the part was
+// in quarantine; after an error the call may be repeated.
+func (a *lossArchive) release(part quarantine.Part, now time.Time) (found bool, err error) {
+	found = a.store.Release(part, now)
+	a.mu.Lock()
+	if found {
+		a.released[part] = true
+	}
+	found = a.released[part]
+	a.mu.Unlock()
+	if !found {
+		return false, nil
+	}
+	if err := a.save(); err != nil {
+		return true, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.released, part)
+	return true, nil
+}
+
 // save writes the losses if a part is in quarantine, or if the file still has some.
 func (a *lossArchive) save() error {
-	losses, digest := []quarantine.Loss{}, uint64(0)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	losses := []quarantine.Loss{}
 	if len(a.store.Verdicts()) > 0 {
-		losses, digest = a.store.Since(0), a.store.Digest()
-	}
-	if digest == a.saved {
-		return nil
+		losses = a.store.Since(0)
 	}
 	raw, err := json.Marshal(losses)
 	if err != nil {
 		return errors.Wrap(err, "encode losses")
 	}
+	hash := uint64(0)
+	if len(losses) > 0 {
+		hash = xxhash.Sum64(raw)
+	}
+	if hash == a.saved {
+		return nil
+	}
 	if err := durable.WriteRecord(a.path, raw); err != nil {
 		return err
 	}
-	a.saved = digest
+	a.saved = hash
 	return nil
 }
 
@@ -127,7 +163,12 @@
 		return
 	}
 	pool := r.PathValue("pool")
-	if !c.losses.Release(quarantine.Part{Pool: pool, ID: id}, time.Now()) {
+	found, err := c.lossArchive.release(quarantine.Part{Pool: pool, ID: id}, time.Now())
+	if err != nil {
+		httpx.WriteError(w, api.Errorf(api.CodeNoQuorum, "the release of part %s of pool %q is not stored: %v", r.PathValue("part"), pool, err))
+		return
+	}
+	if !found {
 		httpx.WriteError(w, api.FieldErrorf(api.CodeResourceNotFound, "part", "part %s of pool %q is not in quarantine", r.PathValue("part"), pool))
 		return
 	}
