Ask the members of a ledger group again before a change is refused

ledger-replace gave up with ledger_no_majority after a single round of requests of one second, although a change may take a minute: with one of three members lost, a pause of another one for more than a second ended the command.

TestReplaceOutlastsPausedMember pauses a member for 1.5 s.

A round without a majority is now repeated for 5 s.

--- a/internal/ledger/replica/change.go
+++ b/internal/ledger/replica/change.go
@@ -20,6 +20,9 @@
 	changeTimeout = time.Minute
 	// changeInterval is the minimum time between two ballots or status checks.
 	changeInterval = 100 * time.Millisecond
+	// majorityTimeout is how long a change waits for replies of a majority. A member that
+	// pauses or restarts misses a round.
+	majorityTimeout = 5 * time.Second
 )
 
 // memberReplacement is the replacement of one member in progress.
@@ -49,9 +52,10 @@
 		operator: o, oldMember: oldMember, newMember: newMember,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	start := time.Now()
 	for {
 		decided, err := r.runBallot(ctx)
-		if err != nil {
+		if err != nil && (api.AsError(err).Code != api.CodeLedgerNoMajority || time.Since(start) > majorityTimeout) {
 			return err
 		}
 		if decided {
--- a/test/claims/change_test.go
+++ b/test/claims/change_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"storj.io/drpc"
@@ -92,6 +93,20 @@
 	g.Expect(eventuallyGranted(c)).To(Succeed())
 }
 
+// TestReplaceOutlastsPausedMember guards against a command that gives up because a member missed one
+// round of its requests.
+func TestReplaceOutlastsPausedMember(t *testing.T) {
+	g := NewWithT(t)
+	cluster := startReplaceableCluster(t)
+	g.Expect(cluster.Daemons["l-3"].Kill()).To(Succeed())
+	g.Expect(cluster.RemoveDataDir("l-3")).To(Succeed())
+	startSpare(g, cluster, "l-4")
+	g.Expect(cluster.Daemons["l-2"].Suspend()).To(Succeed())
+	time.AfterFunc(1500*time.Millisecond, func() { _ = cluster.Daemons["l-2"].Resume() })
+	out, code := runReplace(t, cluster, "l-3", "l-4")
+	g.Expect(code).To(Equal(api.ExitOK), out)
+}
+
 // ledger-replace must refuse an unreachable new member, an unknown old one, a new
 // one that is a member already, a group without a majority, and a former member
 // that returns with its old data.
