Write a router's cache anew after its disk refused a change

A router whose disk was full for a moment logged that a change was not cached, and appended the next one. After a restart its cache had the newer revision without the change in between. Control sends only changes above that revision, so the router served an old resource until it changed again.

TestCacheLacksNoChangeAfterFullDisk failed before, also on:

full_test.go:43: Expected <int>: 2 to equal <int>: 3

After a refused write the next one replaces the whole cache.

--- a/internal/configwatch/cache.go
+++ b/internal/configwatch/cache.go
@@ -20,6 +20,8 @@
 type cache struct {
 	log     *durable.Log
 	records int
+	// lacksChanges is set while the records lack changes that could not be written.
+	lacksChanges bool
 }
 
 // cacheRecord holds the changes of a revision, or with Snapshot all resources.
@@ -57,9 +59,15 @@
 }
 
 // save writes the change to the next catalog to disk. It appends the changes, or
-// replaces all records by a snapshot of next if the change is a snapshot or the
-// cache has maxCacheRecords records.
+// replaces all records by a snapshot of next if the change is a snapshot, the
+// cache has maxCacheRecords records, or the last write failed.
 func (c *cache) save(next *catalog.Catalog, snapshot bool, changes []*api.Resource) error {
+	err := c.write(next, snapshot || c.lacksChanges, changes)
+	c.lacksChanges = err != nil
+	return err
+}
+
+func (c *cache) write(next *catalog.Catalog, snapshot bool, changes []*api.Resource) error {
 	c.records++
 	record := &cacheRecord{Revision: next.Revision(), Snapshot: snapshot}
 	replace := snapshot || c.records > maxCacheRecords
