--- a/internal/relay/subtree.go
+++ b/internal/relay/subtree.go
@@ -1,9 +1,12 @@
 package relay
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
-// subtreeRetention is how long a follower's report counts: three report intervals.
-const subtreeRetention = 2100 * time.Millisecond
+// SubtreeRetention is how long a follower's report counts: three report intervals.
+const SubtreeRetention = 2100 * time.Millisecond
 
 // Subtree summarizes the routers that follow a source, directly or through relays.
 type Subtree struct {
@@ -39,6 +42,17 @@
 	s.reports[follower] = subtreeReport{subtree, now}
 }
 
+// Has reports whether a follower has a recent report.
+func (s *Subtrees) Has(follower string, now time.Time) bool {
+	s.evict(now)
+	_, found := s.reports[follower]
+	return found
+}
+
+func (s *Subtrees) evict(now time.Time) {
+	maps.DeleteFunc(s.reports, func(_ string, report subtreeReport) bool { return now.Sub(report.received) > SubtreeRetention })
+}
+
 // Sum returns the summary of all followers with a recent report and, unless its name is empty,
 // of one more router. It evicts outdated reports.
 func (s *Subtrees) Sum(own Applied, now time.Time) Subtree {
@@ -46,11 +60,8 @@
 	if own.Router != "" {
 		out = Subtree{Routers: 1, Lowest: own}
 	}
-	for follower, report := range s.reports {
-		if now.Sub(report.received) > subtreeRetention {
-			delete(s.reports, follower)
-			continue
-		}
+	s.evict(now)
+	for _, report := range s.reports {
 		if report.subtree.Routers > 0 && (out.Routers == 0 || report.subtree.Lowest.Generation < out.Lowest.Generation) {
 			out.Lowest = report.subtree.Lowest
 		}
