Spread rate limits that servers state, and the positions of routers

What a server stated to one router about its rate stayed at that router: all others sent as before, and one that sent the server nothing could not learn that the limit had ended.

Statements now travel up with the reports and down the fleet stream, and from control replica to control replica with the records of servers. The newest one of a server wins; an end travels as a limit does; a statement is not sent back to where it came from, as the network delay would make it look newer. A statement that begins, ends or changes a limit by more than a tenth is sent at once: at most 100 ms until it is collected, 100 ms for each hop up, 40 ms between replicas and 40 ms for each hop down. One that repeats the last is sent each 3 s. The first event of a stream has all of the last 10 s, and a router tells a new source all that it knows, as the old source may be lost with what it had. At most 4,096 servers are kept and sent. A source also tells each follower its indices among all routers, in the response to a report.

--- a/internal/fleetsync/codec.go
+++ b/internal/fleetsync/codec.go
@@ -101,11 +101,14 @@
 
 func fromSubtree(s *fleetpb.Subtree) relay.Subtree {
 	return relay.Subtree{
-		Routers: int(s.GetRouters()),
+		Routers: boundedRouters(s.GetRouters()),
 		Lowest:  relay.Applied{Generation: s.GetLowestGeneration(), Router: s.GetLowestRouter(), Path: s.GetLowestPath()},
 	}
 }
 
+// boundedRouters returns a number of routers from the network.
+func boundedRouters(count uint32) int { return int(min(count, relay.MaxRouters)) }
+
 const (
 	// minPackedRecords is the number of records from which a list is compressed: 140 records
 	// of 95 bytes take 3 KB instead of 13.
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -1,6 +1,9 @@
 package fleetsync
 
 import (
+	"time"
+
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -20,3 +23,42 @@
 func (p *publisher) Admit(instance string) {
 	p.decide(&fleetpb.FollowRequest{Instance: instance})
 }
+
+// StatementCache is the cache of statements on rate limits.
+type StatementCache = statementCache
+
+// Origins of statements.
+var (
+	OriginSelf     = originSelf
+	OriginUpstream = originUpstream
+)
+
+// OriginFollower returns the origin of a follower's statements.
+func OriginFollower(instance string) origin {
+	return origin{relation: relationFollower, follower: instance}
+}
+
+// NewStatementCache returns an empty cache.
+func NewStatementCache() *StatementCache { return newStatementCache() }
+
+// Merge calls merge.
+func (c *statementCache) Merge(received map[uint64]ratelimit.Statement, from origin, now time.Time) (map[uint64]ratelimit.Statement, bool) {
+	return c.merge(received, from, now)
+}
+
+// Changes calls changes.
+func (c *statementCache) Changes(cursor statementCursor, newsOnly bool, to origin, now time.Time) (map[uint64]ratelimit.Statement, statementCursor) {
+	return c.changes(cursor, newsOnly, to, now)
+}
+
+// StatementCursor is a position in a cache.
+type StatementCursor = statementCursor
+
+// MaxStatements is the capacity of a cache.
+const MaxStatements = maxStatements
+
+// ToRateStatements and FromRateStatements convert statements to messages and back.
+var (
+	ToRateStatements   = toRateStatements
+	FromRateStatements = fromRateStatements
+)
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -10,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
-	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -69,7 +67,7 @@
 	if err := p.awaitUsable(stream.Context(), request); err != nil {
 		return err
 	}
-	r := &routerStream{publisher: p, stream: stream, generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
+	r := &routerStream{publisher: p, stream: stream, instance: request.GetInstance(), generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
 	p.log.Info().Str("router", request.GetInstance()).Uint64("generation", r.generation).Msg("router subscribed to fleet stream")
 	defer r.cancelQueued()
 	err := r.open()
@@ -144,7 +142,13 @@
 	revision   uint64
 	// lossRevision is the revision of the losses that the router has.
 	lossRevision uint64
-	lastSent     time.Time
+	// instance is the router's.
+	instance string
+	// statements is what the router has received of the statements on rate limits, and
+	// statementsSent when others than news were last sent.
+	statements     statementCursor
+	statementsSent time.Time
+	lastSent       time.Time
 	// knownDigests holds the digests of the router's records when it subscribed, by the
 	// hash of the server's ID; nil once the first event was prepared.
 	knownDigests map[uint64]uint32
@@ -247,7 +251,8 @@
 	}
 	losses, lossRevision := r.publisher.losses.SinceWithRevision(r.lossRevision)
 	r.lossRevision, event.Losses = lossRevision, toLosses(losses, time.Now())
-	hasUpdates := event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
+	r.addStatements(event)
+	hasUpdates := event.Statements != nil || event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
@@ -309,6 +314,23 @@
 	}
 }
 
+// addStatements adds the news of rate limits that the router lacks, and each HeartbeatInterval the
+// other statements. The first event also has those that the router reported itself: it may have
+// restarted.
+func (r *routerStream) addStatements(event *fleetpb.FollowEvent) {
+	now := time.Now()
+	newsOnly := now.Sub(r.statementsSent) < HeartbeatInterval
+	if !newsOnly {
+		r.statementsSent = now
+	}
+	to := originNone
+	if r.firstSent {
+		to = origin{relation: relationFollower, follower: r.instance}
+	}
+	statements, cursor := r.publisher.statements.changes(r.statements, newsOnly, to, now)
+	r.statements, event.Statements = cursor, toRateStatements(statements, now)
+}
+
 // tableGranted returns a channel that is closed once the queued table may be sent, or nil if
 // no table is queued.
 func (r *routerStream) tableGranted() <-chan struct{} {
@@ -331,67 +353,3 @@
 		r.publisher.pacer.cancel(r.queued.transmission)
 	}
 }
-
-// nextRecords returns the records that the router lacks, and a channel that is closed at the
-// next change of the registry. On the first call it also sets the fields of event that only
-// the first event carries.
-func (r *routerStream) nextRecords(event *fleetpb.FollowEvent) (*recordList, <-chan struct{}, error) {
-	p := r.publisher
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	from, isFirst := r.revision, !r.firstSent
-	r.revision = p.table.Revision()
-	if isFirst {
-		event.First = true
-	}
-	if len(r.knownDigests) == 0 {
-		records, err := p.recordsSince(from)
-		return records, p.changed, err
-	}
-	now := time.Now()
-	var servers []*fleetpb.Server
-	servers, event.Unknown = missingRecords(p.table.Since(0), r.knownDigests, now)
-	r.knownDigests = nil
-	records, err := newRecordList(servers)
-	return records, p.changed, err
-}
-
-// recordsSince returns the records that changed after a revision; the caller holds mu. Many
-// streams need the same records at the same time, so they are cached until the next change.
-func (p *publisher) recordsSince(revision uint64) (*recordList, error) {
-	if p.cachedRevision != p.table.Revision() {
-		p.cachedRevision = p.table.Revision()
-		clear(p.cachedRecords)
-	}
-	if cached := p.cachedRecords[revision]; cached != nil {
-		return cached, nil
-	}
-	now, entries := time.Now(), p.table.Since(revision)
-	var servers []*fleetpb.Server
-	if revision == 0 {
-		servers, _ = missingRecords(entries, nil, now)
-	} else {
-		servers = toServers(entries, now)
-	}
-	records, err := newRecordList(servers)
-	if err == nil {
-		p.cachedRecords[revision] = records
-	}
-	return records, err
-}
-
-// missingRecords returns the records that a router lacks, and the hashes of the servers that
-// only the router has. The record of a server that is gone goes only to routers that have the
-// server. missingRecords removes entries from known.
-func missingRecords(entries []registry.Entry, known map[uint64]uint32, now time.Time) (servers []*fleetpb.Server, unknown []uint64) {
-	for _, e := range entries {
-		id := registry.HashID(e.ID)
-		digest, isKnown := known[id]
-		delete(known, id)
-		if isKnown && digest == e.Digest() || !isKnown && e.State == registry.StateGone {
-			continue
-		}
-		servers = append(servers, toServer(e, now))
-	}
-	return servers, slices.Collect(maps.Keys(known))
-}
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -16,7 +16,6 @@
 
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/fleetview"
-	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
@@ -64,13 +63,6 @@
 	return document
 }
 
-// serverCounter records how many servers a router has received.
-type serverCounter struct{ servers atomic.Int64 }
-
-func (c *serverCounter) SetServers(servers []registry.Entry)                   { c.servers.Store(int64(len(servers))) }
-func (c *serverCounter) TakeLoadReports() map[uint64]fleetsync.ServerLoad      { return nil }
-func (c *serverCounter) RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad) {}
-
 // startRouter runs a router's fleet view that subscribes to the control replicas until the
 // test ends.
 func startRouter(t *testing.T, name string, seeds ...string) (*fleetview.View, *serverCounter) {
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -117,15 +117,23 @@
 
 // serve serves a service's RPCs at address and runs the service until the test ends.
 func serve(t *testing.T, service *fleetsync.Service, address string) {
+	serveUntil(t, context.Background(), service, address)
+}
+
+// serveUntil serves a service as serve does until ctx or the test ends. It returns a channel that
+// is closed once nothing listens at address any more.
+func serveUntil(t *testing.T, ctx context.Context, service *fleetsync.Service, address string) <-chan struct{} {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", address)
 	g.Expect(err).NotTo(HaveOccurred())
 	server := rpc.NewServer()
 	g.Expect(service.Register(server.Mux())).To(Succeed())
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	t.Cleanup(cancel)
-	go func() { _ = server.Serve(ctx, listener) }()
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); _ = server.Serve(ctx, listener) }()
 	go func() { _ = service.Run(ctx) }()
+	return stopped
 }
 
 func newTestService(t *testing.T, replica fleetsync.Source, own string) *fleetsync.Service {
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -110,11 +110,13 @@
 	return out
 }
 
-// Report implements the Report RPC of the Fleet service. It merges a router's loads and
-// returns those that the replica received recently.
+// Report implements the Report RPC of the Fleet service. It merges what a router reports and
+// returns the loads that the replica received recently.
 func (p *publisher) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
-	p.loads.merge(request.GetLoads(), now)
-	p.recordSubtree(request, now)
-	return &fleetpb.ReportResponse{Loads: ToLoads(p.loads.recent(now, LoadReportInterval+reportSlack), now)}, nil
+	response := p.mergeReport(request, now)
+	if !request.GetWithoutLoads() {
+		response.Loads = ToLoads(p.loads.recent(now, LoadReportInterval+reportSlack), now)
+	}
+	return response, nil
 }
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/internal/quarantine"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
@@ -60,6 +61,7 @@
 	source     Source
 	loads      *loadCache
 	losses     *quarantine.Store
+	statements *statementCache
 	tables     tableHistory
 	barrier    *sharedCall
 	// openSemaphore limits how many streams send their first event concurrently.
@@ -69,6 +71,13 @@
 	isSynced func() bool
 	// onFirstSubscriber is called with mu held when a first router is admitted; it may be nil.
 	onFirstSubscriber func()
+	// onStatements is called with newer statements of other processes; it may be nil.
+	onStatements func(map[uint64]ratelimit.Statement)
+	// onReportNews is called when the other replicas or the source should soon receive what this
+	// process was told.
+	onReportNews func()
+	// numbering returns the range of indices of all followers; it is called with mu held.
+	numbering func(now time.Time) relay.Numbering
 	// quorumWaitTimeout is how long a new stream is held while the source has no quorum.
 	quorumWaitTimeout time.Duration
 
@@ -85,7 +94,7 @@
 
 func newPublisher(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
 	p := &publisher{
-		log: log, ownAddress: address, source: source, loads: newLoadCache(), losses: losses,
+		log: log, ownAddress: address, source: source, loads: newLoadCache(), losses: losses, statements: newStatementCache(),
 		barrier: newSharedCall(source.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
 		isSynced: func() bool { return true }, quorumWaitTimeout: quorumWaitTimeout,
 		admission: relay.NewAdmission(limits), subtrees: relay.NewSubtrees(), table: registry.New(), changed: make(chan struct{}),
@@ -115,12 +124,6 @@
 	return p.subtrees.Sum(own, now)
 }
 
-func (p *publisher) recordSubtree(request *fleetpb.ReportRequest, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.subtrees.Record(request.GetInstance(), fromSubtree(request.GetSubtree()), now)
-}
-
 // Confirm implements the Confirm RPC of the Fleet service.
 func (p *publisher) Confirm(ctx context.Context, _ *fleetpb.ConfirmRequest) (*fleetpb.ConfirmResponse, error) {
 	if err := p.awaitReadBarrier(ctx); err != nil {
--- /dev/null
+++ b/internal/fleetsync/records.go
@@ -0,0 +1,74 @@
+package fleetsync
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+// nextRecords returns the records that the router lacks, and a channel that is closed at the
+// next change of the registry. On the first call it also sets the fields of event that only
+// the first event carries.
+func (r *routerStream) nextRecords(event *fleetpb.FollowEvent) (*recordList, <-chan struct{}, error) {
+	p := r.publisher
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, isFirst := r.revision, !r.firstSent
+	r.revision = p.table.Revision()
+	if isFirst {
+		event.First = true
+	}
+	if len(r.knownDigests) == 0 {
+		records, err := p.recordsSince(from)
+		return records, p.changed, err
+	}
+	now := time.Now()
+	var servers []*fleetpb.Server
+	servers, event.Unknown = missingRecords(p.table.Since(0), r.knownDigests, now)
+	r.knownDigests = nil
+	records, err := newRecordList(servers)
+	return records, p.changed, err
+}
+
+// recordsSince returns the records that changed after a revision; the caller holds mu. Many
+// streams need the same records at the same time, so they are cached until the next change.
+func (p *publisher) recordsSince(revision uint64) (*recordList, error) {
+	if p.cachedRevision != p.table.Revision() {
+		p.cachedRevision = p.table.Revision()
+		clear(p.cachedRecords)
+	}
+	if cached := p.cachedRecords[revision]; cached != nil {
+		return cached, nil
+	}
+	now, entries := time.Now(), p.table.Since(revision)
+	var servers []*fleetpb.Server
+	if revision == 0 {
+		servers, _ = missingRecords(entries, nil, now)
+	} else {
+		servers = toServers(entries, now)
+	}
+	records, err := newRecordList(servers)
+	if err == nil {
+		p.cachedRecords[revision] = records
+	}
+	return records, err
+}
+
+// missingRecords returns the records that a router lacks, and the hashes of the servers that
+// only the router has. The record of a server that is gone goes only to routers that have the
+// server. missingRecords removes entries from known.
+func missingRecords(entries []registry.Entry, known map[uint64]uint32, now time.Time) (servers []*fleetpb.Server, unknown []uint64) {
+	for _, e := range entries {
+		id := registry.HashID(e.ID)
+		digest, isKnown := known[id]
+		delete(known, id)
+		if isKnown && digest == e.Digest() || !isKnown && e.State == registry.StateGone {
+			continue
+		}
+		servers = append(servers, toServer(e, now))
+	}
+	return servers, slices.Collect(maps.Keys(known))
+}
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -31,6 +31,15 @@
 	// sourceLoads holds the loads received from the source. They are not reported back to
 	// it: the network delay would make them look newer than they are.
 	sourceLoads *loadCache
+	// reportNews receives a value when the source should soon receive a report.
+	reportNews chan struct{}
+	// ownNumbering is the range of indices of this router and its followers. It and the fields
+	// below are guarded by the publisher's mu.
+	ownNumbering relay.Numbering
+	// sentStatements is what the source has received of the statements on rate limits.
+	sentStatements statementCursor
+	// sources counts the streams of sources.
+	sources int
 }
 
 // NewRelay returns the relay of the router with the given RPC address. servers returns all
@@ -38,7 +47,9 @@
 // unknown and disables pacing.
 func NewRelay(address string, source Source, servers func() []registry.Entry, losses *quarantine.Store, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
 	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
-	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache()}
+	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache(), reportNews: make(chan struct{}, 1)}
+	r.onReportNews = r.wakeReport
+	r.numbering = func(time.Time) relay.Numbering { return r.ownNumbering.Followers() }
 	r.onFirstSubscriber = r.fillTable
 	r.tables.receivedOnly = true
 	r.quorumWaitTimeout = relayQuorumWaitTimeout
@@ -94,15 +105,17 @@
 	}
 }
 
-// Report implements the Report RPC of the Fleet service. It merges a follower's loads and
-// returns those that this router received recently from its followers and its source.
+// Report implements the Report RPC of the Fleet service. It merges what a follower reports and
+// returns the loads that this router received recently from its followers and its source.
 func (r *Relay) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
-	r.loads.merge(request.GetLoads(), now)
-	r.recordSubtree(request, now)
-	loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
-	AddNewerLoads(loads, r.loads.recent(now, LoadReportInterval+reportSlack))
-	return &fleetpb.ReportResponse{Loads: ToLoads(loads, now)}, nil
+	response := r.mergeReport(request, now)
+	if !request.GetWithoutLoads() {
+		loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
+		AddNewerLoads(loads, r.loads.recent(now, LoadReportInterval+reportSlack))
+		response.Loads = ToLoads(loads, now)
+	}
+	return response, nil
 }
 
 // FollowerLoads returns the loads that followers reported within the given time, for this
--- /dev/null
+++ b/internal/fleetsync/share.go
@@ -0,0 +1,152 @@
+package fleetsync
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/relay"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+// share sends one replica the changes that it lacks and merges the response. It reports whether
+// the replica has all changes of before the call. If the call fails, the next one sends the same
+// changes again.
+func (s *Service) share(ctx context.Context, p *peer, digest bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	request, revision, statements := s.newShareRequest(p, digest)
+	if !digest && len(request.GetServers()) == 0 && request.GetStatements() == nil && int(request.GetRouters()) == p.sentRouters {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	var response *fleetpb.ShareResponse
+	err := p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
+		var err error
+		response, err = fleetpb.NewDRPCFleetClient(conn).Share(ctx, request)
+		return err
+	})
+	if err != nil {
+		s.log.Debug().Err(err).Str("peer", p.client.Address()).Msg("failed to share backend servers with a control replica")
+		return false
+	}
+	p.sentRevision, p.sentStatements, p.sentRouters = revision, statements, int(request.GetRouters())
+	if len(response.GetUnknown()) > 0 {
+		// The replica has restarted and lacks these servers; the next call sends all.
+		p.sentRevision, p.sentStatements = 0, statementCursor{}
+	}
+	now := time.Now()
+	s.recordStatements(fromRateStatements(response.GetStatements(), now), originUpstream, now)
+	if departed := s.mergeServers(response.GetServers()); len(departed) > 0 {
+		// The replica that sent them has stored them; an error is logged.
+		go func() { _ = s.departures.Append(s.running, departed...) }()
+	}
+	if digest {
+		p.losses.Compare(response.GetLossDigest(), now)
+	}
+	if request.GetWantAll() {
+		s.mu.Lock()
+		s.synced = true
+		s.mu.Unlock()
+	}
+	return true
+}
+
+// newShareRequest returns the request with the changes that a replica lacks, and the registry
+// revision and the cursor that the replica has with it.
+func (s *Service) newShareRequest(p *peer, digest bool) (*fleetpb.ShareRequest, uint64, statementCursor) {
+	now := time.Now()
+	statements, cursor := s.statements.changes(p.sentStatements, !digest, originUpstream, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	request := &fleetpb.ShareRequest{
+		Instance: s.ownAddress, Servers: toServers(s.table.Since(p.sentRevision), now), WantAll: digest && !s.synced,
+		Statements: toRateStatements(statements, now), Routers: uint32(s.subtrees.Sum(relay.Applied{}, now).Routers),
+	}
+	if digest {
+		request.LossDigest = s.losses.Digest()
+		request.Loads = ToLoads(s.loads.recent(now, digestInterval+reportSlack), now)
+		for hash, at := range s.announcedAt {
+			request.Alive = append(request.Alive, hash)
+			request.AgeMs = append(request.AgeMs, uint32(now.Sub(at).Milliseconds()))
+		}
+	}
+	return request, s.table.Revision(), cursor
+}
+
+// mergeServers merges server records of another replica into the registry. It returns the records
+// of servers that leave and that this replica has not stored yet.
+func (s *Service) mergeServers(servers []*fleetpb.Server) (departed []registry.Entry) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, record := range servers {
+		entry := FromServer(record, now)
+		changed = s.table.Merge(entry.Server, entry.LastAnnounced) || changed
+		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged.Server) {
+			departed = append(departed, merged)
+		}
+	}
+	if changed {
+		s.notifyChanged()
+	}
+	return departed
+}
+
+// Share implements the Share RPC of the Fleet service. It merges another replica's changes,
+// loads and digest, and stores departures before it returns. The response holds the hashes in
+// the digest for which this replica has no server and, if requested, all its servers.
+func (s *Service) Share(ctx context.Context, request *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
+	departed := s.mergeServers(request.GetServers())
+	response := s.mergeDigest(request)
+	// An error makes the sender send the same changes again.
+	return response, s.departures.Append(ctx, departed...)
+}
+
+// mergeDigest merges the loads and the digest of a request and returns the response to it.
+func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
+	now := time.Now()
+	s.loads.merge(request.GetLoads(), now)
+	s.recordStatements(fromRateStatements(request.GetStatements(), now), originUpstream, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replicas.Record(request.GetInstance(), relay.Subtree{Routers: boundedRouters(request.GetRouters())}, now)
+	response := &fleetpb.ShareResponse{LossDigest: s.losses.Digest()}
+	before := s.table.Revision()
+	for i, hash := range request.GetAlive() {
+		if i >= len(request.GetAgeMs()) {
+			break
+		}
+		if !s.table.Confirm(hash, now.Add(-time.Duration(request.GetAgeMs()[i])*time.Millisecond), now) {
+			response.Unknown = append(response.Unknown, hash)
+		}
+	}
+	if s.table.Revision() != before {
+		s.notifyChanged()
+	}
+	if request.GetWantAll() {
+		response.Servers = toServers(s.table.Since(0), now)
+		all, _ := s.statements.changes(statementCursor{}, false, originNone, now)
+		response.Statements = toRateStatements(all, now)
+	}
+	return response
+}
+
+// numbering returns the indices of the routers that follow this replica: the replicas take
+// consecutive ranges in the order of their addresses. A replica that has been silent has no
+// routers; after the start, the indices are unknown until each replica has been heard or has been
+// silent for as long. The caller holds mu.
+func (s *Service) numbering(now time.Time) relay.Numbering {
+	for address := range s.peers {
+		if now.Sub(s.started) < relay.SubtreeRetention && !s.replicas.Has(address, now) {
+			return relay.Numbering{}
+		}
+	}
+	s.replicas.Record(s.ownAddress, s.subtrees.Sum(relay.Applied{}, now), now)
+	count := s.replicas.Sum(relay.Applied{}, now).Routers
+	return s.replicas.Part(relay.Numbering{Length: count, Count: count}, s.ownAddress, now)
+}
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -55,6 +55,8 @@
 	// synced reports that another replica has answered with all its servers.
 	synced bool
 	peers  map[string]*peer
+	// replicas holds the numbers of routers that follow each control replica, by its address.
+	replicas *relay.Subtrees
 }
 
 // peer is another control replica.
@@ -63,9 +65,13 @@
 	// sentRevision is the registry revision up to which the replica has received all
 	// changes.
 	sentRevision uint64
-	mu           sync.Mutex
-	losses       *LossSender
-	stopLosses   context.CancelFunc
+	// sentStatements is what the replica has received of the statements on rate limits, and
+	// sentRouters the number of routers that it was last told.
+	sentStatements statementCursor
+	sentRouters    int
+	mu             sync.Mutex
+	losses         *LossSender
+	stopLosses     context.CancelFunc
 }
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
@@ -74,12 +80,14 @@
 func NewService(address string, source Source, losses *quarantine.Store, departures *DepartureLog, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		departures: departures,
-		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer),
+		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(),
 		sharePending: make(chan struct{}, 1),
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	s.publisher = newPublisher(address, source, losses, limits, linkMbps, log)
 	s.publisher.isSynced = s.isSynced
+	s.onReportNews = s.scheduleShare
+	s.publisher.numbering = s.numbering
 	for _, e := range departures.Entries(s.started) {
 		s.table.Merge(e.Server, e.LastAnnounced)
 	}
@@ -260,119 +268,6 @@
 	return p
 }
 
-// share sends one replica the changes that it lacks and merges the response. It reports whether
-// the replica has all changes of before the call. If the call fails, the next one sends the same
-// changes again.
-func (s *Service) share(ctx context.Context, p *peer, digest bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	request, revision := s.newShareRequest(p, digest)
-	if !digest && len(request.GetServers()) == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	var response *fleetpb.ShareResponse
-	err := p.client.Do(ctx, func(ctx context.Context, conn drpc.Conn) error {
-		var err error
-		response, err = fleetpb.NewDRPCFleetClient(conn).Share(ctx, request)
-		return err
-	})
-	if err != nil {
-		s.log.Debug().Err(err).Str("peer", p.client.Address()).Msg("failed to share backend servers with a control replica")
-		return false
-	}
-	p.sentRevision = revision
-	if len(response.GetUnknown()) > 0 {
-		// The replica has restarted and lacks these servers; the next call sends all.
-		p.sentRevision = 0
-	}
-	if departed := s.mergeServers(response.GetServers()); len(departed) > 0 {
-		// The replica that sent them has stored them; an error is logged.
-		go func() { _ = s.departures.Append(s.running, departed...) }()
-	}
-	if digest {
-		p.losses.Compare(response.GetLossDigest(), time.Now())
-	}
-	if request.GetWantAll() {
-		s.mu.Lock()
-		s.synced = true
-		s.mu.Unlock()
-	}
-	return true
-}
-
-func (s *Service) newShareRequest(p *peer, digest bool) (*fleetpb.ShareRequest, uint64) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	request := &fleetpb.ShareRequest{Instance: s.ownAddress, Servers: toServers(s.table.Since(p.sentRevision), now), WantAll: digest && !s.synced}
-	if digest {
-		request.LossDigest = s.losses.Digest()
-		request.Loads = ToLoads(s.loads.recent(now, digestInterval+reportSlack), now)
-		for hash, at := range s.announcedAt {
-			request.Alive = append(request.Alive, hash)
-			request.AgeMs = append(request.AgeMs, uint32(now.Sub(at).Milliseconds()))
-		}
-	}
-	return request, s.table.Revision()
-}
-
-// mergeServers merges server records of another replica into the registry. It returns the records
-// of servers that leave and that this replica has not stored yet.
-func (s *Service) mergeServers(servers []*fleetpb.Server) (departed []registry.Entry) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	changed := false
-	for _, record := range servers {
-		entry := FromServer(record, now)
-		changed = s.table.Merge(entry.Server, entry.LastAnnounced) || changed
-		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged.Server) {
-			departed = append(departed, merged)
-		}
-	}
-	if changed {
-		s.notifyChanged()
-	}
-	return departed
-}
-
-// Share implements the Share RPC of the Fleet service. It merges another replica's changes,
-// loads and digest, and stores departures before it returns. The response holds the hashes in
-// the digest for which this replica has no server and, if requested, all its servers.
-func (s *Service) Share(ctx context.Context, request *fleetpb.ShareRequest) (*fleetpb.ShareResponse, error) {
-	departed := s.mergeServers(request.GetServers())
-	response := s.mergeDigest(request)
-	// An error makes the sender send the same changes again.
-	return response, s.departures.Append(ctx, departed...)
-}
-
-// mergeDigest merges the loads and the digest of a request and returns the response to it.
-func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
-	now := time.Now()
-	s.loads.merge(request.GetLoads(), now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	response := &fleetpb.ShareResponse{LossDigest: s.losses.Digest()}
-	before := s.table.Revision()
-	for i, hash := range request.GetAlive() {
-		if i >= len(request.GetAgeMs()) {
-			break
-		}
-		if !s.table.Confirm(hash, now.Add(-time.Duration(request.GetAgeMs()[i])*time.Millisecond), now) {
-			response.Unknown = append(response.Unknown, hash)
-		}
-	}
-	if s.table.Revision() != before {
-		s.notifyChanged()
-	}
-	if request.GetWantAll() {
-		response.Servers = toServers(s.table.Since(0), now)
-	}
-	return response
-}
-
 // isSynced reports whether another replica's servers have been merged, or
 // initialSyncTimeout has passed.
 func (s *Service) isSynced() bool {
--- /dev/null
+++ b/internal/fleetsync/statements_test.go
@@ -0,0 +1,398 @@
+package fleetsync_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
+	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+// serverCounter records how many servers a router has received, and the statements on rate limits
+// and the position.
+type serverCounter struct {
+	servers atomic.Int64
+
+	mu       sync.Mutex
+	unsent   map[uint64]ratelimit.Statement
+	received map[uint64]ratelimit.Statement
+	position ratelimit.Position
+}
+
+func (c *serverCounter) SetServers(servers []registry.Entry)                   { c.servers.Store(int64(len(servers))) }
+func (c *serverCounter) TakeLoadReports() map[uint64]fleetsync.ServerLoad      { return nil }
+func (c *serverCounter) RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad) {}
+
+func (c *serverCounter) TakeRateStatements() map[uint64]ratelimit.Statement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.unsent
+	c.unsent = nil
+	return out
+}
+
+func (c *serverCounter) RecordPeerRateStatements(statements map[uint64]ratelimit.Statement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.received == nil {
+		c.received = make(map[uint64]ratelimit.Statement)
+	}
+	maps.Copy(c.received, statements)
+}
+
+func (c *serverCounter) SetPosition(position ratelimit.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.position = position
+}
+
+// answer makes the router report a statement that it received from a server.
+func (c *serverCounter) answer(server uint64, statement ratelimit.Statement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unsent == nil {
+		c.unsent = make(map[uint64]ratelimit.Statement)
+	}
+	c.unsent[server] = statement
+}
+
+// rateOf returns the rate that other routers reported last for a server, -1 if none did and 0 if
+// the limit has ended.
+func (c *serverCounter) rateOf(server uint64) func() float64 {
+	return func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		statement, found := c.received[server]
+		switch {
+		case !found:
+			return -1
+		case !statement.Limited:
+			return 0
+		default:
+			return statement.PerSecond
+		}
+	}
+}
+
+func (c *serverCounter) positionNow() ratelimit.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position
+}
+
+func limited(rate float64, at time.Time) ratelimit.Statement {
+	return ratelimit.Statement{PerSecond: rate, Limited: true, StatedAt: at}
+}
+
+// startTwoReplicas starts two control replicas with table generation 1 and routers of one failure
+// domain, of which most follow through relays, and returns when all have the table.
+func startTwoReplicas(t *testing.T, count int) []*relayingRouter {
+	g := NewWithT(t)
+	addresses := []string{reserveAddress(t), reserveAddress(t)}
+	for _, address := range addresses {
+		replica := newFakeReplica(addresses...)
+		replica.table = newTable(t, 1)
+		serve(t, newTestService(t, replica, address), address)
+	}
+	var routers []*relayingRouter
+	for i := range count {
+		routers = append(routers, startRelayingRouter(t, fmt.Sprintf("router-%02d", i), "domain-a", addresses...))
+	}
+	relayed := 0
+	for _, r := range routers {
+		g.Eventually(generationOf(r.view), 10*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+		if r.view.Depth() > 1 {
+			relayed++
+		}
+	}
+	g.Expect(relayed).To(BeNumerically(">=", count/3), "routers that follow a relay")
+	return routers
+}
+
+// deepest returns the router that is furthest from control.
+func deepest(routers []*relayingRouter) *relayingRouter {
+	out := routers[0]
+	for _, r := range routers {
+		if r.view.Depth() > out.view.Depth() {
+			out = r
+		}
+	}
+	return out
+}
+
+// TestRateLimitReachesAllRouters guards against routers that exceed a limit because they have not
+// heard of it, or keep to one that has ended: those that send a server nothing learn it only
+// from others.
+func TestRateLimitReachesAllRouters(t *testing.T) {
+	g := NewWithT(t)
+	routers := startTwoReplicas(t, 30)
+	teller := deepest(routers)
+	expectAll := func(rate float64) {
+		start := time.Now()
+		for _, r := range routers {
+			if r != teller {
+				g.Eventually(r.fleet.rateOf(7), 2*time.Second, 5*time.Millisecond).Should(Equal(rate))
+			}
+		}
+		t.Logf("rate %v reached all %d routers from depth %d within %v", rate, len(routers), teller.view.Depth(), time.Since(start))
+	}
+	teller.fleet.answer(7, limited(2.5, time.Now()))
+	expectAll(2.5)
+	time.Sleep(600 * time.Millisecond)
+	teller.fleet.answer(7, limited(1.5, time.Now()))
+	expectAll(1.5)
+	teller.fleet.answer(7, ratelimit.Statement{StatedAt: time.Now()})
+	expectAll(0)
+	// A statement of before the end that arrives late changes nothing.
+	late := routers[0]
+	if late == teller {
+		late = routers[1]
+	}
+	late.fleet.answer(7, limited(2.5, time.Now().Add(-3*time.Second)))
+	time.Sleep(1500 * time.Millisecond)
+	expectAll(0)
+}
+
+// TestNewRouterReceivesCurrentRateLimits guards against a router that has just started and sends a
+// server what others have learned not to.
+func TestNewRouterReceivesCurrentRateLimits(t *testing.T) {
+	g := NewWithT(t)
+	_, _, proxy, routers := startRelayedFleet(t, 12)
+	routers[0].fleet.answer(7, limited(2.5, time.Now().Add(-4*time.Second)))
+	routers[0].fleet.answer(8, limited(2.5, time.Now().Add(-11*time.Second)))
+	g.Eventually(routers[1].fleet.rateOf(7), 2*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+	time.Sleep(2 * time.Second)
+	late := startRelayingRouter(t, "router-late", "domain-a", proxy.address)
+	g.Eventually(generationOf(late.view), 3*time.Second, time.Millisecond).Should(Equal(uint64(1)))
+	g.Eventually(late.fleet.rateOf(7), 100*time.Millisecond, time.Millisecond).Should(Equal(2.5))
+	g.Expect(late.fleet.rateOf(8)()).To(Equal(-1.0), "older than the age up to which statements are forwarded")
+}
+
+// TestRestartedRouterReceivesItsOwnStatements guards against a router that forgets with a restart
+// what it had told the others.
+func TestRestartedRouterReceivesItsOwnStatements(t *testing.T) {
+	g := NewWithT(t)
+	_, _, proxy, routers := startRelayedFleet(t, 2)
+	routers[0].fleet.answer(7, limited(2.5, time.Now()))
+	g.Eventually(routers[1].fleet.rateOf(7), 2*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+	routers[0].stop()
+	restarted := startRelayingRouter(t, "router-0", "domain-a", proxy.address)
+	g.Eventually(restarted.fleet.rateOf(7), 3*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+}
+
+// TestRateLimitSurvivesLossOfSource guards against a statement that is lost with the router that
+// received it and the replica to which it reported: the other followers have it.
+func TestRateLimitSurvivesLossOfSource(t *testing.T) {
+	g := NewWithT(t)
+	address := reserveAddress(t)
+	replica := newFakeReplica(address)
+	replica.table = newTable(t, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	stopped := serveUntil(t, ctx, newTestService(t, replica, address), address)
+	teller := startRelayingRouter(t, "router-1", "domain-a", address)
+	witness := startRelayingRouter(t, "router-2", "domain-a", address)
+	for _, r := range []*relayingRouter{teller, witness} {
+		g.Eventually(generationOf(r.view), 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+	}
+	teller.fleet.answer(7, limited(2.5, time.Now()))
+	g.Eventually(witness.fleet.rateOf(7), 2*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+	teller.stop()
+	stop()
+	<-stopped
+	serve(t, newTestService(t, replica, address), address)
+	other := startRelayingRouter(t, "router-3", "domain-a", address)
+	g.Eventually(other.fleet.rateOf(7), 5*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+}
+
+// TestRepeatedStatementsTakeFewBytes guards against a link that is filled by servers that repeat
+// their limit in each answer.
+func TestRepeatedStatementsTakeFewBytes(t *testing.T) {
+	g := NewWithT(t)
+	const seconds = 6
+	cost := make(map[int]int64)
+	for _, servers := range []int{0, 50, 200} {
+		_, _, proxy, routers := startRelayedFleet(t, 3)
+		teller := routers[2]
+		answer := func() {
+			for server := range uint64(servers) {
+				teller.fleet.answer(server, limited(2.5, time.Now()))
+			}
+		}
+		answer()
+		if servers > 0 {
+			g.Eventually(routers[1].fleet.rateOf(0), 2*time.Second, 5*time.Millisecond).Should(Equal(2.5))
+		}
+		time.Sleep(time.Second)
+		before := proxy.bytes.Load()
+		for range 10 * seconds {
+			answer()
+			time.Sleep(100 * time.Millisecond)
+		}
+		cost[servers] = (proxy.bytes.Load() - before) / seconds
+		t.Logf("%d limited servers: %d bytes/s from control to the two other routers", servers, cost[servers])
+	}
+	g.Expect(cost[200]-cost[0]).To(BeNumerically("<", 2*200*14/2), "bytes/s: each statement at most each 2 s")
+}
+
+// TestPositionsAreUniqueThroughRelays guards against two routers that take the same share of a rate.
+func TestPositionsAreUniqueThroughRelays(t *testing.T) {
+	g := NewWithT(t)
+	routers := startTwoReplicas(t, 30)
+	indices := func(routers []*relayingRouter) func() map[int]int {
+		return func() map[int]int {
+			out := make(map[int]int)
+			for _, r := range routers {
+				position := r.fleet.positionNow()
+				if position.Count == len(routers) && position.Index < len(routers) {
+					out[position.Index]++
+				}
+			}
+			return out
+		}
+	}
+	start := time.Now()
+	g.Eventually(indices(routers), 10*time.Second, 20*time.Millisecond).Should(HaveLen(30))
+	t.Logf("positions of 30 routers settled within %v", time.Since(start))
+	routers[29].stop()
+	start = time.Now()
+	g.Eventually(indices(routers[:29]), 10*time.Second, 20*time.Millisecond).Should(HaveLen(29))
+	t.Logf("positions settled within %v after the loss of one router", time.Since(start))
+}
+
+// TestRouterKeepsPositionWithoutSource guards against a router that takes the whole rate for its
+// own once it has lost control.
+func TestRouterKeepsPositionWithoutSource(t *testing.T) {
+	g := NewWithT(t)
+	_, _, proxy, routers := startRelayedFleet(t, 3)
+	counts := func() (out []int) {
+		for _, r := range routers {
+			out = append(out, r.fleet.positionNow().Count)
+		}
+		return out
+	}
+	g.Eventually(counts, 5*time.Second, 20*time.Millisecond).Should(Equal([]int{3, 3, 3}))
+	proxy.cut()
+	proxy.closeConnections()
+	g.Consistently(counts, 3*time.Second, 50*time.Millisecond).Should(Equal([]int{3, 3, 3}))
+}
+
+// TestCacheKeepsNewestStatement checks over random statements, in any order, that the newest of
+// each server wins, that a process with a cursor has all of them in the end, and that statements
+// are not sent back.
+func TestCacheKeepsNewestStatement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		cache := fleetsync.NewStatementCache()
+		now := time.Unix(1000, 0)
+		want, got := make(map[uint64]ratelimit.Statement), make(map[uint64]ratelimit.Statement)
+		var cursor fleetsync.StatementCursor
+		for range rapid.IntRange(1, 40).Draw(t, "statements") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond)
+			server := rapid.Uint64Range(1, 3).Draw(t, "server")
+			statement := ratelimit.Statement{StatedAt: now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond)}
+			if rapid.Bool().Draw(t, "limited") {
+				statement.Limited, statement.PerSecond = true, 2.5
+			}
+			isNewer := statement.StatedAt.After(want[server].StatedAt)
+			newer, _ := cache.Merge(map[uint64]ratelimit.Statement{server: statement}, fleetsync.OriginFollower("a"), now)
+			g.Expect(newer).To(HaveLen(map[bool]int{true: 1}[isNewer]))
+			if isNewer {
+				want[server] = statement
+			}
+			if rapid.Bool().Draw(t, "send") {
+				var sent map[uint64]ratelimit.Statement
+				sent, cursor = cache.Changes(cursor, rapid.Bool().Draw(t, "news only"), fleetsync.OriginUpstream, now)
+				maps.Copy(got, sent)
+			}
+			back, _ := cache.Changes(fleetsync.StatementCursor{}, false, fleetsync.OriginFollower("a"), now)
+			g.Expect(back).To(BeEmpty())
+		}
+		sent, _ := cache.Changes(cursor, false, fleetsync.OriginUpstream, now)
+		maps.Copy(got, sent)
+		for server, statement := range want {
+			if now.Sub(statement.StatedAt) > 9*time.Second {
+				continue
+			}
+			g.Expect(got[server].Limited).To(Equal(statement.Limited))
+			g.Expect(statement.StatedAt.Sub(got[server].StatedAt)).To(BeNumerically("<", 3*time.Second))
+		}
+	})
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	cache := fleetsync.NewStatementCache()
+	now := time.Unix(1000, 0)
+	for i := range uint64(2 * fleetsync.MaxStatements) {
+		at := now.Add(time.Duration(i) * time.Microsecond)
+		cache.Merge(map[uint64]ratelimit.Statement{i: limited(2.5, at)}, fleetsync.OriginSelf, now)
+	}
+	all, _ := cache.Changes(fleetsync.StatementCursor{}, false, fleetsync.OriginUpstream, now)
+	g.Expect(all).To(HaveLen(fleetsync.MaxStatements))
+	g.Expect(all).To(HaveKey(uint64(2*fleetsync.MaxStatements - 1)))
+	g.Expect(all).NotTo(HaveKey(uint64(0)))
+	all, _ = cache.Changes(fleetsync.StatementCursor{}, false, fleetsync.OriginUpstream, now.Add(11*time.Second))
+	g.Expect(all).To(BeEmpty())
+}
+
+func TestMalformedStatementsAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	infinite, nan := float32(math.Inf(1)), float32(math.NaN())
+	message := &fleetpb.RateStatements{
+		Servers:   []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9},
+		PerSecond: []float32{2.5, -1, 0, -2, infinite, -infinite, nan, 2.5},
+		AgeMs:     []uint32{10, 10, 10, 10, 10, 10, 10, math.MaxUint32, 10},
+	}
+	at := now.Add(-10 * time.Millisecond)
+	g.Expect(fleetsync.FromRateStatements(message, now)).To(Equal(map[uint64]ratelimit.Statement{
+		1: limited(2.5, at), 2: {StatedAt: at}, 3: limited(0, at),
+	}))
+	g.Expect(fleetsync.FromRateStatements(nil, now)).To(BeEmpty())
+}
+
+// TestTransmissionNeverRaisesRateNorMakesItNewer guards against rounding that lets the routers
+// send more than a server takes, or that makes an old statement win.
+func TestTransmissionNeverRaisesRateNorMakesItNewer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		now := time.Unix(1000, 0)
+		sent := limited(rapid.Float64Range(0, math.MaxFloat64).Draw(t, "rate"), now.Add(-time.Duration(rapid.Int64Range(0, 9e9).Draw(t, "age"))))
+		received := fleetsync.FromRateStatements(fleetsync.ToRateStatements(map[uint64]ratelimit.Statement{1: sent}, now), now)
+		g.Expect(received[1].Limited).To(BeTrue())
+		g.Expect(received[1].PerSecond).To(BeNumerically("<=", sent.PerSecond))
+		g.Expect(received[1].StatedAt.After(sent.StatedAt)).To(BeFalse())
+	})
+}
+
+// TestSizeOfStatements measures the bytes of a statement, of which docs/CAPACITY.md derives the
+// cost on a link. Without limited servers there are none.
+func TestSizeOfStatements(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	size := func(count int) int {
+		statements := make(map[uint64]ratelimit.Statement)
+		for i := range uint64(count) {
+			statements[i*0x9e3779b97f4a7c15] = limited(2.6, now.Add(-time.Duration(i*15)*time.Millisecond))
+		}
+		return proto.Size(&fleetpb.FollowEvent{Statements: fleetsync.ToRateStatements(statements, now)})
+	}
+	g.Expect(size(0)).To(BeZero())
+	for _, count := range []int{1, 50, 100, 200, 400} {
+		t.Logf("%d statements: %d bytes", count, size(count))
+	}
+	g.Expect(size(400) - size(200)).To(BeNumerically("<=", 200*14))
+}
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -17,6 +17,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
@@ -85,6 +86,14 @@
 	TakeLoadReports() map[uint64]fleetsync.ServerLoad
 	// RecordPeerLoads records the loads that servers have reported to any router.
 	RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad)
+	// TakeRateStatements returns the statements on rate limits that this router has received
+	// in answers since the last call, by the servers' hashes: those of servers that are
+	// limited, or whose limit has just ended.
+	TakeRateStatements() map[uint64]ratelimit.Statement
+	// RecordPeerRateStatements records the statements that other routers have received.
+	RecordPeerRateStatements(statements map[uint64]ratelimit.Statement)
+	// SetPosition records the position of this router among all routers.
+	SetPosition(position ratelimit.Position)
 }
 
 // Config configures a view.
@@ -116,6 +125,7 @@
 	}
 	v.losses, v.lossSender = c.Losses, fleetsync.NewLossSender(c.Losses)
 	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, v.entries, c.Losses, c.MaxFollowers, c.LinkMbps, log)
+	v.relay.OnStatements(c.Fleet.RecordPeerRateStatements)
 	v.addMetrics()
 	return v
 }
@@ -149,6 +159,7 @@
 		return err
 	}
 	v.applyLosses(event)
+	v.relay.RecordSourceStatements(event.GetStatements(), event.GetFirst(), time.Now())
 	if err := v.applyTable(event); err != nil {
 		return err
 	}
