--- a/internal/fleetsync/relaystatements.go
+++ b/internal/fleetsync/relaystatements.go
@@ -67,3 +67,13 @@
 	r.ownNumbering = numbering
 	return numbering.Position(), true
 }
+
+// Position returns the position of this router, with the count 0 while it is unknown.
+func (r *Relay) Position() ratelimit.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownNumbering.Position()
+}
+
+// Statements returns the number of servers whose statements are kept.
+func (r *Relay) Statements() int { return r.statements.len() }
--- a/internal/fleetsync/statements.go
+++ b/internal/fleetsync/statements.go
@@ -86,6 +86,12 @@
 	return &statementCache{byServer: make(map[uint64]*cachedStatement)}
 }
 
+func (c *statementCache) len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byServer)
+}
+
 // merge stores the statements that are newer than the cached ones. It returns them, and whether
 // any is news: if it begins or ends a limit, or changes the rate by more than
 // rateChangeThreshold.
--- a/internal/fleetview/metrics.go
+++ b/internal/fleetview/metrics.go
@@ -7,7 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// addMetrics adds gauges of the generation, the servers and the age of this view.
+// addMetrics adds gauges of the generation, the servers, the rate limits and the age of this view.
 func (v *View) addMetrics() {
 	metrics.GetOrCreateGauge("peridotwinch_view_generation", func() float64 {
 		if table := v.Table(); table != nil {
@@ -24,6 +24,9 @@
 	})
 	metrics.GetOrCreateGauge("peridotwinch_view_depth", func() float64 { return float64(v.Depth()) })
 	metrics.GetOrCreateGauge("peridotwinch_view_followers", func() float64 { return float64(v.Followers()) })
+	metrics.GetOrCreateGauge("peridotwinch_view_routers", func() float64 { return float64(v.relay.Position().Count) })
+	metrics.GetOrCreateGauge("peridotwinch_view_position", func() float64 { return float64(v.relay.Position().Index) })
+	metrics.GetOrCreateGauge("peridotwinch_view_rate_statements", func() float64 { return float64(v.relay.Statements()) })
 	metrics.GetOrCreateGauge("peridotwinch_view_servers", func() float64 {
 		v.mu.Lock()
 		defer v.mu.Unlock()
--- a/test/platform/metrics_test.go
+++ b/test/platform/metrics_test.go
@@ -43,6 +43,8 @@
 	} {
 		f.Expect(got).To(ContainSubstring(want))
 	}
+	f.Eventually(func() string { return f.scrapeMetrics(router) }, testcluster.WaitTimeout).Should(
+		And(ContainSubstring("peridotwinch_view_routers 1\n"), ContainSubstring("peridotwinch_view_position 0\n")))
 	f.awaitControls(f.config(7, 1000))
 	f.Expect(f.scrapeMetrics(f.controls[0])).To(ContainSubstring("peridotwinch_config_is_current"))
 }
