Test the numbering with sources of an older version and impossible ranges

A router keeps its position if the source gives none or one outside its bounds, and a relay gives nothing to a follower that reports no routers.

--- a/internal/fleetsync/statementcache_test.go
+++ b/internal/fleetsync/statementcache_test.go
@@ -1,12 +1,14 @@
 package fleetsync_test
 
 import (
+	"context"
 	"maps"
 	"math"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -126,3 +128,30 @@
 	g.Expect(numbered).To(BeNumerically("<=", 12))
 	g.Expect(size(400) - size(200)).To(BeNumerically("<=", 200*14))
 }
+
+// TestNumberingOfOldOrFaultySourceIsIgnored guards against a router that forgets its position
+// because its source is of a version that gives none, or gives an impossible one.
+func TestNumberingOfOldOrFaultySourceIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	relayed := fleetsync.NewRelay("127.0.0.1:1", newFakeReplica(), nil, newTestLosses(), 16, 0, zerolog.Nop())
+	report := func() *fleetpb.Numbering {
+		response, err := relayed.Report(context.Background(), &fleetpb.ReportRequest{Instance: "router-2", Subtree: &fleetpb.Subtree{Routers: 2}})
+		g.Expect(err).NotTo(HaveOccurred())
+		return response.GetNumbering()
+	}
+	g.Expect(report()).To(BeNil(), "the relay has no position itself")
+	_, known := relayed.RecordNumbering(&fleetpb.Numbering{First: 4, Length: 3, Count: 9})
+	g.Expect(known).To(BeTrue())
+	for _, faulty := range []*fleetpb.Numbering{
+		nil, {}, {First: 4, Length: 3}, {First: 9, Length: 1, Count: 9}, {First: 4, Length: 0, Count: 9}, {First: math.MaxUint32, Length: math.MaxUint32, Count: math.MaxUint32},
+	} {
+		_, known := relayed.RecordNumbering(faulty)
+		g.Expect(known).To(BeFalse())
+	}
+	g.Expect(relayed.Position()).To(Equal(ratelimit.Position{Index: 4, Count: 9}))
+	numbering := report()
+	g.Expect([]uint32{numbering.GetFirst(), numbering.GetLength(), numbering.GetCount()}).To(Equal([]uint32{5, 2, 9}))
+	old, err := relayed.Report(context.Background(), &fleetpb.ReportRequest{Instance: "router-3"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(old.GetNumbering()).To(BeNil(), "a follower that reports no routers")
+}
