Keep the rate that a server takes from all routers

What callers saw: nothing at first; a server that names the requests per second that it takes from all routers together went on to get as many as before. Such a server sheds or fails the rest.

Cause: nothing read the field, and no mechanism bounded the sum of what all routers send to a server; each bound was a server's own or a single router's.

A server that had named 2 requests/s got 28 in 4 s where 17 are allowed.

Why this works: a router knows its index among all routers, and takes a fixed part, in whole requests, of the burst that the platform allows in 4 s; the parts add up to it. In the long run it sends at most its part of the rate. A router that joins waits, one that control loses keeps its part, an end is told to routers that may send nothing. Event intervals do not count as slowness while servers have limits: the others have more load then, and were avoided for seconds after the limits ended.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,8 +71,8 @@
 	if err != nil && c.ctx.Err() != nil {
 		return nil, c.contextError(context.Cause(c.ctx))
 	}
-	if pausedErr := (*pausedError)(nil); errors.As(err, &pausedErr) {
-		c.availableAt = pausedErr.availableAt
+	if unavailable := (*unavailableError)(nil); errors.As(err, &unavailable) {
+		c.availableAt = unavailable.availableAt
 		return nil, api.Errorf(api.CodeOverloaded, "%v", err)
 	}
 	return lease, err
@@ -151,6 +151,7 @@
 	answer := c.gateway.dialect.ParseAnswer(ex.StatusCode, ex.Header)
 	lease.recordLoad(answer.Load)
 	c.recordWithdrawal(lease, answer)
+	c.recordRate(lease, answer)
 	firstByte := time.Since(lease.sentAt)
 	if answer.NotRun {
 		return c.handleNotRun(lease, ex)
@@ -354,6 +355,9 @@
 	if lease.choice.Leaving+lease.choice.Paused > 0 {
 		line = line.Int("leaving", lease.choice.Leaving).Int("paused", lease.choice.Paused)
 	}
+	if lease.choice.RateUsedUp > 0 {
+		line = line.Int("rateUsedUp", lease.choice.RateUsedUp)
+	}
 	if len(c.in.PromptParts) > 0 {
 		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
 			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,7 +54,7 @@
 	// withheldUntil is until when the prompt is withheld, if the call is refused for that.
 	withheldUntil time.Time
 	// availableAt is when a server accepts requests again, if the call is refused because all
-	// servers want none.
+	// servers want none or limit their rate.
 	availableAt time.Time
 	// mayHaveRun reports whether a server may have received the request and did not
 	// state that it did not run it.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotwinch.example/peridotwinch/internal/placement"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 )
 
 // Inbound is the metadata of a caller's request that its headers carry.
@@ -54,6 +55,10 @@
 	Pause time.Duration
 	// Load is the load that the server reports, without At; nil if it reports none.
 	Load *placement.Load
+	// Rate is what the answer states about the rate of requests that the server takes from all
+	// routers together, without StatedAt, if RateStated is set.
+	Rate       ratelimit.Statement
+	RateStated bool
 }
 
 // Dialect translates the headers of callers and backend servers.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"peridotwinch.example/peridotwinch/internal/gateway"
 	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
@@ -50,7 +51,9 @@
 
 func (testDialect) ParseAnswer(_ int, header http.Header) gateway.Answer {
 	pause, _ := time.ParseDuration(header.Get("Pause"))
+	perSecond, limited, stated := ratelimit.Parse(header.Values("Rate"))
 	return gateway.Answer{
+		Rate: ratelimit.Statement{PerSecond: perSecond, Limited: limited}, RateStated: stated,
 		Signed: header.Get("Stamp") != "", NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "", Pause: pause,
 	}
 }
@@ -58,6 +61,7 @@
 func (testDialect) ForwardAnswer(header http.Header) {
 	header.Del("Leaving")
 	header.Del("Pause")
+	header.Del("Rate")
 }
 
 func (testDialect) AnswersAttempt(id string, header http.Header, connReused bool) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,14 @@
 		_, paused := g.withdrawnServers()
 		return float64(paused)
 	})
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_limited{share="unused"}`, func() float64 {
+		limited, usedUp := g.limitedServers()
+		return float64(limited - usedUp)
+	})
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_limited{share="used_up"}`, func() float64 {
+		_, usedUp := g.limitedServers()
+		return float64(usedUp)
+	})
 	metrics.GetOrCreateGauge("peridotwinch_gateway_repeats_left", func() float64 {
 		lowest := 0.0
 		for i, p := range g.pools.list() {
@@ -74,6 +82,16 @@
 	return leaving, paused
 }
 
+// limitedServers returns how many servers limit their rate, and for how many of them the router's
+// share is used up.
+func (g *Gateway) limitedServers() (limited, usedUp int) {
+	for _, p := range g.pools.list() {
+		l, u := p.limited()
+		limited, usedUp = limited+l, usedUp+u
+	}
+	return limited, usedUp
+}
+
 func (m *gatewayMetrics) recordOutcome(c *call, outcome string) {
 	priority := "none"
 	if c.customer != nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,6 +12,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/placement"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 )
 
@@ -46,7 +47,9 @@
 	byName map[string]*pool
 	// servers is the latest list by pool, for pools that a later route table adds.
 	servers map[string][]placement.ServerInfo
-	metrics *gatewayMetrics
+	// position is the router's place among all routers.
+	position ratelimit.Position
+	metrics  *gatewayMetrics
 }
 
 func newPools(m *gatewayMetrics) *pools {
@@ -60,6 +63,7 @@
 	found := p.byName[name]
 	if found == nil {
 		found = newPool(engine, p.metrics)
+		found.servers.SetPosition(p.position, time.Now())
 		found.servers.SetServers(p.servers[name], time.Now())
 		p.byName[name] = found
 	}
@@ -178,28 +182,29 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if s == nil {
-		at, allPaused := p.servers.AvailableAt(now)
-		if !allPaused {
+		at, allBlocked := p.servers.AvailableAt(now)
+		if !allBlocked {
 			at = now
 		}
-		return nil, &pausedError{availableAt: at}
+		return nil, &unavailableError{availableAt: at}
 	}
 	return p.newLease(s, request, now), nil
 }
 
-// pausedError means that all servers of a pool want no request until availableAt.
-type pausedError struct{ availableAt time.Time }
+// unavailableError means that all servers of a pool want no request, or none of this router for
+// their rate limits, until availableAt.
+type unavailableError struct{ availableAt time.Time }
 
 // Error implements error.
-func (e *pausedError) Error() string {
-	return fmt.Sprintf("all servers want no request for %v", time.Until(e.availableAt).Round(time.Millisecond))
+func (e *unavailableError) Error() string {
+	return fmt.Sprintf("all servers want no request, or limit their rate, for %v", time.Until(e.availableAt).Round(time.Millisecond))
 }
 
-// checkAvailable returns a pausedError if all servers want no request until after the
-// deadline; mu is held.
+// checkAvailable returns an unavailableError if all servers want no request of this router until
+// after the deadline; mu is held.
 func (p *pool) checkAvailable(deadline, now time.Time) error {
-	if at, allPaused := p.servers.AvailableAt(now); allPaused && at.After(deadline) {
-		return &pausedError{availableAt: at}
+	if at, allBlocked := p.servers.AvailableAt(now); allBlocked && at.After(deadline) {
+		return &unavailableError{availableAt: at}
 	}
 	return nil
 }
--- a/internal/placement/hot.go
+++ b/internal/placement/hot.go
@@ -44,6 +44,11 @@
 	return c.value * math.Exp2(-now.Sub(c.at).Seconds()/keyCountHalfLife.Seconds())
 }
 
+// perSecond returns the rate of the requests.
+func (c decayingCount) perSecond(now time.Time) float64 {
+	return c.decayed(now) * math.Ln2 / keyCountHalfLife.Seconds()
+}
+
 func newKeyShares() *keyShares { return &keyShares{counts: make(map[uint64]decayingCount)} }
 
 // record counts a request with the key.
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -38,11 +38,11 @@
 	return count
 }
 
-// meanLoad returns the mean load of the servers with a fresh report. It returns
+// meanLoad returns the mean load of those of the servers that have a fresh report. It returns
 // false if there are too few of them.
-func (p *Pool) meanLoad(now time.Time) (mean float64, known bool) {
+func (p *Pool) meanLoad(servers []*Server, now time.Time) (mean float64, known bool) {
 	sum, count := 0.0, 0
-	for _, s := range p.servers {
+	for _, s := range servers {
 		if now.Sub(s.load.At) <= maxLoadAge {
 			sum += s.estimatedLoad(now)
 			count++
@@ -70,6 +70,8 @@
 // RecordSend records that a request is sent to the server.
 func (p *Pool) RecordSend(s *Server, now time.Time) {
 	s.InFlight++
+	p.sends = decayingCount{value: p.sends.decayed(now) + 1, at: now}
+	p.limits.Spend(s.Hash, now)
 	s.sentAt = append(s.sentAt, now)
 	if len(s.sentAt) > 2*maxTrackedSends {
 		s.sentAt = append(s.sentAt[:0], s.sentAt[len(s.sentAt)-maxTrackedSends:]...)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
@@ -132,6 +133,10 @@
 	domains           map[string]*reachability
 	// withdrawals holds what servers stated in their answers, by incarnation.
 	withdrawals withdrawal.Book[uint64]
+	// limits holds this router's shares of the rates that servers limit, by incarnation.
+	limits ratelimit.Book
+	// sends counts the router's requests to all servers.
+	sends decayingCount
 	// listedAt is when control's list was last set.
 	listedAt time.Time
 }
@@ -154,6 +159,7 @@
 	clear(p.drainingAddresses)
 	p.listedAt = now
 	for _, info := range infos {
+		p.limits.RecordListed(info.Hash, now)
 		if p.withdrawals.RecordListed(info.Hash, now) || info.Draining {
 			p.drainingAddresses[info.ID] = info.Address
 			continue
@@ -185,10 +191,14 @@
 	if s != nil && !p.withdrawals.IsEmpty() {
 		s.Choice.Leaving, s.Choice.Paused = p.Withdrawn(now)
 	}
+	if s != nil {
+		_, s.Choice.RateUsedUp = p.Limited(now)
+	}
 	return s
 }
 
 func (p *Pool) choose(request Request, now time.Time) *Server {
+	p.limits.SetDemand(p.demandPerSecond(now))
 	eligible := p.eligible(request, now)
 	switch {
 	case len(eligible) == 0:
@@ -196,8 +206,8 @@
 	case len(eligible) == 1 && eligible[0].Choice.Reason == ReasonTrial && eligible[0].health.lastTrial.Equal(now):
 		return eligible[0]
 	}
-	if key, ok := request.Key(); ok && p.hasPrefixCache {
-		return p.chooseByPrompt(eligible, key, request.Parts[len(request.Parts)-1].ID, now)
+	if _, ok := request.Key(); ok && p.hasPrefixCache {
+		return p.chooseByPrompt(eligible, request, now)
 	}
 	return p.chooseByLatency(eligible, request, now)
 }
@@ -210,7 +220,7 @@
 	var healthy, suspect []*Server
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
-		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isPaused(s, now) {
+		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isBlocked(s, now) {
 			continue
 		}
 		if p.isSuspect(s, mean, now) {
@@ -277,7 +287,9 @@
 // for all routers. The requests of a hot key, whose load exceeds what one server can
 // take, are spread over the first few servers of the order by lastPart, the prompt's
 // last part.
-func (p *Pool) chooseByPrompt(candidates []*Server, key, lastPart uint64, now time.Time) *Server {
+func (p *Pool) chooseByPrompt(candidates []*Server, request Request, now time.Time) *Server {
+	key, _ := request.Key()
+	lastPart := request.Parts[len(request.Parts)-1].ID
 	slices.SortFunc(candidates, func(a, b *Server) int {
 		scoreA, scoreB := mix(a.idHash, key), mix(b.idHash, key)
 		switch {
@@ -288,6 +300,7 @@
 		}
 		return 0
 	})
+	candidates = p.withinRates(candidates, request, now)
 	first := 0
 	if n := min(p.shares.serversNeeded(key, len(p.servers), now), len(candidates)); n > 1 {
 		first = int(mix(key, lastPart) % uint64(n))
@@ -296,18 +309,20 @@
 	if first > 0 {
 		reason = ReasonHot
 	}
-	mean, known := p.meanLoad(now)
+	mean, known := p.meanLoad(p.unlimited(now), now)
 	if !known {
 		return candidates[first].recordChoice(reason, now)
 	}
 	bound := loadBoundFactor*mean + loadAllowance
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
+	hasLimits := p.limits.HasLimits(now)
 	for i := range candidates {
 		s := candidates[(first+i)%len(candidates)]
 		// A slow server holds its streams for longer, so its load counts in
-		// proportion.
+		// proportion. While other servers limit their rates, the rest has more load, which
+		// makes its events slower too.
 		slowness := math.Max(1, s.health.eventInterval.estimate(median, now)/median)
-		if slowness < slownessThreshold {
+		if slowness < slownessThreshold || hasLimits {
 			slowness = 1
 		}
 		if s.expectedLoad(mean, now)*slowness > bound {
--- a/internal/placement/withdrawal.go
+++ b/internal/placement/withdrawal.go
@@ -34,12 +34,29 @@
 	return paused
 }
 
-// AvailableAt returns the time at which the first server accepts requests again, if all servers
-// want none at now.
-func (p *Pool) AvailableAt(now time.Time) (first time.Time, allPaused bool) {
+// blockedUntil returns the time from which the server accepts requests of this router, if it
+// accepts none at now: it has asked for a pause, or its rate limit is used up.
+func (p *Pool) blockedUntil(s *Server, now time.Time) (until time.Time, blocked bool) {
+	until, paused := p.withdrawals.PausedUntil(s.Hash, now)
+	permittedAt, limited := p.limits.AvailableAt(s.Hash, now)
+	if limited && permittedAt.After(until) {
+		until = permittedAt
+	}
+	return until, paused || limited
+}
+
+// isBlocked reports whether the server accepts no request of this router at now.
+func (p *Pool) isBlocked(s *Server, now time.Time) bool {
+	_, blocked := p.blockedUntil(s, now)
+	return blocked
+}
+
+// AvailableAt returns the time at which the first server accepts requests of this router again, if
+// all servers accept none at now.
+func (p *Pool) AvailableAt(now time.Time) (first time.Time, allBlocked bool) {
 	for _, s := range p.servers {
-		until, paused := p.withdrawals.PausedUntil(s.Hash, now)
-		if !paused {
+		until, blocked := p.blockedUntil(s, now)
+		if !blocked {
 			return time.Time{}, false
 		}
 		if first.IsZero() || until.Before(first) {
@@ -59,3 +76,21 @@
 	}
 	return p.withdrawals.Leaving(p.listedAt), paused
 }
+
+// Limited returns how many servers limit their rate, and for how many of them this router's share
+// is used up at now.
+func (p *Pool) Limited(now time.Time) (limited, usedUp int) {
+	if !p.limits.HasLimits(now) {
+		return 0, 0
+	}
+	for _, s := range p.servers {
+		if !p.limits.IsLimited(s.Hash) {
+			continue
+		}
+		limited++
+		if _, blocked := p.limits.AvailableAt(s.Hash, now); blocked {
+			usedUp++
+		}
+	}
+	return limited, usedUp
+}
