Keep the rate of a server on the product's own path, too

The product's backend servers could ask for a pause, but not name a rate. A server now states in its answers with Peridotwinch-Rate-Limit how many requests per second it takes from the routers of its failure domain. The live routers divide it by their rank in the membership; a pick that is over the router's share counts like a refusal by the server's owner, so the request goes to another server, queues, or is refused with the time at which there is room.

The spec "sends a server that limits its rate no more than this router's share, until an answer names no limit" passes; on the code before there was nothing that it could call.

--- a/api/chat.go
+++ b/api/chat.go
@@ -14,8 +14,11 @@
 	// HeaderServerState is the state of the backend server, a ServerState, in each of its
 	// answers. A draining server takes no further request. A server that does not run a
 	// request may add Retry-After with the seconds for which it wants no other one.
-	HeaderServerState    = "Peridotwinch-Server-State"
-	HeaderRetryAfter     = "Retry-After"
+	HeaderServerState = "Peridotwinch-Server-State"
+	HeaderRetryAfter  = "Retry-After"
+	// HeaderRateLimit is the rate in requests per second that a backend server takes from all
+	// routers of its failure domain together, as long as its answers have the header.
+	HeaderRateLimit      = "Peridotwinch-Rate-Limit"
 	HeaderHop            = "Peridotwinch-Hop"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/membership"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/settings"
 	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
@@ -36,6 +37,7 @@
 	firstByte func(time.Duration) bool
 	release   func(balance.Result)
 	statement func(leaving bool, pause time.Duration) Statement
+	rate      func(ratelimit.Statement) bool
 	// firstByteRecorded reports that the balancer has the time to the first byte.
 	firstByteRecorded bool
 }
@@ -61,6 +63,12 @@
 	return l.statement(leaving, pause)
 }
 
+// RecordRate records what the server stated about the rate of requests that it takes, without
+// StatedAt, and reports whether it changes whether the server limits its rate.
+func (l *Lease) RecordRate(rate ratelimit.Statement) (isNews bool) {
+	return l.rate != nil && l.rate(rate)
+}
+
 // Release releases the slot on the server and reports the result of the request
 // to the balancer.
 func (l *Lease) Release(result balance.Result) {
@@ -82,6 +90,7 @@
 	pools        map[string]*pool
 	inFlight     map[balance.ServerID]int
 	withdrawals  withdrawal.Book[serverIncarnation]
+	limits       ratelimit.Book
 	// overflowLeases counts the open leases on routers of each other failure domain,
 	// and overflowTotal all such leases ever granted.
 	overflowLeases map[string]int
@@ -197,6 +206,7 @@
 		statement: func(leaving bool, pause time.Duration) Statement {
 			return d.recordStatement(p, serverIncarnation{id, incarnation}, leaving, pause)
 		},
+		rate:      func(rate ratelimit.Statement) bool { return d.recordRate(p, serverIncarnation{id, incarnation}, rate) },
 		firstByte: func(elapsed time.Duration) bool { return d.firstByte(p, request, id, elapsed) },
 		release:   func(result balance.Result) { d.release(p, request, id, result) },
 	}
@@ -219,9 +229,7 @@
 	if pause > 0 {
 		news.Paused = d.withdrawals.Pause(server, now.Add(pause), now)
 	}
-	for key, c := range p.views {
-		c.rebuild(now, d, p, key.model)
-	}
+	d.rebuildViews(now, p)
 	return news
 }
 
@@ -232,7 +240,14 @@
 	if d.withdrawals.RecordListed(key, now) {
 		return time.Time{}, true
 	}
-	return d.withdrawals.PausedUntil(key, now)
+	until, withdrawn = d.withdrawals.PausedUntil(key, now)
+	if permittedAt, limited := d.rateAvailableAt(key, now); limited {
+		withdrawn = true
+		if permittedAt.After(until) {
+			until = permittedAt
+		}
+	}
+	return until, withdrawn
 }
 
 // wait blocks until the queued request has a lease, is refused or ctx ends.
@@ -371,7 +386,7 @@
 // errPaused spreads the callers over half of the remaining pause, so that they do not return
 // together.
 func errPaused(remaining time.Duration) error {
-	err := api.Errorf(api.CodeOverloaded, "all servers want no request for %v", remaining.Round(time.Millisecond)).NotRun()
+	err := api.Errorf(api.CodeOverloaded, "all servers want no request, or limit their rate, for %v", remaining.Round(time.Millisecond)).NotRun()
 	err.RetryAfterMS = (remaining + rand.N(remaining/2+time.Millisecond)).Milliseconds() + 1
 	return err
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/membership"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 )
 
 func TestDispatch(t *testing.T) {
@@ -183,6 +184,35 @@
 		Expect(lease.Server).To(Equal(first.Server))
 	})
 
+	It("sends a server that limits its rate no more than this router's share, until an answer names no limit", func() {
+		members.set(server(1, 64, api.ServerServing))
+		lease, err := acquire(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lease.RecordRate(ratelimit.Statement{PerSecond: 0.5, Limited: true})).To(BeTrue())
+		Expect(lease.RecordRate(ratelimit.Statement{PerSecond: 0.5, Limited: true})).To(BeFalse())
+		granted := 0
+		for range 50 {
+			if _, err = acquire(short); err == nil {
+				granted++
+			}
+		}
+		Expect(granted).To(BeNumerically("<=", 7))
+		expectNotRun(err, api.CodeOverloaded)
+		Expect(api.AsError(err).RetryAfterMS).To(BeNumerically(">", 100))
+		members.set(server(1, 64, api.ServerServing), server(2, 64, api.ServerServing))
+		for range 20 {
+			other, err := acquire(short)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(other.Server).NotTo(Equal(lease.Server))
+		}
+		members.set(server(1, 64, api.ServerServing))
+		Expect(lease.RecordRate(ratelimit.Statement{})).To(BeTrue())
+		for range 20 {
+			_, err := acquire(short)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("grants a queued request the slot that another request releases", func() {
 		members.set(server(1, 1, api.ServerServing))
 		first, err := acquire(short)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -107,18 +107,26 @@
 	p.setPeerInFlight(id, peerInFlight)
 }
 
-// reserve turns a pick into a lease. If another router owns the server, it requests
+// reserve turns a pick into a lease. A server whose rate is used up counts as one whose owner
+// refuses. If another router owns the server, it requests
 // a reservation from that router, and tries other servers while owners refuse. If
 // no owner grants a reservation, it queues the request again and returns nil, or
 // fails if too many requests are queued.
 func (d *Dispatcher) reserve(ctx context.Context, pending *pendingRequest, id balance.ServerID) (*Lease, error) {
 	for {
-		if lease := d.leaseUngranted(pending, id); lease != nil {
-			return lease, nil
+		isWithinRate := d.spendRate(pending, id)
+		if isWithinRate {
+			if lease := d.leaseUngranted(pending, id); lease != nil {
+				return lease, nil
+			}
+		}
+		var answer reservationrpc.Answer
+		var err error
+		if isWithinRate {
+			answer, err = d.reservations.service.Reserve(ctx, string(id), pending.request.IgnoreLoadBound)
 		}
-		answer, err := d.reservations.service.Reserve(ctx, string(id), pending.request.IgnoreLoadBound)
 		d.mu.Lock()
-		if err == nil {
+		if isWithinRate && err == nil {
 			d.reservations.recordOwnerReport(d.now(), pending.pool, id, answer.PeerInFlight)
 		}
 		if err == nil && answer.Granted {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -16,6 +16,7 @@
 	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/dispatch"
 	"peridotwinch.example/peridotwinch/internal/ledger"
+	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
@@ -95,6 +96,8 @@
 		pause = withdrawal.ParseRetryAfter(ex.Header.Values(api.HeaderRetryAfter))
 	}
 	news := lease.RecordStatement(leaving, pause)
+	perSecond, limited, stated := ratelimit.Parse(ex.Header.Values(api.HeaderRateLimit))
+	rateIsNews := stated && lease.RecordRate(ratelimit.Statement{PerSecond: perSecond, Limited: limited})
 	line := func() *zerolog.Event {
 		return t.proxy.log.Info().Str("server", string(lease.Server)).Str("requestId", t.call.id).Str("source", "answer")
 	}
@@ -104,6 +107,9 @@
 	if news.Paused {
 		line().Time("until", time.Now().Add(pause)).Msg("backend server wants no requests")
 	}
+	if rateIsNews {
+		line().Bool("limited", limited).Float64("requestsPerSecond", perSecond).Msg("backend server began or ceased to limit its request rate")
+	}
 }
 
 func (t *transfer) setAffinityHeader(ex *exchange, lease *dispatch.Lease) {
