Let workers of the soak refuse requests and copy their answers

Callers saw unsafe requests run twice where servers sent refusals once more. The soak had no such server: its doubles copied only answers with status 200, of other requests than the one under way.

A worker in modeCopy refuses half of its requests with 503 or 429, and sends answers, refusals among them, again: at once, some ms later or after the next request of the connection has arrived, once or three times, whole or in pieces. At times the worker also announces its address under a second ID, and refuses with 421 what names that one, so that a request comes again on the connection that carried its refusal. Clients at times reuse the ID of an attempt that was reported as not run, or send none, which workers refuse with 400.

Because IDs repeat, runs count by a number that each attempt has for itself: at most one for each attempt, and none after a report that it did not run. This holds now for streams that may not be resumed, too. Workers no longer record requests that they refuse as run, and still count those with the deadly part.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -293,6 +293,8 @@
 	modeStutter
 	// modePause turns requests away and asks for a pause of workerPause.
 	modePause
+	// modeCopy refuses half of the requests and sends some answers again, refusals too.
+	modeCopy
 )
 
 const (
@@ -340,6 +342,8 @@
 	mode     mode
 	state    string
 	seq      int
+	// staleID is a second ID under which the worker announces its address; it may be empty.
+	staleID string
 	// statements holds the statements of this incarnation by router. onIgnored is called when a
 	// router has ignored one that it received at a time; it may be nil.
 	statements map[string]*statement
@@ -405,7 +409,12 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.mu.Lock()
 	mode := w.mode
-	if mode != modePause {
+	refusal := w.refusalStatus(r)
+	if mode == modePause && refusal == 0 {
+		refusal = http.StatusServiceUnavailable
+	}
+	// serveCopies records the requests that it does not refuse.
+	if isDeadly(r) || refusal == 0 && mode != modeCopy {
 		w.requests = append(w.requests, r)
 	}
 	w.checkStatement(r.Header.Get(headerRouter))
@@ -415,30 +424,25 @@
 		w.end()
 		panic(http.ErrAbortHandler)
 	}
+	switch {
+	case mode == modeCopy:
+		w.serveFaulty(response, r, mode)
+		panic(http.ErrAbortHandler)
+	case refusal != 0:
+		w.refuse(response, r, refusal)
+		return
+	}
 	switch mode {
 	case modeClose:
 		panic(http.ErrAbortHandler)
 	case modeCutHead, modeCutAnywhere, modeResetUnframed, modeStutter:
 		w.serveFaulty(response, r, mode)
 		panic(http.ErrAbortHandler)
-	}
-	response.Header().Set("Peridotwinch-Attempt-Id", r.Header.Get("Peridotwinch-Attempt-Id"))
-	if expected := r.Header.Get("Peridotwinch-Expect-Instance"); expected != "" && expected != w.id {
-		response.Header().Set("Peridotwinch-Instance-Id", w.id)
-		response.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	switch router := r.Header.Get(headerRouter); mode {
-	case modePause:
-		w.tell(router, mode)
-		response.Header().Set("Peridotwinch-Not-Executed", "1")
-		response.Header().Set("Retry-After", fmt.Sprint(workerPause.Seconds()))
-		response.WriteHeader(http.StatusServiceUnavailable)
-		return
 	case modeLeave:
-		w.tell(router, mode)
+		w.tell(r.Header.Get(headerRouter), mode)
 		response.Header().Set("Server-Leaving", "1")
 	}
+	response.Header().Set("Peridotwinch-Attempt-Id", r.Header.Get("Peridotwinch-Attempt-Id"))
 	response.Header().Set("Peridotwinch-Server-Stamp", "stamp-"+w.id)
 	if mode == modeCutStream {
 		response.Header().Set("Content-Type", "text/event-stream")
@@ -453,6 +457,36 @@
 	_, _ = io.WriteString(response, "from "+w.id)
 }
 
+// refusalStatus returns the status with which the worker refuses a POST request without an ID or one
+// that names another worker, and 0 for all other requests.
+func (w *worker) refusalStatus(r *http.Request) int {
+	expected := r.Header.Get("Peridotwinch-Expect-Instance")
+	switch {
+	case r.Method == http.MethodPost && r.Header.Get("Peridotwinch-Attempt-Id") == "":
+		return http.StatusBadRequest
+	case expected != "" && expected != w.id:
+		return http.StatusMisdirectedRequest
+	}
+	return 0
+}
+
+// refuse answers that the worker has not run the request. Status 503 asks for a pause, too.
+func (w *worker) refuse(response http.ResponseWriter, r *http.Request, status int) {
+	header := response.Header()
+	header.Set("Peridotwinch-Not-Executed", "1")
+	if id := r.Header.Get("Peridotwinch-Attempt-Id"); id != "" {
+		header.Set("Peridotwinch-Attempt-Id", id)
+	}
+	switch status {
+	case http.StatusMisdirectedRequest:
+		header.Set("Peridotwinch-Instance-Id", w.id)
+	case http.StatusServiceUnavailable:
+		w.tell(r.Header.Get(headerRouter), modePause)
+		header.Set("Retry-After", fmt.Sprint(workerPause.Seconds()))
+	}
+	response.WriteHeader(status)
+}
+
 func isDeadly(r *http.Request) bool {
 	return strings.Contains(r.Header.Get("Peridotwinch-Prefix-Hash"), deadlyPrefix)
 }
@@ -493,9 +527,11 @@
 	for i := 0; ; i++ {
 		interval := 20 * time.Millisecond
 		if !w.isDown() {
-			if status, _ := w.sendHeartbeat(f, f.controls[i%len(f.controls)]); status == http.StatusOK {
+			control := f.controls[i%len(f.controls)]
+			if status, _ := w.sendHeartbeat(f, control); status == http.StatusOK {
 				interval = 200 * time.Millisecond
 			}
+			w.sendStaleHeartbeat(f, control)
 		}
 		select {
 		case <-w.stopped:
@@ -506,12 +542,16 @@
 }
 
 func (w *worker) sendHeartbeat(f *fleet, control *machine) (int, string) {
+	return w.sendHeartbeatAs(f, control, w.id)
+}
+
+func (w *worker) sendHeartbeatAs(f *fleet, control *machine, id string) (int, string) {
 	w.mu.Lock()
 	w.seq++
 	body := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":6,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d,"New":"field"}`,
 		w.service, w.address, w.state, w.seq, w.born)
 	w.mu.Unlock()
-	return f.callControl(control, http.MethodPut, "/instances/"+w.id, body)
+	return f.callControl(control, http.MethodPut, "/instances/"+id, body)
 }
 
 // silence ends the heartbeats of the worker, which goes on serving.
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -1,17 +1,16 @@
 package platform
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -66,9 +65,11 @@
 	workers []*worker
 	stop    chan struct{}
 	tasks   sync.WaitGroup
+	// reusedIDs counts the attempts that reused the ID of one reported as not run.
+	reusedIDs atomic.Int64
 
 	mu sync.Mutex
-	// reportedNotRun has the IDs of requests that an answer reported as not run.
+	// reportedNotRun has the attempts (headerAttempt) that an answer reported as not run.
 	reportedNotRun map[string]bool
 	// highestAcknowledged and highestSent are versions of configurations, violations lists the
 	// violated guarantees, and successes counts the answers with status 200.
@@ -200,23 +201,17 @@
 	if version < acknowledged {
 		s.reportViolation("version %d was acknowledged, but version %d is in force at the end", acknowledged, version)
 	}
-	runs := make(map[string]int)
-	for _, w := range s.workers {
-		for _, r := range w.received() {
-			if r.Method == http.MethodPost && r.URL.Path == "/debit/x" {
-				runs[r.Header.Get("Peridotwinch-Attempt-Id")]++
-			}
-		}
-	}
-	for id, count := range runs {
-		if count > 1 {
-			s.reportViolation("request %s ran %d times", id, count)
+	runs := s.unsafeRuns()
+	for attempt, servers := range runs {
+		if len(servers) > 1 {
+			s.reportViolation("attempt %s ran %d times, at %v", attempt, len(servers), servers)
 		}
-		if s.reportedNotRun[id] {
-			s.reportViolation("request %s ran, but its answer reported it as not run", id)
+		if s.reportedNotRun[attempt] {
+			s.reportViolation("attempt %s ran at %v, but its answer reported it as not run", attempt, servers)
 		}
 	}
-	s.t.Logf("%d answered, %d charges ran, %d streams complete, version %d acknowledged", s.successes, len(runs), s.streams, acknowledged)
+	s.t.Logf("%d answered, %d unsafe requests ran, %d IDs reused, %d streams complete, version %d acknowledged",
+		s.successes, len(runs), s.reusedIDs.Load(), s.streams, acknowledged)
 	s.Expect(s.successes).To(BeNumerically(">", 100), "too few requests succeeded for a meaningful run")
 	s.Expect(s.violations).To(BeEmpty())
 }
@@ -229,59 +224,6 @@
 	return declared.Version
 }
 
-// runClient sends charges (unsafe) and look-ups (safe) to the routers in turn over keep-alive
-// connections.
-func (s *soak) runClient(number int) {
-	client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
-	defer client.CloseIdleConnections()
-	for i := 0; ; i++ {
-		select {
-		case <-s.stop:
-			return
-		default:
-		}
-		path := "/debit/x"
-		if i%3 == 0 {
-			path = "/look/x"
-		}
-		s.sendAndCheck(client, s.routers[(number+i/20)%len(s.routers)], path)
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
-func (s *soak) sendAndCheck(client *http.Client, router *machine, path string) {
-	id := fmt.Sprintf("%016x", s.attempts.Add(1))
-	// net/http does not retry a request whose body it cannot rewind.
-	r, err := http.NewRequest(http.MethodPost, "http://"+router.settings.Listen.Callers+path, io.NopCloser(bytes.NewReader([]byte("body"))))
-	s.Expect(err).NotTo(HaveOccurred())
-	r.ContentLength = int64(len("body"))
-	r.Host = host
-	r.Header.Set("Peridotwinch-Attempt-Id", id)
-	r.Header.Set("Peridotwinch-Request-Deadline", "1000")
-	r.Header.Set("Authorization", "Token "+apiKey)
-	r.Header.Set(headerRouter, router.settings.Instance)
-	response, err := client.Do(r)
-	if err != nil {
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch status := response.StatusCode; {
-	case err != nil:
-	case status == http.StatusOK:
-		s.successes++
-		if got := response.Header.Get("Peridotwinch-Attempt-Id"); got != id || string(body) != "from "+response.Header.Get("Peridotwinch-Server-Stamp")[len("stamp-"):] {
-			s.violations = append(s.violations, fmt.Sprintf("request %s received the answer to %s: %q", id, got, body))
-		}
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		s.reportedNotRun[id] = true
-	case status < http.StatusInternalServerError:
-		s.violations = append(s.violations, fmt.Sprintf("request %s got status %d: %s", id, status, body))
-	}
-}
-
 const (
 	// soakDeadlyInterval is the mean time between two requests with the deadly part.
 	soakDeadlyInterval = 150 * time.Millisecond
@@ -427,7 +369,7 @@
 	duration := time.Duration(200+s.rng.IntN(1800)) * time.Millisecond
 	control, router, worker := s.rng.IntN(3), s.rng.IntN(soakRouters), s.rng.IntN(len(s.workers))
 	out, back := testcluster.Mode(s.rng.IntN(3)), testcluster.Mode(s.rng.IntN(3))
-	switch s.rng.IntN(18) {
+	switch s.rng.IntN(22) {
 	case 0: // A control instance is partitioned in one or both directions.
 		s.runFault(s.controls[control].settings.Instance, duration, func() { s.relays[control].Set(out, back) },
 			func() { s.relays[control].Set(testcluster.Forward, testcluster.Forward) })
@@ -465,6 +407,8 @@
 	case 17: // Routers are stopped and started in turn, at times two at once.
 		s.restart(s.routers[router], syscall.SIGTERM, duration/4)
 		s.restart(s.routers[(router+1)%soakRouters], syscall.SIGTERM, duration/4)
+	case 18, 19, 20, 21: // A worker refuses requests and sends answers again, at times under a second ID.
+		s.copyAnswers(s.workers[worker], s.rng.IntN(2) == 0, duration)
 	case 9:
 		s.loseDisk(s.controls[control])
 	case 8: // A worker runs requests, but their answers are lost.
--- a/test/platform/streams_test.go
+++ b/test/platform/streams_test.go
@@ -162,6 +162,10 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if mode == modeCopy {
+		w.serveCopies(conn, buffered.Reader, r)
+		return
+	}
 	w.serveConn(conn, buffered.Reader, r, mode)
 }
 
@@ -201,6 +205,7 @@
 	s.Expect(err).NotTo(HaveOccurred())
 	r.Host = host
 	r.Header.Set("Peridotwinch-Attempt-Id", id)
+	r.Header.Set(headerAttempt, id)
 	r.Header.Set("Peridotwinch-Request-Deadline", strconv.Itoa(streamTimeoutMs))
 	r.Header.Set("Authorization", "Token "+apiKey)
 	r.Header.Set(headerRouter, router.settings.Instance)
@@ -257,11 +262,14 @@
 	if result.violation != "" {
 		s.reportViolation("stream %s of %s at %s: %s (%v)", id, route, router.settings.Instance, result.violation, result.err)
 	}
-	if result.complete && result.status == http.StatusOK {
-		s.mu.Lock()
+	s.mu.Lock()
+	switch {
+	case result.complete && result.status == http.StatusOK:
 		s.streams++
-		s.mu.Unlock()
+	case result.status == http.StatusServiceUnavailable || result.status == http.StatusTooManyRequests:
+		s.reportedNotRun[id] = true
 	}
+	s.mu.Unlock()
 	if result.status == http.StatusOK && !result.complete && s.isCalm(router, started) {
 		s.reportViolation("stream %s of %s at %s, sent %v before, was cut after event %d: %v", id, route, router.settings.Instance, time.Since(started), result.events, result.err)
 	}
