Name the ID for which a request ignored a worker's statement

A router that ignores a worker's statement of leaving was reported once for each request. The list hid the other violations, and did not tell for which ID the requests were. Now it is reported once for each statement and ID, and names the ID. What counts as a violation stays.

Open: whether requests for another ID at the same address are allowed then.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -317,6 +317,8 @@
 	mode     mode
 	at       time.Time
 	requests int
+	// reported has the IDs for which a request against a statement of leaving has been reported.
+	reported map[string]bool
 }
 
 const (
@@ -417,7 +419,7 @@
 	if isDeadly(r) || refusal == 0 && mode != modeCopy {
 		w.requests = append(w.requests, r)
 	}
-	w.checkStatement(r.Header.Get(headerRouter))
+	w.checkStatement(r)
 	w.mu.Unlock()
 	if isDeadly(r) {
 		time.Sleep(deadlyDelay)
@@ -496,22 +498,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s := w.statements[router]; s == nil || s.mode != m || m == modePause && time.Since(s.at) > workerPause {
-		w.statements[router] = &statement{mode: m, at: time.Now()}
+		w.statements[router] = &statement{mode: m, at: time.Now(), reported: make(map[string]bool)}
 	}
 }
 
 // checkStatement reports a request that a router has sent against a statement; mu is held.
-func (w *worker) checkStatement(router string) {
+func (w *worker) checkStatement(r *http.Request) {
+	router, expected := r.Header.Get(headerRouter), r.Header.Get("Peridotwinch-Expect-Instance")
 	s := w.statements[router]
 	if s == nil || w.onIgnored == nil {
 		return
 	}
 	switch since := time.Since(s.at); {
-	case s.mode == modeLeave && since > drainLimit:
-		w.onIgnored(router, s.at, "request to %s %v after it has stated that it is leaving", w.id, since)
+	case s.mode == modeLeave && since > drainLimit && !s.reported[expected]:
+		s.reported[expected] = true
+		w.onIgnored(router, s.at, "request for %s to %s %v after it has stated that it is leaving", expected, w.id, since)
 	case s.mode == modePause && since > pauseSlack && since < workerPause:
 		if s.requests++; s.requests > pauseRequests {
-			w.onIgnored(router, s.at, "request to %s %v after it has asked for a pause of %v", w.id, since, workerPause)
+			w.onIgnored(router, s.at, "request for %s to %s %v after it has asked for a pause of %v", expected, w.id, since, workerPause)
 		}
 	}
 }
