Let workers of the soak name a limit, and check what they get

A worker in need names in its answers how many requests a second it takes from all routers together (Server-Limit). The soak had no such worker.

One, two or all four workers now name a limit while faults are injected, in each answer whatever their other faults are: one value, a lower one at random in each answer, some answers with a value that is no statement, several fields of which the lowest valid one counts, or nothing but values that are no statement. The rates are 0 to 12.5 a second. A worker that restarts names another limit.

Checked for each worker: from 3 s after it first named its limit, no window of 4 s has more than 1.5 times the requests that the limit allows, and 5. Counted are all requests that arrive, refused ones too, by routers to which an answer with the limit was complete half a second before, and that had no fault since. The bound for values that change is that of the highest. Unless all workers name a limit, they go on for one more window after the recovery, so that all routers count. After the end of a limit, a worker has to get more than it allowed again within 12 s; one whose values were all invalid must not be held back.

The refusals of a stuttering worker now come from the same function as those of a copying one, and at times have no body.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -350,6 +350,13 @@
 	// router has ignored one that it received at a time; it may be nil.
 	statements map[string]*statement
 	onIgnored  func(router string, at time.Time, format string, args ...any)
+	// limit is the limit that this incarnation names; nil if it has named none.
+	limit *workerLimit
+	// routerFault returns whether a router is under a fault and when its last fault began or ended;
+	// onLimitBroken is called when routers have sent more requests than a limit allows. Both may be
+	// nil if no limit is set.
+	routerFault   func(router string) (faulty bool, at time.Time)
+	onLimitBroken func(format string, args ...any)
 	// down is set from the worker's end to its next start; ends counts the ends.
 	down    bool
 	ends    int
@@ -380,7 +387,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serveRequest)}
-	w.statements = make(map[string]*statement)
+	w.statements, w.limit = make(map[string]*statement), nil
 	w.address, w.seq, w.down = listener.Addr().String(), 0, false
 	w.born++
 	go func(server *http.Server) { _ = server.Serve(listener) }(w.server)
@@ -395,6 +402,7 @@
 	if w.down {
 		return
 	}
+	w.reportLimit()
 	w.down, w.endedAt = true, time.Now()
 	w.ends++
 	_ = w.server.Close()
@@ -420,6 +428,7 @@
 		w.requests = append(w.requests, r)
 	}
 	w.checkStatement(r)
+	w.checkLimit(r)
 	w.mu.Unlock()
 	if isDeadly(r) {
 		time.Sleep(deadlyDelay)
@@ -434,6 +443,8 @@
 		w.refuse(response, r, refusal)
 		return
 	}
+	fields, named := w.limitFields(r)
+	response.Header()[headerLimit] = fields
 	switch mode {
 	case modeClose:
 		panic(http.ErrAbortHandler)
@@ -454,9 +465,10 @@
 	}
 	if isStream(r) {
 		w.serveStream(response, r)
-		return
+	} else {
+		_, _ = io.WriteString(response, "from "+w.id)
 	}
-	_, _ = io.WriteString(response, "from "+w.id)
+	named()
 }
 
 // refusalStatus returns the status with which the worker refuses a POST request without an ID or one
@@ -486,6 +498,7 @@
 		w.tell(r.Header.Get(headerRouter), modePause)
 		header.Set("Retry-After", fmt.Sprint(workerPause.Seconds()))
 	}
+	header[headerLimit], _ = w.limitFields(r)
 	response.WriteHeader(status)
 }
 
--- a/test/platform/soak_copies_test.go
+++ b/test/platform/soak_copies_test.go
@@ -134,6 +134,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		w.countRequest(r)
 	}
 }
 
@@ -158,7 +159,7 @@
 	return w.mode == m
 }
 
-// rawRefusal writes the whole refusal of a request in HTTP/1.1.
+// rawRefusal writes the whole refusal of a request in HTTP/1.1, at times without a body.
 func (w *worker) rawRefusal(out io.Writer, r *http.Request, status int) error {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nPeridotwinch-Not-Executed: 1\r\n", status, http.StatusText(status))
 	if id := r.Header.Get("Peridotwinch-Attempt-Id"); id != "" {
@@ -167,7 +168,8 @@
 	if status == http.StatusMisdirectedRequest {
 		head += "Peridotwinch-Instance-Id: " + w.id + "\r\n"
 	}
-	const body = "refused\n"
-	_, err := fmt.Fprintf(out, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	limit, _ := w.limitLines(r)
+	body := []string{"", "refused\n"}[rand.IntN(2)]
+	_, err := fmt.Fprintf(out, "%sContent-Length: %d\r\n\r\n%s", head+limit, len(body), body)
 	return err
 }
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -60,11 +60,12 @@
 // and the observations of its clients and workers.
 type soak struct {
 	*fleet
-	rng     *rand.Rand
-	relays  []*testcluster.Relay
-	workers []*worker
-	stop    chan struct{}
-	tasks   sync.WaitGroup
+	// rng and limitRNG decide on the faults and on the limits of workers.
+	rng, limitRNG *rand.Rand
+	relays        []*testcluster.Relay
+	workers       []*worker
+	stop          chan struct{}
+	tasks         sync.WaitGroup
 	// reusedIDs counts the attempts that reused the ID of one reported as not run.
 	reusedIDs atomic.Int64
 
@@ -90,13 +91,13 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	f, relays := startRelayedFleet(t, soakRouters)
 	s := &soak{
-		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}),
+		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1)), stop: make(chan struct{}),
 		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int), faultAt: make(map[string]time.Time),
 		unplannedUntil: make(map[string]time.Time),
 	}
 	for i := range 4 {
 		w := f.startWorker(fmt.Sprint("i-", i+1))
-		w.onIgnored = s.reportIgnored
+		w.onIgnored, w.routerFault, w.onLimitBroken = s.reportIgnored, s.routerFault, s.reportViolation
 		s.workers = append(s.workers, w)
 	}
 	f.configure(s.configWithProbe(1))
@@ -159,11 +160,12 @@
 	for _, router := range s.routers {
 		s.tasks.Go(func() { s.runProbe(router) })
 	}
-	for end := time.Now().Add(soakFaultDuration); time.Now().Before(end); {
-		s.injectFault()
-		time.Sleep(time.Duration(100+s.rng.IntN(400)) * time.Millisecond)
-	}
-	s.awaitRecovery()
+	s.runWithLimits(func() {
+		for end := time.Now().Add(soakFaultDuration); time.Now().Before(end); {
+			s.injectFault()
+			time.Sleep(time.Duration(100+s.rng.IntN(400)) * time.Millisecond)
+		}
+	})
 	close(s.stop)
 	s.tasks.Wait()
 	s.checkHistory()
--- a/test/platform/streams_test.go
+++ b/test/platform/streams_test.go
@@ -43,10 +43,14 @@
 // rawAnswer writes the whole answer to a request in HTTP/1.1, a stream in chunks with pauses.
 func (w *worker) rawAnswer(out io.Writer, r *http.Request, gap time.Duration) error {
 	id := r.Header.Get("Peridotwinch-Attempt-Id")
-	head := "HTTP/1.1 200 OK\r\nPeridotwinch-Attempt-Id: " + id + "\r\nPeridotwinch-Server-Stamp: stamp-" + w.id + "\r\n"
+	limit, named := w.limitLines(r)
+	head := "HTTP/1.1 200 OK\r\nPeridotwinch-Attempt-Id: " + id + "\r\nPeridotwinch-Server-Stamp: stamp-" + w.id + "\r\n" + limit
 	if !isStream(r) {
 		body := "from " + w.id
 		_, err := fmt.Fprintf(out, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		if err == nil {
+			named()
+		}
 		return err
 	}
 	if _, err := io.WriteString(out, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
@@ -61,6 +65,9 @@
 		}
 	}
 	_, err := io.WriteString(out, "0\r\n\r\n")
+	if err == nil {
+		named()
+	}
 	return err
 }
 
@@ -91,7 +98,7 @@
 		var copied bytes.Buffer
 		switch {
 		case refuses:
-			err = writeRefusal(io.MultiWriter(conn, &copied), r)
+			err = w.rawRefusal(io.MultiWriter(conn, &copied), r, http.StatusServiceUnavailable)
 		case mode == modeCutHead:
 			err = w.rawAnswer(&cutWriter{Conn: conn, left: 1 + rand.IntN(60)}, r, 0)
 		case mode == modeResetUnframed:
@@ -120,6 +127,7 @@
 		if !refuses {
 			w.requests = append(w.requests, r)
 		}
+		w.checkLimit(r)
 		isOver := w.mode != mode
 		w.mu.Unlock()
 		if isOver {
@@ -136,18 +144,12 @@
 	}
 }
 
-// writeRefusal turns a request away.
-func writeRefusal(out io.Writer, r *http.Request) error {
-	_, err := fmt.Fprintf(out, "HTTP/1.1 503 Service Unavailable\r\nPeridotwinch-Attempt-Id: %s\r\nPeridotwinch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		r.Header.Get("Peridotwinch-Attempt-Id"))
-	return err
-}
-
 // resetUnframed answers with a stream that has no length, and resets the connection after some
 // events of it.
 func (w *worker) resetUnframed(conn net.Conn, r *http.Request) {
 	id := r.Header.Get("Peridotwinch-Attempt-Id")
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPeridotwinch-Attempt-Id: "+id+"\r\nPeridotwinch-Server-Stamp: stamp-"+w.id+"\r\nContent-Type: text/event-stream\r\n\r\n")
+	limit, _ := w.limitLines(r)
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPeridotwinch-Attempt-Id: "+id+"\r\nPeridotwinch-Server-Stamp: stamp-"+w.id+"\r\n"+limit+"Content-Type: text/event-stream\r\n\r\n")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n < min(last+8, streamEvents) && isStream(r); n++ {
 		time.Sleep(time.Duration(rand.Float64() * float64(streamEventGap)))
