Fill the disks of control instances in turn under a running operator

Operators of other systems saw changes refused long after the disks of counted machines had been full for some seconds each, never two at once.

Processes of tests ignore SIGXFSZ, so that their writes fail as on a full disk.

--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"sync"
@@ -30,6 +31,8 @@
 // MainWith is Main for tests whose processes use platform adapters.
 func MainWith(m *testing.M, adapters adapter.Set) {
 	if os.Getenv(execVariable) != "" {
+		// A write beyond LimitFileSize then fails as one to a full disk does.
+		signal.Ignore(syscall.SIGXFSZ)
 		os.Exit(cli.Main(os.Args[1:], adapters))
 	}
 	os.Exit(m.Run())
@@ -166,6 +169,27 @@
 	}
 }
 
+// LimitFileSize makes the writes of the process fail that would extend a file beyond a size, which
+// simulates a full disk. Its log is subject to the limit, too.
+func (p *Process) LimitFileSize(bytes uint64) error { return p.setFileSizeLimit(bytes) }
+
+// UnlimitFileSize ends the limit of LimitFileSize.
+func (p *Process) UnlimitFileSize() error { return p.setFileSizeLimit(unix.RLIM_INFINITY) }
+
+func (p *Process) setFileSizeLimit(bytes uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return errors.Errorf("process %s was not started", p.Name)
+	}
+	limit := unix.Rlimit{}
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return errors.Wrapf(err, "read the file size limit of process %s", p.Name)
+	}
+	limit.Cur = min(bytes, limit.Max)
+	return errors.Wrapf(unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil), "set the file size limit of process %s", p.Name)
+}
+
 // Resume resumes a suspended process with SIGCONT.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
 
