Give each test process with fleets subnets of its own

A fleet's subnet was 127.N, with N the count of fleets plus up to 198 by the process ID. By reading: from the 58th fleet of a process on, N may exceed 255, so that a long soak fails with an invalid address, depending on the process ID; and two processes at the same time may share subnets. Now the second octet comes from the process ID and the third from the count.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -54,7 +54,8 @@
 	usedPorts map[string]bool
 }
 
-// subnetCounter gives each fleet of a test process its own subnet.
+// subnetCounter gives each fleet of a test process its own subnet. Processes that run at the same
+// time have subnets of their own, too, unless their IDs differ by a multiple of 254.
 var subnetCounter atomic.Int32
 
 func startFleet(t *testing.T, routers int) *fleet {
@@ -95,16 +96,16 @@
 
 func newFleet(t *testing.T, routers int) *fleet {
 	t.Helper()
-	subnet := int(subnetCounter.Add(1)) + os.Getpid()%100*2
+	subnet := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%254, subnetCounter.Add(1)%256)
 	f := &fleet{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, usedPorts: make(map[string]bool)}
-	first := fmt.Sprintf("127.%d.0.1", subnet)
+	first := subnet + ".1"
 	peers, operators := f.freePort(first), f.freePort(first)
 	var seeds []string
 	for i := range 3 {
-		seeds = append(seeds, fmt.Sprintf("127.%d.0.%d:%s", subnet, i+1, operators))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%s", subnet, i+1, operators))
 	}
 	for i := range 3 + routers {
-		ip := fmt.Sprintf("127.%d.0.%d", subnet, i+1)
+		ip := fmt.Sprintf("%s.%d", subnet, i+1)
 		m := &machine{settings: settings.Settings{
 			Instance: fmt.Sprint("core-", i+1), FailureDomain: fmt.Sprint("zone-", i%3), Adapter: platform.Name,
 			NameSchemes: []api.Scheme{"site"}, Join: &settings.Join{Seeds: seeds, Bootstrap: true},
