Report each ignored pause once, and log all violations of the soak

An ignored pause is now reported once for each statement and ID, as an ignored statement of leaving is, and each violation has a line of its own in the log. What counts as a violation stays.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -318,7 +318,7 @@
 	mode     mode
 	at       time.Time
 	requests int
-	// reported has the IDs for which a request against a statement of leaving has been reported.
+	// reported has the IDs for which a request against the statement has been reported.
 	reported map[string]bool
 }
 
@@ -528,7 +528,8 @@
 		s.reported[expected] = true
 		w.onIgnored(router, s.at, "request for %s to %s %v after it has stated that it is leaving", expected, w.id, since)
 	case s.mode == modePause && since > pauseSlack && since < workerPause:
-		if s.requests++; s.requests > pauseRequests {
+		if s.requests++; s.requests > pauseRequests && !s.reported[expected] {
+			s.reported[expected] = true
 			w.onIgnored(router, s.at, "request for %s to %s %v after it has asked for a pause of %v", expected, w.id, since, workerPause)
 		}
 	}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -215,6 +215,9 @@
 	s.t.Logf("%d answered, %d unsafe requests ran, %d IDs reused, %d streams complete, version %d acknowledged",
 		s.successes, len(runs), s.reusedIDs.Load(), s.streams, acknowledged)
 	s.Expect(s.successes).To(BeNumerically(">", 100), "too few requests succeeded for a meaningful run")
+	for _, violation := range s.violations {
+		s.t.Log(violation)
+	}
 	s.Expect(s.violations).To(BeEmpty())
 }
 
