Read nothing more from a connection that a draining router closes

A caller saw only the close of its connection, while the router ran its request. A caller that takes this for a request that was not read sends it again, and it runs twice.

Cause: the drain checked that the connection was idle and had no unread bytes, and then closed it. In between, the server could read a request, and net/http runs what it has read. The class: a decision on a state that may change before it is carried out.

The count of the bytes read now carries the decision, by compare-and-swap: either the read comes first and the connection stays open, or the decision does, and the bytes of a later read are discarded. The read's error has the type that net/http does not answer with 400.

The test failed in both cases before, with 2 runs instead of 1 on a kept connection and 1 instead of 0 for the first request of a connection. go test -race -count=3 ./internal/httpx holds.

That the reported double run came this way is suspected only.

--- a/internal/httpx/drain.go
+++ b/internal/httpx/drain.go
@@ -17,11 +17,13 @@
 	// firstRequestGrace is how long a new connection may take to deliver its first request
 	// while the server drains: a lost packet is retransmitted after 200 ms.
 	firstRequestGrace = 500 * time.Millisecond
+	// readBytesClosing is the value of connActivity.readBytes once the server closes the connection.
+	readBytesClosing = -1
 )
 
 // DrainingServer is an HTTP server that shuts down without losing a request that it has
-// begun to read. Shutdown of net/http closes a connection whose request is still being
-// read.
+// begun to read, and without running one whose caller sees only the close of its connection.
+// Shutdown of net/http closes a connection whose request is still being read.
 type DrainingServer struct {
 	server *http.Server
 	mu     sync.Mutex
@@ -29,29 +31,47 @@
 }
 
 // connActivity tracks whether a connection is idle. The server's mutex guards all fields
-// except read.
+// except readBytes.
 type connActivity struct {
-	// read counts the bytes read from the connection.
-	read atomic.Int64
-	// idle reports whether no request is in progress; readAtIdle is the value of read
+	// readBytes counts the bytes read from the connection, and is readBytesClosing from the
+	// decision to close it.
+	readBytes atomic.Int64
+	// idle reports whether no request is in progress; readBytesAtIdle is the value of readBytes
 	// when the connection became idle.
-	idle       bool
-	readAtIdle int64
+	idle            bool
+	readBytesAtIdle int64
 	// acceptedAt is when the connection was accepted.
 	acceptedAt time.Time
 }
 
-// canClose reports whether no request is in progress, partly read or expected as the first
-// one of a new connection.
-func (a *connActivity) canClose(conn net.Conn) bool {
-	read := a.read.Load()
-	if read == 0 && time.Since(a.acceptedAt) < firstRequestGrace {
+// decideToClose reports whether no request is in progress, partly read or expected as the first
+// one of a new connection. If so, nothing more is read from the connection.
+func (a *connActivity) decideToClose(conn net.Conn) bool {
+	readBytes := a.readBytes.Load()
+	if readBytes == 0 && time.Since(a.acceptedAt) < firstRequestGrace {
 		return false
 	}
-	return a.idle && read == a.readAtIdle && hasNoUnreadData(conn)
+	if !a.idle || readBytes != a.readBytesAtIdle || !hasNoUnreadData(conn) {
+		return false
+	}
+	return a.readBytes.CompareAndSwap(readBytes, readBytesClosing)
+}
+
+// countRead counts n bytes, or returns false after the decision to close the connection.
+func (a *connActivity) countRead(n int) bool {
+	for {
+		readBytes := a.readBytes.Load()
+		if readBytes == readBytesClosing {
+			return false
+		}
+		if a.readBytes.CompareAndSwap(readBytes, readBytes+int64(n)) {
+			return true
+		}
+	}
 }
 
-// countingConn counts the bytes that the server reads.
+// countingConn counts the bytes that the server reads, and delivers none after the decision to
+// close the connection.
 type countingConn struct {
 	net.Conn
 	activity *connActivity
@@ -60,7 +80,10 @@
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.activity.read.Add(int64(n))
+	if n > 0 && !c.activity.countRead(n) {
+		// net/http answers 400 to other types of errors.
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+	}
 	return n, err
 }
 
@@ -105,7 +128,7 @@
 	case http.StateActive:
 		activity.idle = false
 	case http.StateIdle:
-		activity.idle, activity.readAtIdle = true, activity.read.Load()
+		activity.idle, activity.readBytesAtIdle = true, activity.readBytes.Load()
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, conn)
 	}
@@ -141,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, activity := range s.conns {
-		if activity.canClose(conn.(*countingConn).Conn) {
+		if activity.decideToClose(conn.(*countingConn).Conn) {
 			_ = conn.Close()
 			delete(s.conns, conn)
 		}
--- /dev/null
+++ b/internal/httpx/drain_close_test.go
@@ -0,0 +1,80 @@
+package httpx_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotwinch.example/peridotwinch/internal/httpx"
+)
+
+// closeHookListener calls beforeClose before an accepted connection is closed.
+type closeHookListener struct {
+	net.Listener
+	beforeClose func()
+}
+
+func (l closeHookListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return closeHookConn{conn, l.beforeClose}, nil
+}
+
+type closeHookConn struct {
+	net.Conn
+	beforeClose func()
+}
+
+func (c closeHookConn) Close() error {
+	c.beforeClose()
+	return c.Conn.Close()
+}
+
+// testRequestBeforeClose lets a request arrive between the decision to close its connection, which
+// has carried the given requests, and the close.
+func testRequestBeforeClose(t *testing.T, earlierRequests int) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	server := httpx.NewDrainingServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = w.Write([]byte("whole"))
+	}), time.Minute)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var client net.Conn
+	var sent atomic.Bool
+	go func() {
+		_ = server.Serve(closeHookListener{listener, func() {
+			if sent.CompareAndSwap(false, true) {
+				_, _ = fmt.Fprint(client, requestHead, "\r\n")
+				time.Sleep(50 * time.Millisecond) // The server's goroutine reads the request.
+			}
+		}})
+	}()
+	t.Cleanup(server.Close)
+	client, reader := dial(g, listener)
+	for range earlierRequests {
+		_, _ = fmt.Fprint(client, requestHead, "\r\n")
+		readAnswer(g, reader)
+	}
+	time.Sleep(50 * time.Millisecond)
+	_ = listener.Close()
+	g.Expect(server.Drain(context.Background())).To(Succeed())
+	g.Expect(sent.Load()).To(BeTrue())
+	answer, err := http.ReadResponse(reader, nil)
+	g.Expect(err).To(HaveOccurred(), "got answer %+v", answer)
+	g.Consistently(runs.Load, "200ms").Should(Equal(int32(earlierRequests)), "the request ran although its caller saw only a close")
+}
+
+func TestDrainRunsNoRequestWhoseCallerSeesOnlyTheClose(t *testing.T) {
+	t.Run("kept connection", func(t *testing.T) { testRequestBeforeClose(t, 1) })
+	t.Run("first request", func(t *testing.T) { testRequestBeforeClose(t, 0) })
+}
