Show that net/http's shutdown runs no request that it reads too late

The product's routers drain with Shutdown of net/http, which was suspected of the fault that was mended in the draining server of the platform's routers. Refuted: the same arranged close lets no request run, because net/http checks for the shutdown after it has read a request. The test of the draining server now takes the server, so that both are tested the same way.

--- a/internal/httpx/drain_close_test.go
+++ b/internal/httpx/drain_close_test.go
@@ -38,28 +38,33 @@
 	return c.Conn.Close()
 }
 
+// drainingServer serves a listener and, after it is closed, drains.
+type drainingServer struct {
+	serve func(net.Listener) error
+	drain func(context.Context) error
+}
+
 // testRequestBeforeClose lets a request arrive between the decision to close its connection, which
 // has carried the given requests, and the close.
-func testRequestBeforeClose(t *testing.T, earlierRequests int) {
+func testRequestBeforeClose(t *testing.T, newServer func(http.Handler) drainingServer, earlierRequests int) {
 	g := NewWithT(t)
 	var runs atomic.Int32
-	server := httpx.NewDrainingServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		runs.Add(1)
 		_, _ = w.Write([]byte("whole"))
-	}), time.Minute)
+	}))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	var client net.Conn
 	var sent atomic.Bool
 	go func() {
-		_ = server.Serve(closeHookListener{listener, func() {
+		_ = server.serve(closeHookListener{listener, func() {
 			if sent.CompareAndSwap(false, true) {
 				_, _ = fmt.Fprint(client, requestHead, "\r\n")
 				time.Sleep(50 * time.Millisecond) // The server's goroutine reads the request.
 			}
 		}})
 	}()
-	t.Cleanup(server.Close)
 	client, reader := dial(g, listener)
 	for range earlierRequests {
 		_, _ = fmt.Fprint(client, requestHead, "\r\n")
@@ -67,7 +72,7 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	_ = listener.Close()
-	g.Expect(server.Drain(context.Background())).To(Succeed())
+	g.Expect(server.drain(context.Background())).To(Succeed())
 	g.Expect(sent.Load()).To(BeTrue())
 	answer, err := http.ReadResponse(reader, nil)
 	g.Expect(err).To(HaveOccurred(), "got answer %+v", answer)
@@ -75,6 +80,20 @@
 }
 
 func TestDrainRunsNoRequestWhoseCallerSeesOnlyTheClose(t *testing.T) {
-	t.Run("kept connection", func(t *testing.T) { testRequestBeforeClose(t, 1) })
-	t.Run("first request", func(t *testing.T) { testRequestBeforeClose(t, 0) })
+	newServer := func(handler http.Handler) drainingServer {
+		server := httpx.NewDrainingServer(handler, time.Minute)
+		t.Cleanup(server.Close)
+		return drainingServer{server.Serve, server.Drain}
+	}
+	t.Run("kept connection", func(t *testing.T) { testRequestBeforeClose(t, newServer, 1) })
+	t.Run("first request", func(t *testing.T) { testRequestBeforeClose(t, newServer, 0) })
+}
+
+// TestShutdownRunsNoRequestWhoseCallerSeesOnlyTheClose guards against the same in the servers that
+// use Shutdown of net/http.
+func TestShutdownRunsNoRequestWhoseCallerSeesOnlyTheClose(t *testing.T) {
+	testRequestBeforeClose(t, func(handler http.Handler) drainingServer {
+		server := &http.Server{Handler: handler}
+		return drainingServer{server.Serve, server.Shutdown}
+	}, 1)
 }
