Accept an answer on which a server and its front put the same send ID

Callers got timeouts, and no outcome, from a server whose front adds the echo as well: all its answers were discarded, because the echo was compared as the one value of the header.

Now all values are compared, also those that were joined into one line. One that is another send's still discards the answer: a front that adds its own to the copy of an earlier answer does not make it an answer.

The two tests of a doubled echo failed before, as did the one of a front that adds its own to a refused charge, which was never told the refusal. With any value accepted instead of all (a trial), the last one fails.

--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -126,8 +127,11 @@
 	return false
 }
 
+// echoes reports whether an answer carries the send ID and no other. A server and what stands
+// before it may both have echoed it.
 func echoes(header http.Header, sendID string) bool {
-	return slices.Equal(header.Values(api.HeaderSendID), []string{sendID})
+	values := strings.Split(strings.Join(header.Values(api.HeaderSendID), ","), ",")
+	return !slices.ContainsFunc(values, func(value string) bool { return strings.TrimSpace(value) != sendID })
 }
 
 // isStream reports whether the answer is a stream of server-sent events.
