Drop errors with another request's ID from a stream

An error event in a chat's stream was believed whatever request it named. A refusal of another request before the first chunk released the claim of a request that ran: in a trial with two servers, the request ran 3 times and its caller was told `not_run`. Between chunks it broke the stream off.

Cause: chunks were compared with the request's ID, errors were not. Now an error that names another request is dropped and counted like a chunk, and is no progress. One without an ID is believed: it cannot be told whose it is, and its answer belongs to this send.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -42,6 +42,10 @@
 		if err != nil {
 			return t.handleStreamError(lease, err)
 		}
+		if apiErr != nil && apiErr.RequestID != "" && apiErr.RequestID != t.call.id {
+			lateAnswers.Inc()
+			continue
+		}
 		if apiErr != nil {
 			return t.handleErrorEvent(lease, apiErr)
 		}
