Drop an explicit end before the first chunk of a stream

A stream whose first event was `[DONE]` was a complete answer without text: it was stored under the request's key and told as run, while the server's chunks followed unread. A `[DONE]` names no request, so it may be the end of another stream.

Before the first chunk of the answer it is now dropped and counted, and the router reads on. If nothing follows, the stream is broken: the request goes to another server, or may have run.

A finish reason before the end is not required: servers that send none, and servers that resume a stream at its end and send the end alone, are served today, and nothing tells them otherwise.

--- a/internal/proxy/foreign_event_test.go
+++ b/internal/proxy/foreign_event_test.go
@@ -70,3 +70,42 @@
 		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
 	})
 })
+
+func writeStreamEnd(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", api.StreamEnd)
+	_ = http.NewResponseController(w).Flush()
+}
+
+var _ = Describe("An explicit end before the first chunk of a stream", func() {
+	endsAtOnce := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", mediaTypeEventStream)
+		writeStreamEnd(w, r)
+	}
+
+	It("is dropped and counted", func() {
+		e := engineWithEvent(0, writeStreamEnd)
+		r := newTestProxy(longProgressTimeout, httpServer(e.serve))
+		before := lateAnswers.Get()
+		for range 2 {
+			got := r.stream("summary", api.HeaderIdempotencyKey, "k")
+			Expect(got).To(Equal(streamReply{text: tokensText(testTokens), ended: true}))
+		}
+		Expect(lateAnswers.Get() - before).To(Equal(uint64(1)))
+		Expect(e.requests.Load()).To(Equal(int32(1)))
+	})
+
+	It("is no answer to a request that must not be repeated", func() {
+		e := &engine{}
+		r := newTestProxy(longProgressTimeout, httpServer(endsAtOnce), httpServer(e.serve))
+		got := r.mustCall(http.MethodPost, chatPath, chatBody("summary", true), api.HeaderIdempotencyKey, "k")
+		Expect(got.errorOrEmpty().Code).To(Equal(api.CodeStreamBroken))
+		Expect(got.errorOrEmpty().Outcome).To(Equal(api.OutcomeMayHaveRun))
+		Expect(r.claimer.holds("k")).To(BeTrue())
+		Expect(e.requests.Load()).To(BeZero())
+	})
+
+	It("is no answer to a request that another server can answer", func() {
+		r := newTestProxy(longProgressTimeout, httpServer(endsAtOnce), httpServer((&engine{}).serve))
+		Expect(r.stream("chat").text).To(Equal(tokensText(testTokens)))
+	})
+})
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -34,6 +34,11 @@
 			return t.handleStreamError(lease, ex.readError(err))
 		}
 		if string(data) == api.StreamEnd {
+			// The end names no request. Before the first chunk it is that of another one.
+			if !t.call.streamStarted() {
+				lateAnswers.Inc()
+				continue
+			}
 			failed := t.finishStream(lease, skip)
 			ex.drainBody()
 			return failed
