Believe a refusal only with the ID of its request

What callers saw: shown by a test. A server that wrote "not run" without an ID on a new connection and then ran the request had it sent to another server: it ran twice.

Cause: an answer without an ID was accepted on a new connection whatever it said, because a server that could not read a request cannot echo its ID.

Fix: an answer that states that the request did not run has to echo the ID, on every connection. A request without an ID matches one without, as servers answer such a request with 400. Other answers without an ID are accepted as before.

--- a/internal/gateway/copied_answer_test.go
+++ b/internal/gateway/copied_answer_test.go
@@ -107,3 +107,42 @@
 	g.Expect(send(t, url, "/unsafe/x", "Id", "second").body).To(Equal("whole"))
 	g.Expect(counter.Get() - before).To(Equal(uint64(1)))
 }
+
+// TestRefusalWithoutIDRunsNothingTwice guards against a second send of a request that runs: a refusal
+// without an ID comes before the answer on a new connection.
+func TestRefusalWithoutIDRunsNothingTwice(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	handle := func(n int, conn net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		return answerOK(n, conn, r)
+	}
+	url := startGateway(t, newTable(t), startTestServer(t, "a", handle), startTestServer(t, "b", handle))
+	got := send(t, url, "/unsafe/x", "Id", "first")
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+	g.Expect(got.status).To(Equal(200))
+	g.Expect(got.body).To(Equal("whole"))
+}
+
+// TestAnswerOfServerThatCannotReadRequestIsForwarded guards against losing an answer that cannot echo the ID.
+func TestAnswerOfServerThatCannotReadRequestIsForwarded(t *testing.T) {
+	g := NewWithT(t)
+	url := startGateway(t, newTable(t), startTestServer(t, "a", func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}))
+	g.Expect(send(t, url, "/unsafe/x", "Id", "first").status).To(Equal(400))
+}
+
+// TestRefusalOfRequestWithoutIDIsForwarded guards against a refused request without an ID whose caller learns
+// only that it may have run.
+func TestRefusalOfRequestWithoutIDIsForwarded(t *testing.T) {
+	g := NewWithT(t)
+	url := startGateway(t, newTable(t), startTestServer(t, "a", func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}))
+	g.Expect(send(t, url, "/unsafe/x", "Id", "").status).To(Equal(503))
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -70,9 +70,9 @@
 	Forward(header http.Header, out Outbound) http.Header
 	// ParseAnswer extracts the metadata of a server's answer.
 	ParseAnswer(status int, header http.Header) Answer
-	// AnswersAttempt reports whether an answer belongs to the attempt with this ID. connReused
-	// means that it may also be a late copy of an answer to an earlier attempt.
-	AnswersAttempt(id string, header http.Header, connReused bool) bool
+	// AnswersAttempt reports whether an answer belongs to the attempt with this ID. With mustEcho,
+	// an answer without an ID belongs only to an attempt without one.
+	AnswersAttempt(id string, header http.Header, mustEcho bool) bool
 	// ForwardAnswer removes the headers of a server's answer that mean nothing to callers.
 	ForwardAnswer(header http.Header)
 	// MarkRouterAnswer sets the headers of an answer that the router itself generates.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,9 +64,9 @@
 	header.Del("Rate")
 }
 
-func (testDialect) AnswersAttempt(id string, header http.Header, connReused bool) bool {
+func (testDialect) AnswersAttempt(id string, header http.Header, mustEcho bool) bool {
 	echo := header.Get("Id")
-	return echo == id || echo == "" && !connReused
+	return echo == id || echo == "" && !mustEcho
 }
 
 func (testDialect) MarkRouterAnswer(header http.Header, id string) { header.Set("Id", id) }
--- a/internal/gateway/match.go
+++ b/internal/gateway/match.go
@@ -9,7 +9,9 @@
 // acceptAnswer reports whether an answer belongs to the request. One that does not is counted and
 // logged; what it says about the server may be outdated.
 func (c *call) acceptAnswer(lease *lease, r *http.Response, connReused bool) bool {
-	if c.gateway.dialect.AnswersAttempt(c.in.ID, r.Header, connReused) {
+	// A request is sent again because of a refusal, so nothing but its ID shows whose refusal it is.
+	mustEcho := connReused || c.gateway.dialect.ParseAnswer(r.StatusCode, r.Header).NotRun
+	if c.gateway.dialect.AnswersAttempt(c.in.ID, r.Header, mustEcho) {
 		return true
 	}
 	c.gateway.metrics.answersUnmatched.Inc()
