Do nothing on an abort after the exchange was closed

What callers saw: shown by a test. A request could fail as one that may have run because the stream before it on the connection was aborted after its end: the timer of a stalled stream may fire while the stream ends, and stopping the timer does not wait for it.

Cause: Abort closed the connection whatever had become of the exchange. After Close the connection is in the pool, or carries another request.

Evidence: TestAbortAfterCloseSparesNextSend failed with 'read answer: use of closed network connection' of the second send.

Fix: a mutex guards whether the exchange is closed, and Abort heeds it. If Abort comes first, the pool finds the connection closed when it checks it before its next use.

Result: the tests of internal/backend and internal/gateway hold with -race.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -147,7 +147,9 @@
 	conn        *conn
 	bodyWritten chan error
 	stopCancel  func() bool
-	closed      bool
+	// mu guards closed.
+	mu     sync.Mutex
+	closed bool
 }
 
 // Send sends a request at most once and waits for the answer's head. When ctx ends, it
@@ -233,10 +235,9 @@
 // Close ends the exchange; further calls do nothing. The connection returns to the pool
 // if the answer was read completely and no data follows it, and is closed otherwise.
 func (e *Exchange) Close(bodyRead bool) {
-	if e.closed {
+	if !e.markClosed() {
 		return
 	}
-	e.closed = true
 	stopped := e.stopCancel()
 	if !bodyRead || !stopped || !e.isBodyWritten() || !e.isReusable() || len(e.conn.carried) >= MaxRequestsPerConn {
 		_ = e.conn.Close()
@@ -245,6 +246,15 @@
 	e.client.putIdle(e.conn, e.idleTimeout())
 }
 
+// markClosed returns false if the exchange was closed before.
+func (e *Exchange) markClosed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wasOpen := !e.closed
+	e.closed = true
+	return wasOpen
+}
+
 // isBodyWritten reports whether the whole request was written. If a server answers before,
 // the rest of the body is still to be sent, so the connection cannot be reused.
 func (e *Exchange) isBodyWritten() bool {
@@ -289,5 +299,12 @@
 	e.Close(err == nil && n <= limitBytes)
 }
 
-// Abort closes the connection, so that a read of the answer fails.
-func (e *Exchange) Abort() { _ = e.conn.Close() }
+// Abort closes the connection, so that a read of the answer fails. It may be called concurrently with
+// the other methods. After Close it does nothing, because the connection may carry another request.
+func (e *Exchange) Abort() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.closed {
+		_ = e.conn.Close()
+	}
+}
