Close the oldest connection instead of piling up unused ones

Requests with a repeated ID, or without one, opened a connection each and left it open: 200 sends one after the other kept 200 connections to a server, which accepts some tens to hundreds from all callers and resets those beyond.

Cause: since 'each ID once on a connection' the pool may hold connections that a send cannot use, and nothing bounded how many; they ended with their idle timeout.

Evidence: TestRepeatedIDsPileUpNoConnections failed with 3 connections open at once where 2 are allowed, TestRequestsWithoutIDLeaveOtherConnections with 11 instead of 10.

Fix: a send that can use none of two or more idle connections closes the longest idle one before it opens its own. So a server gets at most two connections beyond those of the requests that were in flight at once, and the pool keeps what such a load needs: a fixed bound would have closed connections after each burst.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -46,6 +46,9 @@
 	// MaxRequestsPerConn bounds the requests that a connection carries, and with them its memory of
 	// their IDs. To forget one of them instead would let a late copy of its answer pass.
 	MaxRequestsPerConn = 256
+	// maxUnusedIdle bounds the idle connections to a server that sends open beside those that the requests
+	// in flight need: a server accepts some tens to hundreds from all routers together.
+	maxUnusedIdle = 2
 	// maxInterimAnswers bounds the interim answers (1xx) before one final answer.
 	maxInterimAnswers = 100
 	// maxHeadBytes bounds the head of an answer.
--- a/internal/backend/carried_test.go
+++ b/internal/backend/carried_test.go
@@ -79,6 +79,65 @@
 	g.Expect(opened.Load()).To(Equal(int32(3)))
 }
 
+// TestRepeatedIDsPileUpNoConnections guards against a new connection for each request with a repeated or
+// missing ID beside all those that it cannot use, until the server resets the connections of others.
+func TestRepeatedIDsPileUpNoConnections(t *testing.T) {
+	for _, id := range []string{"same", ""} {
+		t.Run(fmt.Sprintf("ID %q", id), func(t *testing.T) {
+			g := NewWithT(t)
+			var open, opened atomic.Int32
+			address := startServer(t, func(n int32, conn net.Conn, requests *bufio.Reader) {
+				open.Add(1)
+				defer open.Add(-1)
+				answerAll(func(id string) string { return id })(n, conn, requests)
+			})
+			c := newClient(&opened)
+			for range 200 {
+				g.Expect(send(c, address, id)).To(Equal(id))
+				g.Eventually(open.Load).Should(BeNumerically("<=", 2), "connections open at once")
+			}
+			g.Expect(opened.Load()).To(Equal(int32(200)))
+		})
+	}
+}
+
+// TestRequestsWithoutIDLeaveOtherConnections guards against a bound below the number of requests that were in
+// flight, so that each of their successors would open a connection.
+func TestRequestsWithoutIDLeaveOtherConnections(t *testing.T) {
+	g := NewWithT(t)
+	const inFlight = 10
+	var received, open, opened atomic.Int32
+	release := make(chan struct{})
+	address := startServer(t, func(n int32, conn net.Conn, requests *bufio.Reader) {
+		open.Add(1)
+		defer open.Add(-1)
+		answerAll(func(id string) string {
+			if received.Add(1) <= inFlight {
+				<-release
+			}
+			return id
+		})(n, conn, requests)
+	})
+	c := newClient(&opened)
+	results := make(chan error, inFlight)
+	for i := range inFlight {
+		go func() {
+			_, err := send(c, address, strconv.Itoa(i))
+			results <- err
+		}()
+	}
+	g.Eventually(received.Load).Should(Equal(int32(inFlight)))
+	close(release)
+	for range inFlight {
+		g.Expect(<-results).NotTo(HaveOccurred())
+	}
+	for i := range int32(3) {
+		g.Expect(send(c, address, "")).To(Equal(""))
+		g.Expect(opened.Load()).To(Equal(inFlight + i + 1))
+		g.Eventually(open.Load).Should(Equal(int32(inFlight)))
+	}
+}
+
 // copies is what a server does beside answering a request. It is sent as a header of the request.
 type copies struct {
 	// count copies of the answers from oldest on follow each other, each in two pieces.
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -80,6 +80,7 @@
 		c.hooks.PassedOver()
 	}
 	if connection == nil {
+		c.trimUnused(address)
 		var err error
 		if connection, err = c.dial(ctx, address); err != nil {
 			return nil, err
@@ -125,6 +126,19 @@
 	return nil, skipped
 }
 
+// trimUnused closes the longest idle connection to a server if maxUnusedIdle are left that a send
+// cannot use, so that requests with repeated or missing IDs pile up none.
+func (c *Client) trimUnused(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) < maxUnusedIdle {
+		return
+	}
+	_ = list[0].Close()
+	c.idle[address] = slices.Delete(list, 0, 1)
+}
+
 // dial opens a connection. If both parallel attempts succeed, the later one is closed.
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.limits.Connect)
