Count no expired connections as passed over

What operators saw: the counter of sends that pass over a connection included those for which the idle connection had expired, so that no send could have used it.

Cause: the pool looked at a connection's IDs before its age.

Evidence: TestExpiredConnectionIsNotPassedOver failed with 1 instead of 0.

Fix: only a connection that has not expired counts. Whether the server has closed it is not checked for a connection that is not used.

Result: the tests of internal/backend hold with -race.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -119,8 +119,8 @@
 type Hooks struct {
 	// Opened is called for each new connection.
 	Opened func()
-	// PassedOver is called for each send for which an idle connection was not used because it
-	// has carried a request with the same ID.
+	// PassedOver is called for each send for which an idle connection that had not expired was not
+	// used because it has carried a request with the same ID.
 	PassedOver func()
 }
 
--- a/internal/backend/carried_test.go
+++ b/internal/backend/carried_test.go
@@ -66,6 +66,31 @@
 	g.Expect(send(c, address, "c")).To(Equal("3"))
 }
 
+// TestExpiredConnectionIsNotPassedOver guards against a count of sends that includes those which no
+// connection could have served anyway.
+func TestExpiredConnectionIsNotPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	address := startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, ok := readRequest(requests)
+			if !ok {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	})
+	var opened, passedOver atomic.Int32
+	c := backend.NewClient(backend.Hooks{
+		Opened:     func() { opened.Add(1) },
+		PassedOver: func() { passedOver.Add(1) },
+	})
+	for range 2 {
+		g.Expect(send(c, address, "a")).To(BeEmpty())
+	}
+	g.Expect(opened.Load()).To(Equal(int32(2)))
+	g.Expect(passedOver.Load()).To(BeZero())
+}
+
 // TestConnectionsAreReplacedAfterManyRequests guards against a connection whose memory of requests grows
 // without bound, or which forgets one of them.
 func TestConnectionsAreReplacedAfterManyRequests(t *testing.T) {
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -21,7 +21,8 @@
 	reader       *bufio.Reader
 	address      string
 	idleDeadline time.Time
-	reused       bool
+	// reused reports whether the connection was taken from the pool.
+	reused bool
 	// carried holds the hashes of the IDs of the requests sent on the connection.
 	carried []uint64
 }
@@ -91,13 +92,13 @@
 }
 
 // takeIdle removes a usable connection from the pool, or returns nil. passedOver reports whether an
-// idle connection was left there because it has carried a request with this ID.
+// idle connection that has not expired was left there because it has carried a request with this ID.
 func (c *Client) takeIdle(address, id string, hash uint64) (connection *conn, passedOver bool) {
 	if id == "" {
 		return nil, false
 	}
 	for {
-		connection, skipped := c.popIdle(address, hash)
+		connection, skipped := c.popIdle(address, hash, time.Now())
 		passedOver = passedOver || skipped
 		if connection == nil {
 			return nil, passedOver
@@ -110,13 +111,14 @@
 	}
 }
 
-func (c *Client) popIdle(address string, hash uint64) (connection *conn, skipped bool) {
+// popIdle removes the latest idle connection that has not carried a request with this ID.
+func (c *Client) popIdle(address string, hash uint64, now time.Time) (connection *conn, skipped bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
 		if slices.Contains(list[i].carried, hash) {
-			skipped = true
+			skipped = skipped || now.Before(list[i].idleDeadline)
 			continue
 		}
 		connection = list[i]
