Say what an ID and a reused connection tell

An ID identifies a send only among those of its connection, and a connection that was only probed counts as reused, though it has carried nothing. The comments said otherwise; the behavior stays.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,7 +1,8 @@
 // Package backend is an HTTP/1.1 client for backend servers with its own connection
 // pool. It sends a request at most once, reports whether a byte of it may have been
 // written, and accepts only the answer that belongs to the request. No connection carries
-// two requests with the same ID, so an answer's ID identifies the send.
+// two requests with the same ID, so an answer's ID identifies the send among those of its
+// connection.
 package backend
 
 import (
@@ -75,7 +76,8 @@
 	// HasBody reports whether the request declares a body, which may be empty.
 	HasBody bool
 	// AcceptAnswer reports whether an answer belongs to the request. connReused means that the
-	// connection has carried an earlier request, whose answer may come once more.
+	// connection comes from the pool: unless it was only probed, it has carried an earlier request,
+	// whose answer may come once more.
 	AcceptAnswer func(answer *http.Response, connReused bool) bool
 }
 
@@ -84,8 +86,6 @@
 	Cause error
 	// Written reports whether a byte of the request may have reached the server.
 	Written bool
-	// Reused reports whether the connection had carried an earlier request.
-	Reused bool
 }
 
 // Error implements error.
@@ -179,7 +179,7 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
-	return &SendError{Cause: err, Written: true, Reused: e.conn.reused}
+	return &SendError{Cause: err, Written: true}
 }
 
 func (e *Exchange) writeRequest(request *Request) error {
