Demand an answer for each send that nothing disturbs

TestNoAnswerOfAnotherSendIsAccepted accepted any error of a send, so a client that answers none would have passed. Now only a send that late copies may precede, or more copies than a send skips, may fail.

--- a/internal/backend/carried_test.go
+++ b/internal/backend/carried_test.go
@@ -242,16 +242,26 @@
 }
 
 // TestNoAnswerOfAnotherSendIsAccepted guards against the answer to one send being accepted for
-// another: copies come at any point, in pieces, several in a row, and IDs are reused or missing.
+// another, and against a send that fails though nothing before its answer explains it: copies come at any
+// point, in pieces, several in a row, and IDs are reused or missing.
 func TestNoAnswerOfAnotherSendIsAccepted(t *testing.T) {
 	address := startServer(t, answerWithCopies)
 	rapid.Check(t, func(t *rapid.T) {
 		c := newClient(&atomic.Int32{})
 		defer c.CloseIdle(address)
 		ids := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", ""}), 2, 12).Draw(t, "ids")
+		// lateCopies reports whether copies may be on their way on an idle connection.
+		lateCopies := false
 		for i, id := range ids {
+			if rapid.Bool().Draw(t, "close idle") {
+				c.CloseIdle(address)
+				lateCopies = false
+			}
+			extra := drawCopies(t)
+			mayFail := lateCopies || extra.count > 2 && !extra.late
+			lateCopies = lateCopies || extra.count > 0 && extra.late
 			request := newRequest(id)
-			request.Header = http.Header{"Send": {strconv.Itoa(i)}, "Copies": {drawCopies(t).String()}}
+			request.Header = http.Header{"Send": {strconv.Itoa(i)}, "Copies": {extra.String()}}
 			if id != "" {
 				request.Header.Set("Id", id)
 			}
@@ -262,16 +272,24 @@
 			if rapid.Bool().Draw(t, "long") {
 				request.Body = make([]byte, 64<<10)
 			}
-			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			timeout := 5 * time.Second
+			if mayFail {
+				timeout = 100 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			ex, err := c.Send(ctx, address, request)
+			var body []byte
 			if err == nil {
-				body, readErr := io.ReadAll(ex.Body)
-				ex.Close(readErr == nil)
-				if readErr == nil && string(body) != strconv.Itoa(i) {
-					t.Fatalf("send %d of request %q got the answer to send %s", i, id, body)
-				}
+				body, err = io.ReadAll(ex.Body)
+				ex.Close(err == nil)
 			}
 			cancel()
+			if err == nil && string(body) != strconv.Itoa(i) {
+				t.Fatalf("send %d of request %q got the answer to send %s", i, id, body)
+			}
+			if err != nil && !mayFail {
+				t.Fatalf("send %d of request %q failed: %v", i, id, err)
+			}
 		}
 	})
 }
