Limit the file size of a process in one way

Two tests of full disks had brought a method of the same name each; the one that keeps the process's hard limit stays. Without this, the test packages do not build.

--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -192,12 +192,3 @@
 
 // Resume resumes a suspended process with SIGCONT.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
-
-// LimitFileSize makes writes of the running process beyond a size of a file fail, as on a full
-// disk, until the limit is unix.RLIM_INFINITY again. The process's own log is subject to it, too.
-func (p *Process) LimitFileSize(size uint64) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	limit := unix.Rlimit{Cur: size, Max: unix.RLIM_INFINITY}
-	return errors.Wrapf(unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil), "limit the file size of %s", p.Name)
-}
--- a/test/configfaults/full_test.go
+++ b/test/configfaults/full_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -38,7 +37,7 @@
 				// Every second disk still takes a few records, but no snapshot.
 				g.fillDisk(name, uint64(i%2*spareBytes))
 				time.Sleep(fullDuration)
-				g.Expect(g.cluster.Daemons[name].LimitFileSize(unix.RLIM_INFINITY)).To(Succeed())
+				g.Expect(g.cluster.Daemons[name].UnlimitFileSize()).To(Succeed())
 			}
 			stop()
 			g.expectChangesOnAllReplicas()
