Decide on a server's rate once in a placement

A placement asked three times for each server whether its rate was used up, and looked for ended limits among all of them each time. It now asks once, looks for ended limits once a second, and allocates nothing. In the product's own path the steps from a pick to a lease have a function of their own.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -107,33 +107,16 @@
 	p.setPeerInFlight(id, peerInFlight)
 }
 
-// reserve turns a pick into a lease. A server whose rate is used up counts as one whose owner
-// refuses. If another router owns the server, it requests
-// a reservation from that router, and tries other servers while owners refuse. If
-// no owner grants a reservation, it queues the request again and returns nil, or
-// fails if too many requests are queued.
+// reserve turns a pick into a lease. It tries other servers while owners refuse, or while this
+// router's share of a server's rate is used up. If there is no lease, it queues the request again
+// and returns nil, or fails if too many requests are queued.
 func (d *Dispatcher) reserve(ctx context.Context, pending *pendingRequest, id balance.ServerID) (*Lease, error) {
 	for {
-		isWithinRate := d.spendRate(pending, id)
-		if isWithinRate {
-			if lease := d.leaseUngranted(pending, id); lease != nil {
-				return lease, nil
-			}
-		}
-		var answer reservationrpc.Answer
-		var err error
-		if isWithinRate {
-			answer, err = d.reservations.service.Reserve(ctx, string(id), pending.request.IgnoreLoadBound)
-		}
-		d.mu.Lock()
-		if isWithinRate && err == nil {
-			d.reservations.recordOwnerReport(d.now(), pending.pool, id, answer.PeerInFlight)
-		}
-		if err == nil && answer.Granted {
-			lease := d.lease(pending, id)
-			d.mu.Unlock()
+		lease, err := d.tryLease(ctx, pending, id)
+		if lease != nil {
 			return lease, nil
 		}
+		d.mu.Lock()
 		next, ok := d.pickNext(pending, id, err)
 		admitted := ok || pending.pool.requeue(d.now(), pending)
 		d.mu.Unlock()
@@ -147,6 +130,29 @@
 	}
 }
 
+// tryLease returns a lease on a server, or nil if this router's share of the server's rate is used
+// up or the server's owner refuses. If another router owns the server, it requests a reservation
+// from that router, and returns an error if that one does not answer.
+func (d *Dispatcher) tryLease(ctx context.Context, pending *pendingRequest, id balance.ServerID) (*Lease, error) {
+	if !d.spendRate(pending, id) {
+		return nil, nil
+	}
+	if lease := d.leaseUngranted(pending, id); lease != nil {
+		return lease, nil
+	}
+	answer, err := d.reservations.service.Reserve(ctx, string(id), pending.request.IgnoreLoadBound)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reservations.recordOwnerReport(d.now(), pending.pool, id, answer.PeerInFlight)
+	if !answer.Granted {
+		return nil, nil
+	}
+	return d.lease(pending, id), nil
+}
+
 // leaseUngranted returns a lease if the server needs no grant by another router, and
 // nil otherwise.
 func (d *Dispatcher) leaseUngranted(pending *pendingRequest, id balance.ServerID) *Lease {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -135,6 +135,8 @@
 	withdrawals withdrawal.Book[uint64]
 	// limits holds this router's shares of the rates that servers limit, by incarnation.
 	limits ratelimit.Book
+	// usedUp is the number of servers that the last call of eligible left out for their rates.
+	usedUp int
 	// sends counts the router's requests to all servers.
 	sends decayingCount
 	// listedAt is when control's list was last set.
@@ -192,7 +194,7 @@
 		s.Choice.Leaving, s.Choice.Paused = p.Withdrawn(now)
 	}
 	if s != nil {
-		_, s.Choice.RateUsedUp = p.Limited(now)
+		s.Choice.RateUsedUp = p.usedUp
 	}
 	return s
 }
@@ -218,9 +220,14 @@
 // all are eligible.
 func (p *Pool) eligible(request Request, now time.Time) []*Server {
 	var healthy, suspect []*Server
+	p.usedUp = 0
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
-		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isBlocked(s, now) {
+		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isPaused(s, now) {
+			continue
+		}
+		if _, limited := p.limits.AvailableAt(s.Hash, now); limited {
+			p.usedUp++
 			continue
 		}
 		if p.isSuspect(s, mean, now) {
--- a/internal/placement/withdrawal.go
+++ b/internal/placement/withdrawal.go
@@ -45,12 +45,6 @@
 	return until, paused || limited
 }
 
-// isBlocked reports whether the server accepts no request of this router at now.
-func (p *Pool) isBlocked(s *Server, now time.Time) bool {
-	_, blocked := p.blockedUntil(s, now)
-	return blocked
-}
-
 // AvailableAt returns the time at which the first server accepts requests of this router again, if
 // all servers accept none at now.
 func (p *Pool) AvailableAt(now time.Time) (first time.Time, allBlocked bool) {
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -52,6 +52,8 @@
 	// endRetention is how long the end of a limit is kept, against older statements that
 	// arrive later.
 	endRetention = 10 * time.Second
+	// evictionInterval is the time after which statements without an effect are deleted.
+	evictionInterval = time.Second
 	// maxLimits bounds the servers whose statements are kept.
 	maxLimits = 4096
 )
@@ -69,6 +71,8 @@
 	// demandPerSecond is the rate of this router's requests for one server.
 	demandPerSecond float64
 	limits          map[uint64]*limit
+	// evictedAt is when evict was last called.
+	evictedAt time.Time
 }
 
 // limit is the newest statement of a server and the router's bucket for it.
@@ -173,6 +177,7 @@
 
 // evict deletes statements that have no effect any more, and the oldest ones from maxLimits on.
 func (b *Book) evict(now time.Time) {
+	b.evictedAt = now
 	for server, l := range b.limits {
 		if now.Sub(l.listedAt) > retention || l.hasEnded(now) {
 			delete(b.limits, server)
@@ -201,10 +206,8 @@
 
 // HasLimits reports whether a server limits its rate, or did until some seconds ago.
 func (b *Book) HasLimits(now time.Time) bool {
-	for server, l := range b.limits {
-		if l.hasEnded(now) {
-			delete(b.limits, server)
-		}
+	if len(b.limits) > 0 && now.Sub(b.evictedAt) >= evictionInterval {
+		b.evict(now)
 	}
 	return len(b.limits) > 0
 }
@@ -242,16 +245,19 @@
 	if l == nil || !l.Limited {
 		return time.Time{}, false
 	}
-	l.refill(b.vantage(), now)
-	at = now
-	for _, earliest := range []time.Time{l.tokenAt(b.vantage(), now), l.windowAt(b.vantage(), now), l.turnAt(b.vantage(), now), l.joinsAt, b.joinsAt} {
-		if earliest.After(at) {
-			at = earliest
-		}
-	}
+	v := b.vantage()
+	l.refill(v, now)
+	at = latest(latest(l.tokenAt(v, now), l.windowAt(v, now)), latest(l.turnAt(v, now), latest(l.joinsAt, b.joinsAt)))
 	return at, at.After(now)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Spend records that this router sends a request to the server.
 func (b *Book) Spend(server uint64, now time.Time) {
 	if l := b.limits[server]; l != nil && l.Limited {
