--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -18,7 +18,7 @@
 	manySharersCapacity = 3
 	// minPerSecond is the lowest rate that is used, so that routers learn when a server that
 	// takes no requests takes some again.
-	minPerSecond = 0.25
+	minPerSecond = 0.5
 	// slotLength is the resolution at which sends are counted. The slots cover burstWindow
 	// wherever it begins, and one slot more: the time from a choice to the arrival of the request
 	// varies.
