Keep the incarnation of a picked server, and a router's rank from its start

On the product's own path a view that was rebuilt between pick and lease no longer had a server whose rate was used up. The request then counted as one to another incarnation, without a limit, and its answer's statement was lost. TestRequestsPickedBeforeARateIsUsedUpStayWithinIt: 27 leases where 7 are allowed. A pick that is no longer in the view is now refused, and the lease keeps the incarnation that the rate was checked for.

The router's rank was first recorded with the first limit, so it waited 6 s like one that has just joined: TestFirstLimitDoesNotBlockARunningRouter got "all servers want no request, or limit their rate, for 6s". The rank is now recorded from the start. Both tests pass.

--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -68,6 +68,12 @@
 	return slices.BinarySearchFunc(v.servers, id, func(s Server, id ServerID) int { return cmp.Compare(s.ID, id) })
 }
 
+// Contains reports whether the view has a server.
+func (v *View) Contains(id ServerID) bool {
+	_, found := v.index(id)
+	return found
+}
+
 // OwnerOf returns the ownership of a server, OwnerNone for an unknown server.
 func (v *View) OwnerOf(id ServerID) Ownership {
 	if i, found := v.index(id); found {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -196,10 +196,9 @@
 	return local, nil
 }
 
-func (d *Dispatcher) lease(pending *pendingRequest, id balance.ServerID) *Lease {
+func (d *Dispatcher) lease(pending *pendingRequest, id balance.ServerID, incarnation uint64) *Lease {
 	p, request := pending.pool, pending.request
 	d.inFlight[id]++
-	incarnation := p.views[pending.key].view.Incarnation(id)
 	return &Lease{
 		Server:      id,
 		Incarnation: incarnation,
@@ -371,6 +370,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.updatePosition(now)
 	for _, p := range d.pools {
 		if p.admission.Waiting() > 0 {
 			p.refresh(now, d)
--- a/internal/dispatch/rates.go
+++ b/internal/dispatch/rates.go
@@ -42,21 +42,23 @@
 	return d.limits.AvailableAt(hash, now)
 }
 
-// spendRate records that a request is to be sent to a server, and reports whether this router's
-// share of the server's rate allows it.
-func (d *Dispatcher) spendRate(pending *pendingRequest, id balance.ServerID) bool {
+// spendRate records that a request is to be sent to a server, and returns the server's incarnation.
+// It returns false if this router's share of the server's rate is used up, or if the server has
+// left the view since it was picked.
+func (d *Dispatcher) spendRate(pending *pendingRequest, id balance.ServerID) (incarnation uint64, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	if !d.limits.HasLimits(now) {
-		return true
+	view := pending.pool.views[pending.key].view
+	if !view.Contains(id) {
+		return 0, false
 	}
-	server := serverIncarnation{id, pending.pool.views[pending.key].view.Incarnation(id)}
+	server := serverIncarnation{id, view.Incarnation(id)}
+	now := d.now()
 	if _, blocked := d.rateAvailableAt(server, now); blocked {
-		return false
+		return 0, false
 	}
 	d.limits.Spend(server.hash(), now)
-	return true
+	return server.incarnation, true
 }
 
 // updatePosition records this router's rank among the live routers.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -134,10 +134,11 @@
 // up or the server's owner refuses. If another router owns the server, it requests a reservation
 // from that router, and returns an error if that one does not answer.
 func (d *Dispatcher) tryLease(ctx context.Context, pending *pendingRequest, id balance.ServerID) (*Lease, error) {
-	if !d.spendRate(pending, id) {
+	incarnation, ok := d.spendRate(pending, id)
+	if !ok {
 		return nil, nil
 	}
-	if lease := d.leaseUngranted(pending, id); lease != nil {
+	if lease := d.leaseUngranted(pending, id, incarnation); lease != nil {
 		return lease, nil
 	}
 	answer, err := d.reservations.service.Reserve(ctx, string(id), pending.request.IgnoreLoadBound)
@@ -150,12 +151,12 @@
 	if !answer.Granted {
 		return nil, nil
 	}
-	return d.lease(pending, id), nil
+	return d.lease(pending, id, incarnation), nil
 }
 
 // leaseUngranted returns a lease if the server needs no grant by another router, and
 // nil otherwise.
-func (d *Dispatcher) leaseUngranted(pending *pendingRequest, id balance.ServerID) *Lease {
+func (d *Dispatcher) leaseUngranted(pending *pendingRequest, id balance.ServerID, incarnation uint64) *Lease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	owner := pending.pool.views[pending.key].view.OwnerOf(id)
@@ -163,7 +164,7 @@
 		return nil
 	}
 	d.reservations.addUngranted(id)
-	return d.lease(pending, id)
+	return d.lease(pending, id, incarnation)
 }
 
 // pickNext picks another server after the owner of a server refused. After an owner
