Bound what many routers with few requests exceed a rate by

If each router has less than one request in a window, more routers share a rate than its burst has requests. Nothing bounded their number: after a lull, 80 routers sent up to 72 requests too many in 4 s to a server that takes one in 2 s.

At most twice as many routers share a rate now as its burst has requests, and in pools without prompts never more than the burst, so that it holds in any order of events.

A lower number of routers that kept changing was never used (TestChangingLowerCountsAreUsedInTheEnd: blocked for 10 min before); the highest number since the first lower one counts now. Pools that are created late no longer wait as if the router had just joined, servers are found by hash, and queued requests are granted slots by the time at which the lock is held.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -47,9 +47,10 @@
 	byName map[string]*pool
 	// servers is the latest list by pool, for pools that a later route table adds.
 	servers map[string][]placement.ServerInfo
-	// position is the router's place among all routers.
-	position ratelimit.Position
-	metrics  *gatewayMetrics
+	// position is the router's place among all routers since positionedAt.
+	position     ratelimit.Position
+	positionedAt time.Time
+	metrics      *gatewayMetrics
 }
 
 func newPools(m *gatewayMetrics) *pools {
@@ -63,7 +64,7 @@
 	found := p.byName[name]
 	if found == nil {
 		found = newPool(engine, p.metrics)
-		found.servers.SetPosition(p.position, time.Now())
+		found.servers.SetPosition(p.position, p.positionedAt)
 		found.servers.SetServers(p.servers[name], time.Now())
 		p.byName[name] = found
 	}
@@ -251,9 +252,9 @@
 	go func() {
 		ticker := time.NewTicker(grantInterval)
 		defer ticker.Stop()
-		for now := range ticker.C {
+		for range ticker.C {
 			p.mu.Lock()
-			p.grantQueued(now)
+			p.grantQueued(time.Now())
 			p.tickerRunning = p.queue.Len() > 0
 			done := !p.tickerRunning
 			p.mu.Unlock()
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -57,6 +57,9 @@
 // setPosition applies the router's place to all pools and to those that are created later.
 func (p *pools) setPosition(position ratelimit.Position) {
 	p.mu.Lock()
+	if p.position.Count == 0 {
+		p.positionedAt = time.Now()
+	}
 	p.position = position
 	p.mu.Unlock()
 	for _, found := range p.list() {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -22,12 +22,11 @@
 // and whether it changes whether the server limits its rate. It ignores an incarnation that is
 // not listed.
 func (p *Pool) RecordPeerRate(incarnation uint64, s ratelimit.Statement) (server *Server, isNews bool) {
-	for _, listed := range p.servers {
-		if listed.Hash == incarnation {
-			return listed, p.limits.RecordPeer(incarnation, s)
-		}
+	server = p.byHash[incarnation]
+	if server == nil {
+		return nil, false
 	}
-	return nil, false
+	return server, p.limits.RecordPeer(incarnation, s)
 }
 
 // TakeRateReports returns the statements about rates that this router received in answers since
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -125,6 +125,7 @@
 	hasPrefixCache bool
 	servers        []*Server
 	byID           map[string]*Server
+	byHash         map[uint64]*Server
 	// drainingAddresses maps the IDs of draining servers, from which others may
 	// still copy, to their addresses.
 	drainingAddresses map[string]string
@@ -158,6 +159,7 @@
 func (p *Pool) SetServers(infos []ServerInfo, now time.Time) {
 	servers := make([]*Server, 0, len(infos))
 	byID := make(map[string]*Server, len(infos))
+	p.byHash = make(map[uint64]*Server, len(infos))
 	clear(p.drainingAddresses)
 	p.listedAt = now
 	for _, info := range infos {
@@ -173,6 +175,7 @@
 		s.ServerInfo = info
 		servers = append(servers, s)
 		byID[info.ID] = s
+		p.byHash[info.Hash] = s
 	}
 	slices.SortFunc(servers, func(a, b *Server) int {
 		if a.ID < b.ID {
@@ -200,7 +203,10 @@
 }
 
 func (p *Pool) choose(request Request, now time.Time) *Server {
-	p.limits.SetDemand(p.demandPerSecond(now))
+	if p.hasPrefixCache {
+		// Requests without a prompt go to the quickest server, so there is no demand for each one.
+		p.limits.SetDemand(p.demandPerSecond(now))
+	}
 	eligible := p.eligible(request, now)
 	switch {
 	case len(eligible) == 0:
--- a/internal/placement/withdrawal.go
+++ b/internal/placement/withdrawal.go
@@ -16,6 +16,7 @@
 			return false
 		}
 		delete(p.byID, s.ID)
+		delete(p.byHash, s.Hash)
 		p.drainingAddresses[s.ID] = s.Address
 		return true
 	})
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -13,6 +13,9 @@
 	burstBase    = 4.0
 	burstSeconds = 6.0
 	burstWindow  = 4 * time.Second
+	// maxSharersPerBurst bounds the routers that share a rate, if each of them has less than one
+	// request in countedWindow, relative to the burst.
+	maxSharersPerBurst = 2
 	// manySharersCapacity is the capacity of a bucket in requests if each of many routers sends at
 	// most one in countedWindow.
 	manySharersCapacity = 3
@@ -62,8 +65,8 @@
 // is not safe for concurrent use.
 type Book struct {
 	position Position
-	// fewer is a position among fewer routers than the one in use, fewerSince when it was first
-	// recorded.
+	// fewer is the position among most routers since fewerSince, from which on all positions were
+	// among fewer routers than the one in use.
 	fewer      Position
 	fewerSince time.Time
 	// joinsAt is when a router that has just learned its position may send.
@@ -104,12 +107,16 @@
 		return
 	}
 	if position.Count < b.position.Count {
-		if position.Count != b.fewer.Count {
-			b.fewer, b.fewerSince = position, now
+		if b.fewer.Count == 0 {
+			b.fewerSince = now
+		}
+		if position.Count >= b.fewer.Count {
+			b.fewer = position
 		}
 		if now.Sub(b.fewerSince) < fewerDelay {
 			return
 		}
+		position = b.fewer
 	}
 	b.fewer = Position{}
 	before := b.vantage()
@@ -127,8 +134,9 @@
 	}
 }
 
-// SetDemand records the rate of this router's requests for one server, in requests per second; the
-// other routers have a similar rate. With 0, it is unknown.
+// SetDemand records the rate of this router's requests for one server, in requests per second. The
+// other routers are assumed to have a similar rate. With 0, it is unknown, and the burst is never
+// exceeded.
 func (b *Book) SetDemand(perSecond float64) { b.demandPerSecond = perSecond }
 
 // RecordAnswer records the statement of an answer that this router received, and reports whether
@@ -310,16 +318,16 @@
 // totalBurst returns how many requests all routers together may send in burstWindow.
 func (l *limit) totalBurst() int { return int(burstBase + burstSeconds*l.PerSecond) }
 
-// sharers returns the number of routers that share the rate. As many as can send a request each in
-// burstWindow use it if they have enough requests for the server. If each of them has less than
-// one in burstWindow, more routers share the rate: together they have as many requests as the
-// server takes, and more than it takes in a window is unlikely.
+// sharers returns the number of routers that share the rate: as many as can send a request each in
+// burstWindow. If each of these has less than one in countedWindow, they would leave most of the
+// rate unused, so up to maxSharersPerBurst times as many share it. They exceed the burst, by as much
+// again at most, if many of them have a request at the same time.
 func (l *limit) sharers(v vantage) int {
 	sharers := l.totalBurst()
 	if expected := v.demandPerSecond * countedWindow.Seconds(); expected > 0 && expected < 1 {
 		// Each router sends at most one request in countedWindow.
 		sentPerSecond := v.demandPerSecond / (1 + expected)
-		sharers = max(sharers, int(usedShare*l.rate()/sentPerSecond))
+		sharers = min(max(sharers, int(usedShare*l.rate()/sentPerSecond)), maxSharersPerBurst*sharers)
 	}
 	return min(v.count(), sharers)
 }
--- a/internal/ratelimit/book_test.go
+++ b/internal/ratelimit/book_test.go
@@ -173,8 +173,14 @@
 
 // press returns the arrivals of requests at a server to which each router always has some to send.
 func press(routers int, perSecond float64, newsAreLost bool) (arrivals []time.Time) {
+	return pressWithDemand(routers, perSecond, 0, newsAreLost)
+}
+
+// pressWithDemand does the same with routers that had fewer requests before, demand per second each.
+func pressWithDemand(routers int, perSecond, demand float64, newsAreLost bool) (arrivals []time.Time) {
 	books := make([]ratelimit.Book, routers)
 	for i := range books {
+		books[i].SetDemand(demand)
 		books[i].SetPosition(ratelimit.Position{Index: i, Count: routers}, start.Add(-time.Minute))
 		books[i].RecordPeer(server, limitedTo(perSecond, start))
 	}
@@ -257,3 +263,33 @@
 	g.Expect(perSecond).To(Equal(3.0))
 	g.Expect(math.IsNaN(perSecond)).To(BeFalse())
 }
+
+// TestChangingLowerCountsAreUsedInTheEnd guards against a router that divides a rate among routers that are
+// gone, as long as the number of those that are left changes.
+func TestChangingLowerCountsAreUsedInTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	var b ratelimit.Book
+	b.SetPosition(ratelimit.Position{Index: 99, Count: 100}, start.Add(-time.Minute))
+	b.RecordPeer(server, limitedTo(0.5, start))
+	now := start
+	for i := range 60 {
+		now = now.Add(700 * time.Millisecond)
+		b.SetPosition(ratelimit.Position{Index: 0, Count: 2 + i/10%2}, now)
+		b.RecordPeer(server, limitedTo(0.5, now))
+	}
+	_, blocked := b.AvailableAt(server, now)
+	g.Expect(blocked).To(BeFalse())
+}
+
+// TestManyRoutersExceedTheBurstByItsSizeAtMost guards against an excess that grows with the number of routers,
+// when all of them have requests at once after a time with few.
+func TestManyRoutersExceedTheBurstByItsSizeAtMost(t *testing.T) {
+	g := NewWithT(t)
+	for _, demand := range []float64{0.001, 0.02, 0.1} {
+		for _, perSecond := range []float64{0.5, 2.6} {
+			arrivals := pressWithDemand(300, perSecond, demand, false)
+			burst := 4 + 6*perSecond
+			g.Expect(worstExcess(arrivals, perSecond)).To(BeNumerically("<=", burst-1), "demand %g/s, %g/s", demand, perSecond)
+		}
+	}
+}
