Let only a server's own answer end its limit, and only a quorum number routers

Found by reading, not reproduced: a success without the server's signature is rejected as an answer, but the missing field had already ended the limit for all routers; and a control replica that is cut off from the others numbered only its own routers, so that both sides would take the whole rate after 12 s. The statement is now read after the signature was checked, and a replica without a quorum gives no numbers; its routers keep theirs. The tests of the packages pass.

--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -141,9 +141,9 @@
 
 // numbering returns the indices of the routers that follow this replica: the replicas take
 // consecutive ranges in the order of their addresses. A replica that has been silent has no
-// routers. The caller holds mu.
+// routers; one without a quorum, which may be cut off from others, numbers none. The caller holds mu.
 func (s *Service) numbering(now time.Time) relay.Numbering {
-	if !s.knowsRouters(now) {
+	if !s.knowsRouters(now) || !s.source.HasQuorum() {
 		return relay.Numbering{}
 	}
 	s.replicas.Record(s.ownAddress, s.subtrees.Sum(relay.Applied{}, now), now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -151,9 +151,9 @@
 	answer := c.gateway.dialect.ParseAnswer(ex.StatusCode, ex.Header)
 	lease.recordLoad(answer.Load)
 	c.recordWithdrawal(lease, answer)
-	c.recordRate(lease, answer)
 	firstByte := time.Since(lease.sentAt)
 	if answer.NotRun {
+		c.recordRate(lease, answer)
 		return c.handleNotRun(lease, ex)
 	}
 	c.mayHaveRun = true
@@ -163,6 +163,7 @@
 		lease.release(placement.Result{Kind: placement.ResultFailed, FirstByte: firstByte})
 		return &failure{err: api.Errorf(api.CodeBackendFailed, "answer of %s has no signature", lease.id)}
 	}
+	c.recordRate(lease, answer)
 	if isEventStream(ex) {
 		attemptTimer.Stop()
 		return c.relayStream(ctx, ex, lease)
