Let up to three times as many routers as the burst has requests share a rate

The excess in one window is bounded by two bursts instead of one (TestManyRoutersSendThreeBurstsAtMost).

--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -15,7 +15,7 @@
 	burstWindow  = 4 * time.Second
 	// maxSharersPerBurst bounds the routers that share a rate, if each of them has less than one
 	// request in countedWindow, relative to the burst.
-	maxSharersPerBurst = 2
+	maxSharersPerBurst = 3
 	// manySharersCapacity is the capacity of a bucket in requests if each of many routers sends at
 	// most one in countedWindow.
 	manySharersCapacity = 3
@@ -320,8 +320,8 @@
 
 // sharers returns the number of routers that share the rate: as many as can send a request each in
 // burstWindow. If each of these has less than one in countedWindow, they would leave most of the
-// rate unused, so up to maxSharersPerBurst times as many share it. They exceed the burst, by as much
-// again at most, if many of them have a request at the same time.
+// rate unused, so up to maxSharersPerBurst times as many share it. They exceed the burst if many of
+// them have a request at the same time.
 func (l *limit) sharers(v vantage) int {
 	sharers := l.totalBurst()
 	if expected := v.demandPerSecond * countedWindow.Seconds(); expected > 0 && expected < 1 {
