--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -366,13 +366,6 @@
 	return line
 }
 
-func contextCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
-
 // writeAnswer writes a buffered answer to the caller.
 func (c *call) writeAnswer(answer *bufferedAnswer) error {
 	c.copyAnswerHeader(answer.header)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -189,3 +189,10 @@
 	}
 	return line
 }
+
+func contextCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
