--- a/internal/control/replica/full_test.go
+++ b/internal/control/replica/full_test.go
@@ -12,14 +12,13 @@
 func TestFollowerCatchesUpWithLeaderThatCouldNotWriteSnapshot(t *testing.T) {
 	members := startGroup(t, 3)
 	leader, behind, other := members[0], members[1], members[2]
-	resume := behind.block()
+	resume := behind.block(t)
 	time.Sleep(inactivityDuration)
 	accept := leader.refuseFile(snapshotFile)
 	leader.proposeUntilLogIsTooLarge()
 	accept()
 	resume()
-	resumeOther := other.block()
-	defer resumeOther()
+	other.block(t)
 	behind.expectCount(leader.propose(1))
 }
 
@@ -30,7 +29,7 @@
 		t.Run(file, func(t *testing.T) {
 			members := startGroup(t, 3)
 			leader, behind := members[0], members[1]
-			resume := behind.block()
+			resume := behind.block(t)
 			time.Sleep(inactivityDuration)
 			leader.proposeUntilLogIsTooLarge()
 			accept := behind.refuseFile(file)
--- a/internal/control/replica/group_test.go
+++ b/internal/control/replica/group_test.go
@@ -132,11 +132,14 @@
 	return func() { m.g.Expect(os.RemoveAll(obstacle)).To(Succeed()) }
 }
 
-// block stops the event loop, as a disk that refuses every append does, until resume is called.
-func (m *member) block() (resume func()) {
+// block stops the event loop, as a disk that refuses every append does, until resume is called or the
+// test has failed.
+func (m *member) block(t *testing.T) (resume func()) {
 	blocked := make(chan struct{})
 	m.enqueue(context.Background(), func() { <-blocked })
-	return func() { close(blocked) }
+	resume = sync.OnceFunc(func() { close(blocked) })
+	t.Cleanup(resume)
+	return resume
 }
 
 // propose commits a command of the given size within ackTimeout and returns the number of commands
