--- a/internal/placement/hot.go
+++ b/internal/placement/hot.go
@@ -44,7 +44,7 @@
 	return c.value * math.Exp2(-now.Sub(c.at).Seconds()/keyCountHalfLife.Seconds())
 }
 
-// perSecond returns the rate of the requests.
+// perSecond returns the rate of the requests per second, averaged over about keyCountHalfLife.
 func (c decayingCount) perSecond(now time.Time) float64 {
 	return c.decayed(now) * math.Ln2 / keyCountHalfLife.Seconds()
 }
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -96,8 +96,8 @@
 	return home
 }
 
-// admitsKey reports whether the key belongs to the part of a limited server's keys that the router
-// sends to it, as a share of 1.
+// admitsKey reports whether the key belongs to the share, from 0 to 1, of a limited server's keys that
+// the router sends to it.
 func (p *Pool) admitsKey(s *Server, share float64, key uint64, now time.Time) bool {
 	if share == 0 {
 		// It is this router's turn to ask the server whether it still limits its rate.
