Reject answers that a reset cut during the upload, and heads without a valid status

Cause: an answer without a length ends with its connection. If the server resets the connection while the body is still being written, the kernel reports the reset once: to the write, after which the read sees an ordinary end. Both paths then passed a part of the answer on as complete. A head with status 000 or 099, or an unrequested 101, was skipped as an interim answer, so that the caller waited until its deadline; 600 to 999 and other protocol versions were forwarded.

Change: an answer without a length that arrives beside an upload is complete only if the upload succeeded, which is awaited for up to 1 s. A head needs version HTTP/1 and a status from 100 to 599 except 101; another one is a failure of the server after which the request may have run.

Ruled out: asking the kernel for the state of the connection, which differs between systems. A server that ends such an answer by a close without reading the body resets the rest, too; this cannot be told from a cut and counts as incomplete.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -60,6 +60,7 @@
 var (
 	ErrUnmatchedAnswer = errors.New("connection delivered answers to other requests")
 	ErrHeadTooLarge    = errors.New("head of the answer exceeds the size limit")
+	ErrInvalidHead     = errors.New("answer has no valid status or protocol version")
 )
 
 // Request is one attempt to send a request to a server.
@@ -146,10 +147,10 @@
 // Exchange is a request and the answer whose head has arrived. Close must be called.
 type Exchange struct {
 	*http.Response
-	client      *Client
-	conn        *conn
-	bodyWritten chan error
-	stopCancel  func() bool
+	client     *Client
+	conn       *conn
+	upload     *upload
+	stopCancel func() bool
 	// mu guards closed.
 	mu     sync.Mutex
 	closed bool
@@ -191,11 +192,7 @@
 	if _, err := e.conn.Write(head); err != nil {
 		return errors.Wrap(err, "write request")
 	}
-	e.bodyWritten = make(chan error, 1)
-	go func() {
-		_, err := e.conn.Write(request.Body)
-		e.bodyWritten <- err
-	}()
+	e.upload = startUpload(e.conn, request.Body)
 	return nil
 }
 
@@ -223,6 +220,9 @@
 		}
 		if request.AcceptAnswer(response, e.conn.reused) {
 			e.Response = response
+			if e.upload != nil && !e.IsFramed() {
+				e.Body = &unframedBody{ReadCloser: e.Body, upload: e.upload}
+			}
 			return nil
 		}
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Close {
@@ -260,17 +260,7 @@
 
 // isBodyWritten reports whether the whole request was written. If a server answers before,
 // the rest of the body is still to be sent, so the connection cannot be reused.
-func (e *Exchange) isBodyWritten() bool {
-	if e.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-e.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
+func (e *Exchange) isBodyWritten() bool { return e.upload.hasSucceeded(0) }
 
 // LocalAddress returns the local address of the connection, which identifies it.
 func (e *Exchange) LocalAddress() string { return e.conn.LocalAddr().String() }
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -38,10 +38,21 @@
 	c.limit.active, c.limit.remainingBytes = true, maxHeadBytes
 	response, err := http.ReadResponse(c.reader, request)
 	c.limit.active = false
+	if err == nil && !isValidHead(response) {
+		return nil, errors.Wrapf(ErrInvalidHead, "%s %03d", response.Proto, response.StatusCode)
+	}
 	return response, err
 }
 
-// readFinalHead skips interim answers, and returns ErrUnmatchedAnswer after maxInterimAnswers.
+// isValidHead reports whether the head is one of HTTP/1 with a defined class of status (RFC 9110,
+// section 15). No request asks for another protocol, so 101 is invalid too.
+func isValidHead(response *http.Response) bool {
+	status := response.StatusCode
+	return response.ProtoMajor == 1 && status >= http.StatusContinue && status < 600 && status != http.StatusSwitchingProtocols
+}
+
+// readFinalHead skips interim answers, and returns ErrUnmatchedAnswer after maxInterimAnswers. An
+// error may wrap ErrInvalidHead.
 func (c *conn) readFinalHead(request *http.Request) (*http.Response, error) {
 	for range maxInterimAnswers + 1 {
 		response, err := c.readHead(request)
