Send control replicas liveness in time rather than with every digest

Cause: each digest, every 0.7 s, repeated the last announcement of every server to each other replica, and all recent loads, also those that the other replicas had sent. A load was sent back and forth, each time newer by the network delay, until it was 3 s old.

Change: a digest names a server if the other replica's knowledge of it is 2.2 s old or older, so it stays below 3 s (3.3 s with an unreachable replica), and only loads that this replica's own routers have reported. Ages of forwarded loads are rounded up.

Ruled out: an index agreed by revision instead of the 8 bytes of a hash. It needs a handshake after each restart, and the digest is no longer the larger part of the traffic.

--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -71,3 +71,25 @@
 	defer s.mu.Unlock()
 	return s.knowsRouters(now)
 }
+
+// ToldLiveness is what a replica was told of announcements.
+type ToldLiveness = toldLiveness
+
+// Due calls due.
+func (t toldLiveness) Due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
+	return t.due(announcedAt, now)
+}
+
+// Record calls record.
+func (t toldLiveness) Record(sent, announcedAt map[uint64]time.Time) { t.record(sent, announcedAt) }
+
+// ShareRequestTo returns the next request with a digest to another replica.
+func (s *Service) ShareRequestTo(address string) *fleetpb.ShareRequest {
+	for _, p := range s.otherReplicas() {
+		if p.client.Address() == address {
+			request, _, _, _ := s.newShareRequest(p, true)
+			return request
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleetsync/liveness.go
@@ -0,0 +1,40 @@
+package fleetsync
+
+import "time"
+
+// livenessRefresh is the age of the last announcement that another replica knows of from which a
+// digest repeats a server. Digests are up to digestInterval + shareTimeout apart, so the other
+// replica's knowledge stays younger than 3.3 s, which is below registry.SilentAfter.
+const livenessRefresh = 2200 * time.Millisecond
+
+// toldLiveness holds the announcement times that another replica was last told, by the servers'
+// hashes.
+type toldLiveness map[uint64]time.Time
+
+// due returns the announcement times to send at now. With every digest all 3,000 servers of a
+// large fleet would be repeated three times as often as the other replica needs.
+func (t toldLiveness) due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
+	out := make(map[uint64]time.Time, len(announcedAt)/2)
+	for hash, at := range announcedAt {
+		if told := t[hash]; at.After(told) && now.Sub(told) >= livenessRefresh {
+			out[hash] = at
+		}
+	}
+	return out
+}
+
+// record records that the other replica has received the announcement times, and forgets servers
+// that no longer announce themselves to this replica.
+func (t toldLiveness) record(sent, announcedAt map[uint64]time.Time) {
+	for hash, at := range sent {
+		t[hash] = at
+	}
+	if len(t) <= len(announcedAt) {
+		return
+	}
+	for hash := range t {
+		if _, found := announcedAt[hash]; !found {
+			delete(t, hash)
+		}
+	}
+}
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -27,6 +27,8 @@
 	ReportedAt time.Time
 	// receivedAt is when the caching replica received the load.
 	receivedAt time.Time
+	// fromReplica is set for a load that another control replica has sent.
+	fromReplica bool
 }
 
 // loadCache caches the newest load of each server by the server's hash. In a large fleet a
@@ -44,6 +46,16 @@
 	l.mergeLoads(FromLoads(message, now), now)
 }
 
+// mergeFromReplica merges the loads that another control replica has received from its routers.
+func (l *loadCache) mergeFromReplica(message *fleetpb.Loads, now time.Time) {
+	received := FromLoads(message, now)
+	for server, load := range received {
+		load.fromReplica = true
+		received[server] = load
+	}
+	l.mergeLoads(received, now)
+}
+
 // mergeLoads stores the loads received at now that are newer than the cached ones.
 func (l *loadCache) mergeLoads(received map[uint64]ServerLoad, now time.Time) {
 	l.mu.Lock()
@@ -69,6 +81,16 @@
 // loads older than MaxLoadAge. A caller with a regular interval has received the other loads
 // with earlier calls.
 func (l *loadCache) recent(now time.Time, within time.Duration) map[uint64]ServerLoad {
+	return l.recentOf(now, within, true)
+}
+
+// recentFromFollowers is recent without the loads that other control replicas have sent. Sent back,
+// they look newer there by the network delay, and would be exchanged until they are MaxLoadAge old.
+func (l *loadCache) recentFromFollowers(now time.Time, within time.Duration) map[uint64]ServerLoad {
+	return l.recentOf(now, within, false)
+}
+
+func (l *loadCache) recentOf(now time.Time, within time.Duration, withReplicas bool) map[uint64]ServerLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[uint64]ServerLoad, len(l.byServer))
@@ -77,7 +99,7 @@
 			delete(l.byServer, server)
 			continue
 		}
-		if now.Sub(load.receivedAt) <= within {
+		if now.Sub(load.receivedAt) <= within && (withReplicas || !load.fromReplica) {
 			out[server] = load
 		}
 	}
@@ -90,7 +112,8 @@
 	for server, load := range byServer {
 		out.Servers = append(out.Servers, server)
 		out.Requests = append(out.Requests, uint32(max(load.Requests, 0)))
-		out.AgeMs = append(out.AgeMs, uint32(max(now.Sub(load.ReportedAt), 0).Milliseconds()))
+		// Rounded up, a load does not look newer with each transmission.
+		out.AgeMs = append(out.AgeMs, ageMS(load.ReportedAt, now.Add(time.Millisecond-1)))
 	}
 	return out
 }
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -20,7 +20,7 @@
 func (s *Service) share(ctx context.Context, p *peer, digest bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	request, revision, statements := s.newShareRequest(p, digest)
+	request, revision, statements, alive := s.newShareRequest(p, digest)
 	if !digest && len(request.GetServers()) == 0 && request.GetStatements() == nil && int(request.GetRouters()) == p.sentRouters {
 		return true
 	}
@@ -40,6 +40,11 @@
 	if len(response.GetUnknown()) > 0 {
 		// The replica has restarted and lacks these servers; the next call sends all.
 		p.sentRevision, p.sentStatements = 0, statementCursor{}
+		clear(p.told)
+	} else if digest {
+		s.mu.Lock()
+		p.told.record(alive, s.announcedAt)
+		s.mu.Unlock()
 	}
 	now := time.Now()
 	s.recordStatements(fromRateStatements(response.GetStatements(), now), originUpstream, now)
@@ -59,25 +64,26 @@
 }
 
 // newShareRequest returns the request with the changes that a replica lacks, and the registry
-// revision and the cursor that the replica has with it.
-func (s *Service) newShareRequest(p *peer, digest bool) (*fleetpb.ShareRequest, uint64, statementCursor) {
+// revision, the cursor and the announcement times that the replica has with it.
+func (s *Service) newShareRequest(p *peer, digest bool) (request *fleetpb.ShareRequest, revision uint64, sent statementCursor, alive map[uint64]time.Time) {
 	now := time.Now()
 	statements, cursor := s.statements.changes(p.sentStatements, !digest, originUpstream, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	request := &fleetpb.ShareRequest{
+	request = &fleetpb.ShareRequest{
 		Instance: s.ownAddress, Servers: toServers(s.table.Since(p.sentRevision), now), WantAll: digest && !s.synced,
 		Statements: toRateStatements(statements, now), Routers: uint32(s.subtrees.Sum(relay.Applied{}, now).Routers),
 	}
 	if digest {
 		request.LossDigest = s.losses.Digest()
-		request.Loads = ToLoads(s.loads.recent(now, digestInterval+reportSlack), now)
-		for hash, at := range s.announcedAt {
+		request.Loads = ToLoads(s.loads.recentFromFollowers(now, digestInterval+reportSlack), now)
+		alive = p.told.due(s.announcedAt, now)
+		for hash, at := range alive {
 			request.Alive = append(request.Alive, hash)
 			request.AgeMs = append(request.AgeMs, uint32(now.Sub(at).Milliseconds()))
 		}
 	}
-	return request, s.table.Revision(), cursor
+	return request, s.table.Revision(), cursor, alive
 }
 
 // mergeServers merges server records of another replica into the registry. It returns the records
@@ -113,7 +119,7 @@
 // mergeDigest merges the loads and the digest of a request and returns the response to it.
 func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
 	now := time.Now()
-	s.loads.merge(request.GetLoads(), now)
+	s.loads.mergeFromReplica(request.GetLoads(), now)
 	s.recordStatements(fromRateStatements(request.GetStatements(), now), originUpstream, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -72,9 +72,12 @@
 	// sentRouters the number of routers that it was last told.
 	sentStatements statementCursor
 	sentRouters    int
-	mu             sync.Mutex
-	losses         *LossSender
-	stopLosses     context.CancelFunc
+	// told is when the servers that announce themselves to this replica last did so, as far as the
+	// other replica was told.
+	told       toldLiveness
+	mu         sync.Mutex
+	losses     *LossSender
+	stopLosses context.CancelFunc
 }
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
@@ -265,7 +268,7 @@
 // newPeer returns a replica, to which losses are reported until stopLosses is called or the
 // service ends.
 func (s *Service) newPeer(address string) *peer {
-	p := &peer{client: rpc.NewClient(address, rpc.PurposeFleet), losses: NewLossSender(s.losses)}
+	p := &peer{client: rpc.NewClient(address, rpc.PurposeFleet), losses: NewLossSender(s.losses), told: make(toldLiveness)}
 	ctx, cancel := context.WithCancel(s.running)
 	p.stopLosses = cancel
 	go p.losses.Run(ctx, p.client.Do)
