Bound a router's probes, and doubt the silence of many servers

Cause: two failed connections to a failure domain without an answer in between make the whole domain unreachable, and a router then connected to all of its servers each 0.4 s. Servers whose heartbeats control has not taken in time are silent, and every router connected to each of them as well. At 300 routers and 3,000 servers this is a feedback loop: the connections delay servers, heartbeats and requests, so more of them fail.

Change: an unreachable domain is probed with 8 servers each 0.4 s, since the first success ends the state, besides the servers that failed a connection. All probes of a pool share a budget of 40 per second and a burst of 64. If 200 servers or more, and 5% of a pool, are silent and no failure domain has most of them, control is late: their silence does not count, and the router's own connections decide.

Ruled out: fewer probes by a longer interval, which delays recovery in small deployments; a rule at control, which cannot tell its own lateness from servers that are gone.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -131,7 +131,7 @@
 	drainingAddresses map[string]string
 	history           *sendHistory
 	shares            *keyShares
-	domains           map[string]*reachability
+	reach             reach
 	// withdrawals holds what servers stated in their answers, by incarnation.
 	withdrawals withdrawal.Book[uint64]
 	// limits holds this router's shares of the rates that servers limit, by incarnation.
@@ -149,7 +149,7 @@
 func NewPool(hasPrefixCache bool) *Pool {
 	return &Pool{
 		hasPrefixCache: hasPrefixCache, byID: make(map[string]*Server), drainingAddresses: make(map[string]string),
-		history: newSendHistory(), shares: newKeyShares(), domains: make(map[string]*reachability),
+		history: newSendHistory(), shares: newKeyShares(), reach: newReach(),
 	}
 }
 
@@ -162,7 +162,7 @@
 	p.byHash = make(map[uint64]*Server, len(infos))
 	clear(p.drainingAddresses)
 	p.listedAt = now
-	for _, info := range infos {
+	for _, info := range p.withoutDoubtedSilence(infos) {
 		p.limits.RecordListed(info.Hash, now)
 		if p.withdrawals.RecordListed(info.Hash, now) || info.Draining {
 			p.drainingAddresses[info.ID] = info.Address
--- /dev/null
+++ b/internal/placement/probes.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// probeBurst and probesPerSecond bound the probes of a pool. Without a bound, a router with
+	// 1,000 unreachable servers opens 2,500 connections per second, which delays its own requests
+	// and the servers, so that more of them look unreachable.
+	probeBurst      = 64
+	probesPerSecond = 40.0
+	// domainSampleSize is the number of servers that are probed per probeInterval in an unreachable
+	// failure domain, beside those that have refused a connection: the first answer of any server
+	// ends the state.
+	domainSampleSize = 8
+	// minDoubtedSilent and minDoubtedShare are the number of servers of a pool, and their share,
+	// from which silence is doubted if no failure domain has most of the silent servers: control
+	// then is late, because heartbeats time out or it does not run. Fewer servers can fail together.
+	minDoubtedSilent = 200
+	minDoubtedShare  = 0.05
+	// maxDomainShare is the share of the silent servers that one failure domain has if it is lost
+	// or cut off from control.
+	maxDomainShare = 0.8
+)
+
+// reach is what a router knows about the reachability of a pool's servers.
+type reach struct {
+	domains map[string]*reachability
+	// probesLeft is the number of probes that may be sent at refilledAt.
+	probesLeft float64
+	refilledAt time.Time
+	// doubted is the number of servers whose silence is doubted.
+	doubted int
+}
+
+func newReach() reach { return reach{domains: make(map[string]*reachability), probesLeft: probeBurst} }
+
+// SilenceDoubted returns the number of servers that control lists as silent and that are used all
+// the same, because too many are silent at the same time.
+func (p *Pool) SilenceDoubted() int { return p.reach.doubted }
+
+// withoutDoubtedSilence returns the servers without their silence if it is doubted. The router's own
+// connections still show which servers are unreachable.
+func (p *Pool) withoutDoubtedSilence(infos []ServerInfo) []ServerInfo {
+	silent, byDomain := 0, make(map[string]int)
+	for i := range infos {
+		if infos[i].Silent {
+			silent++
+			byDomain[infos[i].Domain]++
+		}
+	}
+	p.reach.doubted = 0
+	if silent < minDoubtedSilent || float64(silent) < minDoubtedShare*float64(len(infos)) {
+		return infos
+	}
+	for _, count := range byDomain {
+		if float64(count) > maxDomainShare*float64(silent) {
+			return infos
+		}
+	}
+	p.reach.doubted = silent
+	out := slices.Clone(infos)
+	for i := range out {
+		out[i].Silent = false
+	}
+	return out
+}
+
+// ServersToProbe returns the unreachable servers that are due for a probe of whether
+// they are reachable again, and counts each as probed. A server is probed at most
+// once per probeInterval. Those that refused a connection come first, and of several the one
+// whose last probe was longest ago.
+func (p *Pool) ServersToProbe(now time.Time) []*Server {
+	var failed, silent []*Server
+	inDomain := make(map[string][]*Server)
+	for _, s := range p.servers {
+		domainLost := p.reachability(s.Domain).isUnreachable(now)
+		if !domainLost && s.isReachable(now) || now.Sub(s.lastProbe) < probeInterval || p.isPaused(s, now) {
+			continue
+		}
+		switch {
+		case s.health.connectFailures > 0:
+			failed = append(failed, s)
+		case domainLost:
+			inDomain[s.Domain] = append(inDomain[s.Domain], s)
+		default:
+			silent = append(silent, s)
+		}
+	}
+	if len(failed)+len(silent)+len(inDomain) == 0 {
+		return nil
+	}
+	budget := p.reach.refill(now)
+	out := leastRecentlyProbed(failed, budget)
+	for domain, servers := range inDomain {
+		out = append(out, leastRecentlyProbed(servers, min(p.reach.sample(domain, now), budget-len(out)))...)
+	}
+	out = append(out, leastRecentlyProbed(silent, budget-len(out))...)
+	for _, s := range out {
+		s.lastProbe = now
+	}
+	p.reach.probesLeft -= float64(len(out))
+	return out
+}
+
+// refill returns how many probes may be sent at now.
+func (r *reach) refill(now time.Time) int {
+	if !r.refilledAt.IsZero() {
+		r.probesLeft = min(probeBurst, r.probesLeft+probesPerSecond*max(now.Sub(r.refilledAt), 0).Seconds())
+	}
+	r.refilledAt = now
+	return int(r.probesLeft)
+}
+
+// sample returns how many further servers of an unreachable domain may be probed at now.
+func (r *reach) sample(domain string, now time.Time) int {
+	d := r.domains[domain]
+	if now.Sub(d.sampledAt) < probeInterval {
+		return 0
+	}
+	d.sampledAt = now
+	return domainSampleSize
+}
+
+// leastRecentlyProbed returns the n servers whose last probes are longest ago.
+func leastRecentlyProbed(servers []*Server, n int) []*Server {
+	if len(servers) <= n {
+		return servers
+	}
+	slices.SortStableFunc(servers, func(a, b *Server) int { return a.lastProbe.Compare(b.lastProbe) })
+	return servers[:max(n, 0)]
+}
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -16,6 +16,8 @@
 type reachability struct {
 	lostServers []string
 	lostAt      time.Time
+	// sampledAt is when a sample of the domain's servers was last probed.
+	sampledAt time.Time
 }
 
 func (r *reachability) recordLoss(id string, now time.Time) {
@@ -38,23 +40,6 @@
 	return len(r.lostServers) >= minLostServers && now.Sub(r.lostAt) < lossWindow
 }
 
-// ServersToProbe returns the unreachable servers that are due for a probe of whether
-// they are reachable again, and counts each as probed. A server is probed at most
-// once per probeInterval.
-func (p *Pool) ServersToProbe(now time.Time) []*Server {
-	var out []*Server
-	for _, s := range p.servers {
-		if p.isPaused(s, now) {
-			continue
-		}
-		if (!s.isReachable(now) || p.reachability(s.Domain).isUnreachable(now)) && now.Sub(s.lastProbe) >= probeInterval {
-			s.lastProbe = now
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // RecordConnectFailure records that a connection to the server could not be set up.
 // Failed probes keep an unreachable failure domain out of use.
 func (p *Pool) RecordConnectFailure(s *Server, now time.Time) {
@@ -71,10 +56,10 @@
 }
 
 func (p *Pool) reachability(domain string) *reachability {
-	r := p.domains[domain]
+	r := p.reach.domains[domain]
 	if r == nil {
 		r = &reachability{}
-		p.domains[domain] = r
+		p.reach.domains[domain] = r
 	}
 	return r
 }
