Send routers the highest and newest loads of a large fleet, and the mean

Cause: each exchange of loads had those of all servers: 30 KB at 3,000 servers, to eight relays of a control replica each 0.35 s, to five replicas each 0.7 s and from each relay to its followers. That alone exceeds a link of 4.2 Mbit/s, so heartbeats and streams time out.

Change: with more than 1,200 listed servers, a message has the 128 highest loads of a pool, those that were among the highest before, and the newest, 256 in all, and the sum of the pool's loads. Routers take the mean from the sums: that of the loads that they know would be too high. Pools with up to 64 known loads are sent whole, and so are all loads of smaller fleets. One selection is sent to all that ask within 0.25 s. A router finds the server of a load by its hash rather than by a search of all servers.

Ruled out: only the newest loads, because 256 of 3,000 each 0.7 s leave most of the overloaded servers unknown; a limit to a failure domain, since routers send to all domains.

--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -93,3 +93,12 @@
 	}
 	return nil
 }
+
+// ExpireSelections makes the next report or digest select the loads anew.
+func (s *Service) ExpireSelections() {
+	for _, selection := range []*loadSelection{&s.routerSelection, &s.replicaSelection} {
+		selection.mu.Lock()
+		selection.selectedAt = time.Time{}
+		selection.mu.Unlock()
+	}
+}
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -157,3 +157,15 @@
 		State: registry.StateReady, Models: []registry.Model{{Name: "m", Version: 1}},
 	}
 }
+
+// newBenchmarkService returns the service of a replica that n servers have announced themselves to.
+func newBenchmarkService(b *testing.B, n int) *fleetsync.Service {
+	departures := fleetsync.OpenDepartureLog(filepath.Join(b.TempDir(), "departures"), zerolog.Nop())
+	service := fleetsync.NewService("127.0.0.1:1", newFakeReplica("127.0.0.1:1"), newTestLosses(), departures, controlLimits, 0, zerolog.Nop())
+	for i := range n {
+		if err := service.Announce(context.Background(), testServer(i)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return service
+}
--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -81,29 +81,46 @@
 // loads older than MaxLoadAge. A caller with a regular interval has received the other loads
 // with earlier calls.
 func (l *loadCache) recent(now time.Time, within time.Duration) map[uint64]ServerLoad {
-	return l.recentOf(now, within, true)
+	out := make(map[uint64]ServerLoad)
+	l.eachRecent(now, within, true, func(server uint64, load ServerLoad) { out[server] = load })
+	return out
 }
 
 // recentFromFollowers is recent without the loads that other control replicas have sent. Sent back,
 // they look newer there by the network delay, and would be exchanged until they are MaxLoadAge old.
 func (l *loadCache) recentFromFollowers(now time.Time, within time.Duration) map[uint64]ServerLoad {
-	return l.recentOf(now, within, false)
+	out := make(map[uint64]ServerLoad)
+	l.eachRecent(now, within, false, func(server uint64, load ServerLoad) { out[server] = load })
+	return out
+}
+
+// recentList is recent, or recentFromFollowers without withReplicas, as a list.
+func (l *loadCache) recentList(now time.Time, within time.Duration, withReplicas bool) []hashedLoad {
+	out := make([]hashedLoad, 0, l.len())
+	l.eachRecent(now, within, withReplicas, func(server uint64, load ServerLoad) {
+		out = append(out, hashedLoad{server, load.Requests, now.Sub(load.ReportedAt)})
+	})
+	return out
 }
 
-func (l *loadCache) recentOf(now time.Time, within time.Duration, withReplicas bool) map[uint64]ServerLoad {
+func (l *loadCache) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byServer)
+}
+
+func (l *loadCache) eachRecent(now time.Time, within time.Duration, withReplicas bool, use func(uint64, ServerLoad)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[uint64]ServerLoad, len(l.byServer))
 	for server, load := range l.byServer {
 		if now.Sub(load.ReportedAt) > MaxLoadAge {
 			delete(l.byServer, server)
 			continue
 		}
 		if now.Sub(load.receivedAt) <= within && (withReplicas || !load.fromReplica) {
-			out[server] = load
+			use(server, load)
 		}
 	}
-	return out
 }
 
 // ToLoads returns the message for loads keyed by the servers' hashes.
@@ -135,11 +152,11 @@
 
 // Report implements the Report RPC of the Fleet service. It merges what a router reports and
 // returns the loads that the replica received recently.
-func (p *publisher) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+func (s *Service) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	now := time.Now()
-	response := p.mergeReport(request, now)
+	response := s.mergeReport(request, now)
 	if !request.GetWithoutLoads() {
-		response.Loads = ToLoads(p.loads.recent(now, LoadReportInterval+reportSlack), now)
+		response.Loads = s.loadsForRouters(now)
 	}
 	return response, nil
 }
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -31,6 +31,10 @@
 	// sourceLoads holds the loads received from the source. They are not reported back to
 	// it: the network delay would make them look newer than they are.
 	sourceLoads *loadCache
+	// sourcePools holds the sums that the source sent, selection the loads that followers receive
+	// if there are any.
+	sourcePools *poolLoads
+	selection   loadSelection
 	// reportNews receives a value when the source should soon receive a report.
 	reportNews chan struct{}
 	// ownNumbering is the range of indices of this router and its followers. It and the fields
@@ -47,7 +51,7 @@
 // unknown and disables pacing.
 func NewRelay(address string, source Source, servers func() []registry.Entry, losses *quarantine.Store, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
 	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
-	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache(), reportNews: make(chan struct{}, 1)}
+	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache(), sourcePools: newPoolLoads(), reportNews: make(chan struct{}, 1)}
 	r.onReportNews = r.wakeReport
 	r.numbering = func(time.Time) relay.Numbering { return r.ownNumbering.Followers() }
 	r.onFirstSubscriber = r.fillTable
@@ -111,13 +115,39 @@
 	now := time.Now()
 	response := r.mergeReport(request, now)
 	if !request.GetWithoutLoads() {
-		loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
-		AddNewerLoads(loads, r.loads.recent(now, LoadReportInterval+reportSlack))
-		response.Loads = ToLoads(loads, now)
+		response.Loads = r.loadsForFollowers(now)
 	}
 	return response, nil
 }
 
+// loadsForFollowers returns the loads of which a follower may lack some: all, unless the source
+// itself sent only some of them.
+func (r *Relay) loadsForFollowers(now time.Time) *fleetpb.Loads {
+	pools := r.sourcePools.sum(nil, now)
+	if len(pools) == 0 {
+		return ToLoads(r.recentLoads(now), now)
+	}
+	loads, _ := r.selection.get(now, func() map[string][]hashedLoad {
+		recent := r.recentLoads(now)
+		list := make([]hashedLoad, 0, len(recent))
+		for hash, load := range recent {
+			list = append(list, hashedLoad{hash, load.Requests, now.Sub(load.ReportedAt)})
+		}
+		return r.byPool(list)
+	})
+	return toPartialLoads(loads, pools, now)
+}
+
+// recentLoads returns the loads that the source and the followers sent recently.
+func (r *Relay) recentLoads(now time.Time) map[uint64]ServerLoad {
+	loads := r.sourceLoads.recent(now, LoadReportInterval+reportSlack)
+	AddNewerLoads(loads, r.loads.recent(now, LoadReportInterval+reportSlack))
+	return loads
+}
+
+// RecordPoolLoads records the sums in the source's response to a report.
+func (r *Relay) RecordPoolLoads(pools map[string]PoolLoad) { r.sourcePools.record("", pools) }
+
 // FollowerLoads returns the loads that followers reported within the given time, for this
 // router's own report.
 func (r *Relay) FollowerLoads(now time.Time, within time.Duration) map[uint64]ServerLoad {
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -67,6 +67,10 @@
 // revision, the cursor and the announcement times that the replica has with it.
 func (s *Service) newShareRequest(p *peer, digest bool) (request *fleetpb.ShareRequest, revision uint64, sent statementCursor, alive map[uint64]time.Time) {
 	now := time.Now()
+	var loads *fleetpb.Loads
+	if digest {
+		loads = s.loadsForReplicas(now)
+	}
 	statements, cursor := s.statements.changes(p.sentStatements, !digest, originUpstream, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +80,7 @@
 	}
 	if digest {
 		request.LossDigest = s.losses.Digest()
-		request.Loads = ToLoads(s.loads.recentFromFollowers(now, digestInterval+reportSlack), now)
+		request.Loads = loads
 		alive = p.told.due(s.announcedAt, now)
 		for hash, at := range alive {
 			request.Alive = append(request.Alive, hash)
@@ -120,6 +124,9 @@
 func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
 	now := time.Now()
 	s.loads.mergeFromReplica(request.GetLoads(), now)
+	if request.GetLoads() != nil {
+		s.replicaLoads.record(request.GetInstance(), FromPoolLoads(request.GetLoads(), now))
+	}
 	s.recordStatements(fromRateStatements(request.GetStatements(), now), originUpstream, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -57,6 +57,11 @@
 	peers  map[string]*peer
 	// replicas holds the numbers of routers that follow each control replica, by its address.
 	replicas *relay.Subtrees
+	// replicaLoads holds the sums that the other replicas have sent; routerSelection and
+	// replicaSelection are the loads that routers and the other replicas receive in a large fleet.
+	replicaLoads     *poolLoads
+	routerSelection  loadSelection
+	replicaSelection loadSelection
 	// runningSince is when the process started or was last continued, lastRunning when it was
 	// last seen to run.
 	runningSince, lastRunning time.Time
@@ -86,7 +91,7 @@
 func NewService(address string, source Source, losses *quarantine.Store, departures *DepartureLog, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		departures: departures,
-		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(),
+		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(), replicaLoads: newPoolLoads(),
 		sharePending: make(chan struct{}, 1),
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
--- a/internal/fleetsync/statements_test.go
+++ b/internal/fleetsync/statements_test.go
@@ -32,6 +32,7 @@
 func (c *serverCounter) SetServers(servers []registry.Entry)                   { c.servers.Store(int64(len(servers))) }
 func (c *serverCounter) TakeLoadReports() map[uint64]fleetsync.ServerLoad      { return nil }
 func (c *serverCounter) RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad) {}
+func (c *serverCounter) RecordPoolLoads(pools map[string]fleetsync.PoolLoad)   {}
 
 func (c *serverCounter) TakeRateStatements() map[uint64]ratelimit.Statement {
 	c.mu.Lock()
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -86,6 +86,9 @@
 	TakeLoadReports() map[uint64]fleetsync.ServerLoad
 	// RecordPeerLoads records the loads that servers have reported to any router.
 	RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad)
+	// RecordPoolLoads records the sums of the loads of the pools of which RecordPeerLoads receives
+	// only some, by pool.
+	RecordPoolLoads(pools map[string]fleetsync.PoolLoad)
 	// TakeRateStatements returns the statements on rate limits that this router has received
 	// in answers since the last call, by the servers' hashes: those of servers that are
 	// limited, or whose limit has just ended.
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -117,8 +117,10 @@
 // recordLoads records the loads in the source's response and those of the followers.
 func (v *View) recordLoads(message *fleetpb.Loads, interval time.Duration) {
 	now := time.Now()
-	peers := fleetsync.FromLoads(message, now)
+	peers, pools := fleetsync.FromLoads(message, now), fleetsync.FromPoolLoads(message, now)
+	v.relay.RecordPoolLoads(pools)
 	v.relay.RecordLoads(peers, now)
 	fleetsync.AddNewerLoads(peers, v.relay.FollowerLoads(now, interval))
 	v.fleet.RecordPeerLoads(peers)
+	v.fleet.RecordPoolLoads(pools)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,11 @@
 	}
 }
 
+// RecordPoolLoads records the sums of the loads of large pools.
+func (g *Gateway) RecordPoolLoads(pools map[string]fleetsync.PoolLoad) {
+	g.pools.recordPoolLoads(pools)
+}
+
 // Run closes expired idle connections and probes unreachable servers until ctx ends.
 // It returns nil.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -38,9 +38,22 @@
 	return count
 }
 
-// meanLoad returns the mean load of those of the servers that have a fresh report. It returns
-// false if there are too few of them.
+// fleetMean is the mean load of a large pool's servers as control has computed it.
+type fleetMean struct {
+	load float64
+	at   time.Time
+}
+
+// RecordMeanLoad records the mean load of the pool's servers, as of at. In a large fleet, a router
+// receives the loads of the most loaded servers and of a few others.
+func (p *Pool) RecordMeanLoad(load float64, at time.Time) { p.mean = fleetMean{load: load, at: at} }
+
+// meanLoad returns the mean load of those of the servers that have a fresh report, or the recorded
+// mean if it is fresh and no server limits its rate. It returns false if there are too few reports.
 func (p *Pool) meanLoad(servers []*Server, now time.Time) (mean float64, known bool) {
+	if now.Sub(p.mean.at) <= maxLoadAge && !p.limits.HasLimits(now) {
+		return p.mean.load, true
+	}
 	sum, count := 0.0, 0
 	for _, s := range servers {
 		if now.Sub(s.load.At) <= maxLoadAge {
@@ -104,11 +117,8 @@
 // RecordPeerLoad records a load that the server reported to another router. It
 // ignores a hash that no server has.
 func (p *Pool) RecordPeerLoad(hash uint64, load Load) {
-	for _, s := range p.servers {
-		if s.Hash == hash {
-			s.updateLoad(load)
-			return
-		}
+	if s := p.byHash[hash]; s != nil {
+		s.updateLoad(load)
 	}
 }
 
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -83,7 +83,6 @@
 	idHash         uint64
 }
 
-// Parameters of the placement.
 const (
 	// A prompt moves to its next server if the load exceeds loadBoundFactor times
 	// the mean load plus loadAllowance requests. The users' platform allows twice
@@ -132,6 +131,7 @@
 	history           *sendHistory
 	shares            *keyShares
 	reach             reach
+	mean              fleetMean
 	// withdrawals holds what servers stated in their answers, by incarnation.
 	withdrawals withdrawal.Book[uint64]
 	// limits holds this router's shares of the rates that servers limit, by incarnation.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -294,6 +294,17 @@
 	return *e, true
 }
 
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.entries) }
+
+// PoolOf returns the pool of an incarnation, or an empty string if the table does not have it.
+func (t *Table) PoolOf(hash uint64) string {
+	if e := t.byHash[hash]; e != nil {
+		return e.Pool
+	}
+	return ""
+}
+
 // markChanged gives an entry the next revision and updates its hash.
 func (t *Table) markChanged(e *Entry) *Entry {
 	t.revision++
