Keep the servers of a large fleet at one control replica

Cause: a server that chooses a replica for each heartbeat opens connections to all of them, and each replica names it in its digests. A heartbeat on a new connection takes four times the processor time of one on a kept connection; the handling itself is less than half of the latter. The first announcement of a server searched all entries for its address.

Change: with more than 1,200 listed servers, the answer to a heartbeat of a ready server names the replica's own address for later ones, up to 1.25 times the replica's equal share of the servers, so that they spread again after the loss of a replica. The table of servers has an index of addresses. Announcements are counted by result.

Ruled out: a gate that bounds the heartbeats in progress. The handler takes 8 us of 18 (with the making of the request in the benchmark), the rest is spent before it in reading the request; a gate would delay only the smaller part.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -23,6 +23,9 @@
 	// Announce applies a backend server's announcement. It returns an error with
 	// api.CodeNoQuorum if the server leaves and no replica could store that.
 	Announce(ctx context.Context, server registry.Server) error
+	// AnnouncementAddress returns the address to which the server should send its later
+	// announcements, or an empty string if it should choose a replica itself.
+	AnnouncementAddress(server registry.Server) string
 	// Withdraw marks a backend server as gone. It returns an error as Announce does.
 	Withdraw(ctx context.Context, id string) error
 	// LogRefusal logs a call that was refused because it could not be decoded. The
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -56,6 +57,15 @@
 	return a.fleetSync.Announce(ctx, server)
 }
 
+// AnnouncementAddress implements adapter.Control.
+func (a *adapterControl) AnnouncementAddress(server registry.Server) string {
+	address, err := netip.ParseAddrPort(a.settings.Listen.Operators)
+	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 || !a.fleetSync.KeepsAnnouncements(server.Hash(), time.Now()) {
+		return ""
+	}
+	return a.settings.Listen.Operators
+}
+
 // Withdraw implements adapter.Control.
 func (a *adapterControl) Withdraw(ctx context.Context, id string) error {
 	return a.fleetSync.Withdraw(ctx, id)
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -102,3 +102,6 @@
 		selection.mu.Unlock()
 	}
 }
+
+// Expire calls expire.
+func (s *Service) Expire(now time.Time) { s.expire(now) }
--- /dev/null
+++ b/internal/fleetsync/keep_test.go
@@ -0,0 +1,33 @@
+package fleetsync_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestReplicaKeepsItsShareOfServers guards against all servers that stay with the first replica that they
+// reach, as after a restart of the others.
+func TestReplicaKeepsItsShareOfServers(t *testing.T) {
+	g := NewWithT(t)
+	one, two, three := reserveAddress(t), reserveAddress(t), reserveAddress(t)
+	service := newTestService(t, newFakeReplica(one, two, three), one)
+	g.Expect(service.ShareRequestTo(two)).NotTo(BeNil(), "two other replicas are known")
+	for i := range 3000 {
+		g.Expect(service.Announce(context.Background(), testServer(i))).To(Succeed())
+	}
+	now, kept := time.Now(), 0
+	for i := range 3000 {
+		server := testServer(i)
+		if service.KeepsAnnouncements(server.Hash(), now) {
+			kept++
+		}
+	}
+	g.Expect(kept).To(Equal(1250), "a third of 3,000 and a quarter more")
+	first := testServer(0)
+	g.Expect(service.KeepsAnnouncements(first.Hash(), now)).To(BeTrue(), "a server that stays")
+	service.Expire(now.Add(10 * time.Second))
+	g.Expect(service.Kept()).To(BeZero(), "servers that announce themselves elsewhere")
+}
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -52,6 +52,8 @@
 	departures *DepartureLog
 	// announcedAt and the fields below are guarded by the publisher's mu.
 	announcedAt map[uint64]time.Time
+	// keptAt is when the servers that were asked to stay with this replica last announced themselves.
+	keptAt map[uint64]time.Time
 	// synced reports that another replica has answered with all its servers.
 	synced bool
 	peers  map[string]*peer
@@ -91,7 +93,7 @@
 func NewService(address string, source Source, losses *quarantine.Store, departures *DepartureLog, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		departures: departures,
-		started:    time.Now(), announcedAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(), replicaLoads: newPoolLoads(),
+		started:    time.Now(), announcedAt: make(map[uint64]time.Time), keptAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(), replicaLoads: newPoolLoads(),
 		sharePending: make(chan struct{}, 1),
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
@@ -118,6 +120,7 @@
 	if s.table.IsStale(server) {
 		known, _ := s.table.Get(server.ID)
 		s.mu.Unlock()
+		announcementsLate.Inc()
 		s.log.Info().Str("server", server.ID).Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).
 			Int64("born", server.StartedMS).Uint8("knownState", uint8(known.State)).Uint64("knownSequence", known.Sequence).
 			Int64("knownBorn", known.StartedMS).Msg("late announcement dropped")
@@ -130,8 +133,10 @@
 	}
 	s.mu.Unlock()
 	if !changed {
+		announcementsRepeated.Inc()
 		return s.storeDeparture(ctx, server.ID)
 	}
+	announcementsChanged.Inc()
 	s.log.Info().Str("server", server.ID).Str("address", server.Address).Str("pool", server.Pool).
 		Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).Int64("born", server.StartedMS).Msg("backend server changed")
 	if server.State == registry.StateReady {
@@ -224,6 +229,7 @@
 	for hash, at := range s.announcedAt {
 		if now.Sub(at) > registry.SilentAfter {
 			delete(s.announcedAt, hash)
+			delete(s.keptAt, hash)
 		}
 	}
 	if s.table.Expire(now) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -81,6 +81,8 @@
 	// revision is the table's revision at the entry's last change.
 	revision uint64
 	hash     uint64
+	// indexed is the address under which the table has the entry in byAddress.
+	indexed string
 }
 
 // HashID returns a hash of a server's ID.
@@ -99,13 +101,16 @@
 type Table struct {
 	entries map[string]*Entry
 	// byHash has the entries by Server.Hash.
-	byHash   map[uint64]*Entry
-	revision uint64
+	byHash map[uint64]*Entry
+	// byAddress has the entries by address. A search of all entries with each change takes a tenth of
+	// a second of a core when 3,000 servers start.
+	byAddress map[string][]*Entry
+	revision  uint64
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: make(map[string]*Entry), byHash: make(map[uint64]*Entry)}
+	return &Table{entries: make(map[string]*Entry), byHash: make(map[uint64]*Entry), byAddress: make(map[string][]*Entry)}
 }
 
 // Revision returns the table's revision, which increases with each change.
@@ -148,9 +153,9 @@
 		return
 	}
 	if current != nil {
-		delete(t.byHash, current.hash)
+		t.remove(current)
 	}
-	e.hash = 0
+	e.hash, e.indexed = 0, ""
 	t.entries[e.ID] = t.markChanged(&e)
 }
 
@@ -158,8 +163,7 @@
 func (t *Table) DeleteGone(before time.Time) {
 	for id, e := range t.entries {
 		if e.State == StateGone && e.LastAnnounced.Before(before) {
-			delete(t.entries, id)
-			delete(t.byHash, e.hash)
+			t.remove(t.entries[id])
 		}
 	}
 }
@@ -206,8 +210,8 @@
 	if s.State == StateGone {
 		return
 	}
-	for _, other := range t.entries {
-		if other.ID != s.ID && other.Address == s.Address && other.State != StateGone && other.StartedMS < s.StartedMS {
+	for _, other := range slices.Clone(t.byAddress[s.Address]) {
+		if other.ID != s.ID && other.State != StateGone && other.StartedMS < s.StartedMS {
 			other.State = StateGone
 			t.markChanged(other)
 		}
@@ -251,8 +255,7 @@
 	for id, e := range t.entries {
 		age := now.Sub(e.LastAnnounced)
 		if age > EntryRetention {
-			delete(t.entries, id)
-			delete(t.byHash, e.hash)
+			t.remove(t.entries[id])
 			continue
 		}
 		if age > SilentAfter && !e.Silent && e.State != StateGone {
@@ -312,5 +315,26 @@
 	delete(t.byHash, e.hash)
 	e.hash = e.Hash()
 	t.byHash[e.hash] = e
+	if e.indexed != e.Address {
+		t.removeAddress(e)
+		e.indexed = e.Address
+		t.byAddress[e.Address] = append(t.byAddress[e.Address], e)
+	}
 	return e
 }
+
+// remove deletes an entry.
+func (t *Table) remove(e *Entry) {
+	delete(t.entries, e.ID)
+	delete(t.byHash, e.hash)
+	t.removeAddress(e)
+}
+
+func (t *Table) removeAddress(e *Entry) {
+	others := slices.DeleteFunc(t.byAddress[e.indexed], func(other *Entry) bool { return other == e })
+	if len(others) == 0 {
+		delete(t.byAddress, e.indexed)
+		return
+	}
+	t.byAddress[e.indexed] = others
+}
