Choose among thousands of servers without sorting them

Cause: each placement sorted all candidates by their scores for the prompt, and the event intervals of all servers for their median.

Change: candidates are a heap, from which the few that are needed are taken; the median is selected.

Ruled out: scores kept per prompt, which have to be dropped with each change of the servers; a median that is computed now and then, which changes results.

--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -127,8 +126,7 @@
 	if len(measured) == 0 {
 		return fallback
 	}
-	slices.Sort(measured)
-	return measured[(len(measured)-1)/2]
+	return smallest(measured, (len(measured)-1)/2)
 }
 
 // health is the state of a server derived from the results of the router's own
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -61,7 +62,7 @@
 
 // withinRates returns the candidates for a prompt without the servers that limit their rate,
 // unless no other candidate is left: a limited server serves only those of its own keys that its
-// rate admits, always the same ones, so that few prompts move. Candidates are in the key's order.
+// rate admits, always the same ones, so that few prompts move.
 func (p *Pool) withinRates(candidates []*Server, request Request, now time.Time) []*Server {
 	if !p.limits.HasLimits(now) {
 		return candidates
@@ -84,7 +85,7 @@
 // homeServer returns the server that ranks first for the key among the candidates and those that
 // are no candidates because this router's share of their rate is used up.
 func (p *Pool) homeServer(candidates []*Server, request Request, key uint64, now time.Time) *Server {
-	home := candidates[0]
+	home := slices.MaxFunc(candidates, func(a, b *Server) int { return cmp.Compare(mix(a.idHash, key), mix(b.idHash, key)) })
 	for _, s := range p.servers {
 		if mix(s.idHash, key) <= mix(home.idHash, key) || slices.Contains(request.Exclude, s.ID) {
 			continue
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -225,7 +225,8 @@
 // recovered. If all servers are suspect, suspicion does not distinguish them, so
 // all are eligible.
 func (p *Pool) eligible(request Request, now time.Time) []*Server {
-	var healthy, suspect []*Server
+	var suspect []*Server
+	healthy := make([]*Server, 0, len(p.servers))
 	p.usedUp = 0
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
@@ -303,17 +304,8 @@
 func (p *Pool) chooseByPrompt(candidates []*Server, request Request, now time.Time) *Server {
 	key, _ := request.Key()
 	lastPart := request.Parts[len(request.Parts)-1].ID
-	slices.SortFunc(candidates, func(a, b *Server) int {
-		scoreA, scoreB := mix(a.idHash, key), mix(b.idHash, key)
-		switch {
-		case scoreA > scoreB:
-			return -1
-		case scoreA < scoreB:
-			return 1
-		}
-		return 0
-	})
 	candidates = p.withinRates(candidates, request, now)
+	order := newRanking(candidates, key)
 	first := 0
 	if n := min(p.shares.serversNeeded(key, len(p.servers), now), len(candidates)); n > 1 {
 		first = int(mix(key, lastPart) % uint64(n))
@@ -324,13 +316,13 @@
 	}
 	mean, known := p.meanLoad(p.unlimited(now), now)
 	if !known {
-		return candidates[first].recordChoice(reason, now)
+		return order.at(first).recordChoice(reason, now)
 	}
 	bound := loadBoundFactor*mean + loadAllowance
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
 	hasLimits := p.limits.HasLimits(now)
 	for i := range candidates {
-		s := candidates[(first+i)%len(candidates)]
+		s := order.at((first + i) % len(candidates))
 		// A slow server holds its streams for longer, so its load counts in
 		// proportion. While other servers limit their rates, the rest has more load, which
 		// makes its events slower too.
@@ -344,7 +336,7 @@
 		}
 		return s.recordChoice(reason, now)
 	}
-	return candidates[first].recordChoice(ReasonAllLoaded, now)
+	return order.at(first).recordChoice(ReasonAllLoaded, now)
 }
 
 // chooseByLatency returns the server with the lowest expected time to the first
