Bound a router's idle connections, and count dials by reason

Cause: idle connections were bounded per server only. With 3,000 servers, of which a router seldom meets one again, and probes that leave a connection each, nothing but their time limit of 10 s bounded them: 4,707 were open at a router.

Change: a router keeps at most 384 idle connections to all servers together, and closes the one that expires first for a newer one. Attempts to open a connection are counted by reason: request, probe, second attempt. Metrics show idle connections, closed ones, and servers whose silence is doubted.

Ruled out: a shorter time limit, which costs small deployments connections that they reuse; a bound from the descriptor limit, as memory is needed too.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -50,6 +50,9 @@
 	// maxUnusedIdle bounds the idle connections to a server that sends open beside those that the requests
 	// in flight need: a server accepts some tens to hundreds from all routers together.
 	maxUnusedIdle = 2
+	// maxIdle bounds the idle connections to all servers together. In a fleet of 3,000 servers a router
+	// seldom meets a server again before its idle connection expires, and its descriptors are limited.
+	maxIdle = 384
 	// maxInterimAnswers bounds the interim answers (1xx) before one final answer.
 	maxInterimAnswers = 100
 	// maxHeadBytes bounds the head of an answer.
@@ -110,33 +113,56 @@
 
 // Client keeps a pool of connections to all servers. It is safe for concurrent use.
 type Client struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	hooks  Hooks
-	limits Limits
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// idleCount is the number of idle connections to all servers.
+	idleCount int
+	hooks     Hooks
+	limits    Limits
 }
 
 // Hooks are called at events of a client's pool. All must be set.
 type Hooks struct {
 	// Opened is called for each new connection.
 	Opened func()
+	// Dialed is called for each attempt to open a connection; it may be nil.
+	Dialed func(DialReason)
+	// Evicted is called for each idle connection that was closed because there were Limits.MaxIdle; it
+	// may be nil.
+	Evicted func()
 	// PassedOver is called for each send for which an idle connection that had not expired was not
 	// used because it has carried a request with the same ID.
 	PassedOver func()
 }
 
-// Limits are the time limits of a client's connections.
+// DialReason is why a client tries to open a connection.
+type DialReason string
+
+// Reasons for attempts.
+const (
+	// DialRequest is for a request for which no idle connection could be used.
+	DialRequest DialReason = "request"
+	// DialProbe is for a test whether a server is reachable.
+	DialProbe DialReason = "probe"
+	// DialSecond is for a connection that was not open secondDialDelay after the first attempt.
+	DialSecond DialReason = "second_attempt"
+)
+
+// Limits are the limits of a client's connections.
 type Limits struct {
 	// Connect bounds connection setup.
 	Connect time.Duration
 	// Unacked is how long sent data may stay unacknowledged before the kernel closes the
 	// connection. Zero stands for the kernel's own limit.
 	Unacked time.Duration
+	// MaxIdle bounds the idle connections to all servers together; the one that expires first is
+	// closed for a newer one. Zero means no bound.
+	MaxIdle int
 }
 
 // NewClient returns a client that calls the hooks.
 func NewClient(hooks Hooks) *Client {
-	return NewClientWithLimits(hooks, Limits{Connect: ConnectTimeout, Unacked: unackedTimeout})
+	return NewClientWithLimits(hooks, Limits{Connect: ConnectTimeout, Unacked: unackedTimeout, MaxIdle: maxIdle})
 }
 
 // NewClientWithLimits returns a client with other limits than those of NewClient.
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -94,7 +94,7 @@
 	if connection == nil {
 		c.trimUnused(address)
 		var err error
-		if connection, err = c.dial(ctx, address); err != nil {
+		if connection, err = c.dial(ctx, address, DialRequest); err != nil {
 			return nil, err
 		}
 	}
@@ -134,6 +134,7 @@
 		}
 		connection = list[i]
 		c.idle[address] = slices.Delete(list, i, i+1)
+		c.idleCount--
 		return connection, skipped
 	}
 	return nil, skipped
@@ -150,14 +151,15 @@
 	}
 	_ = list[0].Close()
 	c.idle[address] = slices.Delete(list, 0, 1)
+	c.idleCount--
 }
 
 // dial opens a connection. If both parallel attempts succeed, the later one is closed.
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address string, reason DialReason) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.limits.Connect)
 	defer cancel()
 	results := make(chan dialResult, 2)
-	go func() { results <- c.dialOnce(ctx, address) }()
+	go func() { results <- c.dialOnce(ctx, address, reason) }()
 	secondTimer := time.NewTimer(secondDialDelay)
 	defer secondTimer.Stop()
 	pending := 1
@@ -165,7 +167,7 @@
 		select {
 		case <-secondTimer.C:
 			pending++
-			go func() { results <- c.dialOnce(ctx, address) }()
+			go func() { results <- c.dialOnce(ctx, address, DialSecond) }()
 		case result := <-results:
 			pending--
 			if result.err != nil && pending > 0 {
@@ -194,7 +196,10 @@
 	}
 }
 
-func (c *Client) dialOnce(ctx context.Context, address string) dialResult {
+func (c *Client) dialOnce(ctx context.Context, address string, reason DialReason) dialResult {
+	if c.hooks.Dialed != nil {
+		c.hooks.Dialed(reason)
+	}
 	dialer := net.Dialer{KeepAlive: -1, Control: c.setUnackedTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	return dialResult{conn: conn, err: err}
@@ -203,7 +208,7 @@
 // Probe opens a connection to the server and adds it to the pool. It returns an error if
 // no connection is possible.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	connection, err := c.dial(ctx, address)
+	connection, err := c.dial(ctx, address, DialProbe)
 	if err != nil {
 		return err
 	}
@@ -216,6 +221,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle[connection.address] = append(c.idle[connection.address], connection)
+	c.idleCount++
+	if c.limits.MaxIdle > 0 && c.idleCount > c.limits.MaxIdle {
+		c.evictIdle()
+	}
+}
+
+// evictIdle closes the idle connection that expires first; mu is held.
+func (c *Client) evictIdle() {
+	var first *conn
+	for _, list := range c.idle {
+		for _, connection := range list {
+			if first == nil || connection.idleDeadline.Before(first.idleDeadline) {
+				first = connection
+			}
+		}
+	}
+	list := slices.DeleteFunc(c.idle[first.address], func(connection *conn) bool { return connection == first })
+	c.idle[first.address] = list
+	if len(list) == 0 {
+		delete(c.idle, first.address)
+	}
+	c.idleCount--
+	_ = first.Close()
+	if c.hooks.Evicted != nil {
+		c.hooks.Evicted()
+	}
+}
+
+// Idle returns the number of idle connections to all servers.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleCount
 }
 
 // CloseIdle closes the idle connections to a server: if one connection failed, the others
@@ -224,6 +262,7 @@
 	c.mu.Lock()
 	list := c.idle[address]
 	delete(c.idle, address)
+	c.idleCount -= len(list)
 	c.mu.Unlock()
 	for _, connection := range list {
 		_ = connection.Close()
@@ -243,6 +282,7 @@
 			}
 			_ = connection.Close()
 		}
+		c.idleCount -= len(list) - len(kept)
 		clear(list[len(kept):])
 		c.idle[address] = kept
 		if len(kept) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,9 @@
 		log: log, domain: domain, transitLimit: transitLimit, dialect: dialect,
 		pools: newPools(m), metrics: m, startedAt: time.Now(), answerMemory: bytebudget.New(answerMemoryBytes),
 	}
-	g.client = backend.NewClient(backend.Hooks{Opened: m.connectionsOpened.Inc, PassedOver: m.connectionsPassedOver.Inc})
+	g.client = backend.NewClient(backend.Hooks{
+		Opened: m.connectionsOpened.Inc, PassedOver: m.connectionsPassedOver.Inc, Dialed: m.recordDial, Evicted: m.connectionsEvicted.Inc,
+	})
 	g.losses = newLossRecorder(losses, g.client, log)
 	g.registerGauges()
 	g.abortCtx, g.abort = context.WithCancelCause(context.Background())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"peridotwinch.example/peridotwinch/internal/backend"
 	"peridotwinch.example/peridotwinch/internal/placement"
 )
 
@@ -15,6 +16,8 @@
 	connectionsOpened     *metrics.Counter
 	answersUnmatched      *metrics.Counter
 	connectionsPassedOver *metrics.Counter
+	connectionsEvicted    *metrics.Counter
+	connectionsDialed     map[backend.DialReason]*metrics.Counter
 	retries               *metrics.Counter
 	streamsResumed        *metrics.Counter
 	promptsWithheld       *metrics.Counter
@@ -26,6 +29,8 @@
 	return &gatewayMetrics{
 		connectionsOpened:     metrics.GetOrCreateCounter("peridotwinch_gateway_connections_opened_total"),
 		connectionsPassedOver: metrics.GetOrCreateCounter("peridotwinch_gateway_connections_passed_over_total"),
+		connectionsEvicted:    metrics.GetOrCreateCounter("peridotwinch_gateway_connections_evicted_total"),
+		connectionsDialed:     newDialCounters(),
 		answersUnmatched:      metrics.GetOrCreateCounter("peridotwinch_gateway_answers_unmatched_total"),
 		retries:               metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
 		streamsResumed:        metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
@@ -35,9 +40,22 @@
 	}
 }
 
+func newDialCounters() map[backend.DialReason]*metrics.Counter {
+	out := make(map[backend.DialReason]*metrics.Counter)
+	for _, reason := range []backend.DialReason{backend.DialRequest, backend.DialProbe, backend.DialSecond} {
+		out[reason] = metrics.GetOrCreateCounter(fmt.Sprintf("peridotwinch_gateway_dials_total{reason=%q}", string(reason)))
+	}
+	return out
+}
+
+// recordDial counts an attempt to open a connection to a server.
+func (m *gatewayMetrics) recordDial(reason backend.DialReason) { m.connectionsDialed[reason].Inc() }
+
 // registerGauges registers the gauges that are computed from the pools on each scrape.
 func (g *Gateway) registerGauges() {
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_in_progress", func() float64 { return float64(g.InProgress()) })
+	metrics.GetOrCreateGauge("peridotwinch_gateway_connections_idle", func() float64 { return float64(g.client.Idle()) })
+	metrics.GetOrCreateGauge("peridotwinch_gateway_silence_doubted", func() float64 { return float64(g.pools.silenceDoubted()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_answer_memory_bytes", func() float64 { return float64(g.answerMemory.UsedBytes()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_waiting", func() float64 {
 		queued := 0
--- a/internal/gateway/poolloads.go
+++ b/internal/gateway/poolloads.go
@@ -16,3 +16,13 @@
 		found.mu.Unlock()
 	}
 }
+
+// silenceDoubted returns the number of servers that control lists as silent and that are used all the same.
+func (p *pools) silenceDoubted() (count int) {
+	for _, found := range p.list() {
+		found.mu.Lock()
+		count += found.servers.SilenceDoubted()
+		found.mu.Unlock()
+	}
+	return count
+}
