Store evacuations of failure domains in the replicated log

Operators need an order that stops all requests to the servers of a failure domain, and that outlives the loss of all processes. Until now control had no such state.

The platform's calls POST and DELETE /evacuation/ZONE and the product's own API, GET, PUT and DELETE /apis/v1/evacuations, give orders.

The platform's calls carry no version, so a repeat that a stalled replica handles late looks like a new order. A replica therefore reads the domain's state behind a read barrier, checks that the caller's connection is still open, and proposes the order on the state that it read. An order that is in force already passes the log too: without that, an earlier order in flight could be committed after the later one was acknowledged.

Ruled out: a base that covers all domains, because eight concurrent orders on different domains would then conflict with each other; a check of the request's context alone, because it is cancelled by another goroutine that may not have run after a pause of the process.

--- a/api/change.go
+++ b/api/change.go
@@ -11,6 +11,10 @@
 	VerbDelete Verb = "delete"
 	// VerbReplace replaces the whole route table.
 	VerbReplace Verb = "replace"
+	// VerbEvacuate orders that no further requests are sent to the servers of a failure domain,
+	// VerbReinstate withdraws that order.
+	VerbEvacuate  Verb = "evacuate"
+	VerbReinstate Verb = "reinstate"
 )
 
 // Change is one accepted write in the audit trail.
@@ -30,6 +34,9 @@
 type ChangeList struct {
 	Revision uint64    `json:"revision"`
 	Items    []*Change `json:"items"`
+	// Evacuations are the evacuation orders, in the output of the audit command only; they have
+	// revisions of their own.
+	Evacuations []EvacuationChange `json:"evacuations,omitempty"`
 }
 
 // EventType is the type of a watch event.
@@ -79,6 +86,8 @@
 	SnapshotBytes int64           `json:"snapshotBytes"`
 	Replicas      []ReplicaStatus `json:"replicas"`
 	Routers       []RouterStatus  `json:"routers"`
+	// EvacuatedDomains are the failure domains whose servers receive no further requests.
+	EvacuatedDomains []string `json:"evacuatedDomains,omitempty"`
 	// Followers summarizes the routers that follow this instance through the fleet stream; nil
 	// if the daemons do not join by seeds.
 	Followers *FollowerStatus `json:"followers,omitempty"`
--- a/api/code.go
+++ b/api/code.go
@@ -31,6 +31,7 @@
 	CodeReferenceMissing Code = 2011
 	CodeStillReferenced  Code = 2012
 	CodeRouteTable       Code = 2013
+	CodeDomainUnknown    Code = 2014
 	CodeCustomerMissing  Code = 3001
 	CodeCustomerUnknown  Code = 3002
 	CodeModelUnknown     Code = 3003
@@ -58,6 +59,7 @@
 	CodeDrainCut         Code = 3030
 	CodeAnswerNotKept    Code = 3031
 	CodePromptWithheld   Code = 3032
+	CodeDomainEvacuated  Code = 3033
 	CodeAnnouncement     Code = 4001
 	CodeFencingTokenOld  Code = 4010
 	CodeLoadMixInvalid   Code = 4011
@@ -108,6 +110,7 @@
 	{CodeReferenceMissing, "reference_missing", http.StatusUnprocessableEntity, ExitRefused, "The resource refers to another one that does not exist."},
 	{CodeStillReferenced, "still_referenced", http.StatusConflict, ExitRefused, "Another resource refers to this one by a name that the change would remove."},
 	{CodeRouteTable, "route_table_invalid", http.StatusBadRequest, ExitRefused, "A field of the route table is not valid; the current table remains in force."},
+	{CodeDomainUnknown, "domain_unknown", http.StatusNotFound, ExitRefused, "No failure domain has this name; the message lists the known ones."},
 	{CodeCustomerMissing, "customer_missing", http.StatusUnauthorized, ExitRefused, "The request carries no bearer token."},
 	{CodeCustomerUnknown, "customer_unknown", http.StatusUnauthorized, ExitRefused, "The bearer token belongs to no customer."},
 	{CodeModelUnknown, "model_unknown", http.StatusNotFound, ExitRefused, "No intent, model version or pool has the requested name."},
@@ -135,6 +138,7 @@
 	{CodeDrainCut, "drain_cut", http.StatusServiceUnavailable, ExitFailure, "The shutdown aborted requests in progress."},
 	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for retries."},
 	{CodePromptWithheld, "prompt_withheld", http.StatusServiceUnavailable, ExitRefused, "Backend servers have ended one after the other while they began to answer prompts with one part of this prompt; it is not sent to further ones until the time in Retry-After."},
+	{CodeDomainEvacuated, "domain_evacuated", http.StatusServiceUnavailable, ExitRefused, "All backend servers that could accept the request are in evacuated failure domains."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
 	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the load description is not valid."},
--- a/api/watch.go
+++ b/api/watch.go
@@ -28,7 +28,10 @@
 	}
 	for i := 0; ; i++ {
 		target := c.bases[i%len(c.bases)] + path + "?watch=1&revision=" + strconv.FormatUint(revision, 10)
-		err := c.watchOne(ctx, target, func(event *Event) error {
+		err := watchOne(ctx, c, target, func(event *Event) error {
+			if event.Type == EventError {
+				return event.Error
+			}
 			revision = max(revision, event.Revision)
 			return handle(event)
 		})
@@ -41,8 +44,9 @@
 	}
 }
 
-// watchOne watches one control instance until it fails or sends no event in time.
-func (c *Client) watchOne(ctx context.Context, target string, handle func(*Event) error) error {
+// watchOne watches one control instance until it fails or sends no event in time, or until handle
+// fails. E is the type of the events.
+func watchOne[E any](ctx context.Context, c *Client, target string, handle func(*E) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(callTimeout, cancel)
@@ -63,13 +67,10 @@
 	scanner.Buffer(nil, maxEventBytes)
 	for scanner.Scan() {
 		idleTimer.Reset(watchIdleTimeout)
-		event := &Event{}
+		event := new(E)
 		if err := json.Unmarshal(scanner.Bytes(), event); err != nil {
 			return Errorf(CodeUnreachable, "a watch event is truncated or not valid JSON: %v", err)
 		}
-		if event.Type == EventError {
-			return event.Error
-		}
 		if err := handle(event); err != nil {
 			return err
 		}
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -28,6 +28,13 @@
 	AnnouncementAddress(server registry.Server) string
 	// Withdraw marks a backend server as gone. It returns an error as Announce does.
 	Withdraw(ctx context.Context, id string) error
+	// Evacuate orders that no further requests are sent to the servers of a failure domain, and
+	// Reinstate withdraws that order. The order is durable when they return nil. One that is in
+	// force already succeeds and changes nothing. The context is that of the operator's HTTP
+	// request: an order whose caller has left is dropped. The error has api.CodeDomainUnknown
+	// for an unknown domain, and api.CodeNoQuorum if the outcome is unknown.
+	Evacuate(ctx context.Context, operator, domain string) error
+	Reinstate(ctx context.Context, operator, domain string) error
 	// LogRefusal logs a call that was refused because it could not be decoded. The
 	// subject is the kind of call or the server's ID.
 	LogRefusal(subject string, err error)
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
@@ -27,6 +28,8 @@
 	ResourceVersion uint64          `json:"resourceVersion,omitempty"`
 	// RouteTable is set for VerbReplace only.
 	RouteTable *routetable.Document `json:"routeTable,omitempty"`
+	// Evacuation is set for VerbEvacuate and VerbReinstate only.
+	Evacuation *evacuation.Order `json:"evacuation,omitempty"`
 }
 
 // newCommand returns a command with the current time and a UID for a resource that it
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -179,6 +179,7 @@
 			Learner: member.Learner, Leader: member.ID == status.Leader,
 		})
 	}
+	out.EvacuatedDomains = c.store.Evacuations().Domains
 	out.Followers = c.followerStatus(time.Now())
 	return out
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/consensus"
 	"peridotwinch.example/peridotwinch/internal/control/replica"
 )
@@ -22,6 +24,7 @@
 	gauge("applied_index", func(s replica.Status) float64 { return float64(s.Applied) })
 	gauge("log_bytes", func(s replica.Status) float64 { return float64(s.LogBytes) })
 	gauge("snapshot_bytes", func(s replica.Status) float64 { return float64(s.SnapshotBytes) })
+	gauge("evacuated_domains", func(replica.Status) float64 { return float64(len(c.store.Evacuations().Domains)) })
 }
 
 func toFloat(b bool) float64 {
@@ -30,3 +33,13 @@
 	}
 	return 0
 }
+
+// recordOrder counts an evacuation order by verb and result code, and records how long it took.
+func recordOrder(verb api.Verb, err error, took time.Duration) {
+	code := api.CodeOK
+	if err != nil {
+		code = api.AsError(err).Code
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`peridotwinch_config_evacuation_orders_total{verb=%q,code=%q}`, verb, code)).Inc()
+	metrics.GetOrCreateHistogram("peridotwinch_config_evacuation_order_seconds").Update(took.Seconds())
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
@@ -19,6 +20,8 @@
 
 	RouteTable *routetable.Document `json:"routeTable,omitempty"`
 	TableAudit []TableChange        `json:"tableAudit,omitempty"`
+
+	Evacuations evacuation.State `json:"evacuations"`
 }
 
 // Snapshot implements replica.StateMachine. It encodes the state item by item, because
@@ -46,6 +49,8 @@
 	out.encode(s.routeTable)
 	out.write(`,"tableAudit":`)
 	out.encode(s.tableAudit)
+	out.write(`,"evacuations":`)
+	out.encode(&s.evacuations)
 	out.write(`}`)
 	return out.buf.Bytes(), errors.Wrap(out.err, "encode a snapshot of the store")
 }
@@ -120,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision, s.changes, s.outcomes, s.index = snapshot.Revision, snapshot.Changes, snapshot.Outcomes, restored
-	s.routeTable, s.tableAudit = snapshot.RouteTable, snapshot.TableAudit
+	s.routeTable, s.tableAudit, s.evacuations = snapshot.RouteTable, snapshot.TableAudit, snapshot.Evacuations
 	s.outcomeByRequestID = make(map[string]*Outcome, len(s.outcomes))
 	for _, outcome := range s.outcomes {
 		s.outcomeByRequestID[outcome.RequestID] = outcome
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
@@ -34,6 +35,8 @@
 	// the order of the log.
 	routeTable *routetable.Document
 	tableAudit []TableChange
+	// evacuations holds the evacuated failure domains.
+	evacuations evacuation.State
 }
 
 // NewStore returns an empty store at revision 0.
@@ -75,8 +78,9 @@
 		return &Outcome{Error: api.FieldErrorf(api.CodeRequestIDReused, "requestId", "%q", command.RequestID)}
 	}
 	outcome := &Outcome{RequestID: command.RequestID, Digest: digest}
-	change, err := s.applyChange(command)
-	if err != nil {
+	if command.Evacuation != nil {
+		outcome.Error = s.applyEvacuation(command)
+	} else if change, err := s.applyChange(command); err != nil {
 		outcome.Error = api.AsError(err)
 	} else {
 		outcome.Revision = change.Revision
@@ -293,8 +297,8 @@
 	return s.changes[revision-oldest-1]
 }
 
-// Subscribe returns a channel that receives a value after changes of the resources or the
-// route table, and a function that ends the subscription. The channel has a buffer of one, so
+// Subscribe returns a channel that receives a value after changes of the resources, the route
+// table or the evacuated domains, and a function that ends the subscription. The channel has a buffer of one, so
 // changes in quick succession may result in one value.
 func (s *Store) Subscribe() (<-chan struct{}, func()) {
 	changed := make(chan struct{}, 1)
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -64,7 +64,7 @@
 // Serve serves handler on listener until ctx ends, then waits up to drainTimeout for the
 // requests in progress. It returns an error if the server fails or the timeout expires.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, drainTimeout time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: ReadHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: ReadHeaderTimeout, ConnContext: withConn}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	Link         Link       `json:"link"`
 	Relay        Relay      `json:"relay"`
 	Streams      Streams    `json:"streams"`
+	// Domains are the failure domains that can be evacuated; those of the announced backend
+	// servers if empty.
+	Domains []string `json:"domains,omitempty"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -271,6 +274,7 @@
 	}
 	v.relay(s.Relay)
 	v.streams(s.Streams)
+	v.domains(s.Domains)
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -194,6 +195,7 @@
 	}
 	seedList, _ := json.Marshal(m.seeds)
 	text := regexp.MustCompile(`\{\{#Bounds\.PassMs\}\}(.*?)\{\{\.\}\}(.*?)\{\{/Bounds\.PassMs\}\}`).ReplaceAllString(string(raw), "${1}120${2}")
+	text = regexp.MustCompile(`\{\{#Zones\}\}"\{\{@\}\}"\{\{,\}\}\{\{/Zones\}\}`).ReplaceAllString(text, zoneList(f.coreList()))
 	linkMbps := "1000.0"
 	if m.class == "core" {
 		linkMbps = "6.0"
@@ -215,6 +217,17 @@
 	}
 }
 
+// zoneList returns the zones of the core machines, quoted and separated by commas.
+func zoneList(cores []*machine) string {
+	var zones []string
+	for _, core := range cores {
+		if zone := fmt.Sprintf("%q", core.zone); !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return strings.Join(zones, ",")
+}
+
 // startMachine starts the process with the command of the deploy file.
 func (f *fleet) startMachine(m *machine) {
 	log, err := os.OpenFile(m.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
