Send no requests to servers of evacuated failure domains

A pool now leaves the servers of evacuated domains out of every choice: first attempts, retries, resumed streams, trials, queued requests and probes. Requests in progress there end undisturbed, and other servers may still copy prompt parts from them.

The pool keeps its state of these servers, so that requests that still run there count toward their slots after a return, and calls a hook with the servers of domains that return.

Ruled out: marking the servers as draining in the records from control, because an evacuation also covers servers that register later.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -344,28 +344,6 @@
 	}
 }
 
-// logAttempt returns a log event with the server of the last send and the reason for
-// choosing it.
-func (c *call) logAttempt(lease *lease) *zerolog.Event {
-	line := c.log(zerolog.InfoLevel).Str("server", lease.id).Str("address", lease.address).Int("sends", c.sends).
-		Str("choice", string(lease.choice.Reason)).Float64("load", lease.choice.Load).
-		Dur("took", time.Since(lease.sentAt))
-	if lease.choice.Age >= 0 {
-		line = line.Dur("loadAge", lease.choice.Age)
-	}
-	if lease.choice.Leaving+lease.choice.Paused > 0 {
-		line = line.Int("leaving", lease.choice.Leaving).Int("paused", lease.choice.Paused)
-	}
-	if lease.choice.RateUsedUp > 0 {
-		line = line.Int("rateUsedUp", lease.choice.RateUsedUp)
-	}
-	if len(c.in.PromptParts) > 0 {
-		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
-			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
-	}
-	return line
-}
-
 // writeAnswer writes a buffered answer to the caller.
 func (c *call) writeAnswer(answer *bufferedAnswer) error {
 	c.copyAnswerHeader(answer.header)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -80,6 +80,7 @@
 		_, usedUp := g.limitedServers()
 		return float64(usedUp)
 	})
+	metrics.GetOrCreateGauge("peridotwinch_gateway_servers_evacuated", func() float64 { return float64(g.evacuatedServers()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_repeats_left", func() float64 {
 		lowest := 0.0
 		for i, p := range g.pools.list() {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
-	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
@@ -50,7 +49,9 @@
 	// position is the router's place among all routers since positionedAt.
 	position     ratelimit.Position
 	positionedAt time.Time
-	metrics      *gatewayMetrics
+	// evacuated are the failure domains whose servers receive no requests.
+	evacuated []string
+	metrics   *gatewayMetrics
 }
 
 func newPools(m *gatewayMetrics) *pools {
@@ -65,6 +66,7 @@
 	if found == nil {
 		found = newPool(engine, p.metrics)
 		found.servers.SetPosition(p.position, p.positionedAt)
+		found.servers.SetEvacuated(p.evacuated, time.Now())
 		found.servers.SetServers(p.servers[name], time.Now())
 		p.byName[name] = found
 	}
@@ -117,15 +119,14 @@
 }
 
 // acquire takes a slot on a server and queues the request for up to queueTimeout if none
-// is free. It fails with CodeNoBackendServer if the pool is empty, with CodeOverloaded on
-// timeout and with the context's cause; the request has then not been sent.
+// is free. It fails with an error of checkNotEmpty, with CodeOverloaded on timeout and with the
+// context's cause; the request has then not been sent.
 func (p *pool) acquire(ctx context.Context, request placement.Request, priority int, queueTimeout time.Duration) (*lease, error) {
 	now := time.Now()
 	p.mu.Lock()
-	if p.servers.Size() == 0 {
-		leaving, _ := p.servers.Withdrawn(now)
+	if err := p.checkNotEmpty(now); err != nil {
 		p.mu.Unlock()
-		return nil, api.Errorf(api.CodeNoBackendServer, "the pool has no ready server; %d have stated that they are leaving", leaving)
+		return nil, err
 	}
 	if s := p.servers.Choose(request, now); s != nil {
 		p.servers.RecordSend(s, now)
@@ -183,6 +184,9 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if s == nil {
+		if err := p.checkNotEmpty(now); err != nil {
+			return nil, err
+		}
 		at, allBlocked := p.servers.AvailableAt(now)
 		if !allBlocked {
 			at = now
@@ -231,6 +235,7 @@
 
 // grantQueued grants free slots to queued requests in queue order; mu is held.
 func (p *pool) grantQueued(now time.Time) {
+	p.refuseEvacuated()
 	for p.queue.Len() > 0 {
 		w := heap.Pop(&p.queue).(*waiter)
 		s := p.servers.Choose(w.request, now)
@@ -373,22 +378,3 @@
 	defer p.mu.Unlock()
 	return slices.Collect(maps.Values(p.byName))
 }
-
-// takeLoadReports adds to out the loads that servers reported in answers since the last call.
-func (p *pool) takeLoadReports(out map[uint64]fleetsync.ServerLoad) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for hash, load := range p.servers.TakeLoadReports() {
-		out[hash] = fleetsync.ServerLoad{Requests: load.Running + load.Waiting, ReportedAt: load.At}
-	}
-}
-
-// recordPeerLoads records loads that servers reported to other routers.
-func (p *pool) recordPeerLoads(loads map[uint64]fleetsync.ServerLoad) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for hash, load := range loads {
-		p.servers.RecordPeerLoad(hash, placement.Load{Running: load.Requests, At: load.ReportedAt})
-	}
-	p.grantQueued(time.Now())
-}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -94,7 +94,7 @@
 		return remaining + rand.N(max(retryAfterJitter, remaining/2))
 	}
 	delay := baseRetryAfter
-	if code == api.CodeNotConfigured || code == api.CodeNoBackendServer {
+	if code == api.CodeNotConfigured || code == api.CodeNoBackendServer || code == api.CodeDomainEvacuated {
 		delay = startupRetryAfter
 		if remaining := startupDuration - c.receivedAt.Sub(c.gateway.startedAt); remaining > 0 {
 			delay = max(remaining, baseRetryAfter)
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -15,6 +15,9 @@
 	// Leaving and Paused are the numbers of servers that were left out of the choice for what
 	// they stated in their answers.
 	Leaving, Paused int
+	// Evacuated is the number of servers that were left out because their failure domain is
+	// evacuated.
+	Evacuated int
 	// RateUsedUp is the number of servers that were left out because this router's share of their
 	// rate was used up.
 	RateUsedUp int
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -86,14 +86,20 @@
 	// This router has not sent the prompt before. Other routers have sent it to the
 	// server that ranks first for it, or did before newer servers were added.
 	var best *Server
-	for _, s := range p.servers {
+	consider := func(s *Server) {
 		if s == chosen || !s.isReachable(now) {
-			continue
+			return
 		}
 		if best == nil || mix(s.idHash, key) > mix(best.idHash, key) {
 			best = s
 		}
 	}
+	for _, s := range p.servers {
+		consider(s)
+	}
+	for _, s := range p.evacuated {
+		consider(s)
+	}
 	if best == nil {
 		return ""
 	}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -48,21 +48,6 @@
 	}
 }
 
-// ServerInfo is what control reports about a server.
-type ServerInfo struct {
-	ID      string
-	Address string
-	Domain  string
-	Slots   int
-	// Silent servers have missed their announcements for some time.
-	Silent bool
-	// Hash identifies the incarnation of the server.
-	Hash uint64
-	// Draining servers take no new requests, but others may still copy prompt parts
-	// from them.
-	Draining bool
-}
-
 // Server is a backend server with this router's state of it.
 type Server struct {
 	ServerInfo
@@ -128,10 +113,18 @@
 	// drainingAddresses maps the IDs of draining servers, from which others may
 	// still copy, to their addresses.
 	drainingAddresses map[string]string
-	history           *sendHistory
-	shares            *keyShares
-	reach             reach
-	mean              fleetMean
+	// listed is control's latest list.
+	listed []ServerInfo
+	// evacuatedDomains are the failure domains whose servers take no requests; evacuated holds
+	// these servers, with this router's state of them, by ID.
+	evacuatedDomains []string
+	evacuated        map[string]*Server
+	// onReturn is called with the servers of domains whose evacuation has ended; it may be nil.
+	onReturn func(servers []*Server, now time.Time)
+	history  *sendHistory
+	shares   *keyShares
+	reach    reach
+	mean     fleetMean
 	// withdrawals holds what servers stated in their answers, by incarnation.
 	withdrawals withdrawal.Book[uint64]
 	// limits holds this router's shares of the rates that servers limit, by incarnation.
@@ -153,42 +146,6 @@
 	}
 }
 
-// SetServers replaces the servers with those that control lists at now. It keeps the
-// state of servers whose ID and address stay the same. A server that has stated that it
-// is leaving counts as draining, whatever control lists.
-func (p *Pool) SetServers(infos []ServerInfo, now time.Time) {
-	servers := make([]*Server, 0, len(infos))
-	byID := make(map[string]*Server, len(infos))
-	p.byHash = make(map[uint64]*Server, len(infos))
-	clear(p.drainingAddresses)
-	p.listedAt = now
-	for _, info := range p.withoutDoubtedSilence(infos) {
-		p.limits.RecordListed(info.Hash, now)
-		if p.withdrawals.RecordListed(info.Hash, now) || info.Draining {
-			p.drainingAddresses[info.ID] = info.Address
-			continue
-		}
-		s := p.byID[info.ID]
-		if s == nil || s.Address != info.Address {
-			s = &Server{idHash: hashString(info.ID)}
-		}
-		s.ServerInfo = info
-		servers = append(servers, s)
-		byID[info.ID] = s
-		p.byHash[info.Hash] = s
-	}
-	slices.SortFunc(servers, func(a, b *Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	p.servers, p.byID = servers, byID
-}
-
-// Size returns the number of servers, without draining ones.
-func (p *Pool) Size() int { return len(p.servers) }
-
 // Choose returns the server that a request is sent to, or nil if no server may take
 // it now. A server may take a request while its estimated load is below its slots.
 func (p *Pool) Choose(request Request, now time.Time) *Server {
@@ -197,7 +154,7 @@
 		s.Choice.Leaving, s.Choice.Paused = p.Withdrawn(now)
 	}
 	if s != nil {
-		s.Choice.RateUsedUp = p.usedUp
+		s.Choice.RateUsedUp, s.Choice.Evacuated = p.usedUp, len(p.evacuated)
 	}
 	return s
 }
