Distribute evacuations to all routers

A fleet stream now carries the evacuated failure domains with their revision, in its first event, which precedes or accompanies the first route table, and after each change. Relays pass them on, and their read barrier waits for the source's revision, so that a restarted router that follows a relay does not serve without the newest order. A router accepts only a higher revision, so that a replica that lags behind restores nothing.

The command evacuate gives and withdraws orders, status names the evacuated domains, and audit lists the orders.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,7 @@
 	return []*command{
 		serveCommand(adapters), devCommand(), checkCommand(), layoutCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
-		watchCommand(), auditCommand(), explainCommand(),
+		watchCommand(), auditCommand(), explainCommand(), evacuateCommand(),
 		ledgerStatusCommand(), ledgerReplaceCommand(), ledgerRestartCommand(),
 		fakeBackendCommand(), loadCommand(), experimentCommand(), versionCommand(),
 	}
--- a/internal/cli/overview.go
+++ b/internal/cli/overview.go
@@ -47,6 +47,9 @@
 	}
 	if control := daemon.Control; control != nil {
 		fmt.Fprintf(w, "    control: %s, revision %d, current: %t\n", controlRole(control), control.Revision, control.Current)
+		for _, domain := range control.EvacuatedDomains {
+			fmt.Fprintf(w, "      failure domain %s is evacuated\n", domain)
+		}
 	}
 	for _, replica := range daemon.Ledger {
 		fmt.Fprintf(w, "    ledger group %s: active: %t, epoch %d, %d records\n", replica.Group, replica.Active, replica.Epoch, replica.Records)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -77,6 +77,9 @@
 	for _, replica := range status.Replicas {
 		fmt.Printf("  replica %016x on %s: %s\n", replica.ID, replica.Instance, replicaRole(replica))
 	}
+	for _, domain := range status.EvacuatedDomains {
+		fmt.Printf("  failure domain %s is evacuated\n", domain)
+	}
 	if f := status.Followers; f != nil {
 		fmt.Printf("  %d routers follow at generation %d, %d of them directly\n", f.Routers, f.Generation, f.Direct)
 		if f.LowestGeneration < f.Generation {
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -157,6 +157,8 @@
 	// the control replicas that were sent last.
 	path     relay.Path
 	controls []string
+	// evacuations is what was sent last of the evacuated failure domains.
+	evacuations *fleetpb.Evacuations
 	// queued is the route table whose transmission is rate-limited, or nil.
 	queued *queuedTable
 	// lastQuorum is when the replica last had a quorum; stale reports that this was longer
@@ -245,6 +247,7 @@
 	r.addGrantedTable(event)
 	r.addPath(event)
 	r.addControls(event)
+	r.addEvacuations(event)
 	records, changed, err := r.nextRecords(event)
 	if err != nil {
 		return nil, err
@@ -252,7 +255,7 @@
 	losses, lossRevision := r.publisher.losses.SinceWithRevision(r.lossRevision)
 	r.lossRevision, event.Losses = lossRevision, toLosses(losses, time.Now())
 	r.addStatements(event)
-	hasUpdates := event.Statements != nil || event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
+	hasUpdates := event.Evacuations != nil || event.Statements != nil || event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
@@ -28,6 +29,8 @@
 	replicas  []string
 	changed   []chan struct{}
 	barrier   error
+	// evacuations is nil for a replica that does not know them.
+	evacuations *evacuation.Set
 }
 
 func newFakeReplica(replicas ...string) *fakeReplica {
@@ -88,10 +91,28 @@
 	f.replicas = replicas
 }
 
+func (f *fakeReplica) Evacuations() *evacuation.Set {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations
+}
+
+func (f *fakeReplica) setEvacuations(set *evacuation.Set) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations = set
+	f.notify()
+}
+
 func (f *fakeReplica) setTable(d *routetable.Document) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table = d
+	f.notify()
+}
+
+// notify wakes the subscribers; the caller holds mu.
+func (f *fakeReplica) notify() {
 	for _, changed := range f.changed {
 		select {
 		case changed <- struct{}{}:
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
@@ -49,6 +50,8 @@
 	HasQuorum() bool
 	// Controls returns the RPC addresses of all control replicas.
 	Controls() []string
+	// Evacuations returns the evacuated failure domains, or nil while they are unknown.
+	Evacuations() *evacuation.Set
 	// Upstream returns the path from the control replica to this process, without this
 	// process; it is empty for a control replica.
 	Upstream() relay.Path
@@ -133,6 +136,9 @@
 	if table := p.source.Table(); table != nil {
 		response.Generation = table.Generation
 	}
+	if evacuations := p.source.Evacuations(); evacuations != nil {
+		response.EvacuationRevision = evacuations.Revision
+	}
 	return response, nil
 }
 
--- a/internal/fleetsync/statements_test.go
+++ b/internal/fleetsync/statements_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,8 @@
 	position ratelimit.Position
 	// lowestCount is the lowest number of routers that the router has been told, or 0.
 	lowestCount int
+	// evacuated are the sets of evacuated domains that were put in force.
+	evacuated [][]string
 }
 
 func (c *serverCounter) SetServers(servers []registry.Entry)                   { c.servers.Store(int64(len(servers))) }
@@ -51,6 +54,19 @@
 	maps.Copy(c.received, statements)
 }
 
+func (c *serverCounter) SetEvacuated(domains []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated = append(c.evacuated, domains)
+}
+
+// evacuations returns the evacuated domains that the router has had in force, in order.
+func (c *serverCounter) evacuations() [][]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.evacuated)
+}
+
 func (c *serverCounter) SetPosition(position ratelimit.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
@@ -41,6 +42,8 @@
 	table atomic.Pointer[routetable.Table]
 	// stale is set while the followed replica has no quorum.
 	stale atomic.Bool
+	// evacuations are those in force on this router, or nil before the first event.
+	evacuations atomic.Pointer[evacuation.Set]
 	// lastEvent is when an event of a control replica was last received, or nil.
 	lastEvent atomic.Pointer[time.Time]
 	// version is the table in force as followers of this router receive it.
@@ -95,6 +98,8 @@
 	TakeRateStatements() map[uint64]ratelimit.Statement
 	// RecordPeerRateStatements records the statements that other routers have received.
 	RecordPeerRateStatements(statements map[uint64]ratelimit.Statement)
+	// SetEvacuated replaces the failure domains whose servers receive no further requests.
+	SetEvacuated(domains []string)
 	// SetPosition records the position of this router among all routers.
 	SetPosition(position ratelimit.Position)
 }
@@ -162,6 +167,7 @@
 		return err
 	}
 	v.applyLosses(event)
+	v.applyEvacuations(event.GetEvacuations())
 	v.relay.RecordSourceStatements(event.GetStatements(), event.GetFirst(), time.Now())
 	if err := v.applyTable(event); err != nil {
 		return err
--- a/internal/fleetview/metrics.go
+++ b/internal/fleetview/metrics.go
@@ -22,6 +22,12 @@
 		}
 		return time.Since(*lastEvent).Seconds()
 	})
+	metrics.GetOrCreateGauge("peridotwinch_view_evacuated_domains", func() float64 {
+		if evacuations := v.evacuations.Load(); evacuations != nil {
+			return float64(len(evacuations.Domains))
+		}
+		return 0
+	})
 	metrics.GetOrCreateGauge("peridotwinch_view_depth", func() float64 { return float64(v.Depth()) })
 	metrics.GetOrCreateGauge("peridotwinch_view_followers", func() float64 { return float64(v.Followers()) })
 	metrics.GetOrCreateGauge("peridotwinch_view_routers", func() float64 { return float64(v.relay.Position().Count) })
--- a/internal/fleetview/source.go
+++ b/internal/fleetview/source.go
@@ -53,22 +53,23 @@
 func (s *viewSource) Subscribe() (<-chan struct{}, func()) { return s.view.subscribe() }
 
 // Barrier implements fleetsync.Source: it asks the followed source, and waits for the table
-// that the source has.
+// and the evacuations that the source has.
 func (s *viewSource) Barrier(ctx context.Context) error {
 	v := s.view
 	changed, stop := v.subscribe()
 	defer stop()
-	var confirmed uint64
+	var confirmed, evacuations uint64
 	err := v.callSource(ctx, func(ctx context.Context, conn drpc.Conn) error {
 		response, err := fleetpb.NewDRPCFleetClient(conn).Confirm(ctx, &fleetpb.ConfirmRequest{})
-		confirmed = response.GetGeneration()
+		confirmed, evacuations = response.GetGeneration(), response.GetEvacuationRevision()
 		return err
 	})
 	if err != nil {
 		return errors.Wrap(err, "confirm the route table")
 	}
 	for {
-		if table := v.Table(); confirmed == 0 || table != nil && table.Generation >= confirmed {
+		table := v.Table()
+		if (confirmed == 0 || table != nil && table.Generation >= confirmed) && v.hasEvacuations(evacuations) {
 			return nil
 		}
 		select {
@@ -125,8 +126,8 @@
 	return v.followed
 }
 
-// subscribe returns a channel that receives a value after each change of the table or the
-// path, and a function that ends the subscription.
+// subscribe returns a channel that receives a value after each change of the table, the path or
+// the evacuations, and a function that ends the subscription.
 func (v *View) subscribe() (<-chan struct{}, func()) {
 	changed := make(chan struct{}, 1)
 	v.mu.Lock()
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -334,7 +334,7 @@
 // worker is a test double of a worker that announces itself to the control instances. It starts
 // again under its ID, at another address, after a prompt has ended it.
 type worker struct {
-	id, service string
+	id, service, zone string
 
 	mu      sync.Mutex
 	server  *http.Server
@@ -365,9 +365,11 @@
 	stopped chan struct{}
 }
 
-func (f *fleet) startWorker(id string) *worker {
+func (f *fleet) startWorker(id string) *worker { return f.startWorkerIn(id, "zone-0") }
+
+func (f *fleet) startWorkerIn(id, zone string) *worker {
 	f.t.Helper()
-	w := &worker{id: id, service: "app", state: "ready", born: 1000, stopped: make(chan struct{})}
+	w := &worker{id: id, service: "app", zone: zone, state: "ready", born: 1000, stopped: make(chan struct{})}
 	f.Expect(w.listen()).To(Succeed())
 	go w.sendHeartbeats(f)
 	f.t.Cleanup(func() {
@@ -567,8 +569,8 @@
 func (w *worker) sendHeartbeatAs(f *fleet, control *machine, id string) (int, string) {
 	w.mu.Lock()
 	w.seq++
-	body := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":6,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d,"New":"field"}`,
-		w.service, w.address, w.state, w.seq, w.born)
+	body := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":6,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d,"New":"field"}`,
+		w.service, w.address, w.zone, w.state, w.seq, w.born)
 	w.mu.Unlock()
 	return f.callControl(control, http.MethodPut, "/instances/"+id, body)
 }
