--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/evacuation"
@@ -75,7 +73,7 @@
 		verb = api.VerbEvacuate
 	}
 	started := time.Now()
-	err := c.commitOrder(ctx, &Command{Verb: verb, Operator: operator, RequestID: requestID, Evacuation: &evacuation.Order{Domain: domain, Evacuate: evacuate}})
+	err := c.commitOrder(ctx, verb, operator, evacuation.Order{Domain: domain, Evacuate: evacuate, RequestID: requestID})
 	recordOrder(verb, err, time.Since(started))
 	c.log.Info().Err(err).Str("verb", string(verb)).Str("domain", domain).Str("operator", operator).
 		Str("requestId", requestID).Dur("took", time.Since(started)).Msg("evacuation order")
@@ -87,7 +85,7 @@
 // first, it starts over. An order that a stalled replica handles after a later one was
 // acknowledged thus has no effect: either its caller has left, or the check of its base fails.
 // The order passes the log even if it is in force already, see evacuation.State.Apply.
-func (c *Control) commitOrder(ctx context.Context, order *Command) error {
+func (c *Control) commitOrder(ctx context.Context, verb api.Verb, operator string, order evacuation.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	if err := c.awaitLeader(ctx); err != nil {
@@ -97,14 +95,15 @@
 		if err := c.readBarrier(ctx); err != nil {
 			return err
 		}
-		state := c.store.evacuationOf(order.Evacuation.Domain)
-		if err := c.checkDomain(order.Evacuation.Domain, state); err != nil {
+		state := c.store.evacuationOf(order.Domain)
+		if err := c.checkDomain(order.Domain, state); err != nil {
 			return err
 		}
 		if httpx.CallerLeft(ctx) {
 			return api.Errorf(api.CodeNoQuorum, "the caller of the order has left")
 		}
-		err := c.proposeOrder(ctx, order, state.Orders)
+		order.Base = state.Orders
+		err := c.proposeOrder(ctx, verb, operator, order)
 		if api.AsError(err).Code != api.CodeVersionConflict {
 			return err
 		}
@@ -122,15 +121,12 @@
 	return nil
 }
 
-// proposeOrder proposes an order on a state with the given number of orders. Each proposal has a
-// request ID of its own: a retry of the same proposal returns the outcome of the first one, and
-// the proposal after a conflict is another write.
-func (c *Control) proposeOrder(ctx context.Context, order *Command, base uint64) error {
-	command := newCommand(order.Verb, order.RequestID, order.Operator)
-	if order.RequestID != "" {
-		command.RequestID += "/" + uuid.NewString()
-	}
-	command.Evacuation = &evacuation.Order{Domain: order.Evacuation.Domain, Evacuate: order.Evacuation.Evacuate, Base: base}
+// proposeOrder proposes an order on the state that its base names. The command has a request ID of
+// its own rather than the operator's: a repetition of the same proposal returns the outcome of the
+// first one, but the proposal after a conflict is another write.
+func (c *Control) proposeOrder(ctx context.Context, verb api.Verb, operator string, order evacuation.Order) error {
+	command := newCommand(verb, "", operator)
+	command.Evacuation = &order
 	raw, err := json.Marshal(command)
 	if err != nil {
 		return api.Errorf(api.CodeInternal, "encode a command: %v", err)
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -30,7 +30,6 @@
 	c.settings.Domains = []string{"a", "b/ä ?"}
 	g.Eventually(c.replica.CheckReady, waitTimeout).Should(Succeed())
 	mux := http.NewServeMux()
-	mux.Handle("/", c.Handler())
 	c.handleEvacuations(mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -158,6 +157,18 @@
 	g.Expect(list.Items).To(BeEmpty())
 }
 
+// TestOrderThatNoRouterWouldObeyIsRefused guards against an acknowledged order without effect on
+// daemons that do not join by seeds.
+func TestOrderThatNoRouterWouldObeyIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newControl(t, t.TempDir())
+	c.settings.Domains = []string{"a"}
+	client := newClient(t, c)
+	_, err := client.Evacuate(context.Background(), "a", "")
+	g.Expect(err).To(MatchError(ContainSubstring("join by seeds")))
+	g.Expect(c.store.evacuationOf("a").Orders).To(BeZero())
+}
+
 // TestWatchOfEvacuations checks that a watch sends the current list, each later one and
 // heartbeats.
 func TestWatchOfEvacuations(t *testing.T) {
--- a/internal/control/evacuationapi.go
+++ b/internal/control/evacuationapi.go
@@ -17,6 +17,19 @@
 	mux.HandleFunc("GET /apis/v1/audit/evacuations", c.auditEvacuations)
 }
 
+// refuseEvacuations adds handlers that refuse all calls, for daemons that do not join by seeds: their
+// routers would not obey an order.
+func refuseEvacuations(mux *http.ServeMux) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		httpx.WriteError(w, api.FieldErrorf(api.CodeKindUnknown, "kind", "evacuations require daemons that join by seeds"))
+	}
+	for _, pattern := range []string{
+		"GET /apis/v1/evacuations", "PUT /apis/v1/evacuations/{domain}", "DELETE /apis/v1/evacuations/{domain}", "GET /apis/v1/audit/evacuations",
+	} {
+		mux.HandleFunc(pattern, refuse)
+	}
+}
+
 // evacuationList returns the evacuated failure domains.
 func (s *Store) evacuationList() *api.EvacuationList {
 	s.mu.Lock()
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -26,7 +26,6 @@
 	mux.Handle("/apis/", c.Handler())
 	mux.HandleFunc("GET /apis/v1/quarantine", c.listQuarantine)
 	mux.HandleFunc("DELETE /apis/v1/quarantine/{pool}/{part}", c.releasePart)
-	c.handleEvacuations(mux)
 	mux.Handle("/", c.adapter.ControlHandler(&adapterControl{Control: c}))
 	return mux
 }
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -22,6 +22,11 @@
 	mux.HandleFunc("DELETE /apis/v1/{kind}/{name}", c.delete)
 	mux.HandleFunc("GET /apis/v1/audit", c.audit)
 	mux.HandleFunc("GET /apis/v1/status", c.controlStatus)
+	if c.fleetSync != nil {
+		c.handleEvacuations(mux)
+	} else {
+		refuseEvacuations(mux)
+	}
 	return mux
 }
 
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -26,6 +26,8 @@
 	// Base is the number of orders on the domain that the replica had read before it proposed
 	// this one.
 	Base uint64 `json:"base"`
+	// RequestID is the operator's request ID; it may be empty.
+	RequestID string `json:"requestId,omitempty"`
 }
 
 // Change is an order that changed the set, as the audit trail lists it.
@@ -80,6 +82,9 @@
 	}
 	s.Revision++
 	change.Revision, change.Domain, change.Evacuate = s.Revision, order.Domain, order.Evacuate
+	if order.RequestID != "" {
+		change.RequestID = order.RequestID
+	}
 	// The slice is cloned because readers may hold the previous one.
 	s.Changes = append(slices.Clone(s.Changes), change)
 	if len(s.Changes) > maxRetainedChanges {
