--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -11,8 +11,9 @@
 	"peridotwinch.example/peridotwinch/internal/control/replica"
 )
 
-// addMetrics registers the gauges of the replica.
+// addMetrics registers the gauges of the replica and the metrics of orders.
 func (c *Control) addMetrics() {
+	addOrderMetrics()
 	gauge := func(name string, value func(replica.Status) float64) {
 		fullName := fmt.Sprintf("peridotwinch_config_%s{instance=%q}", name, c.settings.Instance)
 		metrics.GetOrCreateGauge(fullName, func() float64 { return value(c.replica.Status()) })
@@ -34,12 +35,26 @@
 	return 0
 }
 
+// addOrderMetrics registers the metrics of evacuation orders before the first one.
+func addOrderMetrics() {
+	for _, verb := range []api.Verb{api.VerbEvacuate, api.VerbReinstate} {
+		metrics.GetOrCreateCounter(orderCounter(verb, api.CodeOK))
+	}
+	metrics.GetOrCreateHistogram(orderHistogram)
+}
+
+const orderHistogram = "peridotwinch_config_evacuation_order_seconds"
+
+func orderCounter(verb api.Verb, code api.Code) string {
+	return fmt.Sprintf(`peridotwinch_config_evacuation_orders_total{verb=%q,code=%q}`, verb, code)
+}
+
 // recordOrder counts an evacuation order by verb and result code, and records how long it took.
 func recordOrder(verb api.Verb, err error, took time.Duration) {
 	code := api.CodeOK
 	if err != nil {
 		code = api.AsError(err).Code
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`peridotwinch_config_evacuation_orders_total{verb=%q,code=%q}`, verb, code)).Inc()
-	metrics.GetOrCreateHistogram("peridotwinch_config_evacuation_order_seconds").Update(took.Seconds())
+	metrics.GetOrCreateCounter(orderCounter(verb, code)).Inc()
+	metrics.GetOrCreateHistogram(orderHistogram).Update(took.Seconds())
 }
--- a/internal/fleetsync/evacuation_test.go
+++ b/internal/fleetsync/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"peridotwinch.example/peridotwinch/internal/evacuation"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/rpc"
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
 // TestEvacuationsReachAllRoutersThroughRelays guards against routers that keep sending to an
@@ -34,8 +37,7 @@
 }
 
 // TestRestartedRouterHasEvacuationsBeforeItServes guards against a router that serves with its
-// first table before it knows which domains are evacuated: from a control replica, and from a relay
-// that has not received the newest set yet when the router subscribes.
+// first table before it knows which domains are evacuated, from a control replica or from a relay.
 func TestRestartedRouterHasEvacuationsBeforeItServes(t *testing.T) {
 	g := NewWithT(t)
 	replica, _, proxy, routers := startRelayedFleet(t, 1)
@@ -52,6 +54,81 @@
 	}
 }
 
+// delayedSource is a control replica whose stream lags behind what it confirms: it sends revision 1
+// of the evacuations, confirms revision 2, and sends it once proceed is closed.
+type delayedSource struct {
+	fleetpb.DRPCFleetUnimplementedServer
+	document *fleetpb.Document
+	proceed  chan struct{}
+	// confirmations receives a value for each confirmation.
+	confirmations chan struct{}
+}
+
+func (s *delayedSource) Follow(_ *fleetpb.FollowRequest, stream fleetpb.DRPCFleet_FollowStream) error {
+	for _, event := range []*fleetpb.FollowEvent{
+		{Accepted: true},
+		{First: true, Document: s.document, Path: []string{"control"}, Evacuations: &fleetpb.Evacuations{Revision: 1}},
+	} {
+		if err := stream.Send(event); err != nil {
+			return err
+		}
+	}
+	ticker := time.NewTicker(fleetsync.HeartbeatInterval / 2)
+	defer ticker.Stop()
+	for proceed := s.proceed; ; {
+		event := &fleetpb.FollowEvent{}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-ticker.C:
+		case <-proceed:
+			proceed = nil
+			event.Evacuations = &fleetpb.Evacuations{Revision: 2, Domains: []string{"a"}}
+		}
+		if err := stream.Send(event); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *delayedSource) Confirm(context.Context, *fleetpb.ConfirmRequest) (*fleetpb.ConfirmResponse, error) {
+	select {
+	case s.confirmations <- struct{}{}:
+	default:
+	}
+	return &fleetpb.ConfirmResponse{Generation: 1, EvacuationRevision: 2}, nil
+}
+
+func (s *delayedSource) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+	return &fleetpb.ReportResponse{}, nil
+}
+
+// TestRelayWaitsForConfirmedEvacuations guards against a restarted router that follows a relay which
+// has the confirmed table, but not yet the confirmed evacuations, and serves without these.
+func TestRelayWaitsForConfirmedEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	document := newTable(t, 1)
+	source := &delayedSource{
+		document: &fleetpb.Document{Generation: document.Generation, Source: document.Source},
+		proceed:  make(chan struct{}), confirmations: make(chan struct{}, 1),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := rpc.NewServer()
+	g.Expect(fleetpb.DRPCRegisterFleet(server.Mux(), source)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx, listener) }()
+	relaying := startRelayingRouter(t, "relay", "domain-a", listener.Addr().String())
+	g.Eventually(generationOf(relaying.view), 5*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+	restarted := startRelayingRouter(t, "restarted", "domain-a", relaying.address)
+	g.Eventually(source.confirmations, 5*time.Second).Should(Receive())
+	g.Consistently(generationOf(restarted.view), 500*time.Millisecond, 5*time.Millisecond).Should(BeZero(), "serves without revision 2")
+	close(source.proceed)
+	g.Eventually(generationOf(restarted.view), 5*time.Second, time.Millisecond).Should(Equal(uint64(1)))
+	g.Expect(restarted.fleet.evacuations()).To(Equal([][]string{{"a"}}))
+}
+
 // TestLaggingReplicaDoesNotRestoreEvacuations guards against a router that follows a replica which
 // lacks the newest orders, and sends to an evacuated domain again.
 func TestLaggingReplicaDoesNotRestoreEvacuations(t *testing.T) {
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
 // entriesIn returns the entries of servers, each in a failure domain of its own: d0, d1 and so on.
@@ -74,6 +75,27 @@
 	g.Expect(a.requestCount()).To(Equal(2))
 }
 
+// TestPoolOfAnEvacuatedDomainIsRefused guards against callers that wait for a pool whose only servers
+// are in an evacuated domain, and against a refusal of other pools.
+func TestPoolOfAnEvacuatedDomainIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t)
+	table.Pools = append(table.Pools, routetable.Pool{Name: "q"})
+	table.Routes[0].Targets = []routetable.Target{{Pool: "q", Weight: 1}}
+	a, b := startTestServer(t, "a", answerOK), startTestServer(t, "b", answerOK)
+	gw, url := startUpdatableGateway(t, table, a)
+	entries := entriesIn(a, b)
+	entries[0].Pool = "q"
+	gw.SetServers(entries)
+	gw.SetEvacuated([]string{"d0"})
+	begin := time.Now()
+	g.Expect(send(t, url, "/safe/x").body).To(ContainSubstring(`"code":3033`))
+	g.Expect(time.Since(begin)).To(BeNumerically("<", 50*time.Millisecond), "refused at once")
+	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200), "the pool of another domain")
+	gw.SetEvacuated(nil)
+	g.Expect(send(t, url, "/safe/x").status).To(Equal(200))
+}
+
 // TestRetriesAndResumedStreamsAvoidAnEvacuatedDomain guards against a second attempt in a domain
 // that was evacuated during the first one.
 func TestRetriesAndResumedStreamsAvoidAnEvacuatedDomain(t *testing.T) {
