Tell routers of returns that they missed

A router that was cut off from control during a whole evacuation saw the same set before and after, so its hook for returned servers was not called, although the servers had had no traffic from others. The set now names the last withdrawal of each domain by its revision, and a router compares it with the revision that it had.

Ruled out: the age of a withdrawal, which would also serve routers that start, because it depends on the clocks of several machines.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -16,6 +16,20 @@
 	Revision uint64
 	// Domains are sorted.
 	Domains []string
+	// Returned has the domains whose evacuation was withdrawn last, with the revision of the
+	// withdrawal; nil if there are none.
+	Returned map[string]uint64
+}
+
+// ReturnedSince returns the domains, sorted, whose evacuation was withdrawn after a revision. A
+// router that was cut off during the whole evacuation knows of it only by this.
+func (s *Set) ReturnedSince(revision uint64) (domains []string) {
+	for _, name := range slices.Sorted(maps.Keys(s.Returned)) {
+		if s.Returned[name] > revision {
+			domains = append(domains, name)
+		}
+	}
+	return domains
 }
 
 // Order is an operator's order on one failure domain.
@@ -52,7 +66,8 @@
 // Domain is the state of one failure domain.
 type Domain struct {
 	Evacuated bool `json:"evacuated"`
-	// Since and Operator are of the last change.
+	// Revision, Since and Operator are of the last change.
+	Revision uint64    `json:"revision"`
 	Since    time.Time `json:"since"`
 	Operator string    `json:"operator"`
 	// Orders is the number of orders on the domain, including those that changed nothing.
@@ -74,7 +89,7 @@
 	isChange := domain.Evacuated != order.Evacuate
 	domain.Orders++
 	if isChange {
-		domain.Evacuated, domain.Since, domain.Operator = order.Evacuate, change.Time, change.Operator
+		domain.Evacuated, domain.Revision, domain.Since, domain.Operator = order.Evacuate, s.Revision+1, change.Time, change.Operator
 	}
 	s.Domains[order.Domain] = domain
 	if !isChange {
@@ -93,12 +108,18 @@
 	return true
 }
 
-// Set returns the evacuated domains.
+// Set returns the evacuated and the returned domains.
 func (s *State) Set() *Set {
 	out := &Set{Revision: s.Revision}
 	for _, name := range slices.Sorted(maps.Keys(s.Domains)) {
-		if s.Domains[name].Evacuated {
+		switch domain := s.Domains[name]; {
+		case domain.Evacuated:
 			out.Domains = append(out.Domains, name)
+		case domain.Revision > 0:
+			if out.Returned == nil {
+				out.Returned = make(map[string]uint64)
+			}
+			out.Returned[name] = domain.Revision
 		}
 	}
 	return out
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -68,6 +68,28 @@
 	g.Expect(restored).To(Equal(s))
 }
 
+// TestReturnedDomains checks that a set names the withdrawals after a revision, and no domain that
+// was evacuated again since.
+func TestReturnedDomains(t *testing.T) {
+	g := NewWithT(t)
+	s := &evacuation.State{}
+	order := func(domain string, evacuate bool) {
+		g.Expect(s.Apply(evacuation.Order{Domain: domain, Evacuate: evacuate, Base: s.Domains[domain].Orders}, evacuation.Change{})).To(BeTrue())
+	}
+	order("c", false)
+	g.Expect(s.Set()).To(Equal(&evacuation.Set{}), "nothing was withdrawn")
+	order("a", true)
+	order("b", true)
+	order("b", false)
+	order("a", false)
+	order("a", false)
+	g.Expect(s.Set()).To(Equal(&evacuation.Set{Revision: 4, Returned: map[string]uint64{"a": 4, "b": 3}}))
+	g.Expect(s.Set().ReturnedSince(2)).To(Equal([]string{"a", "b"}))
+	g.Expect(s.Set().ReturnedSince(3)).To(Equal([]string{"a"}))
+	order("a", true)
+	g.Expect(s.Set().ReturnedSince(0)).To(Equal([]string{"b"}))
+}
+
 // TestAuditTrailIsBounded guards against snapshots that grow with every order.
 func TestAuditTrailIsBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fleetsync/evacuation.go
+++ b/internal/fleetsync/evacuation.go
@@ -12,11 +12,11 @@
 	if set == nil || r.evacuations != nil && r.evacuations.GetRevision() == set.Revision {
 		return
 	}
-	r.evacuations = &fleetpb.Evacuations{Revision: set.Revision, Domains: set.Domains}
+	r.evacuations = &fleetpb.Evacuations{Revision: set.Revision, Domains: set.Domains, Returned: set.Returned}
 	event.Evacuations = r.evacuations
 }
 
 // FromEvacuations returns the evacuated failure domains of a message.
 func FromEvacuations(message *fleetpb.Evacuations) *evacuation.Set {
-	return &evacuation.Set{Revision: message.GetRevision(), Domains: message.GetDomains()}
+	return &evacuation.Set{Revision: message.GetRevision(), Domains: message.GetDomains(), Returned: message.GetReturned()}
 }
--- a/internal/fleetsync/evacuation_test.go
+++ b/internal/fleetsync/evacuation_test.go
@@ -145,6 +145,20 @@
 	g.Eventually(fleet.evacuations, 5*time.Second, 5*time.Millisecond).Should(Equal([][]string{{"a"}, nil}))
 }
 
+// TestRouterLearnsOfAReturnThatItMissed guards against a router that treats servers as warm after an
+// evacuation of which it did not know, because it was cut off from control meanwhile. A router that
+// starts knows of no return.
+func TestRouterLearnsOfAReturnThatItMissed(t *testing.T) {
+	g := NewWithT(t)
+	replica, _, proxy := startReplica(t)
+	replica.setEvacuations(&evacuation.Set{Revision: 3, Returned: map[string]uint64{"a": 3}})
+	view, fleet := startRouter(t, "router", proxy.address)
+	g.Eventually(generationOf(view), 5*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+	g.Expect(fleet.returnedDomains()).To(BeEmpty())
+	replica.setEvacuations(&evacuation.Set{Revision: 5, Returned: map[string]uint64{"a": 3, "b": 5}})
+	g.Eventually(fleet.returnedDomains, 5*time.Second, 5*time.Millisecond).Should(Equal([]string{"b"}))
+}
+
 // TestDomainsOfTheRegistry checks the failure domains that an operator may name if the settings
 // list none.
 func TestDomainsOfTheRegistry(t *testing.T) {
--- a/internal/fleetsync/statements_test.go
+++ b/internal/fleetsync/statements_test.go
@@ -30,6 +30,8 @@
 	lowestCount int
 	// evacuated are the sets of evacuated domains that were put in force.
 	evacuated [][]string
+	// returned are the domains whose evacuation was withdrawn, in order.
+	returned []string
 }
 
 func (c *serverCounter) SetServers(servers []registry.Entry)                   { c.servers.Store(int64(len(servers))) }
@@ -54,9 +56,10 @@
 	maps.Copy(c.received, statements)
 }
 
-func (c *serverCounter) SetEvacuated(domains []string) {
+func (c *serverCounter) SetEvacuated(domains, returned []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.returned = append(c.returned, returned...)
 	c.evacuated = append(c.evacuated, domains)
 }
 
@@ -67,6 +70,13 @@
 	return slices.Clone(c.evacuated)
 }
 
+// returnedDomains returns the domains whose evacuation was withdrawn, in order.
+func (c *serverCounter) returnedDomains() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.returned)
+}
+
 func (c *serverCounter) SetPosition(position ratelimit.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetview/evacuation.go
+++ b/internal/fleetview/evacuation.go
@@ -15,11 +15,15 @@
 		return
 	}
 	set := fleetsync.FromEvacuations(message)
-	v.fleet.SetEvacuated(set.Domains)
+	var returned []string
+	if current != nil {
+		returned = set.ReturnedSince(current.Revision)
+	}
+	v.fleet.SetEvacuated(set.Domains, returned)
 	v.evacuations.Store(set)
 	v.notify()
 	if current != nil || len(set.Domains) > 0 {
-		v.log.Info().Uint64("revision", set.Revision).Strs("domains", set.Domains).Msg("evacuated failure domains in force")
+		v.log.Info().Uint64("revision", set.Revision).Strs("domains", set.Domains).Strs("returned", returned).Msg("evacuated failure domains in force")
 	}
 }
 
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -98,8 +98,9 @@
 	TakeRateStatements() map[uint64]ratelimit.Statement
 	// RecordPeerRateStatements records the statements that other routers have received.
 	RecordPeerRateStatements(statements map[uint64]ratelimit.Statement)
-	// SetEvacuated replaces the failure domains whose servers receive no further requests.
-	SetEvacuated(domains []string)
+	// SetEvacuated replaces the failure domains whose servers receive no further requests. returned
+	// are those whose evacuation was withdrawn since the last call.
+	SetEvacuated(domains, returned []string)
 	// SetPosition records the position of this router among all routers.
 	SetPosition(position ratelimit.Position)
 }
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -7,18 +7,19 @@
 	"peridotwinch.example/peridotwinch/api"
 )
 
-// SetEvacuated replaces the failure domains whose servers receive no requests.
-func (g *Gateway) SetEvacuated(domains []string) { g.pools.setEvacuated(domains) }
+// SetEvacuated replaces the failure domains whose servers receive no requests. returned are those
+// whose evacuation was withdrawn since the last call.
+func (g *Gateway) SetEvacuated(domains, returned []string) { g.pools.setEvacuated(domains, returned) }
 
 // setEvacuated applies the evacuated domains to all pools and to those that are created later.
-func (p *pools) setEvacuated(domains []string) {
+func (p *pools) setEvacuated(domains, returned []string) {
 	p.mu.Lock()
 	p.evacuated = domains
 	p.mu.Unlock()
 	for _, found := range p.list() {
 		found.mu.Lock()
 		now := time.Now()
-		found.servers.SetEvacuated(domains, now)
+		found.servers.SetEvacuated(domains, returned, now)
 		found.grantQueued(now)
 		found.mu.Unlock()
 	}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -50,13 +50,13 @@
 	caller.Go(func() { stream = send(t, url, "/resume/x") })
 	g.Eventually(streaming, 5*time.Second).Should(BeClosed())
 	gw.SetServers(entriesIn(a, b))
-	gw.SetEvacuated([]string{"d0"})
+	gw.SetEvacuated([]string{"d0"}, nil)
 	for range 10 {
 		g.Expect(send(t, url, "/safe/x").status).To(Equal(200))
 	}
 	gw.SetServers(entriesIn(a, b))
 	g.Expect(send(t, url, "/safe/x").status).To(Equal(200))
-	gw.SetEvacuated([]string{"d0", "d1"})
+	gw.SetEvacuated([]string{"d0", "d1"}, nil)
 	begin := time.Now()
 	refused := send(t, url, "/unsafe/x")
 	g.Expect(time.Since(begin)).To(BeNumerically("<", 50*time.Millisecond), "refused at once")
@@ -70,7 +70,7 @@
 	g.Expect(stream.body).To(Equal(eventText(1, 10)), "what runs there ends undisturbed")
 	g.Expect(a.requestCount()).To(Equal(1))
 	g.Expect(b.requestCount()).To(Equal(11))
-	gw.SetEvacuated([]string{"d1"})
+	gw.SetEvacuated([]string{"d1"}, nil)
 	g.Expect(send(t, url, "/safe/x").status).To(Equal(200))
 	g.Expect(a.requestCount()).To(Equal(2))
 }
@@ -87,12 +87,12 @@
 	entries := entriesIn(a, b)
 	entries[0].Pool = "q"
 	gw.SetServers(entries)
-	gw.SetEvacuated([]string{"d0"})
+	gw.SetEvacuated([]string{"d0"}, nil)
 	begin := time.Now()
 	g.Expect(send(t, url, "/safe/x").body).To(ContainSubstring(`"code":3033`))
 	g.Expect(time.Since(begin)).To(BeNumerically("<", 50*time.Millisecond), "refused at once")
 	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200), "the pool of another domain")
-	gw.SetEvacuated(nil)
+	gw.SetEvacuated(nil, nil)
 	g.Expect(send(t, url, "/safe/x").status).To(Equal(200))
 }
 
@@ -118,7 +118,7 @@
 		caller.Go(func() { send(t, url, path) })
 		g.Eventually(received, 5*time.Second).Should(BeClosed())
 		gw.SetServers(entriesIn(a, b))
-		gw.SetEvacuated([]string{"d1"})
+		gw.SetEvacuated([]string{"d1"}, nil)
 		close(evacuated)
 		caller.Wait()
 		g.Expect(b.requestCount()).To(BeZero(), path)
@@ -158,7 +158,7 @@
 	g.Eventually(s.requestCount).Should(Equal(4), "slots")
 	time.Sleep(100 * time.Millisecond)
 	evacuatedAt := time.Now()
-	gw.SetEvacuated([]string{"d0"})
+	gw.SetEvacuated([]string{"d0"}, nil)
 	g.Eventually(func() int {
 		mu.Lock()
 		defer mu.Unlock()
@@ -171,7 +171,7 @@
 	g.Expect(s.requestCount()).To(Equal(4))
 
 	later, laterURL := startUpdatableGateway(t, table, s)
-	later.SetEvacuated([]string{"d0"})
+	later.SetEvacuated([]string{"d0"}, nil)
 	later.SetServers(entriesIn(s))
 	g.Expect(send(t, laterURL, "/safe/x").body).To(ContainSubstring(`"code":3033`), "a pool without requests so far")
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -66,7 +66,7 @@
 	if found == nil {
 		found = newPool(engine, p.metrics)
 		found.servers.SetPosition(p.position, p.positionedAt)
-		found.servers.SetEvacuated(p.evacuated, time.Now())
+		found.servers.SetEvacuated(p.evacuated, nil, time.Now())
 		found.servers.SetServers(p.servers[name], time.Now())
 		p.byName[name] = found
 	}
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -7,27 +7,29 @@
 
 // SetEvacuated replaces the failure domains whose servers take no requests of any kind: no first or
 // later attempt, trial or probe. Requests in progress there end undisturbed, and other servers may
-// still copy prompt parts from them. The pool keeps domains.
-func (p *Pool) SetEvacuated(domains []string, now time.Time) {
-	var returned []string
-	for id, s := range p.evacuated {
-		if !slices.Contains(domains, s.Domain) {
-			returned = append(returned, id)
+// still copy prompt parts from them. returned are domains whose evacuation was withdrawn since the
+// last call, also those that were never evacuated here because the router did not know of it. The
+// pool keeps domains.
+func (p *Pool) SetEvacuated(domains, returned []string, now time.Time) {
+	for _, s := range p.evacuated {
+		if !slices.Contains(domains, s.Domain) && !slices.Contains(returned, s.Domain) {
+			returned = append(slices.Clone(returned), s.Domain)
 		}
 	}
 	p.evacuatedDomains = domains
 	p.SetServers(p.listed, now)
-	if len(returned) == 0 || p.onReturn == nil {
+	if p.onReturn == nil {
 		return
 	}
-	slices.Sort(returned)
-	servers := make([]*Server, 0, len(returned))
-	for _, id := range returned {
-		if s := p.byID[id]; s != nil {
+	var servers []*Server
+	for _, s := range p.servers {
+		if slices.Contains(returned, s.Domain) {
 			servers = append(servers, s)
 		}
 	}
-	p.onReturn(servers, now)
+	if len(servers) > 0 {
+		p.onReturn(servers, now)
+	}
 }
 
 // OnReturn sets the function that SetEvacuated calls, before any request is placed, with the listed
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -30,7 +30,7 @@
 			switch rapid.IntRange(0, 5).Draw(rt, "step") {
 			case 0:
 				evacuated = rapid.SliceOfDistinct(rapid.SampledFrom(zones), func(s string) string { return s }).Draw(rt, "evacuated")
-				p.SetEvacuated(evacuated, now)
+				p.SetEvacuated(evacuated, nil, now)
 			case 1:
 				infos = slices.Clone(infos)
 				for i := range infos {
@@ -56,7 +56,7 @@
 				p.RecordResult(s, placement.Result{Kind: placement.ResultKind(rapid.IntRange(0, 5).Draw(rt, "result"))}, now)
 			}
 		}
-		p.SetEvacuated(nil, now)
+		p.SetEvacuated(nil, nil, now)
 		if p.Size() != len(infos) || p.Evacuated() != 0 {
 			rt.Fatalf("%d servers, %d evacuated", p.Size(), p.Evacuated())
 		}
@@ -86,21 +86,23 @@
 		p.RecordSend(s, start)
 		running[s.ID] = s
 	}
-	p.SetEvacuated([]string{"zone-0", "zone-1"}, start)
+	p.SetEvacuated([]string{"zone-0", "zone-1"}, nil, start)
 	g.Expect([]int{p.Size(), p.Evacuated()}).To(Equal([]int{1, 2}))
 	p.RecordResult(running["i-00"], placement.Result{Kind: placement.ResultAnswered}, start)
 	g.Expect(p.Choose(placement.Request{Domain: "zone-0"}, start)).To(BeNil(), "the only server left is full")
-	p.SetEvacuated([]string{"zone-1"}, start)
+	p.SetEvacuated([]string{"zone-1"}, nil, start)
 	g.Expect(returned).To(Equal([]string{"i-00"}))
 	s := p.Choose(placement.Request{Domain: "zone-0"}, start)
 	g.Expect(s).To(BeIdenticalTo(running["i-00"]), "free since its request ended")
 	g.Expect(s.Choice.Evacuated).To(Equal(1))
 	p.RecordSend(s, start)
 	p.SetServers(infos[:1], start)
-	p.SetEvacuated(nil, start)
+	p.SetEvacuated(nil, nil, start)
 	g.Expect(returned).To(Equal([]string{"i-00"}), "i-01 is gone")
 	p.SetServers(infos, start)
 	g.Expect(p.Size()).To(Equal(3))
+	p.SetEvacuated([]string{"zone-2"}, []string{"zone-1", "zone-2"}, start)
+	g.Expect(returned).To(Equal([]string{"i-00", "i-01"}), "zone-1 returned without the router's knowledge, zone-2 was evacuated again")
 }
 
 // TestPromptsAreCopiedFromAnEvacuatedDomain guards against prompts that are processed again on
@@ -114,7 +116,7 @@
 		if sentBefore {
 			p.CopySource(home, promptRequest(7), start)
 		}
-		p.SetEvacuated([]string{home.Domain}, start)
+		p.SetEvacuated([]string{home.Domain}, nil, start)
 		next := p.Choose(promptRequest(7), start)
 		g.Expect(next.Domain).NotTo(Equal(home.Domain))
 		g.Expect(p.CopySource(next, promptRequest(7), start)).To(Equal(home.Address), "sent before: %t", sentBefore)
