Bound the requests to servers that are warming up

A server that is warming up accepts a rate from all routers together, and nothing enforced it: routers counted only the rates that servers name in their answers.

The routers now share a total for each second by rank, with the same limit as for named rates, whose window, total and rate are data. A limit is kept by the server's address, because routers know different incarnations after a restart and have to agree on the ranks. A send is checked again right before its first byte, since a request may have waited for a slot or a connection. A router that has lost a connection treats the server as warming up until it has been reached and the warm-up time has passed.

What an incarnation states binds all incarnations that are listed at its address.

Ruled out: the limit by incarnation, with which routers before and after the news of a restart would have different sharers.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -83,6 +83,17 @@
 	// connection comes from the pool: unless it was only probed, it has carried an earlier request,
 	// whose answer may come once more.
 	AcceptAnswer func(answer *http.Response, connReused bool) bool
+	// BeforeWrite is called once there is a connection and before anything is written to it. With an
+	// error, the request is not sent. It may be nil.
+	BeforeWrite func(ConnInfo) error
+}
+
+// ConnInfo is what is known of the connection of a request before it is written.
+type ConnInfo struct {
+	// New is set if the connection was set up for the request.
+	New bool
+	// LostIdle is set if the server has closed an idle connection before its idle timeout.
+	LostIdle bool
 }
 
 // SendError is the error of a send that received no answer head.
@@ -185,10 +196,16 @@
 // Send sends a request at most once and waits for the answer's head. When ctx ends, it
 // closes the connection; most servers then cancel the request. Errors are *SendError.
 func (c *Client) Send(ctx context.Context, address string, request *Request) (*Exchange, error) {
-	connection, err := c.acquireConn(ctx, address, request.ID)
+	connection, info, err := c.acquireConn(ctx, address, request.ID)
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
+	if request.BeforeWrite != nil {
+		if err := request.BeforeWrite(info); err != nil {
+			c.returnUnused(connection)
+			return nil, &SendError{Cause: err}
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	ex := &Exchange{client: c, conn: connection, stopCancel: stopCancel}
 	if err := ex.writeRequest(request); err != nil {
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -85,9 +85,10 @@
 
 // acquireConn returns a connection that has not carried a request with this ID. With an empty ID,
 // the connection is new.
-func (c *Client) acquireConn(ctx context.Context, address, id string) (*conn, error) {
+func (c *Client) acquireConn(ctx context.Context, address, id string) (*conn, ConnInfo, error) {
 	hash := xxhash.Sum64String(id)
-	connection, passedOver := c.takeIdle(address, id, hash)
+	connection, passedOver, lost := c.takeIdle(address, id, hash)
+	info := ConnInfo{New: connection == nil, LostIdle: lost}
 	if passedOver {
 		c.hooks.PassedOver()
 	}
@@ -95,29 +96,41 @@
 		c.trimUnused(address)
 		var err error
 		if connection, err = c.dial(ctx, address, DialRequest); err != nil {
-			return nil, err
+			return nil, info, err
 		}
 	}
 	connection.carried = append(connection.carried, hash)
-	return connection, nil
+	return connection, info, nil
+}
+
+// returnUnused returns a connection of acquireConn to which nothing was written.
+func (c *Client) returnUnused(connection *conn) {
+	connection.carried = connection.carried[:len(connection.carried)-1]
+	idle := defaultIdleTimeout
+	if connection.reused {
+		idle = time.Until(connection.idleDeadline)
+	}
+	c.putIdle(connection, idle)
 }
 
 // takeIdle removes a usable connection from the pool, or returns nil. passedOver reports whether an
-// idle connection that has not expired was left there because it has carried a request with this ID.
-func (c *Client) takeIdle(address, id string, hash uint64) (connection *conn, passedOver bool) {
+// idle connection that has not expired was left there because it has carried a request with this ID;
+// lost whether the server has closed one that has not expired.
+func (c *Client) takeIdle(address, id string, hash uint64) (connection *conn, passedOver, lost bool) {
 	if id == "" {
-		return nil, false
+		return nil, false, false
 	}
 	for {
 		connection, skipped := c.popIdle(address, hash, time.Now())
 		passedOver = passedOver || skipped
 		if connection == nil {
-			return nil, passedOver
+			return nil, passedOver, lost
 		}
 		if connection.isUsable(time.Now()) {
 			connection.reused = true
-			return connection, passedOver
+			return connection, passedOver, lost
 		}
+		lost = lost || time.Now().Before(connection.idleDeadline)
 		_ = connection.Close()
 	}
 }
--- a/internal/fleetsync/codec.go
+++ b/internal/fleetsync/codec.go
@@ -17,7 +17,7 @@
 	out := &fleetpb.Server{
 		Id: e.ID, Born: e.StartedMS, Sequence: e.Sequence, Pool: e.Pool, Address: e.Address,
 		FailureDomain: e.Domain, Version: e.Version, Slots: uint32(max(e.Slots, 0)), State: uint32(e.State),
-		WarmupLeftMs: uint32(e.WarmupLeft.Milliseconds()), AgeMs: uint32(max(now.Sub(e.LastAnnounced), 0).Milliseconds()),
+		WarmupLeftMs: uint32(max(e.WarmupUntil.Sub(now), 0).Milliseconds()), AgeMs: uint32(max(now.Sub(e.LastAnnounced), 0).Milliseconds()),
 		Silent: e.Silent,
 	}
 	for _, m := range e.Models {
@@ -40,11 +40,14 @@
 		Server: registry.Server{
 			ID: s.GetId(), StartedMS: s.GetBorn(), Sequence: s.GetSequence(), Pool: s.GetPool(), Address: s.GetAddress(),
 			Domain: s.GetFailureDomain(), Version: s.GetVersion(), Slots: int(s.GetSlots()),
-			State: registry.State(s.GetState()), WarmupLeft: time.Duration(s.GetWarmupLeftMs()) * time.Millisecond,
+			State: registry.State(s.GetState()),
 		},
 		LastAnnounced: now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond),
 		Silent:        s.GetSilent(),
 	}
+	if left := time.Duration(s.GetWarmupLeftMs()) * time.Millisecond; left > 0 {
+		out.WarmupUntil, out.WarmupLeft = now.Add(left), now.Add(left).Sub(out.LastAnnounced)
+	}
 	for _, m := range s.GetModels() {
 		out.Models = append(out.Models, registry.Model{Name: m.GetName(), Version: m.GetVersion()})
 	}
--- a/internal/fleetsync/records.go
+++ b/internal/fleetsync/records.go
@@ -57,15 +57,15 @@
 	return records, err
 }
 
-// missingRecords returns the records that a router lacks, and the hashes of the servers that
-// only the router has. The record of a server that is gone goes only to routers that have the
+// missingRecords returns the records that a router lacks or that are warming up, and the hashes of
+// the servers that only the router has. The end of a warm-up is not part of a digest. The record of a server that is gone goes only to routers that have the
 // server. missingRecords removes entries from known.
 func missingRecords(entries []registry.Entry, known map[uint64]uint32, now time.Time) (servers []*fleetpb.Server, unknown []uint64) {
 	for _, e := range entries {
 		id := registry.HashID(e.ID)
 		digest, isKnown := known[id]
 		delete(known, id)
-		if isKnown && digest == e.Digest() || !isKnown && e.State == registry.StateGone {
+		if isKnown && digest == e.Digest() && !e.WarmupUntil.After(now) || !isKnown && e.State == registry.StateGone {
 			continue
 		}
 		servers = append(servers, toServer(e, now))
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -180,6 +180,7 @@
 	now := time.Now()
 	v.mu.Lock()
 	v.setControls(event.GetControls())
+	isInitial := v.followedSince.IsZero()
 	if event.GetFirst() {
 		v.startFollowing(source, event, now)
 		v.log.Info().Str("source", source.Address).Bool("relay", source.IsRelay).Int("depth", v.path.Depth()).
@@ -188,6 +189,7 @@
 	var changed []registry.Entry
 	for _, record := range servers {
 		entry := fleetsync.FromServer(record, now)
+		entry.AppearedAt = v.appearedAt(entry, isInitial, now)
 		if v.mergeServer(entry, event.GetFirst()) {
 			changed = append(changed, entry)
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,7 +52,9 @@
 			return failure.finish(c)
 		}
 		c.gateway.metrics.retries.Inc()
-		c.exclude = append(c.exclude, lease.id)
+		if !failure.withheld {
+			c.exclude = append(c.exclude, lease.id)
+		}
 		c.log(zerolog.InfoLevel).Str("server", lease.id).Int("sends", c.sends).Err(failure.err).Msg("retrying the request on another server")
 	}
 }
@@ -93,41 +95,6 @@
 	}
 }
 
-// failure is why an attempt did not answer the caller.
-type failure struct {
-	err error
-	// notRun reports whether the server certainly did not run the request.
-	notRun bool
-	// unsent reports whether no byte reached the server. Another send then adds no
-	// load to the pool and costs no retry budget.
-	unsent bool
-	// lostServer reports whether the server closed the connection before it began to answer.
-	lostServer bool
-	// answer is the server's error answer, forwarded if no other server answers.
-	answer *bufferedAnswer
-}
-
-// finish forwards the server's error answer if there is one, or returns the error with
-// which the call is refused.
-func (f *failure) finish(c *call) error {
-	if f.answer != nil && !f.notRun && !c.answerStarted() {
-		return c.writeAnswer(f.answer)
-	}
-	return f.err
-}
-
-// mayRetry reports whether the request may be sent to another server. A request that a
-// server may have run is retried only if its route is retryable.
-func (c *call) mayRetry(f *failure) bool {
-	if c.ctx.Err() != nil || c.forwarding || c.sends >= maxSends || f.lostServer && !c.mayRetryAfterLoss() {
-		return false
-	}
-	if !f.notRun && (!c.route.Retryable() || c.attempts >= max(c.route.MaxServers, 1)) {
-		return false
-	}
-	return f.unsent || c.pool.spendRetry()
-}
-
 // bufferedAnswer is a server's answer that was read completely; see maxBufferedAnswerBytes.
 type bufferedAnswer struct {
 	status int
@@ -150,6 +117,7 @@
 	}
 	answer := c.gateway.dialect.ParseAnswer(ex.StatusCode, ex.Header)
 	lease.recordLoad(answer.Load)
+	lease.recordWarming(answer.Warming)
 	c.recordWithdrawal(lease, answer)
 	firstByte := time.Since(lease.sentAt)
 	if answer.NotRun {
@@ -200,34 +168,10 @@
 		HasBody:      c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
 		Header:       c.gateway.dialect.Forward(c.r.Header, out),
 		AcceptAnswer: func(r *http.Response, connReused bool) bool { return c.acceptAnswer(lease, r, connReused) },
+		BeforeWrite:  lease.confirmSend,
 	}
 }
 
-// handleSendError records a send that failed before an answer arrived.
-func (c *call) handleSendError(lease *lease, err error) *failure {
-	var sendErr *backend.SendError
-	written := !errors.As(err, &sendErr) || sendErr.Written
-	if written {
-		c.mayHaveRun = true
-		c.attempts++
-	}
-	kind := placement.ResultLost
-	switch {
-	case c.ctx.Err() != nil:
-		kind = placement.ResultUnknown
-	case !written:
-		kind = placement.ResultUnreachable
-		c.gateway.client.CloseIdle(lease.address)
-	}
-	lease.release(placement.Result{Kind: kind})
-	c.logAttempt(lease).Bool("written", written).Err(err).Msg("send failed")
-	lostServer := written && c.recordLoss(lease, err)
-	if c.ctx.Err() != nil {
-		return &failure{err: c.contextError(context.Cause(c.ctx)), notRun: !written}
-	}
-	return &failure{err: api.Errorf(api.CodeBackendFailed, "%s: %v", lease.id, err), notRun: !written, unsent: !written, lostServer: lostServer}
-}
-
 // contextError returns the caller's error for a request whose context ended before an answer.
 func (c *call) contextError(cause error) error {
 	if errors.Is(cause, errDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded) {
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -21,9 +21,7 @@
 	if lease.choice.Evacuated > 0 {
 		line = line.Int("evacuated", lease.choice.Evacuated)
 	}
-	if lease.choice.RateUsedUp > 0 {
-		line = line.Int("rateUsedUp", lease.choice.RateUsedUp)
-	}
+	line = logLimits(line, lease.choice)
 	if len(c.in.PromptParts) > 0 {
 		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
 			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,8 @@
 	// availableAt is when a server accepts requests again, if the call is refused because all
 	// servers want none or limit their rate.
 	availableAt time.Time
+	// withheldSends counts the sends that were given up for a warm-up before anything was written.
+	withheldSends int
 	// mayHaveRun reports whether a server may have received the request and did not
 	// state that it did not run it.
 	mayHaveRun bool
@@ -90,8 +92,7 @@
 		return api.Errorf(api.CodeDraining, "the router stops in %v, before the request's deadline", time.Until(*end).Round(time.Millisecond))
 	}
 	c.poolName = pickPool(c.route.Targets, rand.Float64())
-	poolConfig := c.table.Pool(c.poolName)
-	c.pool = c.gateway.pools.get(c.poolName, poolConfig != nil && poolConfig.Engine)
+	c.pool = c.gateway.pools.get(c.poolName, c.table.Pool(c.poolName))
 	c.prompt = promptPartsAtRisk(c.in.PromptParts)
 	if err := c.checkPrompt(); err != nil {
 		return err
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -53,6 +53,8 @@
 	// Pause is how long the server wants no further request from this router; 0 if it does
 	// not say so.
 	Pause time.Duration
+	// Warming is the remaining time for which the server is warming up; 0 if it does not say so.
+	Warming time.Duration
 	// Load is the load that the server reports, without At; nil if it reports none.
 	Load *placement.Load
 	// Rate is what the answer states about the rate of requests that the server takes from all
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -47,7 +47,7 @@
 	}
 	for _, w := range slices.Clone(p.queue) {
 		p.queue.remove(w)
-		w.granted <- nil
+		w.granted <- grant{}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 		case now := <-ticker.C:
 			g.client.CloseExpired(now)
 			g.probe(ctx, now)
+			g.logWarmups()
 		}
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	retries               *metrics.Counter
 	streamsResumed        *metrics.Counter
 	promptsWithheld       *metrics.Counter
+	sendsWithheld         *metrics.Counter
 	loadAge               *metrics.Histogram
 	queueTime             *metrics.Histogram
 }
@@ -35,6 +36,7 @@
 		retries:               metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total"),
 		streamsResumed:        metrics.GetOrCreateCounter("peridotwinch_gateway_streams_resumed_total"),
 		promptsWithheld:       metrics.GetOrCreateCounter("peridotwinch_gateway_prompts_withheld_total"),
+		sendsWithheld:         metrics.GetOrCreateCounter("peridotwinch_gateway_sends_withheld_total"),
 		loadAge:               metrics.GetOrCreateHistogram("peridotwinch_gateway_load_age_seconds"),
 		queueTime:             metrics.GetOrCreateHistogram("peridotwinch_gateway_wait_seconds"),
 	}
@@ -81,6 +83,14 @@
 		return float64(usedUp)
 	})
 	metrics.GetOrCreateGauge("peridotwinch_gateway_servers_evacuated", func() float64 { return float64(g.evacuatedServers()) })
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_warming{share="unused"}`, func() float64 {
+		warming, usedUp := g.warmingServers()
+		return float64(warming - usedUp)
+	})
+	metrics.GetOrCreateGauge(`peridotwinch_gateway_servers_warming{share="used_up"}`, func() float64 {
+		_, usedUp := g.warmingServers()
+		return float64(usedUp)
+	})
 	metrics.GetOrCreateGauge("peridotwinch_gateway_repeats_left", func() float64 {
 		lowest := 0.0
 		for i, p := range g.pools.list() {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -13,6 +12,7 @@
 	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
 // Constants of the request queue.
@@ -52,14 +52,22 @@
 	// evacuated are the failure domains whose servers receive no requests.
 	evacuated []string
 	metrics   *gatewayMetrics
+	// warmup has the overage and the slack of warm-up limits.
+	warmup ratelimit.Warmup
 }
 
 func newPools(m *gatewayMetrics) *pools {
 	return &pools{metrics: m, byName: make(map[string]*pool), servers: make(map[string][]placement.ServerInfo)}
 }
 
-// get returns the named pool and creates it if needed.
-func (p *pools) get(name string, engine bool) *pool {
+// get returns the named pool, with the configuration of the table in force, and creates it if needed.
+func (p *pools) get(name string, config *routetable.Pool) *pool {
+	found := p.getOrCreate(name, config != nil && config.Engine)
+	found.setWarmup(p.warmupOf(config))
+	return found
+}
+
+func (p *pools) getOrCreate(name string, engine bool) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found := p.byName[name]
@@ -83,7 +91,8 @@
 		}
 		servers[e.Pool] = append(servers[e.Pool], placement.ServerInfo{
 			ID: e.ID, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Silent: e.Silent, Hash: e.Hash(),
-			Draining: e.State == registry.StateDraining,
+			Draining: e.State == registry.StateDraining, StartedMS: e.StartedMS,
+			AppearedAt: e.AppearedAt, HeardAt: e.LastAnnounced, WarmupUntil: e.WarmupUntil,
 		})
 	}
 	p.mu.Lock()
@@ -113,6 +122,8 @@
 	pool     *pool
 	sentAt   time.Time
 	released bool
+	// reserved is set while the request has a reservation at a server that is warming up.
+	reserved bool
 	choice   placement.Choice
 	// copyFrom is the address of a server that may cache the prompt's parts.
 	copyFrom string
@@ -129,8 +140,7 @@
 		return nil, err
 	}
 	if s := p.servers.Choose(request, now); s != nil {
-		p.servers.RecordSend(s, now)
-		l := p.newLease(s, request, now)
+		l := p.newLease(p.take(s, now), request, now)
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -145,7 +155,7 @@
 	p.lastSequence++
 	w := &waiter{
 		request: request, priority: priority, deadline: now.Add(queueTimeout), sequence: p.lastSequence,
-		granted: make(chan *placement.Server, 1),
+		granted: make(chan grant, 1),
 	}
 	heap.Push(&p.queue, w)
 	p.startGrantTicker()
@@ -153,82 +163,11 @@
 	return p.awaitGrant(ctx, w)
 }
 
-func (p *pool) awaitGrant(ctx context.Context, w *waiter) (*lease, error) {
-	timer := time.NewTimer(time.Until(w.deadline))
-	defer timer.Stop()
-	var err error
-	select {
-	case s := <-w.granted:
-		return p.leaseGranted(s, w.request)
-	case <-timer.C:
-		err = api.Errorf(api.CodeOverloaded, "no slot became free within the queue timeout")
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	p.mu.Lock()
-	p.queue.remove(w)
-	p.mu.Unlock()
-	select {
-	case s := <-w.granted:
-		// The slot was granted between the timeout and the removal from the queue.
-		return p.leaseGranted(s, w.request)
-	default:
-		return nil, err
-	}
-}
-
-// leaseGranted returns the lease of a slot that grantQueued took, or the error with which
-// refuseQueued ended the wait.
-func (p *pool) leaseGranted(s *placement.Server, request placement.Request) (*lease, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	if s == nil {
-		if err := p.checkNotEmpty(now); err != nil {
-			return nil, err
-		}
-		at, allBlocked := p.servers.AvailableAt(now)
-		if !allBlocked {
-			at = now
-		}
-		return nil, &unavailableError{availableAt: at}
-	}
-	return p.newLease(s, request, now), nil
-}
-
-// unavailableError means that all servers of a pool want no request, or none of this router for
-// their rate limits, until availableAt.
-type unavailableError struct{ availableAt time.Time }
-
-// Error implements error.
-func (e *unavailableError) Error() string {
-	return fmt.Sprintf("all servers want no request, or limit their rate, for %v", time.Until(e.availableAt).Round(time.Millisecond))
-}
-
-// checkAvailable returns an unavailableError if all servers want no request of this router until
-// after the deadline; mu is held.
-func (p *pool) checkAvailable(deadline, now time.Time) error {
-	if at, allBlocked := p.servers.AvailableAt(now); allBlocked && at.After(deadline) {
-		return &unavailableError{availableAt: at}
-	}
-	return nil
-}
-
-// refuseQueued ends the wait of the queued requests for which no server accepts requests in
-// time; mu is held.
-func (p *pool) refuseQueued(now time.Time) {
-	for _, w := range slices.Clone(p.queue) {
-		if p.checkAvailable(w.deadline, now) != nil {
-			p.queue.remove(w)
-			w.granted <- nil
-		}
-	}
-}
-
 // newLease returns the lease of a taken slot; mu is held.
-func (p *pool) newLease(s *placement.Server, request placement.Request, now time.Time) *lease {
+func (p *pool) newLease(granted grant, request placement.Request, now time.Time) *lease {
+	s := granted.server
 	return &lease{
-		Server: s, id: s.ID, address: s.Address, hash: s.Hash, pool: p, sentAt: now, choice: s.Choice,
+		reserved: granted.reserved, Server: s, id: s.ID, address: s.Address, hash: s.Hash, pool: p, sentAt: now, choice: s.Choice,
 		copyFrom: p.servers.CopySource(s, request, now),
 	}
 }
@@ -243,8 +182,7 @@
 			heap.Push(&p.queue, w)
 			return
 		}
-		p.servers.RecordSend(s, now)
-		w.granted <- s
+		w.granted <- p.take(s, now)
 	}
 }
 
@@ -313,6 +251,7 @@
 		return
 	}
 	l.released = true
+	l.cancelReservation()
 	l.pool.metrics.recordSend(l.Domain, result.Kind)
 	now := time.Now()
 	l.pool.servers.RecordResult(l.Server, result, now)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -15,9 +15,8 @@
 	deadline time.Time
 	sequence uint64
 	index    int
-	// granted receives the server of the granted slot, or nil if the request is refused. It
-	// has capacity 1, so that sending does not block.
-	granted chan *placement.Server
+	// granted receives the granted slot. It has capacity 1, so that sending does not block.
+	granted chan grant
 }
 
 // requestQueue is a heap of the queued requests, ordered by priority (lowest value first),
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -51,6 +51,7 @@
 	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers}
 	losses := quarantine.NewStore(s.Instance, log)
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), losses, log)
+	in.gateway.SetWarmup(s.Warmup.Overage, s.Warmup.Slack)
 	in.view = fleetview.New(fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
 		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -21,6 +21,9 @@
 	// RateUsedUp is the number of servers that were left out because this router's share of their
 	// rate was used up.
 	RateUsedUp int
+	// WarmingUp is the number of servers that were left out because they are warming up and this
+	// router may not send them a request now.
+	WarmingUp int
 }
 
 // Reason is why a server was chosen.
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -50,7 +50,7 @@
 	}
 	var out []*Server
 	for _, s := range p.servers {
-		if !p.limits.IsLimited(s.Hash) {
+		if !p.isLimited(s) {
 			out = append(out, s)
 		}
 	}
@@ -71,7 +71,7 @@
 	home := p.homeServer(candidates, request, key, now)
 	out := make([]*Server, 0, len(candidates))
 	for _, s := range candidates {
-		share, limited := p.limits.KeyShare(s.Hash)
+		share, limited := p.keyShare(s)
 		if !limited || s == home && p.admitsKey(s, share, key, now) {
 			out = append(out, s)
 		}
@@ -90,7 +90,7 @@
 		if mix(s.idHash, key) <= mix(home.idHash, key) || slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
-		if _, blocked := p.limits.AvailableAt(s.Hash, now); blocked {
+		if _, blocked := p.rateAvailableAt(s, now); blocked {
 			home = s
 		}
 	}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -80,15 +80,19 @@
 	return math.Max(float64(s.InFlight), decayed+float64(s.sentSinceReport()))
 }
 
-// RecordSend records that a request is sent to the server.
-func (p *Pool) RecordSend(s *Server, now time.Time) {
+// RecordSend records that a request is assigned to the server. reserved is to be passed to
+// ConfirmSend before the request is written, or ended by CancelSend.
+func (p *Pool) RecordSend(s *Server, now time.Time) (reserved bool) {
 	s.InFlight++
 	p.sends = decayingCount{value: p.sends.decayed(now) + 1, at: now}
-	p.limits.Spend(s.Hash, now)
+	for _, hash := range s.sameAddress {
+		p.limits.Spend(hash, now)
+	}
 	s.sentAt = append(s.sentAt, now)
 	if len(s.sentAt) > 2*maxTrackedSends {
 		s.sentAt = append(s.sentAt[:0], s.sentAt[len(s.sentAt)-maxTrackedSends:]...)
 	}
+	return p.limits.Reserve(s.addressHash, now)
 }
 
 // maxTrackedSends bounds the number of send times that are kept per server.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -13,41 +13,6 @@
 	"peridotwinch.example/peridotwinch/internal/withdrawal"
 )
 
-// PromptPart is a part of a prompt, either shared with other requests or unique to
-// one.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
-}
-
-// Request holds the properties of a request that its placement depends on.
-type Request struct {
-	// Parts are the parts of the prompt in order; empty for a request without a
-	// prompt.
-	Parts []PromptPart
-	// Exclude lists the IDs of the servers to which the request was sent before.
-	Exclude []string
-	// Domain is the failure domain of the router.
-	Domain string
-	// Retryable requests may be retried, so they may be sent to a suspect server to
-	// test whether it has recovered.
-	Retryable bool
-}
-
-// Key returns the ID of the part that determines the placement of the prompt, and
-// false if there is no prompt. It is the last part shared with other requests,
-// because a server that caches this part also caches the prefix before it.
-func (r *Request) Key() (uint64, bool) {
-	switch n := len(r.Parts); n {
-	case 0:
-		return 0, false
-	case 1:
-		return r.Parts[0].ID, true
-	default:
-		return r.Parts[n-2].ID, true
-	}
-}
-
 // Server is a backend server with this router's state of it.
 type Server struct {
 	ServerInfo
@@ -66,6 +31,14 @@
 	lastAnswer     time.Time
 	lastProbe      time.Time
 	idHash         uint64
+	addressHash    uint64
+	// sameAddress holds the hashes of the incarnations that are listed at the server's
+	// address, including its own.
+	sameAddress []uint64
+	// lostAt is when the router lost a connection to the server, until it reaches the
+	// server again; reachedSilent is set once it has reached a silent one.
+	lostAt        time.Time
+	reachedSilent bool
 }
 
 const (
@@ -131,6 +104,9 @@
 	limits ratelimit.Book
 	// usedUp is the number of servers that the last call of eligible left out for their rates.
 	usedUp int
+	// warmingUp is the number of servers that it left out for their warm-up.
+	warmingUp  int
+	warmupNews []WarmupNews
 	// sends counts the router's requests to all servers.
 	sends decayingCount
 	// listedAt is when control's list was last set.
@@ -154,7 +130,7 @@
 		s.Choice.Leaving, s.Choice.Paused = p.Withdrawn(now)
 	}
 	if s != nil {
-		s.Choice.RateUsedUp, s.Choice.Evacuated = p.usedUp, len(p.evacuated)
+		s.Choice.RateUsedUp, s.Choice.WarmingUp, s.Choice.Evacuated = p.usedUp, p.warmingUp, len(p.evacuated)
 	}
 	return s
 }
@@ -184,14 +160,10 @@
 func (p *Pool) eligible(request Request, now time.Time) []*Server {
 	var suspect []*Server
 	healthy := make([]*Server, 0, len(p.servers))
-	p.usedUp = 0
+	p.usedUp, p.warmingUp = 0, 0
 	mean := p.meanFailureShare()
 	for _, s := range p.servers {
-		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.isPaused(s, now) {
-			continue
-		}
-		if _, limited := p.limits.AvailableAt(s.Hash, now); limited {
-			p.usedUp++
+		if slices.Contains(request.Exclude, s.ID) || s.isFull(now) || p.withheld(s, now) {
 			continue
 		}
 		if p.isSuspect(s, mean, now) {
@@ -334,7 +306,7 @@
 	switch result.Kind {
 	case ResultUnknown:
 	case ResultLost, ResultUnreachable:
-		p.reachability(s.Domain).recordLoss(s.ID, now)
+		p.recordLoss(s, now)
 	default:
 		s.lastAnswer = now
 		p.reachability(s.Domain).recordAnswer()
--- a/internal/placement/probes.go
+++ b/internal/placement/probes.go
@@ -77,11 +77,12 @@
 	inDomain := make(map[string][]*Server)
 	for _, s := range p.servers {
 		domainLost := p.reachability(s.Domain).isUnreachable(now)
-		if !domainLost && s.isReachable(now) || now.Sub(s.lastProbe) < probeInterval || p.isPaused(s, now) {
+		awaitsContact := p.awaitsContact(s, now)
+		if !domainLost && s.isReachable(now) && !awaitsContact || now.Sub(s.lastProbe) < probeInterval || p.isPaused(s, now) {
 			continue
 		}
 		switch {
-		case s.health.connectFailures > 0:
+		case s.health.connectFailures > 0 || awaitsContact:
 			failed = append(failed, s)
 		case domainLost:
 			inDomain[s.Domain] = append(inDomain[s.Domain], s)
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -44,11 +44,12 @@
 // Failed probes keep an unreachable failure domain out of use.
 func (p *Pool) RecordConnectFailure(s *Server, now time.Time) {
 	s.health.connectFailures++
-	p.reachability(s.Domain).recordLoss(s.ID, now)
+	p.recordLoss(s, now)
 }
 
 // RecordConnectSuccess records that a connection to the server was set up.
 func (p *Pool) RecordConnectSuccess(s *Server, now time.Time) {
+	p.recordContact(s, now)
 	s.lastAnswer = now
 	s.health.connectFailures = 0
 	s.health.pausedUntil = time.Time{}
--- a/internal/placement/servers.go
+++ b/internal/placement/servers.go
@@ -18,6 +18,12 @@
 	// Draining servers take no new requests, but others may still copy prompt parts
 	// from them.
 	Draining bool
+	// StartedMS is the Unix millisecond of the incarnation's start.
+	StartedMS int64
+	// AppearedAt is when the router learned of an incarnation that started while the
+	// router was running, HeardAt when control last received an announcement of it,
+	// and WarmupUntil the end of the warm-up that it stated; each may be zero.
+	AppearedAt, HeardAt, WarmupUntil time.Time
 }
 
 // SetServers replaces the servers with those that control lists at now. It keeps the
@@ -31,13 +37,17 @@
 	p.byHash = make(map[uint64]*Server, len(infos))
 	clear(p.drainingAddresses)
 	p.listedAt = now
-	for _, info := range p.withoutDoubtedSilence(infos) {
-		p.limits.RecordListed(info.Hash, now)
-		if p.withdrawals.RecordListed(info.Hash, now) || info.Draining {
+	infos = p.withoutDoubtedSilence(infos)
+	groups := p.groupByAddress(infos, now)
+	for _, info := range infos {
+		group := groups[info.Address]
+		if group.startedMS != info.StartedMS || group.leaving {
 			p.drainingAddresses[info.ID] = info.Address
 			continue
 		}
 		s := p.serverOf(info)
+		s.sameAddress = group.hashes
+		p.applyListedWarmup(s, now)
 		if slices.Contains(p.evacuatedDomains, info.Domain) {
 			evacuated[info.ID] = s
 			p.drainingAddresses[info.ID] = info.Address
@@ -63,7 +73,7 @@
 		s = p.evacuated[info.ID]
 	}
 	if s == nil || s.Address != info.Address {
-		s = &Server{idHash: hashString(info.ID)}
+		s = &Server{idHash: hashString(info.ID), addressHash: hashString(info.Address)}
 	}
 	s.ServerInfo = info
 	return s
--- a/internal/placement/withdrawal.go
+++ b/internal/placement/withdrawal.go
@@ -12,7 +12,7 @@
 		return false
 	}
 	p.servers = slices.DeleteFunc(slices.Clone(p.servers), func(s *Server) bool {
-		if s.Hash != incarnation {
+		if !slices.Contains(s.sameAddress, incarnation) {
 			return false
 		}
 		delete(p.byID, s.ID)
@@ -31,19 +31,22 @@
 
 // isPaused reports whether the server wants no request at now.
 func (p *Pool) isPaused(s *Server, now time.Time) bool {
-	_, paused := p.withdrawals.PausedUntil(s.Hash, now)
+	_, paused := p.pausedUntil(s, now)
 	return paused
 }
 
 // blockedUntil returns the time from which the server accepts requests of this router, if it
-// accepts none at now: it has asked for a pause, or its rate limit is used up.
+// accepts none at now: it has asked for a pause, its rate limit is used up, or it is warming up.
 func (p *Pool) blockedUntil(s *Server, now time.Time) (until time.Time, blocked bool) {
-	until, paused := p.withdrawals.PausedUntil(s.Hash, now)
-	permittedAt, limited := p.limits.AvailableAt(s.Hash, now)
-	if limited && permittedAt.After(until) {
-		until = permittedAt
+	until, paused := p.pausedUntil(s, now)
+	permittedAt, limited := p.rateAvailableAt(s, now)
+	warmAt, warming := p.warmupAvailableAt(s, now)
+	for _, at := range []time.Time{permittedAt, warmAt} {
+		if at.After(until) {
+			until = at
+		}
 	}
-	return until, paused || limited
+	return until, paused || limited || warming
 }
 
 // AvailableAt returns the time at which the first server accepts requests of this router again, if
@@ -79,11 +82,11 @@
 		return 0, 0
 	}
 	for _, s := range p.servers {
-		if !p.limits.IsLimited(s.Hash) {
+		if !p.isLimited(s) {
 			continue
 		}
 		limited++
-		if _, blocked := p.limits.AvailableAt(s.Hash, now); blocked {
+		if _, blocked := p.rateAvailableAt(s, now); blocked {
 			usedUp++
 		}
 	}
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -35,6 +35,7 @@
 	limits          map[uint64]*limit
 	// evictedAt is when evict was last called.
 	evictedAt time.Time
+	warmups   warmups
 }
 
 // SetPosition records the router's place among all routers. A router that begins to share a rate
@@ -58,6 +59,7 @@
 		position = b.fewer
 	}
 	b.fewer = Position{}
+	b.warmups.recordPosition(b.position, position, now)
 	before := b.vantage()
 	b.position = position
 	after := b.vantage()
@@ -106,7 +108,7 @@
 			b.limits = make(map[uint64]*limit)
 		}
 		b.evict(s.StatedAt)
-		l = &limit{Statement: s, server: server, refilledAt: s.StatedAt, listedAt: s.StatedAt}
+		l = &limit{Statement: s, terms: rateTerms(s), server: server, refilledAt: s.StatedAt, listedAt: s.StatedAt}
 		l.tokens = float64(l.capacity(b.vantage()))
 		b.limits[server] = l
 		return s.Limited, true
@@ -116,7 +118,7 @@
 	}
 	isNews = l.Limited != s.Limited
 	l.refill(b.vantage(), s.StatedAt)
-	l.Statement = s
+	l.Statement, l.terms = s, rateTerms(s)
 	l.listedAt = s.StatedAt
 	l.refill(b.vantage(), s.StatedAt)
 	return isNews, true
@@ -177,7 +179,7 @@
 	switch {
 	case l.rank(v) >= sharers:
 		return 0, true
-	case sharers > l.totalBurst() || v.demandPerSecond == 0:
+	case sharers > l.total || v.demandPerSecond == 0:
 		return 1, true
 	default:
 		return min(1, usedShare*l.refillRate(v)/v.demandPerSecond), true
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A server may get burstBase requests and burstSeconds times its rate in any burstWindow, from all
-// routers together, and its rate in the long run. Each router that shares the rate may send a
+// A server that names a rate may get burstBase requests and burstSeconds times its rate in any
+// burstWindow, from all routers together, and its rate in the long run. Each router that shares the rate may send a
 // fixed part of that burst in the window, so that no order of events exceeds the sum. The users'
 // platform allows one request more.
 const (
@@ -22,13 +22,11 @@
 	// minPerSecond is the lowest rate that is used, so that routers learn when a server that
 	// takes no requests takes some again.
 	minPerSecond = 0.5
-	// slotLength is the resolution at which sends are counted. The slots cover burstWindow
+	// slotsPerWindow is the resolution at which sends are counted. The slots cover the window
 	// wherever it begins, and one slot more: the time from a choice to the arrival of the request
 	// varies.
-	slotLength = 400 * time.Millisecond
-	slotCount  = int(burstWindow/slotLength) + 2
-	// countedWindow is the time in which a router sends at most its part of the burst.
-	countedWindow = time.Duration(slotCount) * slotLength
+	slotsPerWindow = 10
+	slotCount      = slotsPerWindow + 2
 	// usedShare is the share of the rate for which requests are planned, so that chance seldom
 	// moves one to another server.
 	usedShare = 0.9
@@ -46,9 +44,39 @@
 	turnLength   = 2 * time.Second
 )
 
+// terms are the figures of a limit.
+type terms struct {
+	// window is the time in which all routers together may send total requests.
+	window time.Duration
+	total  int
+	// perSecond is the rate in the long run.
+	perSecond float64
+	// overbooking bounds the routers that share the rate, relative to total, if each of them has
+	// less than one request in the counted window.
+	overbooking int
+	// expiresAt is when the limit ends without a statement. Such a limit is not probed, and needs a
+	// position. It is zero for a limit that a statement ends.
+	expiresAt time.Time
+}
+
+// rateTerms returns the terms of a server's statement.
+func rateTerms(s Statement) terms {
+	return terms{
+		window: burstWindow, total: int(burstBase + burstSeconds*s.PerSecond), perSecond: max(s.PerSecond, minPerSecond),
+		overbooking: maxSharersPerBurst,
+	}
+}
+
+// slotLength is the length of the slots in which sends are counted.
+func (t *terms) slotLength() time.Duration { return t.window / slotsPerWindow }
+
+// countedWindow is the time in which a router sends at most its part of the total.
+func (t *terms) countedWindow() time.Duration { return slotCount * t.slotLength() }
+
 // limit is the newest statement of a server and the router's bucket for it.
 type limit struct {
 	Statement
+	terms
 	server uint64
 	tokens float64
 	// sends counts this router's sends by slot, the newest slot last; it begins at newestSlot.
@@ -90,28 +118,23 @@
 	return int((uint64(v.Index) + l.server%uint64(v.Count)) % uint64(v.Count))
 }
 
-func (l *limit) rate() float64 { return max(l.PerSecond, minPerSecond) }
-
-// totalBurst returns how many requests all routers together may send in burstWindow.
-func (l *limit) totalBurst() int { return int(burstBase + burstSeconds*l.PerSecond) }
-
 // sharers returns the number of routers that share the rate: as many as can send a request each in
-// burstWindow. If each of these has less than one in countedWindow, they would leave most of the
-// rate unused, so up to maxSharersPerBurst times as many share it. They exceed the burst if many of
-// them have a request at the same time.
+// the window. If each of these has less than one in the counted window, they would leave most of the
+// rate unused, so up to overbooking times as many share it. They exceed the total if many of them
+// have a request at the same time.
 func (l *limit) sharers(v vantage) int {
-	sharers := l.totalBurst()
-	if expected := v.demandPerSecond * countedWindow.Seconds(); expected > 0 && expected < 1 {
-		// Each router sends at most one request in countedWindow.
+	sharers := l.total
+	if expected := v.demandPerSecond * l.countedWindow().Seconds(); l.overbooking > 1 && expected > 0 && expected < 1 {
+		// Each router sends at most one request in the counted window.
 		sentPerSecond := v.demandPerSecond / (1 + expected)
-		sharers = min(max(sharers, int(usedShare*l.rate()/sentPerSecond)), maxSharersPerBurst*sharers)
+		sharers = min(max(sharers, int(usedShare*l.perSecond/sentPerSecond)), l.overbooking*sharers)
 	}
 	return min(v.count(), sharers)
 }
 
-// burst returns how many requests this router may send in burstWindow.
+// burst returns how many requests this router may send in the window.
 func (l *limit) burst(v vantage) int {
-	total, sharers := l.totalBurst(), l.sharers(v)
+	total, sharers := l.total, l.sharers(v)
 	rank := l.rank(v)
 	switch {
 	case rank >= sharers || sharers > total:
@@ -125,7 +148,7 @@
 
 // capacity returns how many requests the bucket saves up while none are sent.
 func (l *limit) capacity(v vantage) int {
-	if l.sharers(v) > l.totalBurst() {
+	if l.sharers(v) > l.total {
 		return manySharersCapacity
 	}
 	return l.burst(v)
@@ -133,7 +156,7 @@
 
 // refillRate returns the requests per second that this router may send in the long run.
 func (l *limit) refillRate(v vantage) float64 {
-	return l.rate() * float64(l.burst(v)) / float64(max(l.totalBurst(), l.sharers(v)))
+	return l.perSecond * float64(l.burst(v)) / float64(max(l.total, l.sharers(v)))
 }
 
 // tokenAt returns when the bucket has a token for a request.
@@ -145,24 +168,27 @@
 	return now.Add(time.Duration(math.Ceil(missing * float64(time.Second))))
 }
 
-// windowAt returns when the sends of the past burstWindow leave room for one more.
-func (l *limit) windowAt(v vantage, now time.Time) time.Time {
+// windowAt returns when the sends of the past window leave room for one more.
+func (l *limit) windowAt(v vantage, now time.Time) time.Time { return l.freeAt(l.burst(v), now) }
+
+// freeAt returns when fewer than a number of sends are counted.
+func (l *limit) freeAt(burst int, now time.Time) time.Time {
 	l.advance(now)
 	sent := 0
 	for _, count := range l.sends {
 		sent += count
 	}
 	at := now
-	for i := 0; sent >= l.burst(v); i++ {
+	for i := 0; sent >= burst; i++ {
 		sent -= l.sends[i]
-		at = l.newestSlot.Add(time.Duration(i+1) * slotLength)
+		at = l.newestSlot.Add(time.Duration(i+1) * l.slotLength())
 	}
 	return at
 }
 
 // advance moves the slots on, so that the newest one contains now.
 func (l *limit) advance(now time.Time) {
-	passed := int(now.Sub(l.newestSlot) / slotLength)
+	passed := int(now.Sub(l.newestSlot) / l.slotLength())
 	if passed <= 0 {
 		return
 	}
@@ -172,7 +198,7 @@
 	}
 	copy(l.sends[:], l.sends[passed:])
 	clear(l.sends[slotCount-passed:])
-	l.newestSlot = l.newestSlot.Add(time.Duration(passed) * slotLength)
+	l.newestSlot = l.newestSlot.Add(time.Duration(passed) * l.slotLength())
 }
 
 // turnAt returns when it is the turn of a router that does not share the rate; now for one that
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -78,6 +78,11 @@
 	LastAnnounced time.Time
 	// Silent is set if no announcement was received for SilentAfter.
 	Silent bool
+	// WarmupUntil is the end of the warm-up that the server has stated, or zero.
+	WarmupUntil time.Time
+	// AppearedAt is when this process learned of an incarnation that started while the process
+	// was running, or zero. Only routers set it; it is not sent.
+	AppearedAt time.Time
 	// revision is the table's revision at the entry's last change.
 	revision uint64
 	hash     uint64
@@ -121,14 +126,19 @@
 func (t *Table) Merge(s Server, announcedAt time.Time) bool {
 	current := t.entries[s.ID]
 	if current == nil {
-		t.entries[s.ID] = t.markChanged(&Entry{Server: s, LastAnnounced: announcedAt})
+		t.entries[s.ID] = t.markChanged(&Entry{Server: s, LastAnnounced: announcedAt, WarmupUntil: s.warmupUntil(announcedAt)})
 		t.displaceOlder(s)
 		return true
 	}
 	if isStale(&s, &current.Server) {
 		return false
 	}
-	changed := s.StartedMS != current.StartedMS || current.Silent || !equalForRouters(&s, &current.Server)
+	isNew := s.StartedMS != current.StartedMS
+	until := s.warmupUntil(announcedAt)
+	changed := isNew || current.Silent || !equalForRouters(&s, &current.Server) || current.endsLater(until)
+	if isNew || current.endsLater(until) {
+		current.WarmupUntil = until
+	}
 	if s.State == StateGone {
 		s = withGoneState(s, current)
 	}
@@ -148,7 +158,7 @@
 // differs.
 func (t *Table) Replace(e Entry) {
 	current := t.entries[e.ID]
-	if current != nil && current.Digest() == e.Digest() {
+	if current != nil && current.Digest() == e.Digest() && !current.endsLater(e.WarmupUntil) {
 		current.Sequence, current.LastAnnounced = e.Sequence, e.LastAnnounced
 		return
 	}
@@ -204,6 +214,24 @@
 		a.Version == b.Version && slices.Equal(a.Models, b.Models)
 }
 
+// warmupTolerance is by how much the end of a warm-up may vary without being a change: the calls with
+// a server's announcements take different times.
+const warmupTolerance = 500 * time.Millisecond
+
+// warmupUntil returns the end of the warm-up that an announcement received at a time states, or zero.
+func (s *Server) warmupUntil(announcedAt time.Time) time.Time {
+	if s.WarmupLeft <= 0 {
+		return time.Time{}
+	}
+	return announcedAt.Add(s.WarmupLeft)
+}
+
+// endsLater reports whether a stated end of the warm-up is a change for routers. An earlier end is
+// none: they may use the later one.
+func (e *Entry) endsLater(until time.Time) bool {
+	return until.After(e.WarmupUntil.Add(warmupTolerance))
+}
+
 // displaceOlder marks other servers with the address of s as gone if they started before
 // it.
 func (t *Table) displaceOlder(s Server) {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -96,6 +96,10 @@
 	Name string
 	// Engine is set if the servers generate tokens and cache prompt parts.
 	Engine bool
+	// WarmupPerSecond is the rate of requests that a server accepts from all routers together
+	// while it warms up, for WarmupTime after a start. At most 0 means no limit.
+	WarmupPerSecond float64
+	WarmupTime      time.Duration
 }
 
 // Customer is a customer with its API keys.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,8 @@
 	// Domains are the failure domains that can be evacuated; those of the announced backend
 	// servers if empty.
 	Domains []string `json:"domains,omitempty"`
+	// Warmup bounds the requests to backend servers that are warming up.
+	Warmup Warmup `json:"warmup"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
@@ -275,6 +277,7 @@
 	v.relay(s.Relay)
 	v.streams(s.Streams)
 	v.domains(s.Domains)
+	v.warmup(s.Warmup)
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
