--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -93,6 +93,8 @@
 	// revision and cachedRevision.
 	cachedRecords  map[uint64]*recordList
 	cachedRevision uint64
+	// cachedUntil bounds the age of the cached records; it is zero if there is no bound.
+	cachedUntil time.Time
 }
 
 func newPublisher(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
--- a/internal/fleetsync/records.go
+++ b/internal/fleetsync/records.go
@@ -9,6 +9,9 @@
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
 
+// warmupCacheTime is how long records are cached that state the remaining time of a warm-up.
+const warmupCacheTime = 200 * time.Millisecond
+
 // nextRecords returns the records that the router lacks, and a channel that is closed at the
 // next change of the registry. On the first call it also sets the fields of event that only
 // the first event carries.
@@ -36,14 +39,19 @@
 // recordsSince returns the records that changed after a revision; the caller holds mu. Many
 // streams need the same records at the same time, so they are cached until the next change.
 func (p *publisher) recordsSince(revision uint64) (*recordList, error) {
-	if p.cachedRevision != p.table.Revision() {
-		p.cachedRevision = p.table.Revision()
+	now := time.Now()
+	if p.cachedRevision != p.table.Revision() || !p.cachedUntil.IsZero() && now.After(p.cachedUntil) {
+		p.cachedRevision, p.cachedUntil = p.table.Revision(), time.Time{}
 		clear(p.cachedRecords)
 	}
 	if cached := p.cachedRecords[revision]; cached != nil {
 		return cached, nil
 	}
-	now, entries := time.Now(), p.table.Since(revision)
+	entries := p.table.Since(revision)
+	isWarming := func(e registry.Entry) bool { return e.WarmupUntil.After(now) }
+	if p.cachedUntil.IsZero() && slices.ContainsFunc(entries, isWarming) {
+		p.cachedUntil = now.Add(warmupCacheTime)
+	}
 	var servers []*fleetpb.Server
 	if revision == 0 {
 		servers, _ = missingRecords(entries, nil, now)
--- a/internal/fleetsync/warmup_test.go
+++ b/internal/fleetsync/warmup_test.go
@@ -16,6 +16,8 @@
 	g := NewWithT(t)
 	const delay = 1500 * time.Millisecond
 	_, service, _, routers := startRelayedFleet(t, 20)
+	// In the first 10 s, servers may be listed late that have run for long.
+	time.Sleep(10*time.Second + 100*time.Millisecond)
 	server := testServer(1)
 	announce := func(remaining time.Duration) {
 		server.Sequence++
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -73,6 +73,8 @@
 	// confirmed is true for the IDs of the servers that the followed replica has.
 	confirmed     map[string]bool
 	followedSince time.Time
+	// firstFollowedAt is when the first stream began.
+	firstFollowedAt time.Time
 	// newlyFollowed is set if a stream has begun since the last call of wasFollowed.
 	newlyFollowed bool
 	// followed is the followed source, with an empty address while there is none.
@@ -180,7 +182,6 @@
 	now := time.Now()
 	v.mu.Lock()
 	v.setControls(event.GetControls())
-	isInitial := v.followedSince.IsZero()
 	if event.GetFirst() {
 		v.startFollowing(source, event, now)
 		v.log.Info().Str("source", source.Address).Bool("relay", source.IsRelay).Int("depth", v.path.Depth()).
@@ -189,7 +190,7 @@
 	var changed []registry.Entry
 	for _, record := range servers {
 		entry := fleetsync.FromServer(record, now)
-		entry.AppearedAt = v.appearedAt(entry, isInitial, now)
+		entry.AppearedAt = v.appearedAt(entry, now)
 		if v.mergeServer(entry, event.GetFirst()) {
 			changed = append(changed, entry)
 		}
@@ -232,6 +233,9 @@
 	v.selector.Followed(source)
 	v.setConfirmed(event.GetUnknown())
 	v.followedSince, v.newlyFollowed = now, true
+	if v.firstFollowedAt.IsZero() {
+		v.firstFollowedAt = now
+	}
 }
 
 // setControls records the control replicas, if there are any; the caller holds mu.
