--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -130,6 +131,10 @@
 	idleCount int
 	hooks     Hooks
 	limits    Limits
+	// unusedIdle is the latest idle timeout that a server has stated, in nanoseconds. It applies to
+	// connections that have not carried an answer: one that the server closes earlier than expected
+	// looks like the end of its process.
+	unusedIdle atomic.Int64
 }
 
 // Hooks are called at events of a client's pool. All must be set.
@@ -322,7 +327,9 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil {
-			return time.Duration(float64(seconds) * idleTimeoutShare * float64(time.Second))
+			timeout := time.Duration(float64(seconds) * idleTimeoutShare * float64(time.Second))
+			e.client.unusedIdle.Store(int64(timeout))
+			return timeout
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/ratelimit/warmup.go
+++ b/internal/ratelimit/warmup.go
@@ -66,9 +66,10 @@
 	servers    map[uint64]*warming
 	// past are the positions that were in force within warmupJoinDelay.
 	past []pastPosition
-	// most is the highest number of routers within mostRetention.
-	most   int
-	mostAt time.Time
+	// most is the highest number of routers, which counts for mostRetention after mostUntil, when
+	// fewer were numbered.
+	most      int
+	mostUntil time.Time
 }
 
 type pastPosition struct {
@@ -85,9 +86,20 @@
 		}
 	}
 	w.past = append(kept, pastPosition{before, now})
-	if after.Count >= w.most || now.Sub(w.mostAt) > mostRetention {
-		w.most, w.mostAt = after.Count, now
+	if now.Sub(w.mostUntil) > mostRetention {
+		w.most = 0
 	}
+	if before.Count >= w.most {
+		w.most, w.mostUntil = before.Count, now
+	}
+}
+
+// mostRouters returns the highest number of routers that counts at now.
+func (w *warmups) mostRouters(now time.Time) int {
+	if now.Sub(w.mostUntil) > mostRetention {
+		return 0
+	}
+	return w.most
 }
 
 // SetWarmup sets the parameters of warm-up limits, also for servers that are warming up.
@@ -212,7 +224,7 @@
 // routers learn of a new numbering at different times. If it has none, sharesAt is when it has one, or
 // when the warm-up ends.
 func (b *Book) warmupShare(server *warming, now time.Time) (share int, sharesAt time.Time) {
-	share, sharesAt = b.shareAt(server, b.position), now
+	share, sharesAt = b.shareAt(server, b.position, now), now
 	if share == 0 {
 		return 0, server.expiresAt
 	}
@@ -221,7 +233,7 @@
 		if !end.After(now) {
 			continue
 		}
-		before := b.shareAt(server, past.Position)
+		before := b.shareAt(server, past.Position, now)
 		if before == 0 {
 			sharesAt = latest(sharesAt, end)
 		}
@@ -232,13 +244,13 @@
 
 // shareAt returns the share by one position. While fewer routers are counted than before, the shared
 // part is smaller in proportion: those that control has lost keep their positions and shares.
-func (b *Book) shareAt(server *warming, position Position) int {
+func (b *Book) shareAt(server *warming, position Position, now time.Time) int {
 	if position.Count <= 0 {
 		return 0
 	}
 	scaled := limit{server: server.server, terms: server.terms}
-	if position.Count < b.warmups.most && scaled.total > 0 {
-		scaled.total = max(1, scaled.total*position.Count/b.warmups.most)
+	if most := b.warmups.mostRouters(now); position.Count < most && scaled.total > 0 {
+		scaled.total = max(1, scaled.total*position.Count/most)
 	}
 	v := vantage{Position: Position{Index: spread(position), Count: position.Count}}
 	if scaled.rank(v) >= scaled.sharers(v) {
--- a/internal/ratelimit/warmup_test.go
+++ b/internal/ratelimit/warmup_test.go
@@ -175,6 +175,27 @@
 	}
 }
 
+// TestFewerRoutersUseTheWholeTotalInTheEnd guards against a part of the total that stays unused after
+// routers were removed for good.
+func TestFewerRoutersUseTheWholeTotalInTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	shares := func(after time.Duration) (count int) {
+		for i := range 20 {
+			r := newWarmupRouter(i, 90, start.Add(-time.Hour))
+			r.book.SetPosition(ratelimit.Position{Index: i, Count: 20}, start)
+			r.book.SetPosition(ratelimit.Position{Index: i, Count: 21}, start.Add(11*time.Second))
+			now := start.Add(after)
+			r.book.MarkWarming(server, now.Add(10*time.Second), now)
+			if at, _ := r.book.WarmupAvailableAt(server, now); at.Before(now.Add(5 * time.Second)) {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(shares(time.Minute)).To(BeNumerically("<=", 3))
+	g.Expect(shares(11 * time.Minute)).To(BeNumerically(">=", 12))
+}
+
 // TestBookWithoutWarmupParametersHasNoLimit guards against limits on deployments that state none, and
 // against values that no server means.
 func TestBookWithoutWarmupParametersHasNoLimit(t *testing.T) {
