Trust a failure domain after a short outage, and bound load by all servers during an evacuation

Cause: a router that had lost connections to two servers of a domain without an answer in between took all servers of the domain for possibly restarted, and so did the first contact with a server that control lists as silent. During an evacuation, the load bound followed the higher mean of the servers in use, and 115 of 2,941 requests reached servers with over twice the mean of all servers.

Change: a domain's servers count as lost only if it was unreachable for a second, and a silent server does not. The bound is relative to the mean of all servers, evacuated ones included. Servers of a returned domain count as warming up, which replaces the hook for this.

Ruled out: to trust a server that accepts connections within 0.7 s of a lost one.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -36,9 +36,8 @@
 	// address, including its own.
 	sameAddress []uint64
 	// lostAt is when the router lost a connection to the server, until it reaches the
-	// server again; reachedSilent is set once it has reached a silent one.
-	lostAt        time.Time
-	reachedSilent bool
+	// server again.
+	lostAt time.Time
 }
 
 const (
@@ -92,12 +91,10 @@
 	// these servers, with this router's state of them, by ID.
 	evacuatedDomains []string
 	evacuated        map[string]*Server
-	// onReturn is called with the servers of domains whose evacuation has ended; it may be nil.
-	onReturn func(servers []*Server, now time.Time)
-	history  *sendHistory
-	shares   *keyShares
-	reach    reach
-	mean     fleetMean
+	history          *sendHistory
+	shares           *keyShares
+	reach            reach
+	mean             fleetMean
 	// withdrawals holds what servers stated in their answers, by incarnation.
 	withdrawals withdrawal.Book[uint64]
 	// limits holds this router's shares of the rates that servers limit, by incarnation.
@@ -247,7 +244,7 @@
 	if !known {
 		return order.at(first).recordChoice(reason, now)
 	}
-	bound := loadBoundFactor*mean + loadAllowance
+	bound := loadBoundFactor*mean*p.inUseShare() + loadAllowance
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
 	hasLimits := p.limits.HasLimits(now)
 	for i := range candidates {
@@ -309,7 +306,7 @@
 		p.recordLoss(s, now)
 	default:
 		s.lastAnswer = now
-		p.reachability(s.Domain).recordAnswer()
+		p.recordDomainAnswer(s.Domain, now)
 	}
 	s.health.record(result, now)
 }
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -15,7 +15,8 @@
 // connections.
 type reachability struct {
 	lostServers []string
-	lostAt      time.Time
+	// firstLostAt and lostAt are the times of the first and of the last of these losses.
+	firstLostAt, lostAt time.Time
 	// sampledAt is when a sample of the domain's servers was last probed.
 	sampledAt time.Time
 }
@@ -24,6 +25,9 @@
 	if now.Sub(r.lostAt) > lossWindow {
 		r.lostServers = nil
 	}
+	if len(r.lostServers) == 0 {
+		r.firstLostAt = now
+	}
 	r.lostAt = now
 	for _, lostID := range r.lostServers {
 		if lostID == id {
@@ -53,7 +57,7 @@
 	s.lastAnswer = now
 	s.health.connectFailures = 0
 	s.health.pausedUntil = time.Time{}
-	p.reachability(s.Domain).recordAnswer()
+	p.recordDomainAnswer(s.Domain, now)
 }
 
 func (p *Pool) reachability(domain string) *reachability {
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -11,6 +11,10 @@
 	// announcement of the incarnation for it to prove that the process did not restart: a call
 	// takes up to 1 s, and the record some tenths of a second to a router.
 	proofDelay = 2 * time.Second
+	// domainOutage is how long a failure domain has to be unreachable for its processes to count as
+	// possibly restarted. Two connections that fail one after the other make it unreachable, which
+	// happens by chance while a fifth of its servers is down; the first probes then end the state.
+	domainOutage = time.Second
 	// maxWarmupNews bounds the warm-ups that are kept for the log.
 	maxWarmupNews = 256
 )
@@ -51,9 +55,6 @@
 // applyListedWarmup records the warm-up that control lists: the remaining time that the server
 // states, or else the warm-up time since the router learned that it has started.
 func (p *Pool) applyListedWarmup(s *Server, now time.Time) {
-	if !s.Silent {
-		s.reachedSilent = false
-	}
 	if s.HeardAt.After(s.lostAt.Add(proofDelay)) {
 		s.lostAt = time.Time{}
 	}
@@ -77,9 +78,9 @@
 // MarkDomainWarming records that the servers of a failure domain are warming up for the pool's
 // warm-up time from now on, as when requests return to the domain.
 func (p *Pool) MarkDomainWarming(domain string, now time.Time) {
-	w, _ := p.limits.Warmup()
+	w, limited := p.limits.Warmup()
 	for _, s := range p.servers {
-		if s.Domain == domain {
+		if limited && s.Domain == domain {
 			p.markWarming(s, now.Add(w.Duration), SourceOther, now)
 		}
 	}
@@ -117,25 +118,27 @@
 	return p.limits.WarmupAvailableAt(s.addressHash, now)
 }
 
-// recordLoss records that a connection to the server was lost or could not be set up. If that makes
-// the failure domain unreachable, its other servers count as lost, too: the router has no connection
-// that proves the contrary.
+// recordLoss records that a connection to the server was lost or could not be set up.
 func (p *Pool) recordLoss(s *Server, now time.Time) {
-	r := p.reachability(s.Domain)
-	r.recordLoss(s.ID, now)
-	s.markLost(now)
-	if !p.limitsWarmups() || !r.isUnreachable(now) {
-		return
-	}
-	for _, other := range p.servers {
-		if other.Domain == s.Domain && other.lostAt.IsZero() {
-			other.markLost(now)
+	p.reachability(s.Domain).recordLoss(s.ID, now)
+	s.lostAt = now
+}
+
+// recordDomainAnswer records that a server of the failure domain has answered. If the domain was
+// unreachable for longer than domainOutage, its processes may have restarted, and the router has no
+// connection that proves the contrary: all its servers count as lost.
+func (p *Pool) recordDomainAnswer(domain string, now time.Time) {
+	r := p.reachability(domain)
+	if p.limitsWarmups() && r.isUnreachable(now) && now.Sub(r.firstLostAt) >= domainOutage {
+		for _, s := range p.servers {
+			if s.Domain == domain && s.lostAt.IsZero() {
+				s.lostAt = now
+			}
 		}
 	}
+	r.recordAnswer()
 }
 
-func (s *Server) markLost(now time.Time) { s.lostAt = now }
-
 // awaitsContact reports whether a probe has to find out whether a server with a lost connection can be
 // reached. Right after a crash, the connection may still be set up.
 func (p *Pool) awaitsContact(s *Server, now time.Time) bool {
@@ -143,11 +146,9 @@
 }
 
 // recordContact records that a new connection to the server was set up. If the router has lost one
-// before, or the server was silent, it may be a new process that is warming up.
+// before, it may be a new process that is warming up.
 func (p *Pool) recordContact(s *Server, now time.Time) {
-	silent := s.Silent && !s.reachedSilent
-	s.reachedSilent = s.Silent
-	if s.lostAt.IsZero() && !silent {
+	if s.lostAt.IsZero() {
 		return
 	}
 	s.lostAt = time.Time{}
@@ -172,7 +173,7 @@
 		s = current
 	}
 	if connection.LostIdle && p.limitsWarmups() {
-		s.markLost(now)
+		s.lostAt = now
 	}
 	if connection.New {
 		p.recordContact(s, now)
