Keep the load bound relative to the servers in use during an evacuation

Cause: the bound relative to the mean of all servers moved more requests off the first server of their order, so that more prompts were processed again and servers held requests for longer.

--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -23,13 +23,6 @@
 	}
 }
 
-// inUseShare returns the share of the listed servers that are in no evacuated domain. The load bound is
-// relative to the mean of all servers: without evacuated ones the mean rises, and with it the excess of
-// the most loaded server over all servers' mean.
-func (p *Pool) inUseShare() float64 {
-	return float64(len(p.servers)) / float64(max(1, len(p.servers)+len(p.evacuated)))
-}
-
 // Evacuated returns the number of listed servers that take no requests because their failure domain
 // is evacuated.
 func (p *Pool) Evacuated() int { return len(p.evacuated) }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -244,7 +244,7 @@
 	if !known {
 		return order.at(first).recordChoice(reason, now)
 	}
-	bound := loadBoundFactor*mean*p.inUseShare() + loadAllowance
+	bound := loadBoundFactor*mean + loadAllowance
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
 	hasLimits := p.limits.HasLimits(now)
 	for i := range candidates {
