Subscribe with digests of buckets in a large fleet

Cause: each subscription listed the digests of all records, 12 bytes each, also if the source then redirected the router. At 3,000 servers 36 KB have to arrive within the 0.5 s in which a source has to accept. Routers that look for a source together fill the links of the control replicas, are not accepted in time, close the connection and try the next one: a feedback loop of connections.

Change: with more than 1,200 records, a subscription has one digest for each of 512 buckets of records. The source sends the records of the buckets that differ and names these; the router drops those of its servers there that it does not receive. An earlier source sends such a router all records. Connections between daemons are counted by purpose and side.

Ruled out: a first call for admission without a list, which takes another round trip of each attempt; a longer retry delay for many routers, which delays their recovery.

--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -67,7 +67,7 @@
 	if err := p.awaitUsable(stream.Context(), request); err != nil {
 		return err
 	}
-	r := &routerStream{publisher: p, stream: stream, instance: request.GetInstance(), generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown())}
+	r := &routerStream{publisher: p, stream: stream, instance: request.GetInstance(), generation: request.GetGeneration(), knownDigests: fromKnown(request.GetKnown()), bucketDigests: request.GetBucketDigests()}
 	p.log.Info().Str("router", request.GetInstance()).Uint64("generation", r.generation).Msg("router subscribed to fleet stream")
 	defer r.cancelQueued()
 	err := r.open()
@@ -152,7 +152,9 @@
 	// knownDigests holds the digests of the router's records when it subscribed, by the
 	// hash of the server's ID; nil once the first event was prepared.
 	knownDigests map[uint64]uint32
-	firstSent    bool
+	// bucketDigests are those of the subscription; nil once the first event was prepared.
+	bucketDigests []uint32
+	firstSent     bool
 	// path is the path from the control replica to this process that was sent last, controls are
 	// the control replicas that were sent last.
 	path     relay.Path
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -89,7 +89,9 @@
 type countingProxy struct {
 	address string
 	bytes   atomic.Int64
-	conns   atomic.Int64
+	// sent is the number of bytes that the clients sent.
+	sent  atomic.Int64
+	conns atomic.Int64
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -151,6 +153,7 @@
 	buffer := make([]byte, 4096)
 	for {
 		n, err := client.Read(buffer)
+		p.sent.Add(int64(n))
 		if _, writeErr := server.Write(buffer[:n]); err != nil || writeErr != nil {
 			return
 		}
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -95,6 +95,9 @@
 	cachedRevision uint64
 	// cachedUntil bounds the age of the cached records; it is zero if there is no bound.
 	cachedUntil time.Time
+	// bucketDigests are those of the records at bucketRevision.
+	bucketDigests  []uint32
+	bucketRevision uint64
 }
 
 func newPublisher(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
--- a/internal/fleetsync/records.go
+++ b/internal/fleetsync/records.go
@@ -24,11 +24,17 @@
 	if isFirst {
 		event.First = true
 	}
+	now := time.Now()
+	if len(r.bucketDigests) == bucketCount {
+		entries, differing := p.differingRecords(r.bucketDigests)
+		r.bucketDigests, event.Bucketed, event.Differing = nil, true, differing
+		records, err := newRecordList(toServers(entries, now))
+		return records, p.changed, err
+	}
 	if len(r.knownDigests) == 0 {
 		records, err := p.recordsSince(from)
 		return records, p.changed, err
 	}
-	now := time.Now()
 	var servers []*fleetpb.Server
 	servers, event.Unknown = missingRecords(p.table.Since(0), r.knownDigests, now)
 	r.knownDigests = nil
--- a/internal/fleetsync/statements_test.go
+++ b/internal/fleetsync/statements_test.go
@@ -22,8 +22,10 @@
 type serverCounter struct {
 	servers atomic.Int64
 
-	mu       sync.Mutex
-	entries  []registry.Entry
+	mu      sync.Mutex
+	entries []registry.Entry
+	// loads returns the loads that the router reports; it may be nil.
+	loads    func() map[uint64]fleetsync.ServerLoad
 	unsent   map[uint64]ratelimit.Statement
 	received map[uint64]ratelimit.Statement
 	position ratelimit.Position
@@ -54,10 +56,29 @@
 	return entry
 }
 
-func (c *serverCounter) TakeLoadReports() map[uint64]fleetsync.ServerLoad      { return nil }
+func (c *serverCounter) TakeLoadReports() map[uint64]fleetsync.ServerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		return nil
+	}
+	return c.loads()
+}
+
+func (c *serverCounter) setLoads(loads func() map[uint64]fleetsync.ServerLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads = loads
+}
 func (c *serverCounter) RecordPeerLoads(loads map[uint64]fleetsync.ServerLoad) {}
 func (c *serverCounter) RecordPoolLoads(pools map[string]fleetsync.PoolLoad)   {}
 
+// stateOf returns the state of a server, or 0 if the router does not have it.
+func (c *serverCounter) stateOf(id string) registry.State {
+	e := c.entry(id)
+	return e.State
+}
+
 func (c *serverCounter) TakeRateStatements() map[uint64]ratelimit.Statement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -231,7 +231,7 @@
 func (v *View) startFollowing(source relay.Source, event *fleetpb.FollowEvent, now time.Time) {
 	v.followed = source
 	v.selector.Followed(source)
-	v.setConfirmed(event.GetUnknown())
+	v.setConfirmed(event)
 	v.followedSince, v.newlyFollowed = now, true
 	if v.firstFollowedAt.IsZero() {
 		v.firstFollowedAt = now
@@ -264,15 +264,6 @@
 	return nil
 }
 
-// setConfirmed marks all servers of this router as confirmed by the followed replica,
-// except those whose ID hashes are in unknown.
-func (v *View) setConfirmed(unknown []uint64) {
-	v.confirmed = make(map[string]bool, len(v.servers))
-	for id := range v.servers {
-		v.confirmed[id] = !slices.Contains(unknown, registry.HashID(id))
-	}
-}
-
 // applyTable installs the event's table, which is complete or a delta, if the event
 // has one.
 func (v *View) applyTable(event *fleetpb.FollowEvent) error {
--- a/internal/rpc/count.go
+++ b/internal/rpc/count.go
@@ -41,3 +41,9 @@
 	c.out.Add(n)
 	return n, err
 }
+
+// countConnection counts a connection by purpose and by side: "opened" by a client, "accepted" by a
+// server.
+func countConnection(purpose Purpose, side string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`peridotwinch_rpc_connections_total{purpose=%q,side=%q}`, purpose, side)).Inc()
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -134,6 +134,7 @@
 	_ = conn.SetReadDeadline(time.Time{})
 	// Without the option, connections of lost clients are closed later.
 	_ = setUnackedTimeout(conn)
+	countConnection(Purpose(purpose[0]), "accepted")
 	_ = server.ServeOne(ctx, newCountingConn(conn, Purpose(purpose[0])))
 }
 
@@ -235,6 +236,7 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "send the connection purpose to %s", c.address)
 	}
+	countConnection(c.purpose, "opened")
 	return drpcconn.New(newCountingConn(conn, c.purpose)), nil
 }
 
