--- a/test/platform/metrics_test.go
+++ b/test/platform/metrics_test.go
@@ -41,13 +41,18 @@
 		"peridotwinch_gateway_sends_withheld_total 0", "peridotwinch_gateway_wait_seconds_count ", "peridotwinch_gateway_repeats_left 2",
 		"peridotwinch_view_generation 7", "peridotwinch_view_control_age_seconds 0.",
 		"peridotwinch_view_servers 1", "peridotwinch_view_servers_unconfirmed 0", "peridotwinch_control_bytes_total",
+		`peridotwinch_gateway_dials_total{reason="request"} `, `peridotwinch_gateway_dials_total{reason="probe"} `,
+		"peridotwinch_gateway_connections_idle ", "peridotwinch_gateway_connections_evicted_total 0", "peridotwinch_gateway_silence_doubted 0",
+		`peridotwinch_rpc_connections_total{purpose="fleet",side="opened"} `,
 	} {
 		f.Expect(got).To(ContainSubstring(want))
 	}
 	f.Eventually(func() string { return f.scrapeMetrics(router) }, testcluster.WaitTimeout).Should(
 		And(ContainSubstring("peridotwinch_view_routers 1\n"), ContainSubstring("peridotwinch_view_position 0\n")))
 	f.awaitControls(f.config(7, 1000))
-	f.Expect(f.scrapeMetrics(f.controls[0])).To(ContainSubstring("peridotwinch_config_is_current"))
+	f.Expect(f.scrapeMetrics(f.controls[0])).To(And(ContainSubstring("peridotwinch_config_is_current"),
+		ContainSubstring(`peridotwinch_fleet_announcements_total{result="changed"} `), ContainSubstring("peridotwinch_fleet_servers_kept 0"),
+		ContainSubstring(`peridotwinch_rpc_connections_total{purpose="fleet",side="accepted"} `)))
 }
 
 // TestLateAnnouncementIsLogged sends an announcement with a lower sequence number than the
