Probe all unreachable servers of smaller pools, as before

Cause: with a sample of an unreachable domain, the first server that is back ends the state, and requests then reach servers of the domain that are still down. In a pool of some hundred servers a probe of each costs little.

Change: the bound and the sample apply to pools with more than 500 servers.

Ruled out: a larger sample for all, which the budget then delays.

--- a/internal/placement/probes.go
+++ b/internal/placement/probes.go
@@ -6,7 +6,10 @@
 )
 
 const (
-	// probeBurst and probesPerSecond bound the probes of a pool. Without a bound, a router with
+	// maxUnboundedPool is the number of servers up to which all unreachable servers of a pool are probed
+	// each probeInterval: each server's own probe shows when it is back after its failure domain.
+	maxUnboundedPool = 500
+	// probeBurst and probesPerSecond bound the probes of a larger pool. Without a bound, a router with
 	// 1,000 unreachable servers opens 2,500 connections per second, which delays its own requests
 	// and the servers, so that more of them look unreachable.
 	probeBurst      = 64
@@ -70,7 +73,7 @@
 
 // ServersToProbe returns the unreachable servers that are due for a probe of whether
 // they are reachable again, and counts each as probed. A server is probed at most
-// once per probeInterval. Those that refused a connection come first, and of several the one
+// once per probeInterval. In a large pool, those that refused a connection come first, and of several the one
 // whose last probe was longest ago.
 func (p *Pool) ServersToProbe(now time.Time) []*Server {
 	var failed, silent []*Server
@@ -93,16 +96,23 @@
 	if len(failed)+len(silent)+len(inDomain) == 0 {
 		return nil
 	}
-	budget := p.reach.refill(now)
+	budget, isSmall := p.reach.refill(now), len(p.servers) <= maxUnboundedPool
+	if isSmall {
+		budget = len(p.servers)
+	}
 	out := leastRecentlyProbed(failed, budget)
 	for domain, servers := range inDomain {
-		out = append(out, leastRecentlyProbed(servers, min(p.reach.sample(domain, now), budget-len(out)))...)
+		sample := len(servers)
+		if !isSmall {
+			sample = min(p.reach.sample(domain, now), budget-len(out))
+		}
+		out = append(out, leastRecentlyProbed(servers, sample)...)
 	}
 	out = append(out, leastRecentlyProbed(silent, budget-len(out))...)
 	for _, s := range out {
 		s.lastProbe = now
 	}
-	p.reach.probesLeft -= float64(len(out))
+	p.reach.probesLeft = max(p.reach.probesLeft-float64(len(out)), 0)
 	return out
 }
 
--- a/internal/placement/probes_test.go
+++ b/internal/placement/probes_test.go
@@ -93,15 +93,33 @@
 	g.Expect(len(probed)).To(Equal(1000), "all are probed in turn")
 }
 
-// TestSmallPoolIsProbedAtOnce guards against a recovery that takes longer in small deployments: 45 of
-// 90 servers are silent.
-func TestSmallPoolIsProbedAtOnce(t *testing.T) {
+// TestSmallPoolIsProbedWhole guards against a slower recovery in small deployments, and against requests to
+// servers that are still down when the first one of their domain is back. Of 450 servers,
+// each second one of two domains is silent, and the third domain is unreachable.
+func TestSmallPoolIsProbedWhole(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(false)
-	infos := serverInfos(90)
+	infos, expected := serverInfos(450), 0
 	for i := range infos {
-		infos[i].Silent = i%2 == 0
+		infos[i].Silent = i%2 == 0 && i%3 != 0
+		if infos[i].Silent || i%3 == 0 {
+			expected++
+		}
 	}
 	p.SetServers(infos, start)
-	g.Expect(p.ServersToProbe(start)).To(HaveLen(45))
+	for range 2 {
+		s := p.Choose(placement.Request{Domain: "zone-0"}, start)
+		g.Expect(s.Domain).To(Equal("zone-0"))
+		p.RecordSend(s, start)
+		p.RecordResult(s, placement.Result{Kind: placement.ResultUnreachable}, start)
+	}
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(400 * time.Millisecond) {
+		probed := p.ServersToProbe(now)
+		g.Expect(len(probed)).To(Equal(expected))
+		for _, s := range probed {
+			if s.Domain == "zone-0" {
+				p.RecordConnectFailure(s, now)
+			}
+		}
+	}
 }
