Repeat all servers in the digests of smaller fleets, as before

Cause: when a replica freezes, its servers reach another one up to 2.2 s later. With knowledge that may be 2.9 s old, the other replicas count them as silent for a moment before that; with a digest that has all servers it is 1.9 s old.

Change: only fleets with more than 1,200 listed servers repeat a server when the knowledge of it is 2.2 s old. There, the silence of many is doubted by routers.

Ruled out: a shorter time for all fleets, which sends more where it matters.

--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -1,6 +1,7 @@
 package fleetsync
 
 import (
+	"context"
 	"time"
 
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
@@ -105,3 +106,6 @@
 
 // Expire calls expire.
 func (s *Service) Expire(now time.Time) { s.expire(now) }
+
+// ShareAllWithDigest sends all other replicas a digest.
+func (s *Service) ShareAllWithDigest(ctx context.Context) int { return s.shareAll(ctx, true) }
--- a/internal/fleetsync/liveness.go
+++ b/internal/fleetsync/liveness.go
@@ -4,7 +4,9 @@
 
 // livenessRefresh is the age of the last announcement that another replica knows of from which a
 // digest repeats a server. Digests are up to digestInterval + shareTimeout apart, so the other
-// replica's knowledge stays younger than 3.3 s, which is below registry.SilentAfter.
+// replica's knowledge stays younger than 3.3 s, which is below registry.SilentAfter. In smaller fleets
+// each digest has all servers: when a replica freezes, its servers reach another one up to 2.2 s later,
+// and count as silent for a moment if the knowledge is already old.
 const livenessRefresh = 2200 * time.Millisecond
 
 // toldLiveness holds the announcement times that another replica was last told, by the servers'
--- a/internal/fleetsync/liveness_test.go
+++ b/internal/fleetsync/liveness_test.go
@@ -113,3 +113,19 @@
 	received := fleetsync.FromLoads(fleetsync.ToLoads(map[uint64]fleetsync.ServerLoad{1: {Requests: 1, ReportedAt: reportedAt}}, now), now)
 	g.Expect(received[1].ReportedAt).NotTo(BeTemporally(">", reportedAt))
 }
+
+// TestSmallFleetRepeatsAllServers guards against servers that count as silent in a small fleet after a
+// replica has frozen: the others have to know their latest announcements.
+func TestSmallFleetRepeatsAllServers(t *testing.T) {
+	g := NewWithT(t)
+	for servers, repeated := range map[int]int{100: 100, 2000: 0} {
+		one, two := reserveAddress(t), reserveAddress(t)
+		first, second := newTestService(t, newFakeReplica(one, two), one), newTestService(t, newFakeReplica(one, two), two)
+		for i := range servers {
+			g.Expect(first.Announce(context.Background(), testServer(i))).To(Succeed())
+		}
+		serve(t, second, two)
+		g.Expect(first.ShareAllWithDigest(context.Background())).To(Equal(1))
+		g.Expect(first.ShareRequestTo(two).GetAlive()).To(HaveLen(repeated), "%d servers", servers)
+	}
+}
--- a/internal/fleetsync/loadselection.go
+++ b/internal/fleetsync/loadselection.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// maxCompleteServers is the number of listed servers up to which all recent loads are sent. The
+	// maxCompleteServers is the number of listed servers up to which all recent loads and, in each
+	// digest, all announcements are sent. The
 	// loads of 3,000 servers take 33 KB: a control replica with eight relays would send 750 KB/s
 	// over a link of 525 KB/s.
 	maxCompleteServers = 1200
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"storj.io/drpc"
@@ -81,11 +82,15 @@
 	if digest {
 		request.LossDigest = s.losses.Digest()
 		request.Loads = loads
-		alive = p.told.due(s.announcedAt, now)
+		alive = s.announcedAt
+		if s.table.Len() > maxCompleteServers {
+			alive = p.told.due(s.announcedAt, now)
+		}
 		for hash, at := range alive {
 			request.Alive = append(request.Alive, hash)
 			request.AgeMs = append(request.AgeMs, uint32(now.Sub(at).Milliseconds()))
 		}
+		alive = maps.Clone(alive)
 	}
 	return request, s.table.Revision(), cursor, alive
 }
