Adapt the test of pool loads to the pool's configuration

Cause: a pool is created from its configuration in the route table since warm-up limits, and the test passed a flag. Change: the test passes the configuration. No check changes.

--- a/internal/gateway/poolloads_test.go
+++ b/internal/gateway/poolloads_test.go
@@ -11,6 +11,7 @@
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
 	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/registry"
+	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
 // TestPlacementUsesMeanOfPoolLoads guards against a router that receives the sum of a pool's loads and
@@ -27,7 +28,7 @@
 	}
 	loads[entries[3].Hash()] = fleetsync.ServerLoad{Requests: 1, ReportedAt: time.Now()}
 	p.setServers(entries)
-	engines := p.get("engines", true)
+	engines := p.get("engines", &routetable.Pool{Engine: true})
 	elsewhere := func() (count int) {
 		for key := range uint64(50) {
 			// New reports replace the router's count of its own sends since the last ones.
