Let long and short prompts of a pool prefer different servers

Cause: a server prefills prompts in the order of arrival.

Change: internal/prefill learns from the sizes of a router's prompts which are long and divides the servers by a hash that is the same on all routers. Short prompts prefer half of the servers; a long prompt prefers the others and each server of short ones with probability 0.5, fixed by its key. The load bound is that of the part, up to 1.3 times the pool's, above which prompts use the other part.

--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"peridotwinch.example/peridotwinch/internal/prefill"
 )
 
 // Choice is why a server was chosen, and the load state that the choice was based
@@ -24,6 +26,10 @@
 	// WarmingUp is the number of servers that were left out because they are warming up and this
 	// router may not send them a request now.
 	WarmingUp int
+	// Class is the class of the prompt, and OtherClass means that the server is one that prompts
+	// of the other class prefer.
+	Class      prefill.Class
+	OtherClass bool
 }
 
 // Reason is why a server was chosen.
@@ -57,3 +63,10 @@
 	}
 	return s
 }
+
+// recordClass records the class of the prompt with the key for which the server was chosen, and
+// returns the server.
+func (s *Server) recordClass(key uint64, class prefill.Class) *Server {
+	s.Choice.Class, s.Choice.OtherClass = class, !s.prefers(key, class)
+	return s
+}
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -9,7 +9,7 @@
 	for _, id := range ids {
 		servers = append(servers, &Server{ServerInfo: ServerInfo{ID: id}, idHash: hashString(id)})
 	}
-	order := newRanking(servers, key)
+	order := newRanking(servers, func(s *Server) uint64 { return mix(s.idHash, key) })
 	for i := range ids {
 		out = append(out, order.at(i).ID)
 	}
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -76,6 +76,10 @@
 		return ""
 	}
 	p.shares.record(key, now)
+	class := p.classOf(request)
+	if p.classes.balance != nil {
+		p.classes.balance.Record(request.Tokens())
+	}
 	previous := p.history.lastServer(key, now)
 	if p.history.record(key, chosen.ID, now) {
 		return ""
@@ -90,7 +94,7 @@
 		if s == chosen || !s.isReachable(now) {
 			return
 		}
-		if best == nil || mix(s.idHash, key) > mix(best.idHash, key) {
+		if best == nil || s.rank(key, class) > best.rank(key, class) {
 			best = s
 		}
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -68,7 +68,7 @@
 		return candidates
 	}
 	key, _ := request.Key()
-	home := p.homeServer(candidates, request, key, now)
+	home := p.homeServer(candidates, request, now)
 	out := make([]*Server, 0, len(candidates))
 	for _, s := range candidates {
 		share, limited := p.keyShare(s)
@@ -84,10 +84,12 @@
 
 // homeServer returns the server that ranks first for the key among the candidates and those that
 // are no candidates because this router's share of their rate is used up.
-func (p *Pool) homeServer(candidates []*Server, request Request, key uint64, now time.Time) *Server {
-	home := slices.MaxFunc(candidates, func(a, b *Server) int { return cmp.Compare(mix(a.idHash, key), mix(b.idHash, key)) })
+func (p *Pool) homeServer(candidates []*Server, request Request, now time.Time) *Server {
+	key, _ := request.Key()
+	class := p.classOf(request)
+	home := slices.MaxFunc(candidates, func(a, b *Server) int { return cmp.Compare(a.rank(key, class), b.rank(key, class)) })
 	for _, s := range p.servers {
-		if mix(s.idHash, key) <= mix(home.idHash, key) || slices.Contains(request.Exclude, s.ID) {
+		if s.rank(key, class) <= home.rank(key, class) || slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
 		if _, blocked := p.rateAvailableAt(s, now); blocked {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -38,6 +38,8 @@
 	// lostAt is when the router lost a connection to the server, until it reaches the
 	// server again.
 	lostAt time.Time
+	// servesShort means that short prompts prefer the server if prompts are separated.
+	servesShort bool
 }
 
 const (
@@ -93,6 +95,7 @@
 	evacuated        map[string]*Server
 	history          *sendHistory
 	shares           *keyShares
+	classes          promptClasses
 	reach            reach
 	mean             fleetMean
 	// withdrawals holds what servers stated in their answers, by incarnation.
@@ -222,16 +225,17 @@
 }
 
 // chooseByPrompt returns the server that rendezvous hashing ranks first for the
-// prompt's key, or the next one in that order whose load is within the load bound.
+// prompt's key and class, or the next one in that order whose load is within the load bound.
 // The order is the same on every router, so a prompt's parts are processed only once
 // for all routers. The requests of a hot key, whose load exceeds what one server can
 // take, are spread over the first few servers of the order by lastPart, the prompt's
 // last part.
 func (p *Pool) chooseByPrompt(candidates []*Server, request Request, now time.Time) *Server {
 	key, _ := request.Key()
+	class := p.classOf(request)
 	lastPart := request.Parts[len(request.Parts)-1].ID
 	candidates = p.withinRates(candidates, request, now)
-	order := newRanking(candidates, key)
+	order := newRanking(candidates, func(s *Server) uint64 { return s.rank(key, class) })
 	first := 0
 	if n := min(p.shares.serversNeeded(key, len(p.servers), now), len(candidates)); n > 1 {
 		first = int(mix(key, lastPart) % uint64(n))
@@ -240,15 +244,15 @@
 	if first > 0 {
 		reason = ReasonHot
 	}
-	mean, known := p.meanLoad(p.unlimited(now), now)
+	bounds, known := p.loadBounds(class, now)
 	if !known {
-		return order.at(first).recordChoice(reason, now)
+		return order.at(first).recordChoice(reason, now).recordClass(key, class)
 	}
-	bound := loadBoundFactor*mean + loadAllowance
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
 	hasLimits := p.limits.HasLimits(now)
 	for i := range candidates {
 		s := order.at((first + i) % len(candidates))
+		mean, bound := bounds.of(s)
 		// A slow server holds its streams for longer, so its load counts in
 		// proportion. While other servers limit their rates, the rest has more load, which
 		// makes its events slower too.
@@ -260,9 +264,9 @@
 			reason = ReasonNext
 			continue
 		}
-		return s.recordChoice(reason, now)
+		return s.recordChoice(reason, now).recordClass(key, class)
 	}
-	return order.at(first).recordChoice(ReasonAllLoaded, now)
+	return order.at(first).recordChoice(ReasonAllLoaded, now).recordClass(key, class)
 }
 
 // chooseByLatency returns the server with the lowest expected time to the first
--- a/internal/placement/ranking.go
+++ b/internal/placement/ranking.go
@@ -1,6 +1,6 @@
 package placement
 
-// ranking orders servers by their rendezvous hashing scores for a key, the highest first. Most
+// ranking orders servers by their rendezvous hashing scores, the highest first. Most
 // requests need the first few of thousands, so it is a heap from which servers are taken as needed.
 type ranking struct {
 	heap []rankedServer
@@ -13,10 +13,10 @@
 	server *Server
 }
 
-func newRanking(servers []*Server, key uint64) *ranking {
+func newRanking(servers []*Server, scoreOf func(*Server) uint64) *ranking {
 	r := &ranking{heap: make([]rankedServer, len(servers))}
 	for i, s := range servers {
-		r.heap[i] = rankedServer{mix(s.idHash, key), s}
+		r.heap[i] = rankedServer{scoreOf(s), s}
 	}
 	for i := len(r.heap)/2 - 1; i >= 0; i-- {
 		r.down(i)
--- a/internal/prefill/load_test.go
+++ b/internal/prefill/load_test.go
@@ -66,8 +66,11 @@
 	// servers are reserved.
 	pools    [][2]*placement.Pool
 	inFlight []map[*server]int
-	again    int
-	done     []*request
+	// again counts the shared tokens that were prefilled, and overLimit the requests to a server that
+	// then had more than twice the mean load plus three.
+	again     int
+	overLimit int
+	done      []*request
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -201,6 +204,13 @@
 	s.inFlight[r.router][r.server]++
 	s.at(networkDelay, func() {
 		r.server.waiting = append(r.server.waiting, r)
+		sum := 0
+		for _, v := range s.servers {
+			sum += v.load()
+		}
+		if s.now > measuredFrom() && float64(r.server.load()) > 2*float64(sum)/serverCount+3 {
+			s.overLimit++
+		}
 		if !r.server.stepping {
 			r.server.stepping = true
 			s.step(r.server)
@@ -317,6 +327,7 @@
 // policies are the rules that the simulation compares; the first is today's.
 var policies = []policy{
 	{name: "load bound only"},
+	{name: "separated", prepare: (*placement.Pool).SeparatePrompts},
 	{name: "least in flight", leastInFlight: true},
 	{name: "reserved 50%", longShare: 0.5},
 	{name: "reserved 75%", longShare: 0.75},
@@ -327,7 +338,7 @@
 // rule for that, some are late even though reserved servers would serve all of them in time.
 func TestShortPromptsBesideLongOnes(t *testing.T) {
 	g := NewWithT(t)
-	late, longLate, again := make(map[string]int), make(map[string]int), make(map[string]int)
+	late, longLate, again, overLimit := make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)
 	for seed := range *seeds {
 		for _, p := range policies {
 			s := play(p, seed+1)
@@ -342,10 +353,13 @@
 				line += fmt.Sprintf(" | %-5s %6d %5d %5d %5d %5d", k.name, f.onTime, f.late, f.p50.Milliseconds(), f.p99.Milliseconds(), f.pause.Milliseconds())
 			}
 			again[p.name] += s.again / 1000
-			t.Logf("%s | prefilled again, thousand: %d", line, s.again/1000)
+			overLimit[p.name] += s.overLimit
+			t.Logf("%s | prefilled again, thousand: %d, over limit: %d", line, s.again/1000, s.overLimit)
 		}
 	}
 	g.Expect(late["load bound only"]).To(BeNumerically(">", 0))
-	g.Expect(late["reserved 75%"]).To(BeNumerically("<=", late["load bound only"]/2))
-	g.Expect(longLate["reserved 75%"]).To(BeNumerically("<=", longLate["load bound only"]))
+	g.Expect(late["separated"]).To(BeNumerically("<=", late["load bound only"]/2))
+	g.Expect(longLate["separated"]).To(BeNumerically("<=", longLate["load bound only"]))
+	g.Expect(again["separated"]).To(BeNumerically("<=", again["load bound only"]*11/10), "moved prompts are prefilled again")
+	g.Expect(overLimit["separated"]).To(BeNumerically("<=", overLimit["load bound only"]*5/4), "the users' platform limits the load of a server")
 }
