Add the setting that separates long and short prompts

Cause: placement can divide a pool's servers between long and short prompts, but no daemon used it, and neither log nor metrics showed the division.

Log lines of prompts in such pools have promptClass, otherClass and loadBound, which explain prints; metrics count the sends by class and show the number of servers that short prompts prefer and the boundary.

No run on real processes.

Ruled out: a wait of long prompts before their send and moves by the pending prefill of the router's own sends.

--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -23,7 +23,7 @@
 	}
 	line = logLimits(line, lease.choice)
 	if len(c.in.PromptParts) > 0 {
-		line = line.Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
+		line = addPromptClass(line, lease.choice).Str("promptKey", promptKey(c.in.PromptParts)).Str("parts", promptPartIDs(c.in.PromptParts)).
 			Int("tokens", totalTokens(c.in.PromptParts)).Str("copyFrom", lease.copyFrom)
 	}
 	return line
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -142,6 +142,7 @@
 // chosen server.
 func (m *gatewayMetrics) recordPlacement(l *lease, waited time.Duration) {
 	m.queueTime.Update(waited.Seconds())
+	recordPromptClass(l.choice)
 	if l.choice.Age >= 0 {
 		m.loadAge.Update(l.choice.Age.Seconds())
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -36,8 +36,8 @@
 	tickerRunning bool
 }
 
-func newPool(engine bool, m *gatewayMetrics) *pool {
-	return &pool{servers: placement.NewPool(engine), retryBudget: placement.NewRetryBudget(time.Now()), metrics: m}
+func newPool(servers *placement.Pool, m *gatewayMetrics) *pool {
+	return &pool{servers: servers, retryBudget: placement.NewRetryBudget(time.Now()), metrics: m}
 }
 
 // pools holds the pools by name.
@@ -54,6 +54,8 @@
 	metrics   *gatewayMetrics
 	// warmup has the overage and the slack of warm-up limits.
 	warmup ratelimit.Warmup
+	// separatePrompts is whether long and short prompts prefer different servers.
+	separatePrompts bool
 }
 
 func newPools(m *gatewayMetrics) *pools {
@@ -72,7 +74,7 @@
 	defer p.mu.Unlock()
 	found := p.byName[name]
 	if found == nil {
-		found = newPool(engine, p.metrics)
+		found = newPool(p.newServers(engine), p.metrics)
 		found.servers.SetPosition(p.position, p.positionedAt)
 		found.servers.SetEvacuated(p.evacuated, nil, time.Now())
 		found.servers.SetServers(p.servers[name], time.Now())
@@ -97,10 +99,7 @@
 	}
 	p.mu.Lock()
 	p.servers = servers
-	known := make(map[string]*pool, len(p.byName))
-	for name, found := range p.byName {
-		known[name] = found
-	}
+	known := maps.Clone(p.byName)
 	p.mu.Unlock()
 	for name, found := range known {
 		found.mu.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -52,6 +52,9 @@
 	losses := quarantine.NewStore(s.Instance, log)
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), losses, log)
 	in.gateway.SetWarmup(s.Warmup.Overage, s.Warmup.Slack)
+	if s.Prefill.Balance {
+		in.gateway.SeparatePrompts()
+	}
 	in.view = fleetview.New(fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
 		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -30,6 +30,8 @@
 	// of the other class prefer.
 	Class      prefill.Class
 	OtherClass bool
+	// Bound is the load up to which the server would take the prompt, 0 if loads are not known.
+	Bound float64
 }
 
 // Reason is why a server was chosen.
@@ -65,8 +67,8 @@
 }
 
 // recordClass records the class of the prompt with the key for which the server was chosen, and
-// returns the server.
-func (s *Server) recordClass(key uint64, class prefill.Class) *Server {
-	s.Choice.Class, s.Choice.OtherClass = class, !s.prefers(key, class)
+// the server's load bound, and returns the server.
+func (s *Server) recordClass(key uint64, class prefill.Class, bound float64) *Server {
+	s.Choice.Class, s.Choice.OtherClass, s.Choice.Bound = class, !s.prefers(key, class), bound
 	return s
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -246,7 +246,7 @@
 	}
 	bounds, known := p.loadBounds(class, now)
 	if !known {
-		return order.at(first).recordChoice(reason, now).recordClass(key, class)
+		return order.at(first).recordChoice(reason, now).recordClass(key, class, 0)
 	}
 	median := medianMS(p.servers, func(s *Server) *decayingAverage { return &s.health.eventInterval }, 1)
 	hasLimits := p.limits.HasLimits(now)
@@ -264,9 +264,10 @@
 			reason = ReasonNext
 			continue
 		}
-		return s.recordChoice(reason, now).recordClass(key, class)
+		return s.recordChoice(reason, now).recordClass(key, class, bound)
 	}
-	return order.at(first).recordChoice(ReasonAllLoaded, now).recordClass(key, class)
+	s := order.at(first)
+	return s.recordChoice(ReasonAllLoaded, now).recordClass(key, class, bounds.bound[s.part()])
 }
 
 // chooseByLatency returns the server with the lowest expected time to the first
--- a/internal/placement/prompts.go
+++ b/internal/placement/prompts.go
@@ -13,14 +13,15 @@
 const classSalt = 0x5bd1e9955bd1e995
 
 // longDensity is the share of the long prompts that rank first on a server of short prompts and are
-// sent to it. With 0, long prompts use only a part of the fleet's prefix caches: a tenth to a fifth
-// more tokens were prefilled. With 0.65, twice as many short prompts were late as with 0.5
+// sent to it. With 0, long prompts use only a part of the fleet's prefix caches: a tenth to a third
+// more tokens were prefilled. With 0.7, twice as many short prompts were late as with 0.5
 // (decision 615).
 const longDensity = 0.5
 
 // overflowFactor is the multiple of the pool's load bound up to which a server is used that has the
 // load usual for its part of the pool. Servers of short prompts have more requests each; with the
-// pool's bound, half of the short prompts moved at three times the mean load. With 1.6, a part with
+// pool's bound and a part of a quarter, half of the short prompts moved at three times the mean
+// load of the simulation. With 1.6, a part with
 // almost all of the load would have kept it.
 const overflowFactor = 1.3
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,7 +64,8 @@
 	// servers if empty.
 	Domains []string `json:"domains,omitempty"`
 	// Warmup bounds the requests to backend servers that are warming up.
-	Warmup Warmup `json:"warmup"`
+	Warmup  Warmup  `json:"warmup"`
+	Prefill Prefill `json:"prefill"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
