Report all invalid fields of a route table

Change: routetable.ValidateAll returns all violations, each with the object, the field and what is expected; Validate and the adapter's DecodeTable return the first one, with the same field and text as before. The adapter has CheckTable, which also reports a table larger than control accepts, and TablePath. A value of the wrong JSON type is still reported alone: the other fields of such a table are unknown, and would be reported as missing.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -44,6 +44,12 @@
 type Adapter interface {
 	// DecodeTable decodes and validates the declared form of a route table.
 	DecodeTable(source []byte) (*routetable.Table, error)
+	// CheckTable decodes a table as DecodeTable does, and returns all violations instead of the
+	// first one. The table is nil if the source cannot be decoded.
+	CheckTable(source []byte) (*routetable.Table, routetable.Violations)
+	// TablePath is the path of the control handler at which a GET returns the declared form of the
+	// table in force.
+	TablePath() string
 	// ControlHandler returns the HTTP handler for operators and backend servers.
 	ControlHandler(control Control) http.Handler
 	// Dialect returns the translation of callers' and backend servers' headers.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -3,13 +3,11 @@
 package routetable
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/flatepool"
 )
 
@@ -129,82 +127,6 @@
 	hasKeys bool
 }
 
-// Validate returns the first invalid field of the table as CodeRouteTable. It also
-// builds the lookup indexes, so it must be called before any lookup.
-func (t *Table) Validate() error {
-	t.byPool = make(map[string]*Pool, len(t.Pools))
-	for i := range t.Pools {
-		pool := &t.Pools[i]
-		if pool.Name == "" || t.byPool[pool.Name] != nil {
-			return invalid(fmt.Sprintf("pools[%d].name", i), "name %q is empty or duplicate", pool.Name)
-		}
-		t.byPool[pool.Name] = pool
-	}
-	t.byHost = make(map[string][]*Route)
-	for i := range t.Routes {
-		if err := t.addRoute(i); err != nil {
-			return err
-		}
-	}
-	return t.indexKeys()
-}
-
-func (t *Table) addRoute(i int) error {
-	route := &t.Routes[i]
-	field := func(name string) string { return fmt.Sprintf("routes[%d].%s", i, name) }
-	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
-		return invalid(field("prefix"), "prefix %q does not begin and end with a slash", route.Prefix)
-	}
-	if route.Timeout <= 0 {
-		return invalid(field("limit"), "timeout %v is not greater than 0", route.Timeout)
-	}
-	switch route.Kind {
-	case KindSafe, KindUnsafe, KindStream:
-	default:
-		return invalid(field("kind"), "unknown kind %q", route.Kind)
-	}
-	sum := 0.0
-	for j, target := range route.Targets {
-		if t.byPool[target.Pool] == nil {
-			return invalid(field(fmt.Sprintf("targets[%d].pool", j)), "pool %q does not exist", target.Pool)
-		}
-		if target.Weight < 0 {
-			return invalid(field(fmt.Sprintf("targets[%d].weight", j)), "weight %v is negative", target.Weight)
-		}
-		sum += target.Weight
-	}
-	if sum <= 0 {
-		return invalid(field("targets"), "sum of the weights is 0")
-	}
-	host := strings.ToLower(route.Host)
-	for _, other := range t.byHost[host] {
-		if other.Prefix == route.Prefix {
-			return invalid(field("prefix"), "host %q and prefix %q are used by two routes", route.Host, route.Prefix)
-		}
-	}
-	t.byHost[host] = append(t.byHost[host], route)
-	return nil
-}
-
-func (t *Table) indexKeys() error {
-	t.hasKeys = len(t.Customers) > 0
-	t.byKey = make(map[string]*Customer)
-	for i := range t.Customers {
-		customer := &t.Customers[i]
-		for j, key := range customer.Keys {
-			if other := t.byKey[key]; other != nil && other != customer {
-				return invalid(fmt.Sprintf("customers[%d].keys[%d]", i, j), "key belongs to two customers")
-			}
-			t.byKey[key] = customer
-		}
-	}
-	return nil
-}
-
-func invalid(field, format string, args ...any) error {
-	return api.FieldErrorf(api.CodeRouteTable, field, format, args...)
-}
-
 // Route returns the host's route with the longest prefix that matches the path, or nil.
 // Host matches in any case, with or without a port.
 func (t *Table) Route(host, path string) *Route {
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -74,3 +74,30 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(document.DecodeSource()).To(Equal(source))
 }
+
+// TestValidateAllReportsEveryViolation guards against a check that stops at the first invalid field,
+// and against a first violation that differs from the error with which control refuses the table.
+func TestValidateAllReportsEveryViolation(t *testing.T) {
+	g := NewWithT(t)
+	invalid := table(func(t *routetable.Table) {
+		t.Pools = append(t.Pools, t.Pools[0])
+		t.Routes[0].Prefix, t.Routes[0].Timeout, t.Routes[0].Kind = "x", 0, "odd"
+		t.Routes[1].Targets = []routetable.Target{{Pool: "q", Weight: -1}, {Pool: "r", Weight: 0}}
+		t.Routes = append(t.Routes, t.Routes[1])
+		t.Customers[1].Keys[0] = "k1"
+	})
+	violations := invalid.ValidateAll()
+	var fields []string
+	for _, v := range violations {
+		g.Expect(v.Expected).NotTo(BeEmpty(), v.Err.Field)
+		fields = append(fields, v.Err.Field)
+	}
+	g.Expect(fields).To(Equal([]string{
+		"pools[1].name", "routes[0].prefix", "routes[0].limit", "routes[0].kind",
+		"routes[1].targets[0].pool", "routes[1].targets[0].weight", "routes[1].targets[1].pool",
+		"routes[2].targets[0].pool", "routes[2].targets[0].weight", "routes[2].targets[1].pool", "routes[2].prefix",
+		"customers[1].keys[0]",
+	}))
+	g.Expect(invalid.Validate()).To(Equal(violations.First()))
+	g.Expect(table(func(*routetable.Table) {}).ValidateAll()).To(BeEmpty())
+}
