Check a route table before it is sent

Cause: an operator learned only from control's refusal that a table is invalid, and never that an entry has no effect, that limits contradict each other, or that a table whose version is not higher is answered with success and changes nothing.

Change: `peridotwinch check -table FILE` prints all errors for which control refuses a table, warnings, and with -against or -control the differences from another table or the one in force, as text or JSON. The exit status is 0 without findings, 1 with errors and 2 with warnings only; errors have code 2013. Keys are shown by at most four characters.

Ruled out: exit code 4 of code 2013 for a table with errors, because it also stands for a refusal by control; a new result code for warnings, which control accepts; and differences as findings, because a table that changes nothing is rare.

--- a/api/client.go
+++ b/api/client.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// RouteTable returns the declared form of the route table in force, which the instances' adapter
+// serves at the path. The error has CodeNotConfigured if there is none yet.
+func (c *Client) RouteTable(ctx context.Context, path string) ([]byte, error) {
+	var out json.RawMessage
+	err := c.call(ctx, http.MethodGet, path, "", nil, &out)
+	return out, err
+}
+
 // ControlStatus returns the status of the first control instance that answers.
 func (c *Client) ControlStatus(ctx context.Context) (*ControlStatus, error) {
 	out := &ControlStatus{}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,7 +38,7 @@
 
 func commands(adapters adapter.Set) []*command {
 	return []*command{
-		serveCommand(adapters), devCommand(), checkCommand(), layoutCommand(),
+		serveCommand(adapters), devCommand(), checkCommand(adapters), layoutCommand(),
 		applyCommand(), getCommand(), deleteCommand(), statusCommand(),
 		watchCommand(), auditCommand(), explainCommand(), evacuateCommand(),
 		ledgerStatusCommand(), ledgerReplaceCommand(), ledgerRestartCommand(),
@@ -98,10 +98,20 @@
 	if err == nil {
 		return api.ExitOK
 	}
+	var status exitStatus
+	if errors.As(err, &status) {
+		return subcommands.ExitStatus(status)
+	}
 	printError(os.Stderr, err)
 	return subcommands.ExitStatus(api.AsError(err).Code.Info().ExitCode)
 }
 
+// exitStatus ends a command that has printed its findings.
+type exitStatus int
+
+// Error implements error.
+func (s exitStatus) Error() string { return fmt.Sprintf("exit status %d", int(s)) }
+
 // printError prints each numbered error in JSON, one per line.
 func printError(w io.Writer, err error) {
 	encoder := json.NewEncoder(w)
