Share the slots of small pools among routers through a coordinator

Cause: routers that join by seeds choose among the few servers of a pool without knowledge of each other, and collide at one server while another is free.

Change: control names one of the routers that follow it, and streams the name to all (FollowEvent field 16, shared between replicas in field 30). Each router keeps one stream to it (package slotrpc), asks for a slot for each request of a pool of up to 32 servers without engines, and states the slots that it takes without a grant. It decides alone, as before, if no coordinator is named or reachable, or if the first answer takes longer than 40 ms or a tenth of the objective. A grant that comes later is released by a message that follows the ask on the stream, so no request is sent twice.

Ruled out: the package reservation, whose owners grant single servers that the asking router has picked, have no queue and know all routers from the settings; and heartbeats on each stream, as pings while requests wait find a stopped coordinator as soon.

--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -11,6 +11,7 @@
 	"peridotwinch.example/peridotwinch/internal/actor"
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+	"peridotwinch.example/peridotwinch/internal/slotshare"
 )
 
 const (
@@ -155,6 +156,8 @@
 	// bucketDigests are those of the subscription; nil once the first event was prepared.
 	bucketDigests []uint32
 	firstSent     bool
+	// coordinator is the coordinator of slots that was sent last.
+	coordinator slotshare.Name
 	// path is the path from the control replica to this process that was sent last, controls are
 	// the control replicas that were sent last.
 	path     relay.Path
@@ -250,6 +253,7 @@
 	r.addPath(event)
 	r.addControls(event)
 	r.addEvacuations(event)
+	r.addCoordinator(event)
 	records, changed, err := r.nextRecords(event)
 	if err != nil {
 		return nil, err
@@ -257,7 +261,7 @@
 	losses, lossRevision := r.publisher.losses.SinceWithRevision(r.lossRevision)
 	r.lossRevision, event.Losses = lossRevision, toLosses(losses, time.Now())
 	r.addStatements(event)
-	hasUpdates := event.Evacuations != nil || event.Statements != nil || event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
+	hasUpdates := event.Evacuations != nil || event.SlotCoordinator != nil || event.Statements != nil || event.Document != nil || event.Delta != nil || event.Path != nil || event.Controls != nil || !records.isEmpty() || len(losses) > 0
 	if !hasUpdates && r.firstSent && time.Since(r.lastSent) < HeartbeatInterval {
 		return changed, nil
 	}
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -65,8 +65,10 @@
 	loads      *loadCache
 	losses     *quarantine.Store
 	statements *statementCache
-	tables     tableHistory
-	barrier    *sharedCall
+	// coordinator is the router that coordinates the slots of small pools.
+	coordinator *coordinatorName
+	tables      tableHistory
+	barrier     *sharedCall
 	// openSemaphore limits how many streams send their first event concurrently.
 	openSemaphore chan struct{}
 	pacer         *pacer
@@ -103,7 +105,8 @@
 func newPublisher(address string, source Source, losses *quarantine.Store, limits relay.Limits, linkMbps float64, log zerolog.Logger) *publisher {
 	p := &publisher{
 		log: log, ownAddress: address, source: source, loads: newLoadCache(), losses: losses, statements: newStatementCache(),
-		barrier: newSharedCall(source.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
+		coordinator: &coordinatorName{},
+		barrier:     newSharedCall(source.Barrier), openSemaphore: make(chan struct{}, maxOpeningStreams), pacer: newPacer(linkMbps),
 		isSynced: func() bool { return true }, quorumWaitTimeout: quorumWaitTimeout,
 		admission: relay.NewAdmission(limits), subtrees: relay.NewSubtrees(), table: registry.New(), changed: make(chan struct{}),
 		cachedRecords: make(map[uint64]*recordList),
--- a/internal/fleetsync/reports.go
+++ b/internal/fleetsync/reports.go
@@ -11,6 +11,7 @@
 // mergeReport merges a follower's report, and returns a response with the follower's numbering.
 func (p *publisher) mergeReport(request *fleetpb.ReportRequest, now time.Time) *fleetpb.ReportResponse {
 	p.loads.merge(request.GetLoads(), now)
+	p.coordinator.offer(request.GetSlotAddress(), now)
 	from := origin{relation: relationFollower, follower: request.GetInstance()}
 	p.recordStatements(fromRateStatements(request.GetStatements(), now), from, now)
 	p.mu.Lock()
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -22,7 +22,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	request, revision, statements, alive := s.newShareRequest(p, digest)
-	if !digest && len(request.GetServers()) == 0 && request.GetStatements() == nil && int(request.GetRouters()) == p.sentRouters {
+	coordinator := s.coordinator.name()
+	request.SlotCoordinator = s.coordinator.message(time.Now())
+	if !digest && len(request.GetServers()) == 0 && request.GetStatements() == nil && int(request.GetRouters()) == p.sentRouters && coordinator == p.sentCoordinator {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -38,6 +40,7 @@
 		return false
 	}
 	p.sentRevision, p.sentStatements, p.sentRouters = revision, statements, int(request.GetRouters())
+	p.sentCoordinator = coordinator
 	if len(response.GetUnknown()) > 0 {
 		// The replica has restarted and lacks these servers; the next call sends all.
 		p.sentRevision, p.sentStatements = 0, statementCursor{}
@@ -132,6 +135,7 @@
 	if request.GetLoads() != nil {
 		s.replicaLoads.record(request.GetInstance(), FromPoolLoads(request.GetLoads(), now))
 	}
+	s.mergeCoordinator(request.GetSlotCoordinator(), now)
 	s.recordStatements(fromRateStatements(request.GetStatements(), now), originUpstream, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -19,6 +19,7 @@
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/rpc"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+	"peridotwinch.example/peridotwinch/internal/slotshare"
 )
 
 const (
@@ -81,10 +82,12 @@
 	sentRouters    int
 	// told is when the servers that announce themselves to this replica last did so, as far as the
 	// other replica was told.
-	told       toldLiveness
-	mu         sync.Mutex
-	losses     *LossSender
-	stopLosses context.CancelFunc
+	told toldLiveness
+	// sentCoordinator is the coordinator of slots that the replica was last sent.
+	sentCoordinator slotshare.Name
+	mu              sync.Mutex
+	losses          *LossSender
+	stopLosses      context.CancelFunc
 }
 
 // NewService returns the service of the replica with the given RPC address. linkMbps is the
@@ -202,6 +205,7 @@
 			return nil
 		}
 		s.expire(time.Now())
+		s.electCoordinator(time.Now())
 	}
 }
 
--- /dev/null
+++ b/internal/fleetview/coordinator.go
@@ -0,0 +1,18 @@
+package fleetview
+
+import (
+	"time"
+
+	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
+)
+
+// applySlotCoordinator applies the coordinator of the slots of small pools, if the event has one.
+func (v *View) applySlotCoordinator(event *fleetpb.FollowEvent) {
+	if event.GetSlotCoordinator() == nil {
+		return
+	}
+	address := v.relay.MergeCoordinator(event.GetSlotCoordinator(), time.Now())
+	if v.onSlotCoordinator != nil {
+		v.onSlotCoordinator(address)
+	}
+}
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -53,9 +53,12 @@
 	declared []byte
 	// ownAddress is the router's RPC address.
 	ownAddress string
-	relay      *fleetsync.Relay
-	losses     *quarantine.Store
-	lossSender *fleetsync.LossSender
+	// slotAddress and onSlotCoordinator are those of the Config.
+	slotAddress       string
+	onSlotCoordinator func(address string)
+	relay             *fleetsync.Relay
+	losses            *quarantine.Store
+	lossSender        *fleetsync.LossSender
 
 	mu       sync.Mutex
 	selector *relay.Selector
@@ -125,13 +128,19 @@
 	Fleet        Fleet
 	// Losses is the router's evidence against prompt parts, which the view exchanges.
 	Losses *quarantine.Store
+	// SlotAddress is the address at which this router can coordinate the slots of small pools;
+	// empty if it does not.
+	SlotAddress string
+	// OnSlotCoordinator is called with the address of the router that coordinates them; it may be
+	// nil.
+	OnSlotCoordinator func(address string)
 }
 
 // New returns an empty view.
 func New(c Config, log zerolog.Logger) *View {
 	v := &View{
 		log: log, instance: c.Instance, domain: c.FailureDomain, decode: c.Decode, fleet: c.Fleet, seeds: c.Seeds,
-		ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
+		slotAddress: c.SlotAddress, onSlotCoordinator: c.OnSlotCoordinator, ownAddress: c.Address, selector: relay.NewSelector(c.Instance, c.Seeds),
 		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
 	v.losses, v.lossSender = c.Losses, fleetsync.NewLossSender(c.Losses)
@@ -171,6 +180,7 @@
 	}
 	v.applyLosses(event)
 	v.applyEvacuations(event.GetEvacuations())
+	v.applySlotCoordinator(event)
 	v.relay.RecordSourceStatements(event.GetStatements(), event.GetFirst(), time.Now())
 	if err := v.applyTable(event); err != nil {
 		return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,27 +59,6 @@
 	}
 }
 
-func (c *call) acquire() (*lease, error) {
-	queueTimeout := time.Duration(queueTimeoutShare * float64(c.route.LatencyObjective))
-	if c.sends > 0 {
-		queueTimeout /= 2
-	}
-	queueTimeout = min(queueTimeout, time.Until(c.deadline)/2)
-	start := time.Now()
-	lease, err := c.pool.acquire(c.ctx, c.placementRequest(), c.priority(), queueTimeout)
-	if err == nil {
-		c.gateway.metrics.recordPlacement(lease, time.Since(start))
-	}
-	if err != nil && c.ctx.Err() != nil {
-		return nil, c.contextError(context.Cause(c.ctx))
-	}
-	if unavailable := (*unavailableError)(nil); errors.As(err, &unavailable) {
-		c.availableAt = unavailable.availableAt
-		return nil, api.Errorf(api.CodeOverloaded, "%v", err)
-	}
-	return lease, err
-}
-
 // recordWithdrawal records what the server's answer says about further requests to it.
 func (c *call) recordWithdrawal(lease *lease, answer Answer) {
 	leaving, paused := lease.recordWithdrawal(answer.Leaving, answer.Pause)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/slotrpc"
 )
 
 // TableSource returns the route table in force, or nil before the first one.
@@ -49,8 +50,10 @@
 	client       *backend.Client
 	pools        *pools
 	losses       *lossRecorder
-	metrics      *gatewayMetrics
-	startedAt    time.Time
+	// slots shares the slots of small pools with other routers; nil if they are not shared.
+	slots     *slotrpc.Node
+	metrics   *gatewayMetrics
+	startedAt time.Time
 	// answerMemory bounds the memory for incomplete stream events.
 	answerMemory *bytebudget.Budget
 
@@ -84,7 +87,12 @@
 func (g *Gateway) SetTableSource(tables TableSource) { g.tableSource = tables }
 
 // SetServers replaces the backend servers by the list from control.
-func (g *Gateway) SetServers(entries []registry.Entry) { g.pools.setServers(entries) }
+func (g *Gateway) SetServers(entries []registry.Entry) {
+	if g.slots != nil {
+		g.slots.SetServers(entries)
+	}
+	g.pools.setServers(entries)
+}
 
 // TakeLoadReports returns the loads that servers reported in answers since the last call, by
 // the servers' hashes.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -13,6 +13,7 @@
 	"peridotwinch.example/peridotwinch/internal/ratelimit"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/slotrpc"
 )
 
 // Constants of the request queue.
@@ -124,6 +125,8 @@
 	// reserved is set while the request has a reservation at a server that is warming up.
 	reserved bool
 	choice   placement.Choice
+	// slot is the slot that other routers know of, if the pool's slots are shared.
+	slot slotrpc.Slot
 	// copyFrom is the address of a server that may cache the prompt's parts.
 	copyFrom string
 }
@@ -242,21 +245,6 @@
 	l.pool.servers.RecordEventInterval(l.Server, interval, time.Now())
 }
 
-// release releases the slot and records the result. Further calls do nothing.
-func (l *lease) release(result placement.Result) {
-	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
-	if l.released {
-		return
-	}
-	l.released = true
-	l.cancelReservation()
-	l.pool.metrics.recordSend(l.Domain, result.Kind)
-	now := time.Now()
-	l.pool.servers.RecordResult(l.Server, result, now)
-	l.pool.grantQueued(now)
-}
-
 // spendRetry reports whether the pool's retry budget allows a retry, and spends it.
 func (p *pool) spendRetry() bool {
 	p.mu.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"peridotwinch.example/peridotwinch/internal/lifecycle"
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/settings"
+	"peridotwinch.example/peridotwinch/internal/slotrpc"
 )
 
 const (
@@ -38,7 +39,9 @@
 	lifecycle *lifecycle.Lifecycle
 	view      *fleetview.View
 	gateway   *gateway.Gateway
-	callers   net.Listener
+	// slots shares the slots of small pools; nil if the settings do not say so.
+	slots   *slotrpc.Node
+	callers net.Listener
 }
 
 // New opens the listener for callers and returns the role. It returns an error if the
@@ -55,10 +58,16 @@
 	if s.Prefill.Balance {
 		in.gateway.SeparatePrompts()
 	}
-	in.view = fleetview.New(fleetview.Config{
+	config := fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
 		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
-	}, log)
+	}
+	if s.Slots.Shared && relayAddress(s) != "" {
+		in.slots = slotrpc.New(slotrpc.Config{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s)}, log)
+		in.gateway.SetSlots(in.slots)
+		config.SlotAddress, config.OnSlotCoordinator = relayAddress(s), in.slots.SetCoordinator
+	}
+	in.view = fleetview.New(config, log)
 	in.gateway.SetTableSource(in.view)
 	lc.AddCheck(in.view.Ready)
 	return in, nil
@@ -81,6 +90,11 @@
 	if relayAddress(in.settings) == "" {
 		return nil
 	}
+	if in.slots != nil {
+		if err := in.slots.Register(mux); err != nil {
+			return err
+		}
+	}
 	return in.view.Register(mux)
 }
 
@@ -100,6 +114,9 @@
 	actor.Add(group, in.view.ReportLoads)
 	actor.Add(group, in.view.ReportLosses)
 	actor.Add(group, in.gateway.Run)
+	if in.slots != nil {
+		actor.Add(group, in.slots.Run)
+	}
 }
 
 // serve serves callers until ctx ends, and then drains. The readiness probe fails by
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -52,6 +52,10 @@
 	// ReasonQuickest means that the server has the lowest expected time to the first
 	// byte.
 	ReasonQuickest Reason = "quickest"
+	// ReasonShared means that the coordinator of the pool's slots granted a slot at once, and
+	// ReasonSharedQueue that it did after the request had waited.
+	ReasonShared      Reason = "shared_slot"
+	ReasonSharedQueue Reason = "shared_queue"
 	// ReasonTrial means that the server is suspect and the request tests whether it
 	// has recovered.
 	ReasonTrial Reason = "trial"
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -56,6 +56,7 @@
 	PurposeStatus    Purpose = 's'
 	PurposeReserve   Purpose = 'p'
 	PurposeFleet     Purpose = 'w'
+	PurposeSlots     Purpose = 'o'
 )
 
 // String returns the name of the purpose in metrics.
@@ -77,6 +78,8 @@
 		return "reserve"
 	case PurposeFleet:
 		return "fleet"
+	case PurposeSlots:
+		return "slots"
 	}
 	return "unknown"
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,7 @@
 	// Warmup bounds the requests to backend servers that are warming up.
 	Warmup  Warmup  `json:"warmup"`
 	Prefill Prefill `json:"prefill"`
+	Slots   Slots   `json:"slots"`
 }
 
 // Listen holds the addresses that a daemon listens on, each an IP address and port.
