Refuse a request that ended at the coordinator, and record a trial

Cause: a request whose deadline passed while it waited at the coordinator went on to choose a server, with a context that had ended.

Change: it ends with the error of its context, as a request that waits in the router's own queue does.

--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -23,6 +23,10 @@
 	start := time.Now()
 	lease, err := c.acquireShared(start)
 	if lease == nil && err == nil {
+		if c.ctx.Err() != nil {
+			// The request ended while it waited at the coordinator.
+			return nil, c.contextError(context.Cause(c.ctx))
+		}
 		lease, err = c.acquireAlone()
 	}
 	if err == nil {
