--- a/internal/slotshare/compare_test.go
+++ b/internal/slotshare/compare_test.go
@@ -82,42 +82,6 @@
 	t.routers[a.router].serve(a, nil, func(int) {}, func(bool) {})
 }
 
-// twoChoices sends each request to the less loaded of two random servers, by loads that are
-// 100 ms old.
-type twoChoices struct {
-	model  *model
-	loads  []int
-	loadAt time.Time
-}
-
-func (t *twoChoices) arrive(a arrival) {
-	m := t.model
-	if m.now.Sub(t.loadAt) > 100*time.Millisecond {
-		t.loadAt = m.now
-		t.loads = t.loads[:0]
-		for _, s := range m.servers {
-			t.loads = append(t.loads, s.running+len(s.waiting))
-		}
-	}
-	t.serve(a, 0)
-}
-
-func (t *twoChoices) serve(a arrival, sends int) {
-	m := t.model
-	first := m.rng.IntN(len(m.servers))
-	second := (first + 1 + m.rng.IntN(len(m.servers)-1)) % len(m.servers)
-	if t.loads[second] < t.loads[first] {
-		first = second
-	}
-	m.send(a.router, m.servers[first], a.work, func(full bool) {
-		if full && sends < 3 {
-			t.serve(a, sends+1)
-			return
-		}
-		m.finish(a, full)
-	})
-}
-
 // coordinated asks a coordinator for each slot, with the same delay to it for all routers. A router
 // whose ask is not answered within the patience decides alone.
 type coordinated struct {
