Assign no servers whose announcements were dropped as late

Cause: Announce returns no error for a late announcement, and KeepsAnnouncements then recorded its hash. Expire removed only hashes that have an announcement time, which a dropped announcement does not get, so the entry stayed, counted against the share of 1.25 and in the metric, and the late server was told to send its announcements there.

Change: only servers with an announcement time are assigned, and expire removes each assigned one without such a time.

Ruled out: an error from Announce for late announcements; servers take it for a refusal and repeat them elsewhere.

--- a/internal/fleetsync/keep.go
+++ b/internal/fleetsync/keep.go
@@ -26,6 +26,10 @@
 	if s.table.Len() <= maxCompleteServers {
 		return false
 	}
+	// A late announcement of an older incarnation was dropped: its sender is not listed.
+	if _, announced := s.announcedAt[hash]; !announced {
+		return false
+	}
 	if _, kept := s.keptAt[hash]; !kept && float64(len(s.keptAt)) >= keptShare*float64(s.table.Len())/float64(len(s.peers)+1) {
 		return false
 	}
--- a/internal/fleetsync/keep_test.go
+++ b/internal/fleetsync/keep_test.go
@@ -31,3 +31,25 @@
 	service.Expire(now.Add(10 * time.Second))
 	g.Expect(service.Kept()).To(BeZero(), "servers that announce themselves elsewhere")
 }
+
+// TestLateAnnouncementsAreNotAssigned guards against servers that count against the share of a replica
+// until it restarts: those whose announcements were dropped as late, of older incarnations.
+func TestLateAnnouncementsAreNotAssigned(t *testing.T) {
+	g := NewWithT(t)
+	own := reserveAddress(t)
+	service := newTestService(t, newFakeReplica(own), own)
+	for i := range 1500 {
+		g.Expect(service.Announce(context.Background(), testServer(i))).To(Succeed())
+	}
+	now := time.Now()
+	for i := range 100 {
+		late := testServer(i)
+		late.StartedMS--
+		g.Expect(service.Announce(context.Background(), late)).To(Succeed())
+		g.Expect(service.KeepsAnnouncements(late.Hash(), now)).To(BeFalse())
+	}
+	for second := range 1000 {
+		service.Expire(now.Add(time.Duration(second) * time.Second))
+	}
+	g.Expect(service.Kept()).To(BeZero())
+}
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -233,6 +233,10 @@
 	for hash, at := range s.announcedAt {
 		if now.Sub(at) > registry.SilentAfter {
 			delete(s.announcedAt, hash)
+		}
+	}
+	for hash := range s.keptAt {
+		if _, announced := s.announcedAt[hash]; !announced {
 			delete(s.keptAt, hash)
 		}
 	}
