Pass loads between control replicas of smaller fleets on again

Cause: for large fleets, a replica no longer sends other replicas what replicas have sent to it. The change applied to all fleets, so a replica lacked the loads of another one that it cannot reach, which a third had passed on before.

Large fleets exchange as before this commit.

A load of one replica in the digest to a third: with 1,000 servers 0 before, 1 after; with 3,000 servers 0 and 0.

--- a/internal/fleetsync/loads.go
+++ b/internal/fleetsync/loads.go
@@ -27,8 +27,8 @@
 	ReportedAt time.Time
 	// receivedAt is when the caching replica received the load.
 	receivedAt time.Time
-	// fromReplica is set for a load that another control replica has sent.
-	fromReplica bool
+	// fromReplica is the control replica that has sent the load, or empty if a router has.
+	fromReplica string
 }
 
 // loadCache caches the newest load of each server by the server's hash. In a large fleet a
@@ -46,11 +46,11 @@
 	l.mergeLoads(FromLoads(message, now), now)
 }
 
-// mergeFromReplica merges the loads that another control replica has received from its routers.
-func (l *loadCache) mergeFromReplica(message *fleetpb.Loads, now time.Time) {
+// mergeFromReplica merges the loads that another control replica has sent.
+func (l *loadCache) mergeFromReplica(replica string, message *fleetpb.Loads, now time.Time) {
 	received := FromLoads(message, now)
 	for server, load := range received {
-		load.fromReplica = true
+		load.fromReplica = replica
 		received[server] = load
 	}
 	l.mergeLoads(received, now)
@@ -86,15 +86,19 @@
 	return out
 }
 
-// recentFromFollowers is recent without the loads that other control replicas have sent. Sent back,
-// they look newer there by the network delay, and would be exchanged until they are MaxLoadAge old.
-func (l *loadCache) recentFromFollowers(now time.Time, within time.Duration) map[uint64]ServerLoad {
+// recentForReplica is recent without the loads that the given control replica has sent: sent back, they look
+// newer there by the network delay, and would be exchanged until they are MaxLoadAge old.
+func (l *loadCache) recentForReplica(replica string, now time.Time, within time.Duration) map[uint64]ServerLoad {
 	out := make(map[uint64]ServerLoad)
-	l.eachRecent(now, within, false, func(server uint64, load ServerLoad) { out[server] = load })
+	l.eachRecent(now, within, true, func(server uint64, load ServerLoad) {
+		if load.fromReplica != replica {
+			out[server] = load
+		}
+	})
 	return out
 }
 
-// recentList is recent, or recentFromFollowers without withReplicas, as a list.
+// recentList is recent as a list, without withReplicas only of the loads that routers have sent.
 func (l *loadCache) recentList(now time.Time, within time.Duration, withReplicas bool) []hashedLoad {
 	out := make([]hashedLoad, 0, l.len())
 	l.eachRecent(now, within, withReplicas, func(server uint64, load ServerLoad) {
@@ -117,7 +121,7 @@
 			delete(l.byServer, server)
 			continue
 		}
-		if now.Sub(load.receivedAt) <= within && (withReplicas || !load.fromReplica) {
+		if now.Sub(load.receivedAt) <= within && (withReplicas || load.fromReplica == "") {
 			use(server, load)
 		}
 	}
--- a/internal/fleetsync/loadselection.go
+++ b/internal/fleetsync/loadselection.go
@@ -221,10 +221,11 @@
 	return toPartialLoads(loads, sums, now)
 }
 
-// loadsForReplicas returns the loads that another control replica receives.
-func (s *Service) loadsForReplicas(now time.Time) *fleetpb.Loads {
+// loadsForReplica returns the loads that another control replica receives. In smaller fleets they include
+// those of third replicas, for replicas that cannot reach each other.
+func (s *Service) loadsForReplica(replica string, now time.Time) *fleetpb.Loads {
 	if !s.isLarge() {
-		return ToLoads(s.loads.recentFromFollowers(now, digestInterval+reportSlack), now)
+		return ToLoads(s.loads.recentForReplica(replica, now, digestInterval+reportSlack), now)
 	}
 	loads, pools := s.selectedForReplicas(now)
 	return toPartialLoads(loads, pools, now)
--- a/internal/fleetsync/loadselection_test.go
+++ b/internal/fleetsync/loadselection_test.go
@@ -100,6 +100,25 @@
 	g.Expect(received.GetPools()).To(BeEmpty())
 }
 
+// TestLoadsReachReplicasIndirectlyUpTo1000Servers guards against replicas of a smaller fleet without the loads
+// of another one that they cannot reach: a third replica has to pass them on. In a large fleet it does not.
+func TestLoadsReachReplicasIndirectlyUpTo1000Servers(t *testing.T) {
+	g := NewWithT(t)
+	for servers, passedOn := range map[int]int{1000: 1, 3000: 0} {
+		own, sender, third := reserveAddress(t), reserveAddress(t), reserveAddress(t)
+		service := newTestService(t, newFakeReplica(own, sender, third), own)
+		for i := range servers {
+			g.Expect(service.Announce(context.Background(), testServer(i))).To(Succeed())
+		}
+		first := testServer(0)
+		loads := map[uint64]fleetsync.ServerLoad{first.Hash(): {Requests: 7, ReportedAt: time.Now()}}
+		_, err := service.Share(context.Background(), &fleetpb.ShareRequest{Instance: sender, Loads: fleetsync.ToLoads(loads, time.Now())})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(service.ShareRequestTo(third).GetLoads().GetServers()).To(HaveLen(passedOn), "%d servers", servers)
+		g.Expect(service.ShareRequestTo(sender).GetLoads().GetServers()).To(BeEmpty())
+	}
+}
+
 // TestMeanCountsLoadsOfAllReplicas guards against a mean of one replica's routers only, and against one
 // that counts the selected loads of other replicas, which are the highest.
 func TestMeanCountsLoadsOfAllReplicas(t *testing.T) {
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -73,7 +73,7 @@
 	now := time.Now()
 	var loads *fleetpb.Loads
 	if digest {
-		loads = s.loadsForReplicas(now)
+		loads = s.loadsForReplica(p.client.Address(), now)
 	}
 	statements, cursor := s.statements.changes(p.sentStatements, !digest, originUpstream, now)
 	s.mu.Lock()
@@ -131,7 +131,7 @@
 // mergeDigest merges the loads and the digest of a request and returns the response to it.
 func (s *Service) mergeDigest(request *fleetpb.ShareRequest) *fleetpb.ShareResponse {
 	now := time.Now()
-	s.loads.mergeFromReplica(request.GetLoads(), now)
+	s.loads.mergeFromReplica(request.GetInstance(), request.GetLoads(), now)
 	if request.GetLoads() != nil {
 		s.replicaLoads.record(request.GetInstance(), FromPoolLoads(request.GetLoads(), now))
 	}
