Count silence in small pools and that of two lost failure domains

Cause: the rule that ignores the silence of many servers had no lower limit on the size of the pool. Of 300 servers in three failure domains of which two are lost together, neither domain has 80% of the silent servers, so the silence of all 200 was ignored and prompts went to them.

It does not if two domains have 95% of the silent servers while others have at least a tenth of the pool: a late control affects all domains. In a pool of two domains, silence in both still means a late control.

Ruled out: the same exception for three of four domains; their loss together is less likely than a late control.

Silent servers that were ignored: 200 of 200 before and 0 after with 300 servers; 2,050 and 0 with 3,000 servers of which two domains and 50 servers of the third are silent; 2,200 in both with 200 of the third.

--- a/internal/placement/probes.go
+++ b/internal/placement/probes.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -26,6 +28,11 @@
 	// maxDomainShare is the share of the silent servers that one failure domain has if it is lost
 	// or cut off from control.
 	maxDomainShare = 0.8
+	// maxTwoDomainsShare is the share of the silent servers that two failure domains have if both are
+	// lost, and minOtherDomainsShare the share of the servers that the other domains need for this to count:
+	// with fewer, they may have few silent servers by chance.
+	maxTwoDomainsShare   = 0.95
+	minOtherDomainsShare = 0.1
 )
 
 // reach is what a router knows about the reachability of a pool's servers.
@@ -47,22 +54,21 @@
 // withoutDoubtedSilence returns the servers without their silence if it is doubted. The router's own
 // connections still show which servers are unreachable.
 func (p *Pool) withoutDoubtedSilence(infos []ServerInfo) []ServerInfo {
-	silent, byDomain := 0, make(map[string]int)
+	p.reach.doubted = 0
+	if len(infos) <= maxUnboundedPool {
+		return infos
+	}
+	silent, servers, silentIn := 0, make(map[string]int), make(map[string]int)
 	for i := range infos {
+		servers[infos[i].Domain]++
 		if infos[i].Silent {
 			silent++
-			byDomain[infos[i].Domain]++
+			silentIn[infos[i].Domain]++
 		}
 	}
-	p.reach.doubted = 0
-	if silent < minDoubtedSilent || float64(silent) < minDoubtedShare*float64(len(infos)) {
+	if silent < minDoubtedSilent || float64(silent) < minDoubtedShare*float64(len(infos)) || areDomainsLost(servers, silentIn, len(infos), silent) {
 		return infos
 	}
-	for _, count := range byDomain {
-		if float64(count) > maxDomainShare*float64(silent) {
-			return infos
-		}
-	}
 	p.reach.doubted = silent
 	out := slices.Clone(infos)
 	for i := range out {
@@ -71,6 +77,20 @@
 	return out
 }
 
+// areDomainsLost reports whether one failure domain has most of the silent servers, or two have nearly all
+// of them. servers and silentIn are the numbers by domain, all and silent their sums.
+func areDomainsLost(servers, silentIn map[string]int, all, silent int) bool {
+	domains := slices.SortedFunc(maps.Keys(servers), func(a, b string) int { return cmp.Or(silentIn[b]-silentIn[a], cmp.Compare(a, b)) })
+	if float64(silentIn[domains[0]]) > maxDomainShare*float64(silent) {
+		return true
+	}
+	if len(domains) <= 2 {
+		return false
+	}
+	inTwo, others := silentIn[domains[0]]+silentIn[domains[1]], all-servers[domains[0]]-servers[domains[1]]
+	return float64(inTwo) >= maxTwoDomainsShare*float64(silent) && float64(others) >= minOtherDomainsShare*float64(all)
+}
+
 // ServersToProbe returns the unreachable servers that are due for a probe of whether
 // they are reachable again, and counts each as probed. A server is probed at most
 // once per probeInterval. In a large pool, those that refused a connection come first, and of several the one
--- a/internal/placement/probes_test.go
+++ b/internal/placement/probes_test.go
@@ -93,6 +93,37 @@
 	g.Expect(len(probed)).To(Equal(1000), "all are probed in turn")
 }
 
+// TestSilenceOfTwoDomainsCounts guards against requests to two failure domains that were lost together, and
+// against the rule for late controls in pools whose servers are all probed anyway.
+func TestSilenceOfTwoDomainsCounts(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPool(true)
+	infos := serverInfos(300)
+	for i := range infos {
+		infos[i].Silent = i%3 != 0
+	}
+	p.SetServers(infos, start)
+	g.Expect(p.SilenceDoubted()).To(BeZero(), "300 servers")
+	for i := range infos {
+		infos[i].Silent = i < 250
+	}
+	p.SetServers(infos, start)
+	g.Expect(p.SilenceDoubted()).To(BeZero(), "300 servers, all domains")
+	p.SetServers(largeInfos(func(i int) bool { return i%3 != 0 || i%60 == 0 }), start)
+	g.Expect(p.SilenceDoubted()).To(BeZero(), "3,000 servers, two domains and 50 servers of the third")
+	for key := range uint64(100) {
+		g.Expect(p.Choose(promptRequest(key), start).Silent).To(BeFalse())
+	}
+	p.SetServers(largeInfos(func(i int) bool { return i%3 != 0 || i%15 == 0 }), start)
+	g.Expect(p.SilenceDoubted()).To(Equal(2200), "a fifth of the third domain too")
+	twoDomains := largeInfos(func(i int) bool { return i%5 == 0 })
+	for i := range twoDomains {
+		twoDomains[i].Domain = fmt.Sprint("zone-", i%2)
+	}
+	p.SetServers(twoDomains, start)
+	g.Expect(p.SilenceDoubted()).To(Equal(600), "a pool with two domains")
+}
+
 // TestSmallPoolIsProbedWhole guards against a slower recovery in small deployments, and against requests to
 // servers that are still down when the first one of their domain is back. Of 450 servers,
 // each second one of two domains is silent, and the third domain is unreachable.
