Count servers as warm after the outage of their domain in large pools

Cause: after an outage of a failure domain, all its servers await a contact by a probe, as they may have restarted. A pool of more than 500 servers sends 40 probes per second, so a router without a share of the warm-ups sent nothing to 1,000 servers for tens of seconds. Servers without a failed connection also came before those with one, as they were never probed.

Change: in such pools, servers that failed no connection of the router count as started at the domain's first answer and as warm after the warm-up time. One that has answered, or that control has heard since, needs no probe. Those with failed connections are probed first.

A server that starts after the first answer states its warm-up itself.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -38,6 +38,8 @@
 	// lostAt is when the router lost a connection to the server, until it reaches the
 	// server again.
 	lostAt time.Time
+	// lostWithDomain is set if lostAt is the first answer of the server's failure domain after an outage.
+	lostWithDomain bool
 	// servesShort means that short prompts prefer the server if prompts are separated.
 	servesShort bool
 }
@@ -312,6 +314,7 @@
 	default:
 		s.lastAnswer = now
 		p.recordDomainAnswer(s.Domain, now)
+		p.recordAnswerAfterOutage(s, now)
 	}
 	s.health.record(result, now)
 }
--- a/internal/placement/probes.go
+++ b/internal/placement/probes.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		switch {
-		case s.health.connectFailures > 0 || awaitsContact:
+		case s.health.connectFailures > 0 || awaitsContact && !s.lostWithDomain:
 			failed = append(failed, s)
 		case domainLost:
 			inDomain[s.Domain] = append(inDomain[s.Domain], s)
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -58,6 +58,7 @@
 	s.health.connectFailures = 0
 	s.health.pausedUntil = time.Time{}
 	p.recordDomainAnswer(s.Domain, now)
+	p.recordAnswerAfterOutage(s, now)
 }
 
 func (p *Pool) reachability(domain string) *reachability {
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -110,9 +110,9 @@
 // request; blocked is false if it does at now. A server to which the router has lost a connection may
 // have restarted: it counts as warming up until it has been reached and the warm-up time has passed.
 func (p *Pool) warmupAvailableAt(s *Server, now time.Time) (at time.Time, blocked bool) {
-	if !s.lostAt.IsZero() {
+	if p.isLost(s, now) {
 		if w, limited := p.limits.Warmup(); limited {
-			p.markWarming(s, now.Add(w.Duration), SourceContact, now)
+			p.markWarming(s, s.possibleWarmupEnd(w, now), SourceContact, now)
 		}
 	}
 	return p.limits.WarmupAvailableAt(s.addressHash, now)
@@ -121,7 +121,7 @@
 // recordLoss records that a connection to the server was lost or could not be set up.
 func (p *Pool) recordLoss(s *Server, now time.Time) {
 	p.reachability(s.Domain).recordLoss(s.ID, now)
-	s.lostAt = now
+	s.lostAt, s.lostWithDomain = now, false
 }
 
 // recordDomainAnswer records that a server of the failure domain has answered. If the domain was
@@ -132,7 +132,7 @@
 	if p.limitsWarmups() && r.isUnreachable(now) && now.Sub(r.firstLostAt) >= domainOutage {
 		for _, s := range p.servers {
 			if s.Domain == domain && s.lostAt.IsZero() {
-				s.lostAt = now
+				s.lostAt, s.lostWithDomain = now, len(p.servers) > maxUnboundedPool
 			}
 		}
 	}
@@ -142,7 +142,7 @@
 // awaitsContact reports whether a probe has to find out whether a server with a lost connection can be
 // reached. Right after a crash, the connection may still be set up.
 func (p *Pool) awaitsContact(s *Server, now time.Time) bool {
-	return !s.lostAt.IsZero() && now.Sub(s.lostAt) >= lossPause && p.limitsWarmups()
+	return p.isLost(s, now) && now.Sub(s.lostAt) >= lossPause && p.limitsWarmups() && !s.heardAfterOutage()
 }
 
 // recordContact records that a new connection to the server was set up. If the router has lost one
@@ -151,10 +151,10 @@
 	if s.lostAt.IsZero() {
 		return
 	}
-	s.lostAt = time.Time{}
 	if w, limited := p.limits.Warmup(); limited {
-		p.markWarming(s, now.Add(w.Duration), SourceContact, now)
+		p.markWarming(s, s.possibleWarmupEnd(w, now), SourceContact, now)
 	}
+	s.lostAt = time.Time{}
 }
 
 // Connection is what is known of the connection on which a request is about to be sent.
@@ -173,7 +173,7 @@
 		s = current
 	}
 	if connection.LostIdle && p.limitsWarmups() {
-		s.lostAt = now
+		s.lostAt, s.lostWithDomain = now, false
 	}
 	if connection.New {
 		p.recordContact(s, now)
