Bound the sums of loads that are kept, and their age

Cause: a replica kept the sums of each instance that has ever sent loads. Grouping loads by pool allocated memory for all loads for each pool. At a router, sums that arrive later replaced newer ones.

Change: sums that were not refreshed for MaxLoadAge are removed with the next message, memory is allocated for the loads of the pool, and an older mean is ignored.

Ruled out: removal when a replica leaves the list of control instances; the names in messages are not checked against it.

After 100 instances, one per second: 101 entries before, 5 after. Memory for 220 loads in two pools: 440 entries before, 220 after.

--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -109,3 +109,29 @@
 
 // ShareAllWithDigest sends all other replicas a digest.
 func (s *Service) ShareAllWithDigest(ctx context.Context) int { return s.shareAll(ctx, true) }
+
+// PoolLoads holds the sums of the loads that other processes have sent.
+type PoolLoads = poolLoads
+
+// NewPoolLoads calls newPoolLoads.
+var NewPoolLoads = newPoolLoads
+
+// Record calls record.
+func (p *poolLoads) Record(sender string, loads map[string]PoolLoad, now time.Time) {
+	p.record(sender, loads, now)
+}
+
+// Senders returns the number of senders whose sums are kept.
+func (p *poolLoads) Senders() int { return len(p.bySender) }
+
+// ByPoolCapacity returns for how many loads byPool allocates memory.
+func (p *publisher) ByPoolCapacity(loads map[uint64]ServerLoad) (capacity int) {
+	var list []hashedLoad
+	for hash, load := range loads {
+		list = append(list, hashedLoad{hash: hash, requests: load.Requests})
+	}
+	for _, grouped := range p.byPool(list) {
+		capacity += cap(grouped)
+	}
+	return capacity
+}
--- a/internal/fleetsync/loadselection.go
+++ b/internal/fleetsync/loadselection.go
@@ -144,15 +144,26 @@
 // for concurrent use.
 type poolLoads struct {
 	mu       sync.Mutex
-	bySender map[string]map[string]PoolLoad
+	bySender map[string]receivedSums
 }
 
-func newPoolLoads() *poolLoads { return &poolLoads{bySender: make(map[string]map[string]PoolLoad)} }
+type receivedSums struct {
+	loads      map[string]PoolLoad
+	receivedAt time.Time
+}
+
+func newPoolLoads() *poolLoads { return &poolLoads{bySender: make(map[string]receivedSums)} }
 
-func (p *poolLoads) record(sender string, loads map[string]PoolLoad) {
+// record replaces the sums of a sender, and removes senders that have sent none for MaxLoadAge.
+func (p *poolLoads) record(sender string, loads map[string]PoolLoad, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bySender[sender] = loads
+	for other, sums := range p.bySender {
+		if now.Sub(sums.receivedAt) > MaxLoadAge {
+			delete(p.bySender, other)
+		}
+	}
+	p.bySender[sender] = receivedSums{loads, now}
 }
 
 // sum returns the sums over all senders that are not older than MaxLoadAge, with those of own added.
@@ -174,8 +185,8 @@
 		}
 	}
 	add(own)
-	for _, loads := range p.bySender {
-		add(loads)
+	for _, sums := range p.bySender {
+		add(sums.loads)
 	}
 	return out
 }
@@ -191,11 +202,14 @@
 func (p *publisher) byPool(loads []hashedLoad) map[string][]hashedLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[string][]hashedLoad)
+	sizes, out := make(map[string]int), make(map[string][]hashedLoad)
+	for _, load := range loads {
+		sizes[p.table.PoolOf(load.hash)]++
+	}
 	for _, load := range loads {
 		pool := p.table.PoolOf(load.hash)
 		if out[pool] == nil {
-			out[pool] = make([]hashedLoad, 0, len(loads))
+			out[pool] = make([]hashedLoad, 0, sizes[pool])
 		}
 		out[pool] = append(out[pool], load)
 	}
--- a/internal/fleetsync/loadselection_test.go
+++ b/internal/fleetsync/loadselection_test.go
@@ -136,6 +136,24 @@
 	g.Expect(sum.Requests).To(Equal(3000*9/2 + 8500))
 }
 
+// TestSumsOfRemovedReplicasAreRemoved guards against memory that grows with each instance that has sent loads.
+func TestSumsOfRemovedReplicasAreRemoved(t *testing.T) {
+	g := NewWithT(t)
+	sums, now := fleetsync.NewPoolLoads(), time.Now()
+	for i := range 100 {
+		now = now.Add(time.Second)
+		sums.Record(fmt.Sprint("replica-", i), map[string]fleetsync.PoolLoad{"pool-a": {Servers: 1, ComputedAt: now}}, now)
+		sums.Record("other", nil, now)
+	}
+	g.Expect(sums.Senders()).To(Equal(5), "those of the last 3 s")
+}
+
+// TestPoolsAreGroupedWithoutSpareMemory guards against the memory of all loads for each pool.
+func TestPoolsAreGroupedWithoutSpareMemory(t *testing.T) {
+	service, loads := fleetOf(t, 200)
+	NewWithT(t).Expect(service.ByPoolCapacity(loads)).To(Equal(220))
+}
+
 // TestRelayForwardsPartOfTheLoads guards against a relay that sends its followers all loads that it has
 // received since, and against one that leaves out the means.
 func TestRelayForwardsPartOfTheLoads(t *testing.T) {
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -146,7 +146,9 @@
 }
 
 // RecordPoolLoads records the sums in the source's response to a report.
-func (r *Relay) RecordPoolLoads(pools map[string]PoolLoad) { r.sourcePools.record("", pools) }
+func (r *Relay) RecordPoolLoads(pools map[string]PoolLoad) {
+	r.sourcePools.record("", pools, time.Now())
+}
 
 // FollowerLoads returns the loads that followers reported within the given time, for this
 // router's own report.
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -133,7 +133,7 @@
 	now := time.Now()
 	s.loads.mergeFromReplica(request.GetInstance(), request.GetLoads(), now)
 	if request.GetLoads() != nil {
-		s.replicaLoads.record(request.GetInstance(), FromPoolLoads(request.GetLoads(), now))
+		s.replicaLoads.record(request.GetInstance(), FromPoolLoads(request.GetLoads(), now), now)
 	}
 	s.mergeCoordinator(request.GetSlotCoordinator(), now)
 	s.recordStatements(fromRateStatements(request.GetStatements(), now), originUpstream, now)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -45,8 +45,13 @@
 }
 
 // RecordMeanLoad records the mean load of the pool's servers, as of at. In a large fleet, a router
-// receives the loads of the most loaded servers and of a few others.
-func (p *Pool) RecordMeanLoad(load float64, at time.Time) { p.mean = fleetMean{load: load, at: at} }
+// receives the loads of the most loaded servers and of a few others. RecordMeanLoad ignores a mean that is
+// older than the recorded one, as from another source that received the sums later.
+func (p *Pool) RecordMeanLoad(load float64, at time.Time) {
+	if !at.Before(p.mean.at) {
+		p.mean = fleetMean{load: load, at: at}
+	}
+}
 
 // meanLoad returns the mean load of those of the servers that have a fresh report, or the recorded
 // mean if it is fresh and no server limits its rate. It returns false if there are too few reports.
--- a/internal/placement/mean_test.go
+++ b/internal/placement/mean_test.go
@@ -31,6 +31,8 @@
 	g.Expect(onLoaded(start)).To(BeNumerically(">", 20))
 	p.RecordMeanLoad(4, start)
 	g.Expect(onLoaded(start)).To(BeZero())
+	p.RecordMeanLoad(9, start.Add(-time.Second))
+	g.Expect(onLoaded(start)).To(BeZero(), "an older mean does not replace a newer one")
 	record(start.Add(4 * time.Second))
 	g.Expect(onLoaded(start.Add(4*time.Second))).To(BeNumerically(">", 20), "the mean is outdated")
 }
