--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -197,6 +197,7 @@
 	text := regexp.MustCompile(`\{\{#Bounds\.PassMs\}\}(.*?)\{\{\.\}\}(.*?)\{\{/Bounds\.PassMs\}\}`).ReplaceAllString(string(raw), "${1}120${2}")
 	text = regexp.MustCompile(`\{\{#Zones\}\}"\{\{@\}\}"\{\{,\}\}\{\{/Zones\}\}`).ReplaceAllString(text, zoneList(f.coreList()))
 	text = regexp.MustCompile(`\{\{#Bounds\.Cold(Overage|Slack)\}\}.*?\{\{/Bounds\.Cold(Overage|Slack)\}\}`).ReplaceAllString(text, "")
+	text = regexp.MustCompile(`\{\{\^Bounds\.Cold(Overage|Slack)\}\}(.*?)\{\{/Bounds\.Cold(Overage|Slack)\}\}`).ReplaceAllString(text, "${2}")
 	linkMbps := "1000.0"
 	if m.class == "core" {
 		linkMbps = "6.0"
