Accept repeated orders on a failure domain without servers

Cause: without the setting domains, the known failure domains are those of the registered servers. A withdrawal of an order whose first answer was lost got 404 when it was repeated after the last server of the domain had gone: the domain was neither evacuated nor known any more.

Change: a domain that has had an order counts as known. Names with typing errors never had one and still get 404.

Ruled out: a comparison of request IDs; operators' tools repeat orders without one.

The repeated withdrawal got 404 before and succeeds after.

--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -145,10 +145,14 @@
 	return nil
 }
 
-// checkDomain returns CodeDomainUnknown for a failure domain that is neither known nor evacuated.
+// checkDomain returns CodeDomainUnknown for a failure domain that is neither known nor has had an order: an
+// order that is repeated, because its answer was lost, succeeds also if the domain has no servers any more.
 // Until the replica has the servers of another one, the error has CodeNoQuorum, so that the
 // caller asks another instance.
 func (c *Control) checkDomain(domain string, state evacuation.Domain) error {
+	if state.Orders > 0 {
+		return nil
+	}
 	known := c.settings.Domains
 	if len(known) == 0 && c.fleetSync != nil {
 		var complete bool
@@ -156,7 +160,7 @@
 			return api.Errorf(api.CodeNoQuorum, "this control replica does not have the backend servers yet")
 		}
 	}
-	if state.Evacuated || slices.Contains(known, domain) {
+	if slices.Contains(known, domain) {
 		return nil
 	}
 	return api.FieldErrorf(api.CodeDomainUnknown, "domain", "%q; known are %s", domain, strings.Join(known, ", "))
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -157,6 +157,24 @@
 	g.Expect(list.Items).To(BeEmpty())
 }
 
+// TestRepeatedOrderOnADomainWithoutServers guards against a 404 for an order that took effect, but whose answer
+// was lost, if the domain has no registered servers any more when the order is repeated.
+func TestRepeatedOrderOnADomainWithoutServers(t *testing.T) {
+	g := NewWithT(t)
+	c, address := newEvacuationControl(t, t.TempDir())
+	client := api.NewClient(address, "amina")
+	_, err := client.Evacuate(context.Background(), "a", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Reinstate(context.Background(), "a", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	c.settings.Domains = nil
+	list, err := client.Reinstate(context.Background(), "a", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Items).To(BeEmpty())
+	_, err = client.Reinstate(context.Background(), "c", "")
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeDomainUnknown), "without an order")
+}
+
 // TestOrderThatNoRouterWouldObeyIsRefused guards against an acknowledged order without effect on
 // daemons that do not join by seeds.
 func TestOrderThatNoRouterWouldObeyIsRefused(t *testing.T) {
