Name assigned servers, ignored silence and sent announcement times

Cause: names and comments of decision 616's rules were figurative: servers that stay and are kept, doubt, replicas that are told.

Change: AssignServer and AssignedServers, ignored silence, and sentLiveness; the metrics are peridotwinch_fleet_servers_assigned and peridotwinch_gateway_silence_ignored. Decision 616 states what is warm after an outage.

Ruled out: the old metric names beside the new ones; nothing in the repository reads them.

--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -175,9 +175,9 @@
 	g.Expect(api.AsError(err).Code).To(Equal(api.CodeDomainUnknown), "without an order")
 }
 
-// TestOrderThatNoRouterWouldObeyIsRefused guards against an acknowledged order without effect on
+// TestOrderThatNoRouterWouldApplyIsRefused guards against an acknowledged order without effect on
 // daemons that do not join by seeds.
-func TestOrderThatNoRouterWouldObeyIsRefused(t *testing.T) {
+func TestOrderThatNoRouterWouldApplyIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	c := newControl(t, t.TempDir())
 	c.settings.Domains = []string{"a"}
--- a/internal/control/evacuationapi.go
+++ b/internal/control/evacuationapi.go
@@ -18,7 +18,7 @@
 }
 
 // refuseEvacuations adds handlers that refuse all calls, for daemons that do not join by seeds: their
-// routers would not obey an order.
+// routers would not apply an order.
 func refuseEvacuations(mux *http.ServeMux) {
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
 		httpx.WriteError(w, api.FieldErrorf(api.CodeKindUnknown, "kind", "evacuations require daemons that join by seeds"))
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -60,7 +60,7 @@
 // AnnouncementAddress implements adapter.Control.
 func (a *adapterControl) AnnouncementAddress(server registry.Server) string {
 	address, err := netip.ParseAddrPort(a.settings.Listen.Operators)
-	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 || !a.fleetSync.KeepsAnnouncements(server.Hash(), time.Now()) {
+	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 || !a.fleetSync.AssignServer(server.Hash(), time.Now()) {
 		return ""
 	}
 	return a.settings.Listen.Operators
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -27,7 +27,7 @@
 	gauge("snapshot_bytes", func(s replica.Status) float64 { return float64(s.SnapshotBytes) })
 	gauge("evacuated_domains", func(replica.Status) float64 { return float64(len(c.store.Evacuations().Domains)) })
 	if c.fleetSync != nil {
-		metrics.GetOrCreateGauge("peridotwinch_fleet_servers_kept", func() float64 { return float64(c.fleetSync.Kept()) })
+		metrics.GetOrCreateGauge("peridotwinch_fleet_servers_assigned", func() float64 { return float64(c.fleetSync.AssignedServers()) })
 	}
 }
 
--- a/internal/fleetsync/keep_test.go
+++ b/internal/fleetsync/assignment_test.go
@@ -8,9 +8,9 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestReplicaKeepsItsShareOfServers guards against all servers that stay with the first replica that they
+// TestReplicaIsAssignedItsShareOfServers guards against all servers assigned to the first replica that they
 // reach, as after a restart of the others.
-func TestReplicaKeepsItsShareOfServers(t *testing.T) {
+func TestReplicaIsAssignedItsShareOfServers(t *testing.T) {
 	g := NewWithT(t)
 	one, two, three := reserveAddress(t), reserveAddress(t), reserveAddress(t)
 	service := newTestService(t, newFakeReplica(one, two, three), one)
@@ -18,18 +18,18 @@
 	for i := range 3000 {
 		g.Expect(service.Announce(context.Background(), testServer(i))).To(Succeed())
 	}
-	now, kept := time.Now(), 0
+	now, assigned := time.Now(), 0
 	for i := range 3000 {
 		server := testServer(i)
-		if service.KeepsAnnouncements(server.Hash(), now) {
-			kept++
+		if service.AssignServer(server.Hash(), now) {
+			assigned++
 		}
 	}
-	g.Expect(kept).To(Equal(1250), "a third of 3,000 and a quarter more")
+	g.Expect(assigned).To(Equal(1250), "a third of 3,000 and a quarter more")
 	first := testServer(0)
-	g.Expect(service.KeepsAnnouncements(first.Hash(), now)).To(BeTrue(), "a server that stays")
+	g.Expect(service.AssignServer(first.Hash(), now)).To(BeTrue(), "an assigned server")
 	service.Expire(now.Add(10 * time.Second))
-	g.Expect(service.Kept()).To(BeZero(), "servers that announce themselves elsewhere")
+	g.Expect(service.AssignedServers()).To(BeZero(), "servers that announce themselves elsewhere")
 }
 
 // TestLateAnnouncementsAreNotAssigned guards against servers that count against the share of a replica
@@ -46,10 +46,10 @@
 		late := testServer(i)
 		late.StartedMS--
 		g.Expect(service.Announce(context.Background(), late)).To(Succeed())
-		g.Expect(service.KeepsAnnouncements(late.Hash(), now)).To(BeFalse())
+		g.Expect(service.AssignServer(late.Hash(), now)).To(BeFalse())
 	}
 	for second := range 1000 {
 		service.Expire(now.Add(time.Duration(second) * time.Second))
 	}
-	g.Expect(service.Kept()).To(BeZero())
+	g.Expect(service.AssignedServers()).To(BeZero())
 }
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -73,16 +73,16 @@
 	return s.knowsRouters(now)
 }
 
-// ToldLiveness is what a replica was told of announcements.
-type ToldLiveness = toldLiveness
+// SentLiveness holds the announcement times that a replica was last sent.
+type SentLiveness = sentLiveness
 
 // Due calls due.
-func (t toldLiveness) Due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
+func (t sentLiveness) Due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
 	return t.due(announcedAt, now)
 }
 
 // Record calls record.
-func (t toldLiveness) Record(sent, announcedAt map[uint64]time.Time) { t.record(sent, announcedAt) }
+func (t sentLiveness) Record(sent, announcedAt map[uint64]time.Time) { t.record(sent, announcedAt) }
 
 // ShareRequestTo returns the next request with a digest to another replica.
 func (s *Service) ShareRequestTo(address string) *fleetpb.ShareRequest {
--- a/internal/fleetsync/liveness.go
+++ b/internal/fleetsync/liveness.go
@@ -9,16 +9,16 @@
 // and count as silent for a moment if the knowledge is already old.
 const livenessRefresh = 2200 * time.Millisecond
 
-// toldLiveness holds the announcement times that another replica was last told, by the servers'
+// sentLiveness holds the announcement times that another replica was last sent, by the servers'
 // hashes.
-type toldLiveness map[uint64]time.Time
+type sentLiveness map[uint64]time.Time
 
 // due returns the announcement times to send at now. With every digest all 3,000 servers of a
 // large fleet would be repeated three times as often as the other replica needs.
-func (t toldLiveness) due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
+func (t sentLiveness) due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
 	out := make(map[uint64]time.Time, len(announcedAt)/2)
 	for hash, at := range announcedAt {
-		if told := t[hash]; at.After(told) && now.Sub(told) >= livenessRefresh {
+		if sent := t[hash]; at.After(sent) && now.Sub(sent) >= livenessRefresh {
 			out[hash] = at
 		}
 	}
@@ -27,7 +27,7 @@
 
 // record records that the other replica has received the announcement times, and forgets servers
 // that no longer announce themselves to this replica.
-func (t toldLiveness) record(sent, announcedAt map[uint64]time.Time) {
+func (t sentLiveness) record(sent, announcedAt map[uint64]time.Time) {
 	for hash, at := range sent {
 		t[hash] = at
 	}
--- a/internal/fleetsync/liveness_test.go
+++ b/internal/fleetsync/liveness_test.go
@@ -26,7 +26,7 @@
 	for i := range next {
 		next[i] = start.Add(time.Duration(random.Int64N(int64(1200 * time.Millisecond))))
 	}
-	announcedAt, told := make(map[uint64]time.Time), make(fleetsync.ToldLiveness)
+	announcedAt, sent := make(map[uint64]time.Time), make(fleetsync.SentLiveness)
 	allBytes, dueBytes, oldest := 0, 0, time.Duration(0)
 	const rounds = 100
 	for round := range rounds {
@@ -44,16 +44,16 @@
 				delete(announcedAt, hash)
 			}
 		}
-		due := told.Due(announcedAt, now)
+		due := sent.Due(announcedAt, now)
 		if round > 10 {
 			allBytes, dueBytes = allBytes+digestBytes(announcedAt, now), dueBytes+digestBytes(due, now)
-			for hash, at := range told {
+			for hash, at := range sent {
 				if _, isDue := due[hash]; !isDue && int(hash>>32)%replicas == 0 {
 					oldest = max(oldest, now.Add(700*time.Millisecond).Sub(at))
 				}
 			}
 		}
-		told.Record(due, announcedAt)
+		sent.Record(due, announcedAt)
 	}
 	t.Logf("to each replica: %d bytes a digest with all, %d with those due; oldest knowledge %v", allBytes/(rounds-11), dueBytes/(rounds-11), oldest)
 	g.Expect(dueBytes * 2).To(BeNumerically("<", allBytes))
@@ -73,13 +73,13 @@
 func TestReplicaWithoutAnAnswerIsToldAgain(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	announcedAt, told := map[uint64]time.Time{1: now}, make(fleetsync.ToldLiveness)
-	g.Expect(told.Due(announcedAt, now)).To(HaveLen(1))
-	g.Expect(told.Due(announcedAt, now.Add(time.Second))).To(HaveLen(1), "the first call has failed")
-	told.Record(announcedAt, announcedAt)
-	g.Expect(told.Due(announcedAt, now.Add(5*time.Second))).To(BeEmpty(), "no announcement since")
-	told.Record(nil, map[uint64]time.Time{})
-	g.Expect(told).To(BeEmpty(), "the server announces itself elsewhere")
+	announcedAt, sent := map[uint64]time.Time{1: now}, make(fleetsync.SentLiveness)
+	g.Expect(sent.Due(announcedAt, now)).To(HaveLen(1))
+	g.Expect(sent.Due(announcedAt, now.Add(time.Second))).To(HaveLen(1), "the first call has failed")
+	sent.Record(announcedAt, announcedAt)
+	g.Expect(sent.Due(announcedAt, now.Add(5*time.Second))).To(BeEmpty(), "no announcement since")
+	sent.Record(nil, map[uint64]time.Time{})
+	g.Expect(sent).To(BeEmpty(), "the server announces itself elsewhere")
 }
 
 // TestLoadsOfAnotherReplicaAreNotSentBack guards against loads that two replicas exchange until
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -79,7 +79,7 @@
 	// onStatements is called with newer statements of other processes; it may be nil.
 	onStatements func(map[uint64]ratelimit.Statement)
 	// onReportNews is called when the other replicas or the source should soon receive what this
-	// process was told.
+	// process was sent.
 	onReportNews func()
 	// numbering returns the range of indices of all followers; it is called with mu held.
 	numbering func(now time.Time) relay.Numbering
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -44,10 +44,10 @@
 	if len(response.GetUnknown()) > 0 {
 		// The replica has restarted and lacks these servers; the next call sends all.
 		p.sentRevision, p.sentStatements = 0, statementCursor{}
-		clear(p.told)
+		clear(p.sent)
 	} else if digest {
 		s.mu.Lock()
-		p.told.record(alive, s.announcedAt)
+		p.sent.record(alive, s.announcedAt)
 		s.mu.Unlock()
 	}
 	now := time.Now()
@@ -87,7 +87,7 @@
 		request.Loads = loads
 		alive = s.announcedAt
 		if s.table.Len() > maxCompleteServers {
-			alive = p.told.due(s.announcedAt, now)
+			alive = p.sent.due(s.announcedAt, now)
 		}
 		for hash, at := range alive {
 			request.Alive = append(request.Alive, hash)
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -53,8 +53,8 @@
 	departures *DepartureLog
 	// announcedAt and the fields below are guarded by the publisher's mu.
 	announcedAt map[uint64]time.Time
-	// keptAt is when the servers that were asked to stay with this replica last announced themselves.
-	keptAt map[uint64]time.Time
+	// assignedAt is when the servers that are assigned to this replica last announced themselves.
+	assignedAt map[uint64]time.Time
 	// synced reports that another replica has answered with all its servers.
 	synced bool
 	peers  map[string]*peer
@@ -77,12 +77,11 @@
 	// changes.
 	sentRevision uint64
 	// sentStatements is what the replica has received of the statements on rate limits, and
-	// sentRouters the number of routers that it was last told.
+	// sentRouters the number of routers that it was last sent.
 	sentStatements statementCursor
 	sentRouters    int
-	// told is when the servers that announce themselves to this replica last did so, as far as the
-	// other replica was told.
-	told toldLiveness
+	// sent holds the announcement times that the other replica was last sent.
+	sent sentLiveness
 	// sentCoordinator is the coordinator of slots that the replica was last sent.
 	sentCoordinator slotshare.Name
 	mu              sync.Mutex
@@ -96,7 +95,7 @@
 func NewService(address string, source Source, losses *quarantine.Store, departures *DepartureLog, limits relay.Limits, linkMbps float64, log zerolog.Logger) *Service {
 	s := &Service{
 		departures: departures,
-		started:    time.Now(), announcedAt: make(map[uint64]time.Time), keptAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(), replicaLoads: newPoolLoads(),
+		started:    time.Now(), announcedAt: make(map[uint64]time.Time), assignedAt: make(map[uint64]time.Time), peers: make(map[string]*peer), replicas: relay.NewSubtrees(), replicaLoads: newPoolLoads(),
 		sharePending: make(chan struct{}, 1),
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
@@ -235,9 +234,9 @@
 			delete(s.announcedAt, hash)
 		}
 	}
-	for hash := range s.keptAt {
+	for hash := range s.assignedAt {
 		if _, announced := s.announcedAt[hash]; !announced {
-			delete(s.keptAt, hash)
+			delete(s.assignedAt, hash)
 		}
 	}
 	if s.table.Expire(now) {
@@ -287,7 +286,7 @@
 // newPeer returns a replica, to which losses are reported until stopLosses is called or the
 // service ends.
 func (s *Service) newPeer(address string) *peer {
-	p := &peer{client: rpc.NewClient(address, rpc.PurposeFleet), losses: NewLossSender(s.losses), told: make(toldLiveness)}
+	p := &peer{client: rpc.NewClient(address, rpc.PurposeFleet), losses: NewLossSender(s.losses), sent: make(sentLiveness)}
 	ctx, cancel := context.WithCancel(s.running)
 	p.stopLosses = cancel
 	go p.losses.Run(ctx, p.client.Do)
--- a/internal/fleetview/appearance.go
+++ b/internal/fleetview/appearance.go
@@ -7,7 +7,7 @@
 )
 
 // initialPeriod is the time from the first event of the first stream in which servers do not count as
-// started just now: if control has started with the router, it learns of running servers by and by.
+// started just now: if control has started with the router, it receives the running servers gradually.
 const initialPeriod = unconfirmedRetention
 
 // appearedAt returns when this router learned of the incarnation of a received record, or zero if it
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,7 +57,7 @@
 func (g *Gateway) registerGauges() {
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_in_progress", func() float64 { return float64(g.InProgress()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_connections_idle", func() float64 { return float64(g.client.Idle()) })
-	metrics.GetOrCreateGauge("peridotwinch_gateway_silence_doubted", func() float64 { return float64(g.pools.silenceDoubted()) })
+	metrics.GetOrCreateGauge("peridotwinch_gateway_silence_ignored", func() float64 { return float64(g.pools.ignoredSilence()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_answer_memory_bytes", func() float64 { return float64(g.answerMemory.UsedBytes()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_waiting", func() float64 {
 		queued := 0
--- a/internal/gateway/poolloads.go
+++ b/internal/gateway/poolloads.go
@@ -17,11 +17,11 @@
 	}
 }
 
-// silenceDoubted returns the number of servers that control lists as silent and that are used all the same.
-func (p *pools) silenceDoubted() (count int) {
+// ignoredSilence returns the number of servers that control lists as silent and that are used all the same.
+func (p *pools) ignoredSilence() (count int) {
 	for _, found := range p.list() {
 		found.mu.Lock()
-		count += found.servers.SilenceDoubted()
+		count += found.servers.IgnoredSilence()
 		found.mu.Unlock()
 	}
 	return count
--- a/internal/placement/probes.go
+++ b/internal/placement/probes.go
@@ -20,11 +20,11 @@
 	// failure domain, beside those that have refused a connection: the first answer of any server
 	// ends the state.
 	domainSampleSize = 8
-	// minDoubtedSilent and minDoubtedShare are the number of servers of a pool, and their share,
-	// from which silence is doubted if no failure domain has most of the silent servers: control
-	// then is late, because heartbeats time out or it does not run. Fewer servers can fail together.
-	minDoubtedSilent = 200
-	minDoubtedShare  = 0.05
+	// minIgnoredSilent and minIgnoredShare are the number of servers of a pool, and their share,
+	// from which silence is ignored if no failure domain has most of the silent servers: control
+	// is then overloaded or not running. Fewer servers can fail together.
+	minIgnoredSilent = 200
+	minIgnoredShare  = 0.05
 	// maxDomainShare is the share of the silent servers that one failure domain has if it is lost
 	// or cut off from control.
 	maxDomainShare = 0.8
@@ -41,20 +41,20 @@
 	// probesLeft is the number of probes that may be sent at refilledAt.
 	probesLeft float64
 	refilledAt time.Time
-	// doubted is the number of servers whose silence is doubted.
-	doubted int
+	// ignoredSilence is the number of servers whose silence is ignored.
+	ignoredSilence int
 }
 
 func newReach() reach { return reach{domains: make(map[string]*reachability), probesLeft: probeBurst} }
 
-// SilenceDoubted returns the number of servers that control lists as silent and that are used all
+// IgnoredSilence returns the number of servers that control lists as silent and that are used all
 // the same, because too many are silent at the same time.
-func (p *Pool) SilenceDoubted() int { return p.reach.doubted }
+func (p *Pool) IgnoredSilence() int { return p.reach.ignoredSilence }
 
-// withoutDoubtedSilence returns the servers without their silence if it is doubted. The router's own
+// withoutIgnoredSilence returns the servers without their silence if it is ignored. The router's own
 // connections still show which servers are unreachable.
-func (p *Pool) withoutDoubtedSilence(infos []ServerInfo) []ServerInfo {
-	p.reach.doubted = 0
+func (p *Pool) withoutIgnoredSilence(infos []ServerInfo) []ServerInfo {
+	p.reach.ignoredSilence = 0
 	if len(infos) <= maxUnboundedPool {
 		return infos
 	}
@@ -66,10 +66,10 @@
 			silentIn[infos[i].Domain]++
 		}
 	}
-	if silent < minDoubtedSilent || float64(silent) < minDoubtedShare*float64(len(infos)) || areDomainsLost(servers, silentIn, len(infos), silent) {
+	if silent < minIgnoredSilent || float64(silent) < minIgnoredShare*float64(len(infos)) || areDomainsLost(servers, silentIn, len(infos), silent) {
 		return infos
 	}
-	p.reach.doubted = silent
+	p.reach.ignoredSilence = silent
 	out := slices.Clone(infos)
 	for i := range out {
 		out[i].Silent = false
--- a/internal/placement/probes_test.go
+++ b/internal/placement/probes_test.go
@@ -66,24 +66,24 @@
 	g.Expect(all).To(BeNumerically("<=", 2+8), "the first success ends the state")
 }
 
-// TestServersSilentTogetherAreUsed guards against a control that is late: all routers would connect to
+// TestServersSilentTogetherAreUsed guards against an overloaded control: all routers would connect to
 // every server that it lists as silent, and move the prompts of these servers.
 func TestServersSilentTogetherAreUsed(t *testing.T) {
 	g := NewWithT(t)
 	p := largePool(5)
-	g.Expect(p.SilenceDoubted()).To(Equal(600))
+	g.Expect(p.IgnoredSilence()).To(Equal(600))
 	all, _ := probesIn(p, 5*time.Second, func(*placement.Server, time.Time) {})
 	g.Expect(all).To(BeZero())
 	g.Expect(chosenServers(p)).To(Equal(chosenServers(largePool(0))))
 }
 
-// TestSilenceOfFewServersOrOneDomainCounts guards against doubt of servers that have failed together.
+// TestSilenceOfFewServersOrOneDomainCounts guards against ignored silence of servers that have failed together.
 func TestSilenceOfFewServersOrOneDomainCounts(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(largePool(16).SilenceDoubted()).To(BeZero(), "188 of 3,000 servers")
+	g.Expect(largePool(16).IgnoredSilence()).To(BeZero(), "188 of 3,000 servers")
 	p := largePool(0)
 	p.SetServers(largeInfos(func(i int) bool { return i%3 == 0 }), start)
-	g.Expect(p.SilenceDoubted()).To(BeZero(), "a whole failure domain")
+	g.Expect(p.IgnoredSilence()).To(BeZero(), "a whole failure domain")
 	for key := range uint64(100) {
 		g.Expect(p.Choose(promptRequest(key), start).Silent).To(BeFalse())
 	}
@@ -94,7 +94,7 @@
 }
 
 // TestSilenceOfTwoDomainsCounts guards against requests to two failure domains that were lost together, and
-// against the rule for late controls in pools whose servers are all probed anyway.
+// against the rule for overloaded controls in pools whose servers are all probed anyway.
 func TestSilenceOfTwoDomainsCounts(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPool(true)
@@ -103,25 +103,25 @@
 		infos[i].Silent = i%3 != 0
 	}
 	p.SetServers(infos, start)
-	g.Expect(p.SilenceDoubted()).To(BeZero(), "300 servers")
+	g.Expect(p.IgnoredSilence()).To(BeZero(), "300 servers")
 	for i := range infos {
 		infos[i].Silent = i < 250
 	}
 	p.SetServers(infos, start)
-	g.Expect(p.SilenceDoubted()).To(BeZero(), "300 servers, all domains")
+	g.Expect(p.IgnoredSilence()).To(BeZero(), "300 servers, all domains")
 	p.SetServers(largeInfos(func(i int) bool { return i%3 != 0 || i%60 == 0 }), start)
-	g.Expect(p.SilenceDoubted()).To(BeZero(), "3,000 servers, two domains and 50 servers of the third")
+	g.Expect(p.IgnoredSilence()).To(BeZero(), "3,000 servers, two domains and 50 servers of the third")
 	for key := range uint64(100) {
 		g.Expect(p.Choose(promptRequest(key), start).Silent).To(BeFalse())
 	}
 	p.SetServers(largeInfos(func(i int) bool { return i%3 != 0 || i%15 == 0 }), start)
-	g.Expect(p.SilenceDoubted()).To(Equal(2200), "a fifth of the third domain too")
+	g.Expect(p.IgnoredSilence()).To(Equal(2200), "a fifth of the third domain too")
 	twoDomains := largeInfos(func(i int) bool { return i%5 == 0 })
 	for i := range twoDomains {
 		twoDomains[i].Domain = fmt.Sprint("zone-", i%2)
 	}
 	p.SetServers(twoDomains, start)
-	g.Expect(p.SilenceDoubted()).To(Equal(600), "a pool with two domains")
+	g.Expect(p.IgnoredSilence()).To(Equal(600), "a pool with two domains")
 }
 
 // TestSmallPoolIsProbedWhole guards against a slower recovery in small deployments, and against requests to
--- a/internal/placement/servers.go
+++ b/internal/placement/servers.go
@@ -37,7 +37,7 @@
 	p.byHash = make(map[uint64]*Server, len(infos))
 	clear(p.drainingAddresses)
 	p.listedAt = now
-	infos = p.withoutDoubtedSilence(infos)
+	infos = p.withoutIgnoredSilence(infos)
 	groups := p.groupByAddress(infos, now)
 	for _, info := range infos {
 		group := groups[info.Address]
--- a/test/platform/metrics_test.go
+++ b/test/platform/metrics_test.go
@@ -42,7 +42,7 @@
 		"peridotwinch_view_generation 7", "peridotwinch_view_control_age_seconds 0.",
 		"peridotwinch_view_servers 1", "peridotwinch_view_servers_unconfirmed 0", "peridotwinch_control_bytes_total",
 		`peridotwinch_gateway_dials_total{reason="request"} `, `peridotwinch_gateway_dials_total{reason="probe"} `,
-		"peridotwinch_gateway_connections_idle ", "peridotwinch_gateway_connections_evicted_total 0", "peridotwinch_gateway_silence_doubted 0",
+		"peridotwinch_gateway_connections_idle ", "peridotwinch_gateway_connections_evicted_total 0", "peridotwinch_gateway_silence_ignored 0",
 		`peridotwinch_rpc_connections_total{purpose="fleet",side="opened"} `,
 	} {
 		f.Expect(got).To(ContainSubstring(want))
@@ -51,7 +51,7 @@
 		And(ContainSubstring("peridotwinch_view_routers 1\n"), ContainSubstring("peridotwinch_view_position 0\n")))
 	f.awaitControls(f.config(7, 1000))
 	f.Expect(f.scrapeMetrics(f.controls[0])).To(And(ContainSubstring("peridotwinch_config_is_current"),
-		ContainSubstring(`peridotwinch_fleet_announcements_total{result="changed"} `), ContainSubstring("peridotwinch_fleet_servers_kept 0"),
+		ContainSubstring(`peridotwinch_fleet_announcements_total{result="changed"} `), ContainSubstring("peridotwinch_fleet_servers_assigned 0"),
 		ContainSubstring(`peridotwinch_rpc_connections_total{purpose="fleet",side="accepted"} `)))
 }
 
