Start the warm-up of a failure domain anew with each outage

Cause: a server that was lost with its domain kept the time of the first outage if it was not reached before a second one, and counted as warm too early after that. It may have restarted in the second outage.

Ruled out: replacing the time of servers with failed connections of their own too; these wait for a contact anyway.

--- a/internal/placement/outage_test.go
+++ b/internal/placement/outage_test.go
@@ -56,6 +56,30 @@
 	g.Expect(last.Sub(answer)).To(BeNumerically("<=", simWarmup+time.Second), "those with failed connections are probed first")
 }
 
+// TestSecondOutageStartsTheWarmupAnew guards against full load on servers that may have restarted in a second outage
+// of their failure domain, within the warm-up time of the first one or later.
+func TestSecondOutageStartsTheWarmupAnew(t *testing.T) {
+	g := NewWithT(t)
+	for _, gap := range []time.Duration{simWarmup / 2, 10 * simWarmup} {
+		p, now, failed := poolAfterOutage(g)
+		probed := p.ServersToProbe(now)
+		p.RecordConnectSuccess(probed[0], now)
+		now = now.Add(gap)
+		for range 6 {
+			for _, s := range probed[1:4] {
+				p.RecordConnectFailure(s, now)
+				failed[s.ID] = true
+			}
+			now = now.Add(200 * time.Millisecond)
+		}
+		p.RecordConnectSuccess(probed[0], now)
+		now = now.Add(simWarmup - 100*time.Millisecond)
+		g.Expect(p.Choose(placement.Request{}, now).Choice.WarmingUp).To(BeNumerically(">=", 900), "second outage after %v", gap)
+		now = now.Add(200 * time.Millisecond)
+		g.Expect(p.Choose(placement.Request{}, now).Choice.WarmingUp).To(BeNumerically("<=", len(failed)+1), "second outage after %v", gap)
+	}
+}
+
 // TestServersThatControlHearsNeedNoProbe guards against probes after an outage of servers that are known to run,
 // which delay the probes of the others.
 func TestServersThatControlHearsNeedNoProbe(t *testing.T) {
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -131,7 +131,7 @@
 	r := p.reachability(domain)
 	if p.limitsWarmups() && r.isUnreachable(now) && now.Sub(r.firstLostAt) >= domainOutage {
 		for _, s := range p.servers {
-			if s.Domain == domain && s.lostAt.IsZero() {
+			if s.Domain == domain && (s.lostAt.IsZero() || s.lostWithDomain) {
 				s.lostAt, s.lostWithDomain = now, len(p.servers) > maxUnboundedPool
 			}
 		}
