Take a send that this router timed out for no sign of a restart

Cause: each lost connection made a server count as possibly restarted, also one that the router closed itself after its attempt timeout or a stalled stream. A router without a share of the warm-up limit then sent nothing to a server that was only slow, for the warm-up time after its next contact. Two such servers made their whole failure domain count as restarted.

Change: only a connection that the server has closed, that the kernel has timed out because nothing was acknowledged, or that could not be set up is a sign of a restart. The pause after a loss, the share of failures and the reachability of the domain are as before. An error of a write to the caller no longer looks like a connection that the server has closed.

Ruled out: to leave out the kernel's timeout too. The server's machine acknowledges data while a process is slow or frozen, so this timeout may follow a power loss.

With a first answer after 1.5 s, an attempt timeout of 0.9 s and router 5 of 90, the next requests, 0.5 s apart, got 503 before and get 200 now (TestSlowServerDoesNotCountAsRestarted).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -223,11 +223,12 @@
 	}
 	c.w.WriteHeader(ex.StatusCode)
 	c.gateway.metrics.recordFirstByte(c.kindLabel(), time.Since(c.receivedAt))
-	_, err := c.w.Write(start)
+	to := callerWriter{c.w}
+	_, err := to.Write(start)
 	size := int64(len(start))
 	if err == nil {
 		var rest int64
-		rest, err = io.Copy(c.w, ex.Body)
+		rest, err = io.Copy(to, ex.Body)
 		size += rest
 	}
 	ex.Close(err == nil)
@@ -250,12 +251,12 @@
 
 // handleBrokenAnswer handles an answer whose body ended early.
 func (c *call) handleBrokenAnswer(ctx context.Context, lease *lease, err error) *failure {
-	kind := placement.ResultLost
+	cause := contextCause(ctx, err)
+	result := lossResult(cause)
 	if c.ctx.Err() != nil {
-		kind = placement.ResultUnknown
+		result.Kind = placement.ResultUnknown
 	}
-	lease.release(placement.Result{Kind: kind})
-	cause := contextCause(ctx, err)
+	lease.release(result)
 	c.logAttempt(lease).Err(cause).Msg("answer ended early")
 	if c.ctx.Err() != nil {
 		return &failure{err: c.contextError(context.Cause(c.ctx))}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -59,15 +61,15 @@
 		c.mayHaveRun = true
 		c.attempts++
 	}
-	kind := placement.ResultLost
+	result := lossResult(err)
 	switch {
 	case c.ctx.Err() != nil:
-		kind = placement.ResultUnknown
+		result.Kind = placement.ResultUnknown
 	case !written:
-		kind = placement.ResultUnreachable
+		result = placement.Result{Kind: placement.ResultUnreachable}
 		c.gateway.client.CloseIdle(lease.address)
 	}
-	lease.release(placement.Result{Kind: kind})
+	lease.release(result)
 	c.logAttempt(lease).Bool("written", written).Err(err).Msg("send failed")
 	lostServer := written && c.recordLoss(lease, err)
 	if c.ctx.Err() != nil {
@@ -75,3 +77,28 @@
 	}
 	return &failure{err: api.Errorf(api.CodeBackendFailed, "%s: %v", lease.id, err), notRun: !written, unsent: !written, lostServer: lostServer}
 }
+
+// lossResult returns the result of a send whose connection was lost after a byte was sent. The kernel
+// times a connection out if the server's machine acknowledges nothing, which may be a restart too.
+func lossResult(err error) placement.Result {
+	byServer := backend.IsClosedByServer(err) || errors.Is(err, syscall.ETIMEDOUT)
+	return placement.Result{Kind: placement.ResultLost, ByRouter: !byServer}
+}
+
+// callerError returns the error of a write to the caller without its cause: a connection that the caller
+// has closed must not look like one that the server has closed.
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Errorf("write to the caller: %v", err)
+}
+
+// callerWriter writes to the caller; its errors are those of callerError.
+type callerWriter struct{ io.Writer }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	return n, callerError(err)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -113,7 +113,7 @@
 		lease.release(placement.Result{Kind: placement.ResultUnknown})
 		return &failure{err: c.contextError(context.Cause(c.ctx))}
 	}
-	lease.release(placement.Result{Kind: placement.ResultLost})
+	lease.release(lossResult(err))
 	c.logAttempt(lease).Str("lastEvent", c.stream.lastID).Dur("longestPause", c.stream.longestPause).Err(err).Msg("stream broken")
 	return &failure{
 		err:        api.Errorf(api.CodeStreamBroken, "stream from %s broke after event %q: %v", lease.id, c.stream.lastID, err),
@@ -200,7 +200,7 @@
 	if cap(s.partial) > bytebudget.FreeBytes {
 		s.partial = slices.Clone(s.partial)
 	}
-	return errors.Wrap(err, "write to the caller")
+	return callerError(err)
 }
 
 // eventsPerInterval is the number of event intervals whose mean is recorded at once.
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -155,3 +155,26 @@
 	unlimited.SetServers([]registry.Entry{announced[0]})
 	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200), "the pool states no rate")
 }
+
+// TestSlowServerDoesNotCountAsRestarted guards against a router without a share that sends nothing for
+// seconds to a server whose answer was later than the attempt timeout, or whose stream has stalled.
+func TestSlowServerDoesNotCountAsRestarted(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/resume/x"} {
+		g := NewWithT(t)
+		a := startTestServer(t, "a", func(n int, conn net.Conn, r *http.Request) bool {
+			if n == 1 {
+				if path == "/resume/x" {
+					writeStreamHead(conn, r)
+				}
+				time.Sleep(1500 * time.Millisecond)
+			}
+			return answerOK(n, conn, r)
+		})
+		_, url := startWarmupGateway(t, 5, 90, a)
+		g.Expect(send(t, url, path).status).NotTo(Equal(200), "the attempt timeout is 0.9 s, the stall timeout 1.2 s")
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200), path)
+		}
+	}
+}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -52,6 +52,9 @@
 	Kind ResultKind
 	// FirstByte is the time to the first byte of the answer, 0 if there was none.
 	FirstByte time.Duration
+	// ByRouter is set if a connection was lost because of this router, as after an attempt timeout,
+	// and the server did not close it. The server's process then did not end.
+	ByRouter bool
 }
 
 const (
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -35,8 +35,8 @@
 	// sameAddress holds the hashes of the incarnations that are listed at the server's
 	// address, including its own.
 	sameAddress []uint64
-	// lostAt is when the router lost a connection to the server, until it reaches the
-	// server again.
+	// lostAt is when the server closed a connection early or could not be reached, until
+	// the router reaches it again.
 	lostAt time.Time
 	// lostWithDomain is set if lostAt is the first answer of the server's failure domain after an outage.
 	lostWithDomain bool
@@ -310,7 +310,7 @@
 	switch result.Kind {
 	case ResultUnknown:
 	case ResultLost, ResultUnreachable:
-		p.recordLoss(s, now)
+		p.recordLoss(s, result.ByRouter, now)
 	default:
 		s.lastAnswer = now
 		p.recordDomainAnswer(s.Domain, now)
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -118,10 +118,15 @@
 	return p.limits.WarmupAvailableAt(s.addressHash, now)
 }
 
-// recordLoss records that a connection to the server was lost or could not be set up.
-func (p *Pool) recordLoss(s *Server, now time.Time) {
-	p.reachability(s.Domain).recordLoss(s.ID, now)
-	s.lostAt, s.lostWithDomain = now, false
+// recordLoss records that a connection to the server was lost or could not be set up. One that this
+// router ended, as after an attempt timeout, is no sign of a restart.
+func (p *Pool) recordLoss(s *Server, byRouter bool, now time.Time) {
+	r := p.reachability(s.Domain)
+	r.losses.record(s.ID, now)
+	if !byRouter {
+		r.serverLosses.record(s.ID, now)
+		s.lostAt, s.lostWithDomain = now, false
+	}
 }
 
 // recordDomainAnswer records that a server of the failure domain has answered. If the domain was
@@ -129,7 +134,7 @@
 // connection that proves the contrary: all its servers count as lost.
 func (p *Pool) recordDomainAnswer(domain string, now time.Time) {
 	r := p.reachability(domain)
-	if p.limitsWarmups() && r.isUnreachable(now) && now.Sub(r.firstLostAt) >= domainOutage {
+	if p.limitsWarmups() && r.mayHaveRestarted(now) {
 		for _, s := range p.servers {
 			if s.Domain == domain && (s.lostAt.IsZero() || s.lostWithDomain) {
 				s.lostAt, s.lostWithDomain = now, len(p.servers) > maxUnboundedPool
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -310,3 +310,31 @@
 	g.Expect(s.Domain).NotTo(Equal("zone-1"))
 	g.Expect(s.Choice.WarmingUp).To(Equal(2))
 }
+
+// TestLossesByTheRouterAreNoSignOfARestart guards against servers that count as restarted because they
+// were slow: after attempt timeouts at two of them, all servers of their failure domain did.
+func TestLossesByTheRouterAreNoSignOfARestart(t *testing.T) {
+	g := NewWithT(t)
+	for _, byRouter := range []bool{true, false} {
+		p := placement.NewPool(false)
+		p.SetWarmup(warmupOfLessons, start)
+		infos := serverInfos(9)
+		p.SetServers(infos, start)
+		servers := map[string]*placement.Server{}
+		for range infos {
+			s := p.Choose(placement.Request{Domain: "zone-0"}, start)
+			p.RecordSend(s, start)
+			servers[s.ID] = s
+		}
+		lost := placement.Result{Kind: placement.ResultLost, ByRouter: byRouter}
+		p.RecordResult(servers["i-00"], lost, start)
+		p.RecordResult(servers["i-03"], lost, start.Add(500*time.Millisecond))
+		p.RecordResult(servers["i-06"], placement.Result{Kind: placement.ResultAnswered}, start.Add(1500*time.Millisecond))
+		p.AvailableAt(start.Add(1500 * time.Millisecond))
+		for range 20 {
+			p.Choose(placement.Request{Domain: "zone-0"}, start.Add(2*time.Second))
+		}
+		warming, _ := p.WarmingUp(start.Add(2 * time.Second))
+		g.Expect(warming).To(Equal(map[bool]int{true: 0, false: 3}[byRouter]), "by the router: %t", byRouter)
+	}
+}
