Refuse queued requests at once when a warm-up is learned

Cause: the wait of queued requests that no server accepts in time ended early only after a statement in an answer. After a warm-up learned from control, at a new connection, from the withdrawal of an evacuation or by a lost connection, they waited for the whole queue timeout and were refused then.

Change: each of these ends the wait of the requests that cannot be served in time, with the time at which a server accepts requests as Retry-After. The time is computed once for the queue instead of once per request.

Ruled out: the check with each tick of the queue. It would refuse requests for reservations that end some milliseconds later.

With one server, all slots in use, an objective of 2 s and a warm-up of 5 s learned from control after 50 ms, a queued request was refused 550 ms after the news, and now within 150 ms (TestQueuedRequestsAreRefusedOnceAllServersWarmUp).

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -20,7 +20,7 @@
 		found.mu.Lock()
 		now := time.Now()
 		found.servers.SetEvacuated(domains, returned, now)
-		found.grantQueued(now)
+		found.serveQueued(now)
 		found.mu.Unlock()
 	}
 }
--- a/internal/gateway/grant.go
+++ b/internal/gateway/grant.go
@@ -84,11 +84,25 @@
 	return nil
 }
 
+// serveQueued grants free slots to queued requests and refuses those that cannot be served in time,
+// after a change of what is known of the servers; mu is held.
+func (p *pool) serveQueued(now time.Time) {
+	p.grantQueued(now)
+	p.refuseQueued(now)
+}
+
 // refuseQueued ends the wait of the queued requests for which no server accepts requests in
 // time; mu is held.
 func (p *pool) refuseQueued(now time.Time) {
+	if p.queue.Len() == 0 {
+		return
+	}
+	at, allBlocked := p.servers.AvailableAt(now)
+	if !allBlocked {
+		return
+	}
 	for _, w := range slices.Clone(p.queue) {
-		if p.checkAvailable(w.deadline, now) != nil {
+		if at.After(w.deadline) {
 			p.queue.remove(w)
 			w.granted <- grant{}
 		}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -106,7 +106,7 @@
 		found.mu.Lock()
 		now := time.Now()
 		found.servers.SetServers(servers[name], now)
-		found.grantQueued(now)
+		found.serveQueued(now)
 		found.mu.Unlock()
 	}
 }
@@ -295,7 +295,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.servers.RecordConnectSuccess(s, now)
-	p.grantQueued(now)
+	p.serveQueued(now)
 }
 
 // list returns the pools that requests have used, in no particular order.
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -139,7 +139,7 @@
 	l.pool.metrics.recordSend(l.Domain, result.Kind)
 	now := time.Now()
 	l.pool.servers.RecordResult(l.Server, result, now)
-	l.pool.grantQueued(now)
+	l.pool.serveQueued(now)
 }
 
 // slotOutcome returns what the coordinator is told about a result.
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -48,7 +48,11 @@
 	reserved := l.reserved
 	l.reserved = false
 	connection := placement.Connection{New: info.New, LostIdle: info.LostIdle}
-	if !l.pool.servers.ConfirmSend(l.Server, connection, reserved, time.Now()) {
+	now := time.Now()
+	confirmed := l.pool.servers.ConfirmSend(l.Server, connection, reserved, now)
+	// A new connection may have shown that the server is warming up.
+	l.pool.refuseQueued(now)
+	if !confirmed {
 		return errWarmingUp
 	}
 	return nil
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -178,3 +178,55 @@
 		}
 	}
 }
+
+// TestQueuedRequestsAreRefusedOnceAllServersWarmUp guards against requests that stay queued in vain after
+// their router has learned that all servers are warming up: from control, from the withdrawal of an
+// evacuation, or from a lost connection.
+func TestQueuedRequestsAreRefusedOnceAllServersWarmUp(t *testing.T) {
+	learnFromControl := func(gw *gateway.Gateway, a *testServer) {
+		entries := entriesIn(a)
+		entries[0].WarmupUntil = time.Now().Add(5 * time.Second)
+		gw.SetServers(entries)
+	}
+	learnFromWithdrawal := func(gw *gateway.Gateway, _ *testServer) { gw.SetEvacuated(nil, []string{"d0"}) }
+	learnFromLoss := func(_ *gateway.Gateway, a *testServer) { a.end() }
+	for i, learn := range []func(*gateway.Gateway, *testServer){learnFromControl, learnFromWithdrawal, learnFromLoss} {
+		g := NewWithT(t)
+		proceed := make(chan struct{})
+		a := startTestServer(t, "a", func(n int, conn net.Conn, r *http.Request) bool {
+			<-proceed
+			return answerOK(n, conn, r)
+		})
+		table := warmupTable(t)
+		for i := range table.Routes {
+			table.Routes[i].LatencyObjective = 2 * time.Second
+		}
+		gw, url := startUpdatableGateway(t, table, a)
+		gw.SetWarmup(warmupOverage, warmupSlack)
+		gw.SetServers(entriesIn(a))
+		var running sync.WaitGroup
+		for range 4 {
+			running.Go(func() { send(t, url, "/unsafe/x") })
+		}
+		g.Eventually(a.requestCount).Should(Equal(4), "slots")
+		var queued answer
+		var endedAt time.Time
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			queued = send(t, url, "/unsafe/x")
+			endedAt = time.Now()
+		})
+		time.Sleep(50 * time.Millisecond)
+		learnedAt := time.Now()
+		learn(gw, a)
+		wait.Wait()
+		g.Expect(endedAt.Sub(learnedAt)).To(BeNumerically("<", 150*time.Millisecond), "of 600 ms in the queue; case %d", i)
+		g.Expect(queued.status).To(Equal(503))
+		g.Expect(queued.body).To(ContainSubstring(`"outcome":"not_run"`))
+		delay, err := strconv.ParseFloat(queued.header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(delay).To(BeNumerically(">", 2), "the end of the warm-up; case %d", i)
+		close(proceed)
+		running.Wait()
+	}
+}
