Send records that are warming up also to subscriptions with buckets

Cause: a router of a large fleet subscribes with digests of buckets, which do not cover the end of a warm-up. A warm-up that a known incarnation announced while the router changed its source did not reach the router.

Change: the first event of such a subscription also has the records that are warming up, as that of a subscription with a list has.

Ruled out: the end of the warm-up in the digests. Routers and sources know it as times of different clocks.

With 1,500 servers, the router had not learned of the warm-up 10 s after it reconnected; now it has it with the first event (TestWarmupDuringAChangeOfSourceReachesARouterOfALargeFleet).

--- a/internal/fleetsync/buckets.go
+++ b/internal/fleetsync/buckets.go
@@ -1,6 +1,8 @@
 package fleetsync
 
 import (
+	"time"
+
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/rpc/fleetpb"
 )
@@ -41,9 +43,10 @@
 	request.Known = ToKnownServers(entries)
 }
 
-// differingRecords returns the records in the buckets that differ from a router's, and those buckets;
-// the caller holds mu.
-func (p *publisher) differingRecords(digests []uint32) (entries []registry.Entry, differing []uint32) {
+// differingRecords returns the records in the buckets that differ from a router's, and those buckets. It
+// also returns the records that are warming up at now, because the end of a warm-up is not part of a
+// digest. The caller holds mu.
+func (p *publisher) differingRecords(digests []uint32, now time.Time) (entries []registry.Entry, differing []uint32) {
 	all := p.table.Since(0)
 	if p.bucketDigests == nil || p.bucketRevision != p.table.Revision() {
 		p.bucketDigests, p.bucketRevision = bucketDigests(all), p.table.Revision()
@@ -55,11 +58,9 @@
 			differing = append(differing, uint32(i))
 		}
 	}
-	if len(differing) == 0 {
-		return nil, nil
-	}
 	for _, e := range all {
-		if differs[BucketOf(e.ID)] {
+		isWarming := e.State != registry.StateGone && e.WarmupUntil.After(now)
+		if differs[BucketOf(e.ID)] || isWarming {
 			entries = append(entries, e)
 		}
 	}
--- a/internal/fleetsync/buckets_test.go
+++ b/internal/fleetsync/buckets_test.go
@@ -74,3 +74,42 @@
 	g.Expect(fleet.stateOf("i-0000001499")).To(BeZero())
 	g.Expect(fleet.stateOf("i-0000001498")).To(Equal(registry.StateReady))
 }
+
+// TestWarmupDuringAChangeOfSourceReachesARouterOfALargeFleet guards against a warm-up of a known
+// incarnation that a router misses while it changes its source: the digests of buckets do not cover it.
+func TestWarmupDuringAChangeOfSourceReachesARouterOfALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	address := reserveAddress(t)
+	proxy := newCountingProxy(t, address)
+	replica := newFakeReplica(proxy.address)
+	replica.table = newTable(t, 1)
+	service := newTestService(t, replica, proxy.address)
+	serve(t, service, address)
+	var warmupEnd time.Time
+	announceAll := func(sequence uint64) {
+		for i := range 1500 {
+			server := testServer(i)
+			server.Sequence = sequence
+			if i == 7 && !warmupEnd.IsZero() {
+				server.WarmupLeft = time.Until(warmupEnd)
+			}
+			g.Expect(service.Announce(context.Background(), server)).To(Succeed())
+		}
+	}
+	announceAll(1)
+	_, fleet := startRouter(t, "router-1", proxy.address)
+	g.Eventually(fleet.servers.Load, 5*time.Second, 5*time.Millisecond).Should(Equal(int64(1500)))
+	proxy.cut()
+	proxy.closeConnections()
+	warmupEnd = time.Now().Add(20 * time.Second)
+	announceAll(2)
+	newCountingProxyAt(t, proxy.address, address)
+	// Repeated announcements keep the servers from being silent, which changes all buckets.
+	sequence := uint64(2)
+	g.Eventually(func() time.Time {
+		sequence++
+		announceAll(sequence)
+		return fleet.entry(testServer(7).ID).WarmupUntil
+	}, 10*time.Second, 200*time.Millisecond).Should(BeTemporally("~", warmupEnd, 500*time.Millisecond))
+	g.Expect(fleet.servers.Load()).To(Equal(int64(1500)))
+}
--- a/internal/fleetsync/follow_test.go
+++ b/internal/fleetsync/follow_test.go
@@ -111,8 +111,13 @@
 }
 
 func newCountingProxy(t *testing.T, to string) *countingProxy {
+	return newCountingProxyAt(t, "127.0.0.1:0", to)
+}
+
+// newCountingProxyAt starts a proxy at an address, which may be that of one that was cut.
+func newCountingProxyAt(t *testing.T, address, to string) *countingProxy {
 	g := NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", address)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = listener.Close() })
 	proxy := &countingProxy{address: listener.Addr().String(), listener: listener}
--- a/internal/fleetsync/records.go
+++ b/internal/fleetsync/records.go
@@ -26,7 +26,7 @@
 	}
 	now := time.Now()
 	if len(r.bucketDigests) == bucketCount {
-		entries, differing := p.differingRecords(r.bucketDigests)
+		entries, differing := p.differingRecords(r.bucketDigests, now)
 		r.bucketDigests, event.Bucketed, event.Differing = nil, true, differing
 		records, err := newRecordList(toServers(entries, now))
 		return records, p.changed, err
