Bound the changes by a server that repeats its remaining warm-up time

Cause: an announced end of a warm-up that is 0.5 s later than the known one is a change for all routers. A server that states the same remaining time in each announcement caused such a change with each one, every 1.2 s, also in pools without a limit.

Change: a later end is a change once the known one is at most 3 s away or has passed, which leaves two announcements and 0.6 s for the way to routers. From the third extension in a row, the published end is later than the stated one, up to four times the stated time or 12 s, at most 30 s. A statement of 0, or 3 s without a warm-up, ends this. Records of other replicas are taken as they are, so that the lengthening does not add up.

Ruled out: to wait only until half of the stated time is left. A server that states 3 s each 1.2 s still causes 50 changes in 100 announcements, and a late announcement lets routers take it for warm. The price is that such a server stays limited for up to 12 s after its last statement, or 30 s if it states more than 7.5 s.

--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -107,7 +107,7 @@
 	changed := false
 	for _, record := range servers {
 		entry := FromServer(record, now)
-		changed = s.table.Merge(entry.Server, entry.LastAnnounced) || changed
+		changed = s.table.MergeRecord(entry) || changed
 		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged.Server) {
 			departed = append(departed, merged)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -78,8 +78,11 @@
 	LastAnnounced time.Time
 	// Silent is set if no announcement was received for SilentAfter.
 	Silent bool
-	// WarmupUntil is the end of the warm-up that the server has stated, or zero.
+	// WarmupUntil is the end of the warm-up for routers, or zero: the one that the server has stated,
+	// or a later one if the server states the same remaining time again and again.
 	WarmupUntil time.Time
+	// extensions counts the changes of WarmupUntil before it had passed or shortly after.
+	extensions int
 	// AppearedAt is when this process learned of an incarnation that started while the process
 	// was running, or zero. Only routers set it; it is not sent.
 	AppearedAt time.Time
@@ -124,9 +127,21 @@
 // Merge applies an announcement that was received at announcedAt. It reports whether the
 // announcement changes what routers use, and drops it if IsStale is true for it.
 func (t *Table) Merge(s Server, announcedAt time.Time) bool {
+	until := s.warmupUntil(announcedAt)
+	if current := t.entries[s.ID]; current != nil && s.StartedMS == current.StartedMS {
+		until = current.nextWarmupEnd(&s, announcedAt)
+	}
+	return t.merge(s, announcedAt, until)
+}
+
+// MergeRecord applies the record that another replica has of a server, as Merge does.
+func (t *Table) MergeRecord(e Entry) bool { return t.merge(e.Server, e.LastAnnounced, e.WarmupUntil) }
+
+// merge applies an announcement with the end of the warm-up that it implies, or zero.
+func (t *Table) merge(s Server, announcedAt, until time.Time) bool {
 	current := t.entries[s.ID]
 	if current == nil {
-		t.entries[s.ID] = t.markChanged(&Entry{Server: s, LastAnnounced: announcedAt, WarmupUntil: s.warmupUntil(announcedAt)})
+		t.entries[s.ID] = t.markChanged(&Entry{Server: s, LastAnnounced: announcedAt, WarmupUntil: until})
 		t.displaceOlder(s)
 		return true
 	}
@@ -134,11 +149,8 @@
 		return false
 	}
 	isNew := s.StartedMS != current.StartedMS
-	until := s.warmupUntil(announcedAt)
 	changed := isNew || current.Silent || !equalForRouters(&s, &current.Server) || current.endsLater(until)
-	if isNew || current.endsLater(until) {
-		current.WarmupUntil = until
-	}
+	current.setWarmupEnd(isNew, until, announcedAt)
 	if s.State == StateGone {
 		s = withGoneState(s, current)
 	}
@@ -214,24 +226,6 @@
 		a.Version == b.Version && slices.Equal(a.Models, b.Models)
 }
 
-// warmupTolerance is by how much the end of a warm-up may vary without being a change: the calls with
-// a server's announcements take different times.
-const warmupTolerance = 500 * time.Millisecond
-
-// warmupUntil returns the end of the warm-up that an announcement received at a time states, or zero.
-func (s *Server) warmupUntil(announcedAt time.Time) time.Time {
-	if s.WarmupLeft <= 0 {
-		return time.Time{}
-	}
-	return announcedAt.Add(s.WarmupLeft)
-}
-
-// endsLater reports whether a stated end of the warm-up is a change for routers. An earlier end is
-// none: they may use the later one.
-func (e *Entry) endsLater(until time.Time) bool {
-	return until.After(e.WarmupUntil.Add(warmupTolerance))
-}
-
 // displaceOlder marks other servers with the address of s as gone if they started before
 // it.
 func (t *Table) displaceOlder(s Server) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -115,3 +115,48 @@
 	copied.Replace(e)
 	g.Expect(copied.Revision()).To(BeNumerically(">", before))
 }
+
+// TestServerThatRepeatsItsRemainingWarmupCausesFewChanges guards against a change for all routers with
+// each announcement of a server that always states the same remaining time, against routers that then
+// take it for warm, and against ends far later than what a server states.
+func TestServerThatRepeatsItsRemainingWarmupCausesFewChanges(t *testing.T) {
+	g := NewWithT(t)
+	const interval = 1200 * time.Millisecond
+	for _, remaining := range []time.Duration{time.Second, 3 * time.Second, 20 * time.Second, time.Minute} {
+		table, replica := registry.New(), registry.New()
+		announce := func(n int, remaining time.Duration) bool {
+			s := server("a", 100, uint64(n)+1, registry.StateReady)
+			s.WarmupLeft = remaining
+			return table.Merge(s, start.Add(time.Duration(n)*interval))
+		}
+		announce(0, 0)
+		changes, replicaChanges := 0, 0
+		for n := 1; n <= 100; n++ {
+			at := start.Add(time.Duration(n) * interval)
+			if before, _ := table.Get("a"); n > 1 && remaining >= 3*time.Second {
+				g.Expect(before.WarmupUntil.Sub(at)).To(BeNumerically(">", 600*time.Millisecond), "routers learn of a later end in time")
+			}
+			if announce(n, remaining) {
+				changes++
+			}
+			e, _ := table.Get("a")
+			g.Expect(e.WarmupUntil).To(BeTemporally(">=", at.Add(min(remaining, time.Second))))
+			g.Expect(e.WarmupUntil.Sub(at)).To(BeNumerically("<=", max(remaining, min(4*max(remaining, 3*time.Second), 30*time.Second))))
+			if replica.MergeRecord(e) && n > 1 {
+				replicaChanges++
+			}
+			copied, _ := replica.Get("a")
+			g.Expect(copied.WarmupUntil).To(Equal(e.WarmupUntil))
+		}
+		t.Logf("%v: %d changes", remaining, changes)
+		g.Expect(changes).To(BeNumerically("<=", 18))
+		g.Expect(replicaChanges).To(Equal(changes - 1))
+
+		last, _ := table.Get("a")
+		ended := int(last.WarmupUntil.Sub(start)/interval) + 1
+		g.Expect(announce(ended, 0)).To(BeFalse())
+		g.Expect(announce(ended+1, remaining)).To(BeTrue(), "a new warm-up")
+		e, _ := table.Get("a")
+		g.Expect(e.WarmupUntil).To(Equal(start.Add(time.Duration(ended+1) * interval).Add(remaining)))
+	}
+}
