Keep the idle timeout of a connection without an answer per server

Cause: connections that have carried no answer, as those of probes, got the idle timeout that any server had stated last. With a longer one than the server's own, the ordinary close of such a connection looked like the end of the server's process, and the server counted as possibly restarted.

A server that has stated none gets the shortest one of all.

Ruled out: to take no close of a connection without an answer for the end of a process. A server that restarts before its first answer would go unnoticed.

TestIdleTimeoutOfEachServerIsKept fails without the change: timeouts of 1 s and 60 s, a probe of the former after an answer of the latter.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -131,10 +130,12 @@
 	idleCount int
 	hooks     Hooks
 	limits    Limits
-	// unusedIdle is the latest idle timeout that a server has stated, in nanoseconds. It applies to
+	// unusedIdle has the latest idle timeout that a server has stated, by address. It applies to
 	// connections that have not carried an answer: one that the server closes earlier than expected
 	// looks like the end of its process.
-	unusedIdle atomic.Int64
+	unusedIdle map[string]time.Duration
+	// shortestIdle is the shortest of these timeouts, for servers that have not stated one.
+	shortestIdle time.Duration
 }
 
 // Hooks are called at events of a client's pool. All must be set.
@@ -183,7 +184,7 @@
 
 // NewClientWithLimits returns a client with other limits than those of NewClient.
 func NewClientWithLimits(hooks Hooks, limits Limits) *Client {
-	return &Client{idle: make(map[string][]*conn), hooks: hooks, limits: limits}
+	return &Client{idle: make(map[string][]*conn), unusedIdle: make(map[string]time.Duration), hooks: hooks, limits: limits}
 }
 
 // Exchange is a request and the answer whose head has arrived. Close must be called.
@@ -328,7 +329,7 @@
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil {
 			timeout := time.Duration(float64(seconds) * idleTimeoutShare * float64(time.Second))
-			e.client.unusedIdle.Store(int64(timeout))
+			e.client.recordIdleTimeout(e.conn.address, timeout)
 			return timeout
 		}
 	}
--- a/internal/backend/conns.go
+++ b/internal/backend/conns.go
@@ -106,7 +106,7 @@
 // returnUnused returns a connection of acquireConn to which nothing was written.
 func (c *Client) returnUnused(connection *conn) {
 	connection.carried = connection.carried[:len(connection.carried)-1]
-	idle := c.unusedIdleTimeout()
+	idle := c.unusedIdleTimeout(connection.address)
 	if connection.reused {
 		idle = time.Until(connection.idleDeadline)
 	}
@@ -225,18 +225,10 @@
 	if err != nil {
 		return err
 	}
-	c.putIdle(connection, c.unusedIdleTimeout())
+	c.putIdle(connection, c.unusedIdleTimeout(address))
 	return nil
 }
 
-// unusedIdleTimeout returns the idle timeout of a connection that has not carried an answer.
-func (c *Client) unusedIdleTimeout() time.Duration {
-	if timeout := time.Duration(c.unusedIdle.Load()); timeout > 0 {
-		return min(timeout, defaultIdleTimeout)
-	}
-	return defaultIdleTimeout
-}
-
 func (c *Client) putIdle(connection *conn, idle time.Duration) {
 	connection.idleDeadline = time.Now().Add(idle)
 	c.mu.Lock()
--- a/internal/backend/idle_test.go
+++ b/internal/backend/idle_test.go
@@ -1,9 +1,12 @@
 package backend_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +56,44 @@
 	c.CloseExpired(time.Now().Add(time.Hour))
 	g.Expect(c.Idle()).To(BeZero())
 }
+
+// TestIdleTimeoutOfEachServerIsKept guards against an ordinary close of a connection that only a probe
+// has used, by a server with a short idle timeout, that is taken for the end of its process because
+// another server has stated a longer one.
+func TestIdleTimeoutOfEachServerIsKept(t *testing.T) {
+	g := NewWithT(t)
+	start := func(timeout time.Duration) string {
+		return startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
+			for {
+				_ = conn.SetReadDeadline(time.Now().Add(timeout))
+				id, ok := readRequest(requests)
+				if !ok {
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n", id, int(timeout.Seconds()))
+			}
+		})
+	}
+	short, long, unknown := start(time.Second), start(time.Minute), start(time.Second)
+	var opened atomic.Int32
+	c := newClient(&opened)
+	lostIdle := func(address, id string) (lost bool) {
+		request := newRequest(id)
+		request.BeforeWrite = func(info backend.ConnInfo) error {
+			lost = info.LostIdle
+			return nil
+		}
+		ex, err := c.Send(context.Background(), address, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		ex.Discard(100)
+		return lost
+	}
+	lostIdle(short, "1")
+	c.CloseIdle(short)
+	lostIdle(long, "2")
+	g.Expect(c.Probe(context.Background(), short)).To(Succeed())
+	g.Expect(c.Probe(context.Background(), unknown)).To(Succeed())
+	time.Sleep(1100 * time.Millisecond)
+	g.Expect(lostIdle(short, "3")).To(BeFalse())
+	g.Expect(lostIdle(unknown, "4")).To(BeFalse(), "a server that has stated none has the shortest one")
+}
