Tell a new pool which failure domains have returned

Cause: a router creates a pool at its first request. Servers of a domain whose evacuation was withdrawn before that did not count as warming up, although they had no traffic during the evacuation.

Change: the router keeps when it learned of each withdrawal, and a new pool takes the servers of these domains as warming up from then on. The limit of the pool is set before its servers are listed.

Ruled out: to create all pools with the route table. Pools without requests on a router would cost memory and probes.

TestPoolWithoutRequestsLearnsOfReturnedDomains fails without the change.

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -14,6 +14,7 @@
 // setEvacuated applies the evacuated domains to all pools and to those that are created later.
 func (p *pools) setEvacuated(domains, returned []string) {
 	p.mu.Lock()
+	p.recordReturned(domains, returned, time.Now())
 	p.evacuated = domains
 	p.mu.Unlock()
 	for _, found := range p.list() {
@@ -25,6 +26,17 @@
 	}
 }
 
+// recordReturned records which domains have returned when domains replace the evacuated ones; mu is
+// held.
+func (p *pools) recordReturned(domains, returned []string, now time.Time) {
+	for _, domain := range slices.Concat(p.evacuated, returned) {
+		p.returnedAt[domain] = now
+	}
+	for _, domain := range domains {
+		delete(p.returnedAt, domain)
+	}
+}
+
 // checkNotEmpty returns an error if the pool has no server that may take a request:
 // CodeDomainEvacuated if evacuations are among the reasons, otherwise CodeNoBackendServer; mu is
 // held.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -52,7 +52,9 @@
 	positionedAt time.Time
 	// evacuated are the failure domains whose servers receive no requests.
 	evacuated []string
-	metrics   *gatewayMetrics
+	// returnedAt has when the router learned that the evacuation of a domain was withdrawn.
+	returnedAt map[string]time.Time
+	metrics    *gatewayMetrics
 	// warmup has the overage and the slack of warm-up limits.
 	warmup ratelimit.Warmup
 	// separatePrompts is whether long and short prompts prefer different servers.
@@ -60,25 +62,31 @@
 }
 
 func newPools(m *gatewayMetrics) *pools {
-	return &pools{metrics: m, byName: make(map[string]*pool), servers: make(map[string][]placement.ServerInfo)}
+	return &pools{metrics: m, byName: make(map[string]*pool), servers: make(map[string][]placement.ServerInfo), returnedAt: make(map[string]time.Time)}
 }
 
 // get returns the named pool, with the configuration of the table in force, and creates it if needed.
 func (p *pools) get(name string, config *routetable.Pool) *pool {
-	found := p.getOrCreate(name, config != nil && config.Engine)
-	found.setWarmup(p.warmupOf(config))
+	warmup := p.warmupOf(config)
+	found := p.getOrCreate(name, config != nil && config.Engine, warmup)
+	found.setWarmup(warmup)
 	return found
 }
 
-func (p *pools) getOrCreate(name string, engine bool) *pool {
+func (p *pools) getOrCreate(name string, engine bool, warmup ratelimit.Warmup) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found := p.byName[name]
 	if found == nil {
+		now := time.Now()
 		found = newPool(p.newServers(engine), p.metrics)
+		found.servers.SetWarmup(warmup, now)
 		found.servers.SetPosition(p.position, p.positionedAt)
-		found.servers.SetEvacuated(p.evacuated, nil, time.Now())
-		found.servers.SetServers(p.servers[name], time.Now())
+		found.servers.SetEvacuated(p.evacuated, nil, now)
+		found.servers.SetServers(p.servers[name], now)
+		for domain, returnedAt := range p.returnedAt {
+			found.servers.MarkDomainWarming(domain, returnedAt)
+		}
 		p.byName[name] = found
 	}
 	return found
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -230,3 +230,18 @@
 		running.Wait()
 	}
 }
+
+// TestPoolWithoutRequestsLearnsOfReturnedDomains guards against full load on the servers of a domain after
+// an evacuation, of a pool that had no request before the withdrawal.
+func TestPoolWithoutRequestsLearnsOfReturnedDomains(t *testing.T) {
+	g := NewWithT(t)
+	a := startTestServer(t, "a", answerOK)
+	gw, url := startWarmupGateway(t, 0, 0, a)
+	gw.SetServers(entriesIn(a))
+	gw.SetEvacuated([]string{"d0"}, nil)
+	gw.SetEvacuated(nil, nil)
+	returnedAt := time.Now()
+	g.Expect(send(t, url, "/unsafe/x").body).To(ContainSubstring("warming up"))
+	time.Sleep(time.Until(returnedAt.Add(warmupTime + 100*time.Millisecond)))
+	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200))
+}
