Bound the servers of a router, and test the loss of its source

With more than 256 servers a router named no address to any of them, so that all would have returned to control together. It now remembers which servers it asked to stay and names no address to others only. A router that follows a new source reports its heartbeats at once instead of within 0.7 s.

--- a/internal/fleetsync/announcements_test.go
+++ b/internal/fleetsync/announcements_test.go
@@ -16,28 +16,32 @@
 	"peridotwinch.example/peridotwinch/internal/relay"
 )
 
-// announcedFleet is a control replica that a number of routers follow directly, and another one that
-// admits none.
+// announcedFleet is a control replica and another one, with the numbers of routers that they
+// admit.
 type announcedFleet struct {
 	replica    *fakeReplica
 	service    *fleetsync.Service
 	other      *fleetsync.Service
 	address    string
 	departures string
+	// stop ends the replica.
+	stop func()
 }
 
-func startAnnouncedFleet(t *testing.T, servers, direct int) *announcedFleet {
+func startAnnouncedFleet(t *testing.T, servers, direct, atOther int) *announcedFleet {
 	g := NewWithT(t)
 	f := &announcedFleet{address: reserveAddress(t), departures: filepath.Join(t.TempDir(), "departures")}
 	otherAddress := reserveAddress(t)
 	f.replica = newFakeReplica(f.address, otherAddress)
 	f.replica.table = newTable(t, 1)
 	f.service = fleetsync.NewService(f.address, f.replica, newTestLosses(), fleetsync.OpenDepartureLog(f.departures, zerolog.Nop()), relay.Limits{Unconditional: direct, Max: direct}, 0, zerolog.Nop())
-	f.other = fleetsync.NewService(otherAddress, newFakeReplica(f.address, otherAddress), newTestLosses(), newTestDepartures(t), relay.Limits{}, 0, zerolog.Nop())
+	f.other = fleetsync.NewService(otherAddress, newFakeReplica(f.address, otherAddress), newTestLosses(), newTestDepartures(t), relay.Limits{Unconditional: atOther, Max: atOther}, 0, zerolog.Nop())
 	for i := range servers {
 		g.Expect(f.service.Announce(context.Background(), testServer(i))).To(Succeed())
 	}
-	serve(t, f.service, f.address)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := serveUntil(t, ctx, f.service, f.address)
+	f.stop = func() { cancel(); <-stopped }
 	serve(t, f.other, otherAddress)
 	return f
 }
@@ -57,7 +61,7 @@
 // servers that are sent to a router that is lost, that stops or that follows no source with a quorum.
 func TestServersAnnounceToRoutersInLargeFleetOnly(t *testing.T) {
 	g := NewWithT(t)
-	f := startAnnouncedFleet(t, 1200, 2)
+	f := startAnnouncedFleet(t, 1200, 2, 0)
 	one, two := startFollower(t, "one", f.address, 1200), startFollower(t, "two", f.address, 1200)
 	time.Sleep(time.Second)
 	g.Expect(f.routerOf(0)).To(BeEmpty(), "1,200 servers")
@@ -86,7 +90,7 @@
 // it cannot learn of changes.
 func TestRouterWithoutQuorumRefusesAnnouncements(t *testing.T) {
 	g := NewWithT(t)
-	f := startAnnouncedFleet(t, 1300, 1)
+	f := startAnnouncedFleet(t, 1300, 1, 0)
 	r := startFollower(t, "one", f.address, 1300)
 	g.Eventually(func() string { return f.routerOf(0) }, 3*time.Second, 10*time.Millisecond).Should(Equal("one:80"))
 	f.replica.setQuorum(false)
@@ -102,7 +106,7 @@
 // returns a server that left.
 func TestRouterForwardsWhatIsNews(t *testing.T) {
 	g := NewWithT(t)
-	f := startAnnouncedFleet(t, 1300, 1)
+	f := startAnnouncedFleet(t, 1300, 1, 0)
 	announcements := startFollower(t, "one", f.address, 1300).view.Announcements()
 	announce := func(server registry.Server) {
 		g.ExpectWithOffset(1, announcements.Announce(context.Background(), server)).To(Succeed())
@@ -150,7 +154,7 @@
 // does not know, and that a router goes on acknowledging.
 func TestRouterWithOldRecordForwards(t *testing.T) {
 	g := NewWithT(t)
-	f := startAnnouncedFleet(t, 1300, 1)
+	f := startAnnouncedFleet(t, 1300, 1, 0)
 	r := startFollower(t, "one", f.address, 1300)
 	server := testServer(0)
 	f.service.Forget(server.ID)
@@ -188,6 +192,28 @@
 	g.Expect(service.StateOf(testServer(1).ID)).To(Equal(registry.StateReady))
 }
 
+// TestHeartbeatsFollowTheRouterToAnotherReplica guards against servers that stay silent at the replica
+// that a router follows after the loss of its former one.
+func TestHeartbeatsFollowTheRouterToAnotherReplica(t *testing.T) {
+	g := NewWithT(t)
+	f := startAnnouncedFleet(t, 1300, 1, 1)
+	r := startFollower(t, "one", f.address, 1300)
+	server := testServer(0)
+	g.Expect(r.view.Announcements().Announce(context.Background(), server)).To(Succeed())
+	f.stop()
+	lost := time.Now()
+	oldest := time.Duration(0)
+	g.Eventually(func() time.Time {
+		server.Sequence++
+		_ = r.view.Announcements().Announce(context.Background(), server)
+		entry := f.other.EntryOf(server.ID)
+		oldest = max(oldest, time.Since(entry.LastAnnounced))
+		return entry.LastAnnounced
+	}, 5*time.Second, 20*time.Millisecond).Should(BeTemporally(">", lost))
+	t.Logf("the other replica had a heartbeat %v after the loss; the oldest was %v old", time.Since(lost), oldest)
+	g.Expect(oldest).To(BeNumerically("<", registry.SilentAfter))
+}
+
 // TestHeartbeatsAtRoutersStayFresh guards against servers that count as silent because their heartbeats
 // take one hop more, or two through a relay: at both control replicas the last heartbeat stays younger than
 // 3.5 s. After the router is lost the servers return to control.
@@ -201,7 +227,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	const servers = 100
-	f := startAnnouncedFleet(t, 1300, 1)
+	f := startAnnouncedFleet(t, 1300, 1, 0)
 	source := f.address
 	if relayed {
 		source = startFollower(t, "relay", f.address, 1300).address
--- a/internal/fleetsync/heartbeats.go
+++ b/internal/fleetsync/heartbeats.go
@@ -29,6 +29,8 @@
 	// own has the newest heartbeats that this router acknowledged, by the servers' hashes, and
 	// followers those that followers reported and the source has not received yet.
 	own, followers map[uint64]time.Time
+	// assigned are the servers that send their later announcements to this router; the others return to control.
+	assigned map[uint64]bool
 	// sent holds the announcement times that the source was last sent.
 	sent sentLiveness
 	// unknown has the servers for which control has no record, with the time of that answer.
@@ -37,7 +39,7 @@
 
 func newHeartbeats() *heartbeats {
 	return &heartbeats{
-		own: make(map[uint64]time.Time), followers: make(map[uint64]time.Time), sent: make(sentLiveness), unknown: make(map[uint64]time.Time),
+		own: make(map[uint64]time.Time), followers: make(map[uint64]time.Time), assigned: make(map[uint64]bool), sent: make(sentLiveness), unknown: make(map[uint64]time.Time),
 	}
 }
 
@@ -64,6 +66,7 @@
 	for _, times := range []map[uint64]time.Time{h.own, h.followers, h.unknown} {
 		maps.DeleteFunc(times, func(_ uint64, at time.Time) bool { return now.Sub(at) > registry.SilentAfter })
 	}
+	maps.DeleteFunc(h.assigned, func(hash uint64, _ bool) bool { return h.own[hash].IsZero() })
 	due := h.sent.due(h.own, heartbeatRefresh, now)
 	forwarded := maps.Clone(h.followers)
 	message = &fleetpb.Liveness{}
@@ -114,22 +117,26 @@
 	return true
 }
 
-// KeepsHeartbeats reports whether a server should go on sending its heartbeats to this router.
+// KeepsHeartbeats reports whether a server should go on sending its heartbeats to this router, and
+// counts it if so.
 func (r *Relay) KeepsHeartbeats(hash uint64) bool {
 	h := r.heartbeats
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, found := h.own[hash]
-	return found && len(h.own) <= maxHeartbeatServers || len(h.own) < maxHeartbeatServers
+	if !h.assigned[hash] && len(h.assigned) >= maxHeartbeatServers {
+		return false
+	}
+	h.assigned[hash] = true
+	return true
 }
 
-// HeartbeatServers returns the number of servers whose heartbeats this router acknowledges, and
-// whether it takes no more.
+// HeartbeatServers returns the number of servers that were asked to stay with this router, and whether
+// it takes no more.
 func (r *Relay) HeartbeatServers() (count int, full bool) {
 	h := r.heartbeats
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.own), len(h.own) >= maxHeartbeatServers
+	return len(h.assigned), len(h.assigned) >= maxHeartbeatServers
 }
 
 // UnsentHeartbeats returns the heartbeats that the source may lack, and a function to call once the
@@ -138,11 +145,14 @@
 	return r.heartbeats.unsent(now)
 }
 
-// ResetHeartbeats makes the next report repeat all heartbeats, as the source is a new one.
+// ResetHeartbeats requests an early report with all heartbeats, as the source is a new one.
 func (r *Relay) ResetHeartbeats() {
 	r.heartbeats.mu.Lock()
 	defer r.heartbeats.mu.Unlock()
 	clear(r.heartbeats.sent)
+	if len(r.heartbeats.own) > 0 {
+		r.wakeReport()
+	}
 }
 
 // RecordUnknownServers records that control has no record of servers.
