Check for an evacuation right before the first byte of a request

Cause: a request whose server was chosen before an evacuation reached the evacuated domain if it was written afterwards, because its connection was set up slowly or the process was frozen. A send that was given up for a warm-up counted in the metric of retries and was logged as a retry, although it cost no server anything.

Change: ConfirmSend refuses a server of an evacuated domain, and the request goes to another server. A send that was given up has a log line of its own, "request not sent", and is no retry.

Ruled out: to cancel the requests that are being sent when an evacuation is learned. They may have reached the server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,10 +51,11 @@
 		if !c.mayRetry(failure) {
 			return failure.finish(c)
 		}
-		c.gateway.metrics.retries.Inc()
-		if !failure.withheld {
-			c.exclude = append(c.exclude, lease.id)
+		if failure.withheld {
+			continue
 		}
+		c.gateway.metrics.retries.Inc()
+		c.exclude = append(c.exclude, lease.id)
 		c.log(zerolog.InfoLevel).Str("server", lease.id).Int("sends", c.sends).Err(failure.err).Msg("retrying the request on another server")
 	}
 }
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -20,8 +20,8 @@
 	// unsent reports whether no byte reached the server. Another send then adds no
 	// load to the pool and costs no retry budget.
 	unsent bool
-	// withheld reports whether the request was not sent because the server is warming up. It may be
-	// sent to the server later.
+	// withheld reports whether the request was not sent because of a warm-up or an evacuation. The next
+	// send is then no retry.
 	withheld bool
 	// lostServer reports whether the server closed the connection before it began to answer.
 	lostServer bool
@@ -52,8 +52,8 @@
 
 // handleSendError records a send that failed before an answer arrived.
 func (c *call) handleSendError(lease *lease, err error) *failure {
-	if errors.Is(err, errWarmingUp) {
-		return c.handleWithheldSend(lease)
+	if errors.Is(err, errWarmingUp) || errors.Is(err, errEvacuated) {
+		return c.handleWithheldSend(lease, err)
 	}
 	var sendErr *backend.SendError
 	written := !errors.As(err, &sendErr) || sendErr.Written
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -17,7 +17,11 @@
 // start together, so a request may meet several servers of which the router learns only then.
 const maxWithheldSends = 8
 
-var errWarmingUp = errors.New("the server is warming up and this router may not send it a request now")
+// Reasons for which a request is not written after its server was chosen.
+var (
+	errWarmingUp = errors.New("the server is warming up and this router may not send it a request now")
+	errEvacuated = errors.New("the failure domain of the server is evacuated")
+)
 
 // SetWarmup sets by how much servers that are warming up may get more requests than the rate that
 // their pool states. It must be called before the gateway serves.
@@ -41,7 +45,8 @@
 }
 
 // confirmSend is called before the request is written to a connection. It returns errWarmingUp if the
-// router has learned since the choice that the server is warming up, and has no share free.
+// router has learned since the choice that the server is warming up, and has no share free, and
+// errEvacuated if it has learned that the server's domain is evacuated.
 func (l *lease) confirmSend(info backend.ConnInfo) error {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
@@ -52,10 +57,13 @@
 	confirmed := l.pool.servers.ConfirmSend(l.Server, connection, reserved, now)
 	// A new connection may have shown that the server is warming up.
 	l.pool.refuseQueued(now)
-	if !confirmed {
-		return errWarmingUp
+	switch {
+	case confirmed:
+		return nil
+	case l.pool.servers.IsEvacuated(l.Server):
+		return errEvacuated
 	}
-	return nil
+	return errWarmingUp
 }
 
 // cancelReservation ends the reservation if the request was not sent; mu is held.
@@ -78,18 +86,19 @@
 	l.pool.refuseQueued(now)
 }
 
-// handleWithheldSend handles a request that was not sent for a warm-up. It does not count as a send.
-func (c *call) handleWithheldSend(lease *lease) *failure {
+// handleWithheldSend handles a request that was not sent, for errWarmingUp or errEvacuated. It does not
+// count as a send.
+func (c *call) handleWithheldSend(lease *lease, err error) *failure {
 	lease.release(placement.Result{Kind: placement.ResultUnknown})
 	c.gateway.metrics.sendsWithheld.Inc()
+	c.logAttempt(lease).Err(err).Msg("request not sent")
 	c.withheldSends++
 	if c.withheldSends <= maxWithheldSends {
 		c.sends--
+	} else {
+		c.exclude = append(c.exclude, lease.id)
 	}
-	return &failure{
-		err:    api.Errorf(api.CodeOverloaded, "%s is warming up", lease.id),
-		notRun: true, unsent: true, withheld: c.withheldSends <= maxWithheldSends,
-	}
+	return &failure{err: api.Errorf(api.CodeOverloaded, "%s: %v", lease.id, err), notRun: true, unsent: true, withheld: true}
 }
 
 // logLimits adds the numbers of servers that were left out of a choice for limits.
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"peridotwinch.example/peridotwinch/internal/gateway"
@@ -245,3 +246,31 @@
 	time.Sleep(time.Until(returnedAt.Add(warmupTime + 100*time.Millisecond)))
 	g.Expect(send(t, url, "/unsafe/x").status).To(Equal(200))
 }
+
+// TestWithheldSendIsNoRetry guards against a metric of retries that rises with each warm-up: a request that
+// was not sent costs no server anything.
+func TestWithheldSendIsNoRetry(t *testing.T) {
+	g := NewWithT(t)
+	retries := metrics.GetOrCreateCounter("peridotwinch_gateway_repeats_total")
+	withheld := metrics.GetOrCreateCounter("peridotwinch_gateway_sends_withheld_total")
+	a := startTestServer(t, "a", answerOK)
+	b := startTestServer(t, "b", func(n int, conn net.Conn, r *http.Request) bool {
+		time.Sleep(20 * time.Millisecond)
+		return answerOK(n, conn, r)
+	})
+	_, url := startWarmupGateway(t, 0, 0, a, b)
+	for i := range 20 {
+		g.Expect(send(t, url, "/unsafe/x", "Id", strconv.Itoa(i)).status).To(Equal(200))
+	}
+	g.Expect(a.requestCount()).To(BeNumerically(">", 0))
+	before := []uint64{retries.Get(), withheld.Get()}
+	a.mu.Lock()
+	for _, conn := range a.conns {
+		_ = conn.Close()
+	}
+	a.mu.Unlock()
+	for i := range 20 {
+		g.Expect(send(t, url, "/unsafe/x", "Id", strconv.Itoa(100+i)).status).To(Equal(200))
+	}
+	g.Expect([]uint64{retries.Get(), withheld.Get()}).To(Equal([]uint64{before[0], before[1] + 1}))
+}
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// IsEvacuated reports whether the server's failure domain is evacuated.
+func (p *Pool) IsEvacuated(s *Server) bool { return slices.Contains(p.evacuatedDomains, s.Domain) }
+
 // Evacuated returns the number of listed servers that take no requests because their failure domain
 // is evacuated.
 func (p *Pool) Evacuated() int { return len(p.evacuated) }
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -172,7 +172,8 @@
 
 // ConfirmSend reports whether a request for the server may be written to a connection now, and counts
 // it against the limit of a server that is warming up. reserved is the result of RecordSend; the
-// reservation ends. Between the choice and this call the router may have learned of a warm-up.
+// reservation ends. Between the choice and this call the router may have learned of a warm-up, or of the
+// evacuation of the server's failure domain.
 func (p *Pool) ConfirmSend(s *Server, connection Connection, reserved bool, now time.Time) bool {
 	if current := p.byID[s.ID]; current != nil && current.Address == s.Address {
 		s = current
@@ -183,6 +184,12 @@
 	if connection.New {
 		p.recordContact(s, now)
 	}
+	if p.IsEvacuated(s) {
+		if reserved {
+			p.CancelSend(s)
+		}
+		return false
+	}
 	_, _ = p.warmupAvailableAt(s, now)
 	return p.limits.ConfirmWarming(s.addressHash, reserved, now)
 }
