--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -12,31 +12,22 @@
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
-// Announcements takes the announcements of backend servers. It is the interface of a control replica
-// for an adapter, and that of a router that takes announcements for control.
-type Announcements interface {
-	// Announce applies a backend server's announcement. It returns an error with
-	// api.CodeNoQuorum if the server leaves and no replica could store that.
-	Announce(ctx context.Context, server registry.Server) error
-	// AnnouncementAddress returns the address to which the server should send its later
-	// announcements, or an empty string if it should choose a replica itself.
-	AnnouncementAddress(server registry.Server) string
-	// Withdraw marks a backend server as gone. It returns an error as Announce does.
-	Withdraw(ctx context.Context, id string) error
-	// LogRefusal logs a call that was refused because it could not be decoded. The
-	// subject is the kind of call or the server's ID.
-	LogRefusal(subject string, err error)
-}
-
 // Control is the interface of a control replica for an adapter.
 type Control interface {
-	Announcements
 	// ReplaceRouteTable stores a table durably. It changes nothing if the generation is
 	// not higher than the one in force.
 	ReplaceRouteTable(ctx context.Context, operator string, document *routetable.Document) error
 	// CurrentRouteTable returns the table that a majority confirms, or nil if there is
 	// none yet.
 	CurrentRouteTable(ctx context.Context) (*routetable.Document, error)
+	// Announce applies a backend server's announcement. It returns an error with
+	// api.CodeNoQuorum if the server leaves and no replica could store that.
+	Announce(ctx context.Context, server registry.Server) error
+	// AnnouncementAddress returns the address to which the server should send its later
+	// announcements, or an empty string if it should choose a replica itself.
+	AnnouncementAddress(server registry.Server) string
+	// Withdraw marks a backend server as gone. It returns an error as Announce does.
+	Withdraw(ctx context.Context, id string) error
 	// Evacuate orders that no further requests are sent to the servers of a failure domain, and
 	// Reinstate withdraws that order. The order is durable when they return nil. One that is in
 	// force already succeeds and changes nothing. The context is that of the operator's HTTP
@@ -44,6 +35,9 @@
 	// for an unknown domain, and api.CodeNoQuorum if the outcome is unknown.
 	Evacuate(ctx context.Context, operator, domain string) error
 	Reinstate(ctx context.Context, operator, domain string) error
+	// LogRefusal logs a call that was refused because it could not be decoded. The
+	// subject is the kind of call or the server's ID.
+	LogRefusal(subject string, err error)
 }
 
 // Adapter translates between a deployment's interface and the product.
@@ -58,8 +52,6 @@
 	TablePath() string
 	// ControlHandler returns the HTTP handler for operators and backend servers.
 	ControlHandler(control Control) http.Handler
-	// AnnouncementHandler returns the HTTP handler for backend servers at a router.
-	AnnouncementHandler(announcements Announcements) http.Handler
 	// Dialect returns the translation of callers' and backend servers' headers.
 	Dialect() gateway.Dialect
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -59,9 +59,6 @@
 
 // AnnouncementAddress implements adapter.Control.
 func (a *adapterControl) AnnouncementAddress(server registry.Server) string {
-	if router := a.fleetSync.AnnouncementRouter(server, time.Now()); router != "" {
-		return router
-	}
 	address, err := netip.ParseAddrPort(a.settings.Listen.Operators)
 	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 || !a.fleetSync.AssignServer(server.Hash(), time.Now()) {
 		return ""
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -78,7 +78,7 @@
 
 // Due calls due.
 func (t sentLiveness) Due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
-	return t.due(announcedAt, livenessRefresh, now)
+	return t.due(announcedAt, now)
 }
 
 // Record calls record.
@@ -135,21 +135,3 @@
 	}
 	return capacity
 }
-
-// EntryOf returns the entry of a server, or the zero value.
-func (p *publisher) EntryOf(id string) registry.Entry {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e, _ := p.table.Get(id)
-	return e
-}
-
-// Forget deletes the record of a server, as a replica that was restarted lacks it.
-func (p *publisher) Forget(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e, _ := p.table.Get(id)
-	e.State, e.LastAnnounced = registry.StateGone, time.Time{}
-	p.table.Replace(e)
-	p.table.DeleteGone(time.Now())
-}
--- a/internal/fleetsync/follow.go
+++ b/internal/fleetsync/follow.go
@@ -90,7 +90,6 @@
 	isFirst := p.admission.Len() == 0
 	verdict := p.admission.Decide(relay.Subscriber{
 		Instance: request.GetInstance(), FailureDomain: request.GetFailureDomain(), Address: request.GetAddress(),
-		AnnouncementAddress: request.GetAnnouncementAddress(),
 	}, request.GetFailed())
 	if verdict.Admitted && isFirst && p.onFirstSubscriber != nil {
 		p.onFirstSubscriber()
--- a/internal/fleetsync/liveness.go
+++ b/internal/fleetsync/liveness.go
@@ -13,13 +13,12 @@
 // hashes.
 type sentLiveness map[uint64]time.Time
 
-// due returns the announcement times to send at now: newer ones of servers of which the receiver's
-// knowledge is at least as old as refresh. With every digest all 3,000 servers of a
+// due returns the announcement times to send at now. With every digest all 3,000 servers of a
 // large fleet would be repeated three times as often as the other replica needs.
-func (t sentLiveness) due(announcedAt map[uint64]time.Time, refresh time.Duration, now time.Time) map[uint64]time.Time {
+func (t sentLiveness) due(announcedAt map[uint64]time.Time, now time.Time) map[uint64]time.Time {
 	out := make(map[uint64]time.Time, len(announcedAt)/2)
 	for hash, at := range announcedAt {
-		if sent := t[hash]; at.After(sent) && now.Sub(sent) >= refresh {
+		if sent := t[hash]; at.After(sent) && now.Sub(sent) >= livenessRefresh {
 			out[hash] = at
 		}
 	}
--- a/internal/fleetsync/publisher.go
+++ b/internal/fleetsync/publisher.go
@@ -81,9 +81,6 @@
 	// onReportNews is called when the other replicas or the source should soon receive what this
 	// process was sent.
 	onReportNews func()
-	// mergeLiveness merges what a follower reports of servers' heartbeats, and returns the hashes of
-	// servers for which control has no record.
-	mergeLiveness func(message *fleetpb.Liveness, now time.Time) []uint64
 	// numbering returns the range of indices of all followers; it is called with mu held.
 	numbering func(now time.Time) relay.Numbering
 	// quorumWaitTimeout is how long a new stream is held while the source has no quorum.
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -35,8 +35,6 @@
 	// if there are any.
 	sourcePools *poolLoads
 	selection   loadSelection
-	// heartbeats are those of servers that this router and its followers acknowledged.
-	heartbeats *heartbeats
 	// reportNews receives a value when the source should soon receive a report.
 	reportNews chan struct{}
 	// ownNumbering is the range of indices of this router and its followers. It and the fields
@@ -53,9 +51,8 @@
 // unknown and disables pacing.
 func NewRelay(address string, source Source, servers func() []registry.Entry, losses *quarantine.Store, maxFollowers int, linkMbps float64, log zerolog.Logger) *Relay {
 	limits := relay.Limits{Unconditional: maxFollowers, Max: maxFollowers}
-	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache(), sourcePools: newPoolLoads(), heartbeats: newHeartbeats(), reportNews: make(chan struct{}, 1)}
+	r := &Relay{publisher: newPublisher(address, source, losses, limits, linkMbps, log), servers: servers, sourceLoads: newLoadCache(), sourcePools: newPoolLoads(), reportNews: make(chan struct{}, 1)}
 	r.onReportNews = r.wakeReport
-	r.mergeLiveness = r.heartbeats.mergeFollower
 	r.numbering = func(time.Time) relay.Numbering { return r.ownNumbering.Followers() }
 	r.onFirstSubscriber = r.fillTable
 	r.tables.receivedOnly = true
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -91,7 +91,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	r := &relayingRouter{fleet: &serverCounter{}, losses: newTestLosses(), address: listener.Addr().String(), gate: newGate(listener)}
 	r.view = fleetview.New(fleetview.Config{
-		Instance: name, FailureDomain: domain, Address: r.address, AnnouncementAddress: name + ":80", Seeds: seeds, MaxFollowers: 16, Decode: decodeTestTable, Fleet: r.fleet, Losses: r.losses,
+		Instance: name, FailureDomain: domain, Address: r.address, Seeds: seeds, MaxFollowers: 16, Decode: decodeTestTable, Fleet: r.fleet, Losses: r.losses,
 	}, zerolog.Nop())
 	server := rpc.NewServer()
 	g.Expect(r.view.Register(server.Mux())).To(Succeed())
--- a/internal/fleetsync/reports.go
+++ b/internal/fleetsync/reports.go
@@ -14,9 +14,7 @@
 	p.coordinator.offer(request.GetSlotAddress(), now)
 	from := origin{relation: relationFollower, follower: request.GetInstance()}
 	p.recordStatements(fromRateStatements(request.GetStatements(), now), from, now)
-	unknown := p.mergeLiveness(request.GetLiveness(), now)
 	p.mu.Lock()
-	p.admission.SetRefusesAnnouncements(request.GetInstance(), request.GetRefusesAnnouncements())
 	before := p.subtrees.Sum(relay.Applied{}, now).Routers
 	p.subtrees.Record(request.GetInstance(), fromSubtree(request.GetSubtree()), now)
 	isNews := p.subtrees.Sum(relay.Applied{}, now).Routers != before
@@ -25,7 +23,7 @@
 	if isNews {
 		p.onReportNews()
 	}
-	return &fleetpb.ReportResponse{Numbering: toNumbering(numbering), Unknown: unknown}
+	return &fleetpb.ReportResponse{Numbering: toNumbering(numbering)}
 }
 
 // recordStatements merges statements and forwards what is news.
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -87,7 +87,7 @@
 		request.Loads = loads
 		alive = s.announcedAt
 		if s.table.Len() > maxCompleteServers {
-			alive = p.sent.due(s.announcedAt, livenessRefresh, now)
+			alive = p.sent.due(s.announcedAt, now)
 		}
 		for hash, at := range alive {
 			request.Alive = append(request.Alive, hash)
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -103,7 +103,6 @@
 	s.publisher.isSynced = s.isSynced
 	s.onReportNews = s.scheduleShare
 	s.publisher.numbering = s.numbering
-	s.publisher.mergeLiveness = s.mergeLiveness
 	for _, e := range departures.Entries(s.started) {
 		s.table.Merge(e.Server, e.LastAnnounced)
 	}
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -59,8 +59,6 @@
 	relay             *fleetsync.Relay
 	losses            *quarantine.Store
 	lossSender        *fleetsync.LossSender
-	// announcements takes the announcements of servers for control.
-	announcements *Announcements
 
 	mu       sync.Mutex
 	selector *relay.Selector
@@ -119,9 +117,6 @@
 	// Address is the router's RPC address, at which other routers can follow it; empty if
 	// it does not relay.
 	Address string
-	// AnnouncementAddress is where this router takes announcements of servers for control; empty if
-	// it does not.
-	AnnouncementAddress string
 	// Seeds are the RPC addresses of control replicas to which the view connects first; at
 	// least one is required.
 	Seeds []string
@@ -149,7 +144,6 @@
 		servers: make(map[string]registry.Entry), subscriptions: make(map[chan struct{}]bool),
 	}
 	v.slotAddress.Store(&c.SlotAddress)
-	v.announcements = &Announcements{view: v, address: c.AnnouncementAddress, clients: make(map[string]*rpc.Client)}
 	v.losses, v.lossSender = c.Losses, fleetsync.NewLossSender(c.Losses)
 	v.relay = fleetsync.NewRelay(c.Address, &viewSource{v}, v.entries, c.Losses, c.MaxFollowers, c.LinkMbps, log)
 	v.relay.OnStatements(c.Fleet.RecordPeerRateStatements)
@@ -248,7 +242,6 @@
 func (v *View) startFollowing(source relay.Source, event *fleetpb.FollowEvent, now time.Time) {
 	v.followed = source
 	v.selector.Followed(source)
-	v.relay.ResetHeartbeats()
 	v.setConfirmed(event)
 	v.followedSince, v.newlyFollowed = now, true
 	if v.firstFollowedAt.IsZero() {
--- a/internal/fleetview/follow.go
+++ b/internal/fleetview/follow.go
@@ -314,7 +314,6 @@
 	defer v.mu.Unlock()
 	request := &fleetpb.FollowRequest{
 		Instance: v.instance, FailureDomain: v.domain, Address: v.ownAddress, Failed: v.selector.FailedRelays(time.Now()),
-		AnnouncementAddress: v.announcements.address,
 	}
 	fleetsync.AddKnownRecords(request, slices.Collect(maps.Values(v.servers)))
 	if table := v.Table(); table != nil && !v.needsFullTable {
--- a/internal/fleetview/metrics.go
+++ b/internal/fleetview/metrics.go
@@ -33,10 +33,6 @@
 	metrics.GetOrCreateGauge("peridotwinch_view_routers", func() float64 { return float64(v.relay.Position().Count) })
 	metrics.GetOrCreateGauge("peridotwinch_view_position", func() float64 { return float64(v.relay.Position().Index) })
 	metrics.GetOrCreateGauge("peridotwinch_view_rate_statements", func() float64 { return float64(v.relay.Statements()) })
-	metrics.GetOrCreateGauge("peridotwinch_view_heartbeat_servers", func() float64 {
-		count, _ := v.relay.HeartbeatServers()
-		return float64(count)
-	})
 	metrics.GetOrCreateGauge("peridotwinch_view_servers", func() float64 {
 		v.mu.Lock()
 		defer v.mu.Unlock()
--- a/internal/fleetview/report.go
+++ b/internal/fleetview/report.go
@@ -81,12 +81,9 @@
 	defer cancel()
 	now := time.Now()
 	statements, confirm := v.relay.UnsentStatements(!withLoads, now)
-	heartbeats, confirmHeartbeats := v.relay.UnsentHeartbeats(now)
-	_, full := v.relay.HeartbeatServers()
 	request := &fleetpb.ReportRequest{
 		Instance: v.instance, Subtree: fleetsync.ToSubtree(v.relay.Subtree(v.applied(), now)),
 		Statements: statements, WithoutLoads: !withLoads, SlotAddress: *v.slotAddress.Load(),
-		Liveness: heartbeats, RefusesAnnouncements: full || v.announcements.stopping.Load(),
 	}
 	if withLoads {
 		request.Loads = v.unsentLoads(now, interval)
@@ -97,8 +94,6 @@
 			return err
 		}
 		confirm()
-		confirmHeartbeats()
-		v.relay.RecordUnknownServers(response.GetUnknown(), time.Now())
 		if position, ok := v.relay.RecordNumbering(response.GetNumbering()); ok {
 			v.fleet.SetPosition(position)
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/oklog/run"
@@ -43,9 +42,6 @@
 	// slots shares the slots of small pools; nil if the settings do not say so.
 	slots   *slotrpc.Node
 	callers net.Listener
-	// announcements is the listener for announcements of servers, or nil.
-	announcements       net.Listener
-	announcementHandler http.Handler
 }
 
 // New opens the listener for callers and returns the role. It returns an error if the
@@ -55,14 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var announcements net.Listener
-	if s.Listen.Announcements != "" {
-		if announcements, err = httpx.Listen("listen.announcements", s.Listen.Announcements); err != nil {
-			_ = callers.Close()
-			return nil, err
-		}
-	}
-	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers, announcements: announcements}
+	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers}
 	losses := quarantine.NewStore(s.Instance, log)
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), losses, log)
 	in.gateway.SetWarmup(s.Warmup.Overage, s.Warmup.Slack)
@@ -71,8 +60,7 @@
 	}
 	config := fleetview.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s), Seeds: s.ControlAddresses(),
-		AnnouncementAddress: s.Listen.Announcements,
-		LinkMbps:            s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
+		LinkMbps: s.Link.MBitPerSecond, MaxFollowers: s.Relay.Followers(), Decode: a.DecodeTable, Fleet: in.gateway, Losses: losses,
 	}
 	if s.Slots.Shared && relayAddress(s) != "" {
 		in.slots = slotrpc.New(slotrpc.Config{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s)}, log)
@@ -81,9 +69,6 @@
 	}
 	in.view = fleetview.New(config, log)
 	in.gateway.SetTableSource(in.view)
-	if announcements != nil {
-		in.announcementHandler = a.AnnouncementHandler(in.view.Announcements())
-	}
 	lc.AddCheck(in.view.Ready)
 	return in, nil
 }
@@ -132,15 +117,6 @@
 	if in.slots != nil {
 		actor.Add(group, in.slots.Run)
 	}
-	if in.announcements != nil {
-		actor.Add(group, in.serveAnnouncements)
-	}
-}
-
-// serveAnnouncements serves the announcements of servers until ctx ends. They are refused as soon as the
-// shutdown begins.
-func (in *Ingress) serveAnnouncements(ctx context.Context) error {
-	return httpx.Serve(ctx, in.announcements, in.announcementHandler, abortGracePeriod)
 }
 
 // serve serves callers until ctx ends, and then drains. The readiness probe fails by
@@ -157,7 +133,6 @@
 		return err
 	case <-ctx.Done():
 	}
-	in.view.Announcements().Stop()
 	end := time.Now().Add(in.settings.Timeouts.Drain())
 	drainCtx, cancel := context.WithDeadline(in.lifecycle.ForcedContext(), end)
 	defer cancel()
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -19,10 +19,6 @@
 	FailureDomain string
 	// Address is the router's RPC address, or empty if it does not relay.
 	Address string
-	// AnnouncementAddress is where the router takes announcements of servers for control, or empty.
-	AnnouncementAddress string
-	// refusesAnnouncements is set while the router takes no more servers' announcements.
-	refusesAnnouncements bool
 }
 
 // Verdict is the decision on a subscription: it is admitted, redirected to relays, or
--- a/internal/relay/subtree.go
+++ b/internal/relay/subtree.go
@@ -49,12 +49,6 @@
 	return found
 }
 
-// IsRecent is Has without the eviction of outdated reports.
-func (s *Subtrees) IsRecent(follower string, now time.Time) bool {
-	report, found := s.reports[follower]
-	return found && now.Sub(report.received) <= SubtreeRetention
-}
-
 func (s *Subtrees) evict(now time.Time) {
 	maps.DeleteFunc(s.reports, func(_ string, report subtreeReport) bool { return now.Sub(report.received) > SubtreeRetention })
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,9 +76,6 @@
 	// Backends is the address for announcements of backend servers; required for
 	// the role router unless join is set.
 	Backends string `json:"backends,omitempty"`
-	// Announcements is the address at which a router takes announcements of backend servers for
-	// control in a large fleet; if empty, it takes none. It requires join and an adapter.
-	Announcements string `json:"announcements,omitempty"`
 	// Operators is the address of the resource API; required for the role control.
 	Operators string `json:"operators,omitempty"`
 	// Peers is the address for RPCs of other daemons.
@@ -326,9 +323,6 @@
 			v.address("listen.backends", s.Listen.Backends)
 		}
 	}
-	if s.Listen.Announcements != "" {
-		v.announcements(s)
-	}
 	if s.HasRole(RoleControl) {
 		v.address("listen.operators", s.Listen.Operators)
 	}
--- a/test/platform/metrics_test.go
+++ b/test/platform/metrics_test.go
@@ -44,7 +44,6 @@
 		`peridotwinch_gateway_dials_total{reason="request"} `, `peridotwinch_gateway_dials_total{reason="probe"} `,
 		"peridotwinch_gateway_connections_idle ", "peridotwinch_gateway_connections_evicted_total 0", "peridotwinch_gateway_silence_ignored 0",
 		`peridotwinch_rpc_connections_total{purpose="fleet",side="opened"} `,
-		`peridotwinch_view_announcements_total{result="acknowledged"} 0`, "peridotwinch_view_heartbeat_servers 0",
 	} {
 		f.Expect(got).To(ContainSubstring(want))
 	}
@@ -53,7 +52,6 @@
 	f.awaitControls(f.config(7, 1000))
 	f.Expect(f.scrapeMetrics(f.controls[0])).To(And(ContainSubstring("peridotwinch_config_is_current"),
 		ContainSubstring(`peridotwinch_fleet_announcements_total{result="changed"} `), ContainSubstring("peridotwinch_fleet_servers_assigned 0"),
-		ContainSubstring("peridotwinch_fleet_announcements_forwarded_total 0"), ContainSubstring("peridotwinch_fleet_liveness_received_total 0"),
 		ContainSubstring(`peridotwinch_rpc_connections_total{purpose="fleet",side="accepted"} `)))
 }
 
