--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -115,17 +115,17 @@
 // logWarmups logs the warm-ups that the router has learned of since the last call.
 func (g *Gateway) logWarmups() {
 	for _, p := range g.pools.list() {
-		for _, news := range p.takeWarmupNews() {
+		for _, news := range p.takeWarmupEvents() {
 			g.log.Info().Str("server", news.ID).Str("address", news.Address).Str("source", news.Source).
 				Time("until", news.Until).Msg("backend server is warming up")
 		}
 	}
 }
 
-func (p *pool) takeWarmupNews() []placement.WarmupNews {
+func (p *pool) takeWarmupEvents() []placement.WarmupEvent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.servers.TakeWarmupNews()
+	return p.servers.TakeWarmupEvents()
 }
 
 // warmingServers returns how many servers are warming up, and to how many of them this router may send
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -98,7 +98,7 @@
 	infos := serverInfos(3)
 	p.SetServers(infos, start)
 	returned := func() (ids []string) {
-		for _, news := range p.TakeWarmupNews() {
+		for _, news := range p.TakeWarmupEvents() {
 			ids = append(ids, news.ID)
 		}
 		return ids
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -107,8 +107,8 @@
 	// usedUp is the number of servers that the last call of eligible left out for their rates.
 	usedUp int
 	// warmingUp is the number of servers that it left out for their warm-up.
-	warmingUp  int
-	warmupNews []WarmupNews
+	warmingUp    int
+	warmupEvents []WarmupEvent
 	// sends counts the router's requests to all servers.
 	sends decayingCount
 	// listedAt is when control's list was last set.
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -15,8 +15,8 @@
 	// possibly restarted. Two connections that fail one after the other make it unreachable, which
 	// happens by chance while a fifth of its servers is down; the first probes then end the state.
 	domainOutage = time.Second
-	// maxWarmupNews bounds the warm-ups that are kept for the log.
-	maxWarmupNews = 256
+	// maxWarmupEvents bounds the warm-ups that are kept for the log.
+	maxWarmupEvents = 256
 )
 
 // Sources of the information that a server is warming up.
@@ -25,11 +25,11 @@
 	SourceStart        = "start"
 	SourceContact      = "contact"
 	SourceAnswer       = "answer"
-	SourceOther        = "other"
+	SourceReturn       = "return"
 )
 
-// WarmupNews is a warm-up that this router has just learned of, for the log.
-type WarmupNews struct {
+// WarmupEvent is a warm-up that this router has just learned of, for the log.
+type WarmupEvent struct {
 	ID, Address, Source string
 	Until               time.Time
 }
@@ -67,21 +67,13 @@
 	}
 }
 
-// MarkWarming records that an incarnation is warming up until a time, at most for the warm-up time of
-// the pool or 30 s. It ignores an incarnation that is not listed.
-func (p *Pool) MarkWarming(incarnation uint64, until, now time.Time) {
-	if s := p.byHash[incarnation]; s != nil {
-		p.markWarming(s, until, SourceOther, now)
-	}
-}
-
 // MarkDomainWarming records that the servers of a failure domain are warming up for the pool's
 // warm-up time from now on, as when requests return to the domain.
 func (p *Pool) MarkDomainWarming(domain string, now time.Time) {
 	w, limited := p.limits.Warmup()
 	for _, s := range p.servers {
 		if limited && s.Domain == domain {
-			p.markWarming(s, now.Add(w.Duration), SourceOther, now)
+			p.markWarming(s, now.Add(w.Duration), SourceReturn, now)
 		}
 	}
 }
@@ -94,15 +86,15 @@
 }
 
 func (p *Pool) markWarming(s *Server, until time.Time, source string, now time.Time) {
-	if p.limits.MarkWarming(s.addressHash, until, now) && len(p.warmupNews) < maxWarmupNews {
-		p.warmupNews = append(p.warmupNews, WarmupNews{ID: s.ID, Address: s.Address, Source: source, Until: until})
+	if p.limits.MarkWarming(s.addressHash, until, now) && len(p.warmupEvents) < maxWarmupEvents {
+		p.warmupEvents = append(p.warmupEvents, WarmupEvent{ID: s.ID, Address: s.Address, Source: source, Until: until})
 	}
 }
 
-// TakeWarmupNews returns the warm-ups that this router has learned of since the last call.
-func (p *Pool) TakeWarmupNews() []WarmupNews {
-	out := p.warmupNews
-	p.warmupNews = nil
+// TakeWarmupEvents returns the warm-ups that this router has learned of since the last call.
+func (p *Pool) TakeWarmupEvents() []WarmupEvent {
+	out := p.warmupEvents
+	p.warmupEvents = nil
 	return out
 }
 
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -305,7 +305,7 @@
 	p.MarkDomainWarming("zone-1", start)
 	warming, usedUp := p.WarmingUp(start)
 	g.Expect([]int{warming, usedUp}).To(Equal([]int{2, 2}))
-	g.Expect(p.TakeWarmupNews()).To(HaveLen(2))
+	g.Expect(p.TakeWarmupEvents()).To(HaveLen(2))
 	s := p.Choose(placement.Request{}, start.Add(time.Second))
 	g.Expect(s.Domain).NotTo(Equal("zone-1"))
 	g.Expect(s.Choice.WarmingUp).To(Equal(2))
