Share slots only for routes with a latency objective of at least 250 ms

Cause: with short objectives the way to the coordinator, and its stops on small cores, cost more than a free slot gains.

Change: the setting slots.minObjectiveMs, 250 in the template; routes with shorter objectives are placed as before.

Ruled out: a bound by the number of servers or routers, which says nothing about the time that a request has.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,9 +51,11 @@
 	pools        *pools
 	losses       *lossRecorder
 	// slots shares the slots of small pools with other routers; nil if they are not shared.
-	slots     *slotrpc.Node
-	metrics   *gatewayMetrics
-	startedAt time.Time
+	slots *slotrpc.Node
+	// minSharedObjective is the latency objective of a route from which its requests share slots.
+	minSharedObjective time.Duration
+	metrics            *gatewayMetrics
+	startedAt          time.Time
 	// answerMemory bounds the memory for incomplete stream events.
 	answerMemory *bytebudget.Budget
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -13,9 +13,20 @@
 	"peridotwinch.example/peridotwinch/internal/slotshare"
 )
 
-// SetSlots makes the gateway share the slots of small pools with other routers. It must be called
-// before the gateway serves.
-func (g *Gateway) SetSlots(slots *slotrpc.Node) { g.slots = slots }
+// SetSlots makes the gateway share the slots of small pools with other routers, for routes whose
+// latency objective is at least minObjective or that have none. It must be called before the gateway
+// serves.
+func (g *Gateway) SetSlots(slots *slotrpc.Node, minObjective time.Duration) {
+	g.slots, g.minSharedObjective = slots, minObjective
+}
+
+// sharedSlots returns the node that shares slots if the call's route takes part in it, or nil.
+func (c *call) sharedSlots() *slotrpc.Node {
+	if objective := c.route.LatencyObjective; objective > 0 && objective < c.gateway.minSharedObjective {
+		return nil
+	}
+	return c.gateway.slots
+}
 
 // acquire takes a slot on a server: one that the coordinator of the pool's slots grants, or one
 // that this router chooses.
@@ -50,8 +61,8 @@
 	}
 	queueTimeout = min(queueTimeout, time.Until(c.deadline)/2)
 	lease, err := c.pool.acquire(c.ctx, c.placementRequest(), c.priority(), queueTimeout)
-	if err == nil && c.gateway.slots != nil && c.pool.isShared() {
-		lease.slot = c.gateway.slots.Take(c.poolName, lease.hash, c.slotAsk(nil))
+	if slots := c.sharedSlots(); err == nil && slots != nil && c.pool.isShared() {
+		lease.slot = slots.Take(c.poolName, lease.hash, c.slotAsk(nil))
 	}
 	return lease, err
 }
@@ -59,7 +70,7 @@
 // acquireShared takes a slot that the coordinator of the pool's slots grants. It returns neither a
 // lease nor an error if this router has to choose the server itself.
 func (c *call) acquireShared(start time.Time) (*lease, error) {
-	slots := c.gateway.slots
+	slots := c.sharedSlots()
 	if slots == nil {
 		return nil, nil
 	}
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -25,6 +25,7 @@
 type sharedRouter struct {
 	url, address string
 	node         *slotrpc.Node
+	gateway      *gateway.Gateway
 }
 
 // startSharedRouter starts a router whose servers have two slots each.
@@ -45,7 +46,8 @@
 	go func() { _ = r.node.Run(ctx) }()
 	g := gateway.New("zone", testDialect{}, 0, quarantine.NewStore(instance, zerolog.Nop()), zerolog.Nop())
 	g.SetTableSource(staticTable{table})
-	g.SetSlots(r.node)
+	g.SetSlots(r.node, 0)
+	r.gateway = g
 	entries := entriesOf(servers)
 	for i := range entries {
 		entries[i].Slots = 2
@@ -164,3 +166,35 @@
 	g.Expect(statuses[200] + statuses[503]).To(Equal(12))
 	g.Expect(a.requestCount()).To(Equal(1 + statuses[200]))
 }
+
+// TestShortObjectivesShareNoSlots guards against requests that wait for a coordinator although the way
+// to it takes much of their objective.
+func TestShortObjectivesShareNoSlots(t *testing.T) {
+	g := NewWithT(t)
+	for _, minObjective := range []time.Duration{200 * time.Millisecond, 201 * time.Millisecond} {
+		a, release := make(chan struct{}), make(chan struct{})
+		server := startTestServer(t, "a", func(_ int, conn net.Conn, r *http.Request) bool {
+			a <- struct{}{}
+			<-release
+			return answerOK(0, conn, r)
+		})
+		r := startSharedRouter(t, "r1", newTable(t), server)
+		r.gateway.SetSlots(r.node, minObjective)
+		r.use(t, r.address)
+		done := make(chan answer, 3)
+		// Two slots are taken; the coordinator grants one request more.
+		for range 3 {
+			go func() { done <- send(t, r.url, "/unsafe/x") }()
+		}
+		<-a
+		<-a
+		select {
+		case <-a:
+			g.Expect(minObjective).To(Equal(200*time.Millisecond), "granted by the coordinator")
+		case refused := <-done:
+			g.Expect(minObjective).To(BeNumerically(">", 200*time.Millisecond), "%+v", refused)
+			g.Expect(refused.status).To(Equal(503))
+		}
+		close(release)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -64,7 +64,7 @@
 	}
 	if s.Slots.Shared && relayAddress(s) != "" {
 		in.slots = slotrpc.New(slotrpc.Config{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: relayAddress(s)}, log)
-		in.gateway.SetSlots(in.slots)
+		in.gateway.SetSlots(in.slots, s.Slots.MinObjective())
 		config.SlotAddress, config.OnSlotCoordinator = relayAddress(s), in.slots.SetCoordinator
 	}
 	in.view = fleetview.New(config, log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -280,6 +280,7 @@
 	v.streams(s.Streams)
 	v.domains(s.Domains)
 	v.warmup(s.Warmup)
+	v.slots(s.Slots)
 	v.logLevel(s.LogLevel)
 	return v.errs
 }
