Remove duplicated code found in the last reading of the change

The reading of the whole change found code that it had written twice or in the wrong place, and names and comments that were not plain.

Two Run functions had their own actor that ends a group with a context, and the slot sharing had a third one: they share actor.AddContext now. The error for a replica without a leader is one function in place of four texts. ConfirmSend called warmupAvailableAt for its side effect only: the marking of a server that may have restarted has its own functions. The slot sharing uses one notify function, and one case for the two states in which no answer to a ping is awaited. logLimits is next to the log line that it serves. The idle timeouts that servers state are statedIdle, no longer unusedIdle. Behavior and checks stay as they were.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -16,6 +16,17 @@
 	group.Add(func() error { return run(ctx) }, func(error) { cancel() })
 }
 
+// AddContext adds an actor that ends the group when ctx ends.
+func AddContext(ctx context.Context, group *run.Group) {
+	Add(group, func(groupCtx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-groupCtx.Done():
+		}
+		return nil
+	})
+}
+
 // AddDraining adds an actor whose interrupt cancels the actor's context and waits until the
 // actor has returned. A run group interrupts its actors in the order in which they were
 // added, so the actors added after this one continue to run until it has drained.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -130,10 +130,10 @@
 	idleCount int
 	hooks     Hooks
 	limits    Limits
-	// unusedIdle has the latest idle timeout that a server has stated, by address. It applies to
+	// statedIdle has the latest idle timeout that a server has stated, by address. It applies to
 	// connections that have not carried an answer: one that the server closes earlier than expected
 	// looks like the end of its process.
-	unusedIdle map[string]time.Duration
+	statedIdle map[string]time.Duration
 	// shortestIdle is the shortest of these timeouts, for servers that have not stated one.
 	shortestIdle time.Duration
 }
@@ -184,7 +184,7 @@
 
 // NewClientWithLimits returns a client with other limits than those of NewClient.
 func NewClientWithLimits(hooks Hooks, limits Limits) *Client {
-	return &Client{idle: make(map[string][]*conn), unusedIdle: make(map[string]time.Duration), hooks: hooks, limits: limits}
+	return &Client{idle: make(map[string][]*conn), statedIdle: make(map[string]time.Duration), hooks: hooks, limits: limits}
 }
 
 // Exchange is a request and the answer whose head has arrived. Close must be called.
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -10,14 +10,14 @@
 func (c *Client) recordIdleTimeout(address string, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unusedIdle[address] == timeout {
+	if c.statedIdle[address] == timeout {
 		return
 	}
-	if len(c.unusedIdle) >= maxIdleTimeouts {
-		clear(c.unusedIdle)
+	if len(c.statedIdle) >= maxIdleTimeouts {
+		clear(c.statedIdle)
 		c.shortestIdle = 0
 	}
-	c.unusedIdle[address] = timeout
+	c.statedIdle[address] = timeout
 	if timeout > 0 && (c.shortestIdle == 0 || timeout < c.shortestIdle) {
 		c.shortestIdle = timeout
 	}
@@ -28,7 +28,7 @@
 func (c *Client) unusedIdleTimeout(address string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if timeout, stated := c.unusedIdle[address]; stated {
+	if timeout, stated := c.statedIdle[address]; stated {
 		return min(timeout, defaultIdleTimeout)
 	}
 	if c.shortestIdle > 0 {
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -115,12 +115,16 @@
 func (c *Control) awaitLeader(ctx context.Context) error {
 	for started := time.Now(); !c.replica.Status().HasActiveLeader; {
 		if time.Since(started) > leaderWaitTimeout || !actor.Sleep(ctx, leaderPollInterval) {
-			return api.Errorf(api.CodeNoQuorum, "this control replica has no contact with a leader that has a majority")
+			return noLeaderError()
 		}
 	}
 	return nil
 }
 
+func noLeaderError() *api.Error {
+	return api.Errorf(api.CodeNoQuorum, "this control replica has no contact with a leader that has a majority")
+}
+
 // proposeOrder proposes an order on the state that its base names. The command has a request ID of
 // its own rather than the operator's: a repetition of the same proposal returns the outcome of the
 // first one, but the proposal after a conflict is another write.
--- a/internal/control/evacuationapi.go
+++ b/internal/control/evacuationapi.go
@@ -105,7 +105,7 @@
 			send(&api.EvacuationEvent{Type: api.EventError, Revision: revision, Error: api.Errorf(api.CodeDraining, "the control instance is shutting down")})
 			return
 		case !c.replica.Status().HasActiveLeader:
-			send(&api.EvacuationEvent{Type: api.EventError, Revision: revision, Error: api.Errorf(api.CodeNoQuorum, "this control replica has no contact with a leader that has a majority")})
+			send(&api.EvacuationEvent{Type: api.EventError, Revision: revision, Error: noLeaderError()})
 			return
 		case isFirst || list.Revision != revision:
 			event = &api.EvacuationEvent{Type: api.EventChange, Revision: list.Revision, Items: list.Items}
--- a/internal/control/routers.go
+++ b/internal/control/routers.go
@@ -23,7 +23,7 @@
 	revision := request.GetRevision()
 	for {
 		if !request.GetOnce() && !c.replica.Status().HasActiveLeader {
-			return api.Errorf(api.CodeNoQuorum, "this control replica has no contact with a leader that has a majority")
+			return noLeaderError()
 		}
 		next, err := c.sendChanges(stream, revision)
 		if err != nil || request.GetOnce() {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -135,7 +135,7 @@
 // watches another replica.
 func (o *operatorWatch) sendNextChanges() error {
 	if !o.control.replica.Status().HasActiveLeader {
-		return api.Errorf(api.CodeNoQuorum, "this control replica has no contact with a leader that has a majority")
+		return noLeaderError()
 	}
 	changes, upTo, err := o.control.changesAbove(o.revision)
 	if err != nil {
--- a/internal/fleetsync/coordinator.go
+++ b/internal/fleetsync/coordinator.go
@@ -62,7 +62,7 @@
 	return c.naming.Elect(now)
 }
 
-// mergeCoordinator merges a name that another process knows and forwards it if it is news.
+// mergeCoordinator merges a name that another process knows and forwards it if it has changed.
 func (p *publisher) mergeCoordinator(message *fleetpb.SlotCoordinator, now time.Time) {
 	if !p.coordinator.merge(message, now) {
 		return
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -53,7 +53,7 @@
 	declared []byte
 	// ownAddress is the router's RPC address.
 	ownAddress string
-	// onSlotCoordinator is that of the Config; slotAddress is too until WithdrawCoordinator.
+	// onSlotCoordinator and slotAddress are those of the Config. WithdrawCoordinator empties slotAddress.
 	onSlotCoordinator func(address string)
 	slotAddress       atomic.Pointer[string]
 	relay             *fleetsync.Relay
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"peridotwinch.example/peridotwinch/internal/placement"
 )
 
 // logAttempt returns a log event with the server of the last send and the reason for
@@ -31,3 +33,14 @@
 	}
 	return line
 }
+
+// logLimits adds the numbers of servers that were left out of a choice for limits.
+func logLimits(line *zerolog.Event, choice placement.Choice) *zerolog.Event {
+	if choice.RateUsedUp > 0 {
+		line = line.Int("rateUsedUp", choice.RateUsedUp)
+	}
+	if choice.WarmingUp > 0 {
+		line = line.Int("warmingUp", choice.WarmingUp)
+	}
+	return line
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -90,7 +90,7 @@
 		return minRetryAfter
 	}
 	if remaining := time.Until(c.availableAt); remaining > 0 {
-		// Servers that have asked for a pause are not to meet all callers at its end.
+		// Servers that have asked for a pause should not receive all callers at its end.
 		return remaining + rand.N(max(retryAfterJitter, remaining/2))
 	}
 	delay := baseRetryAfter
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/backend"
@@ -101,23 +100,12 @@
 	return &failure{err: api.Errorf(api.CodeOverloaded, "%s: %v", lease.id, err), notRun: true, unsent: true, withheld: true}
 }
 
-// logLimits adds the numbers of servers that were left out of a choice for limits.
-func logLimits(line *zerolog.Event, choice placement.Choice) *zerolog.Event {
-	if choice.RateUsedUp > 0 {
-		line = line.Int("rateUsedUp", choice.RateUsedUp)
-	}
-	if choice.WarmingUp > 0 {
-		line = line.Int("warmingUp", choice.WarmingUp)
-	}
-	return line
-}
-
 // logWarmups logs the warm-ups that the router has learned of since the last call.
 func (g *Gateway) logWarmups() {
 	for _, p := range g.pools.list() {
-		for _, news := range p.takeWarmupEvents() {
-			g.log.Info().Str("server", news.ID).Str("address", news.Address).Str("source", news.Source).
-				Time("until", news.Until).Msg("backend server is warming up")
+		for _, event := range p.takeWarmupEvents() {
+			g.log.Info().Str("server", event.ID).Str("address", event.Address).Str("source", event.Source).
+				Time("until", event.Until).Msg("backend server is warming up")
 		}
 	}
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -175,13 +175,7 @@
 // Run exchanges announcements with the peers and sends summaries until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var group run.Group
-	actor.Add(&group, func(groupCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-groupCtx.Done():
-		}
-		return nil
-	})
+	actor.AddContext(ctx, &group)
 	for _, peer := range s.peers {
 		actor.Add(&group, func(ctx context.Context) error { return s.runPeer(ctx, peer) })
 	}
--- a/internal/placement/address.go
+++ b/internal/placement/address.go
@@ -14,8 +14,8 @@
 	leaving bool
 }
 
-// groupByAddress returns the groups by address. What one of a group has stated binds all: only one
-// process can listen at an address. Older incarnations at the address are in no group.
+// groupByAddress returns the groups by address. A statement of one incarnation applies to its whole
+// group: only one process can listen at an address. Older incarnations at the address are in no group.
 func (p *Pool) groupByAddress(infos []ServerInfo, now time.Time) map[string]*addressGroup {
 	groups := make(map[string]*addressGroup, len(infos))
 	for _, info := range infos {
@@ -80,8 +80,8 @@
 	return share, limited
 }
 
-// pausedUntil returns until when the incarnations at the server's address want no request; ok is false
-// if they accept requests at now.
+// pausedUntil returns until when the incarnations at the server's address have asked for a pause; ok
+// is false if they accept requests at now.
 func (p *Pool) pausedUntil(s *Server, now time.Time) (until time.Time, ok bool) {
 	for _, hash := range s.sameAddress {
 		pause, paused := p.withdrawals.PausedUntil(hash, now)
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -99,15 +99,25 @@
 }
 
 // warmupAvailableAt returns the earliest time at which the server's warm-up permits this router a
-// request; blocked is false if it does at now. A server to which the router has lost a connection may
-// have restarted: it counts as warming up until it has been reached and the warm-up time has passed.
+// request; blocked is false if it does at now.
 func (p *Pool) warmupAvailableAt(s *Server, now time.Time) (at time.Time, blocked bool) {
+	p.markIfLost(s, now)
+	return p.limits.WarmupAvailableAt(s.addressHash, now)
+}
+
+// markIfLost records a warm-up of a server to which the router has lost a connection. The server may
+// have restarted: it counts as warming up until it has been reached and the warm-up time has passed.
+func (p *Pool) markIfLost(s *Server, now time.Time) {
 	if p.isLost(s, now) {
-		if w, limited := p.limits.Warmup(); limited {
-			p.markWarming(s, s.possibleWarmupEnd(w, now), SourceContact, now)
-		}
+		p.markPossibleRestart(s, now)
+	}
+}
+
+// markPossibleRestart records the warm-up of a server that may be a new process.
+func (p *Pool) markPossibleRestart(s *Server, now time.Time) {
+	if w, limited := p.limits.Warmup(); limited {
+		p.markWarming(s, s.possibleWarmupEnd(w, now), SourceContact, now)
 	}
-	return p.limits.WarmupAvailableAt(s.addressHash, now)
 }
 
 // recordLoss records that a connection to the server was lost or could not be set up. One that this
@@ -148,9 +158,7 @@
 	if s.lostAt.IsZero() {
 		return
 	}
-	if w, limited := p.limits.Warmup(); limited {
-		p.markWarming(s, s.possibleWarmupEnd(w, now), SourceContact, now)
-	}
+	p.markPossibleRestart(s, now)
 	s.lostAt = time.Time{}
 }
 
@@ -182,7 +190,7 @@
 		}
 		return false
 	}
-	_, _ = p.warmupAvailableAt(s, now)
+	p.markIfLost(s, now)
 	return p.limits.ConfirmWarming(s.addressHash, reserved, now)
 }
 
--- a/internal/ratelimit/warmup.go
+++ b/internal/ratelimit/warmup.go
@@ -120,9 +120,9 @@
 }
 
 // MarkWarming records that the server at an address is warming up until a time, at most for the
-// warm-up time or 30 s, and reports whether that is news. The first request is permitted after a
-// whole window, in which routers that did not know of the warm-up may have sent some.
-func (b *Book) MarkWarming(address uint64, until, now time.Time) (isNews bool) {
+// warm-up time or 30 s, and reports whether a warm-up begins with it. The first request is permitted
+// after a whole window, in which routers that did not know of the warm-up may have sent some.
+func (b *Book) MarkWarming(address uint64, until, now time.Time) (begins bool) {
 	parameters, limited := b.Warmup()
 	if latest := now.Add(max(minWarmupCap, parameters.Duration)); until.After(latest) {
 		until = latest
--- a/internal/reservationrpc/service.go
+++ b/internal/reservationrpc/service.go
@@ -270,13 +270,7 @@
 // Run keeps the streams to the other routers open until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var group run.Group
-	actor.Add(&group, func(groupCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-groupCtx.Done():
-		}
-		return nil
-	})
+	actor.AddContext(ctx, &group)
 	actor.Add(&group, s.review)
 	for _, link := range s.links {
 		actor.Add(&group, link.run)
--- a/internal/slotrpc/link.go
+++ b/internal/slotrpc/link.go
@@ -227,12 +227,11 @@
 	case overdue:
 		l.overdue = true
 	}
-	if l.monitor.IsUsable() {
-		// No pings are sent while no request waits.
+	switch {
+	case l.monitor.IsUsable(), l.monitor.IsPaused(now):
+		// No pings are sent while no request waits, and during a pause.
 		l.lastPong = now
-	} else if l.monitor.IsPaused(now) {
-		l.lastPong = now
-	} else if now.Sub(l.lastPong) > silenceTimeout {
+	case now.Sub(l.lastPong) > silenceTimeout:
 		l.cancel(errNoPong)
 	}
 	if len(l.pending) > 0 || l.overdue {
--- a/internal/slotrpc/node.go
+++ b/internal/slotrpc/node.go
@@ -98,23 +98,14 @@
 		return
 	}
 	n.log.Info().Str("address", address).Bool("self", address == n.address).Msg("coordinator of slots changed")
-	select {
-	case n.named <- struct{}{}:
-	default:
-	}
+	notify(n.named)
 }
 
 // Run keeps a stream to the coordinator open, and decides on waiting requests as the coordinator,
 // until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	var group run.Group
-	actor.Add(&group, func(groupCtx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-groupCtx.Done():
-		}
-		return nil
-	})
+	actor.AddContext(ctx, &group)
 	actor.Add(&group, n.follow)
 	actor.Add(&group, n.service.run)
 	return group.Run()
--- a/internal/slotrpc/service.go
+++ b/internal/slotrpc/service.go
@@ -165,12 +165,12 @@
 	}
 	if request.GetPing() > 0 {
 		in.response.Pong = request.GetPing()
-		in.notify()
+		notify(in.wake)
 	}
 	for c := range changed {
 		s.push(c.Dispatch(now))
 		if c.Waiting() > 0 {
-			s.notify()
+			notify(s.wake)
 		}
 	}
 	return nil
@@ -207,13 +207,9 @@
 	in.response.Decisions = append(in.response.Decisions, &slotpb.Decision{
 		Id: d.ID, Verdict: uint32(d.Verdict), Server: d.Server, RetryAfterMs: uint32(min(max(d.RetryAfter, 0), maxTimeLeft).Milliseconds()),
 	})
-	in.notify()
+	notify(in.wake)
 }
 
-func (in *inbound) notify() { notify(in.wake) }
-
-func (s *service) notify() { notify(s.wake) }
-
 // notify signals a channel without blocking.
 func notify(wake chan<- struct{}) {
 	select {
