--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -127,3 +127,21 @@
 		_ = http.NewResponseController(rw).Flush()
 	}
 }
+
+// setSilent makes the worker send no heartbeats, or send them again.
+func (w *worker) setSilent(silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = silent
+}
+
+// allArrivals returns when requests have reached the worker.
+func (w *worker) allArrivals() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]time.Time, 0, len(w.arrivals))
+	for _, at := range w.arrivals {
+		out = append(out, at)
+	}
+	return out
+}
