Record the withdrawal of a server that control does not know

Callers saw: after a restart of all control processes a worker that could not reach them meanwhile sent DELETE as its first call.

Cause: a withdrawal changed the record of the server. The registry is rebuilt from heartbeats, had none, and nothing was recorded, stored or sent.

Evidence: "backend server withdrawn" with known false, an empty log of departures, no record in the routers' streams. Ruled out: a second restart, and routers that ignore a record. The 10 s for which routers keep what their source lacks stay: they keep up service after a restart of control.

Change: a withdrawal of an unknown server is a record of its ID and time. It is stored, shared and streamed like any departure, and covers all incarnations that started before it, whichever a router or another replica has. A delayed heartbeat is recognized by its incarnation, the time of its receipt, or its start time; a later incarnation is used at once. 1,024 are kept for two minutes; beyond that the call is refused with 2015 withdrawals_full, and the log of departures is rewritten only when it has doubled.

--- a/api/code.go
+++ b/api/code.go
@@ -32,6 +32,7 @@
 	CodeStillReferenced  Code = 2012
 	CodeRouteTable       Code = 2013
 	CodeDomainUnknown    Code = 2014
+	CodeWithdrawalsFull  Code = 2015
 	CodeCustomerMissing  Code = 3001
 	CodeCustomerUnknown  Code = 3002
 	CodeModelUnknown     Code = 3003
@@ -111,6 +112,7 @@
 	{CodeStillReferenced, "still_referenced", http.StatusConflict, ExitRefused, "Another resource refers to this one by a name that the change would remove."},
 	{CodeRouteTable, "route_table_invalid", http.StatusBadRequest, ExitRefused, "A field of the route table is not valid; the current table remains in force."},
 	{CodeDomainUnknown, "domain_unknown", http.StatusNotFound, ExitRefused, "No failure domain has this name; the message lists the known ones."},
+	{CodeWithdrawalsFull, "withdrawals_full", http.StatusServiceUnavailable, ExitRefused, "Too many backend servers that the control replica does not know have withdrawn; retry at another one."},
 	{CodeCustomerMissing, "customer_missing", http.StatusUnauthorized, ExitRefused, "The request carries no bearer token."},
 	{CodeCustomerUnknown, "customer_unknown", http.StatusUnauthorized, ExitRefused, "The bearer token belongs to no customer."},
 	{CodeModelUnknown, "model_unknown", http.StatusNotFound, ExitRefused, "No intent, model version or pool has the requested name."},
--- a/internal/fleetsync/codec.go
+++ b/internal/fleetsync/codec.go
@@ -18,7 +18,7 @@
 		Id: e.ID, Born: e.StartedMS, Sequence: e.Sequence, Pool: e.Pool, Address: e.Address,
 		FailureDomain: e.Domain, Version: e.Version, Slots: uint32(max(e.Slots, 0)), State: uint32(e.State),
 		WarmupLeftMs: uint32(max(e.WarmupUntil.Sub(now), 0).Milliseconds()), AgeMs: uint32(max(now.Sub(e.LastAnnounced), 0).Milliseconds()),
-		Silent: e.Silent,
+		Silent: e.Silent, Withdrawn: e.Withdrawn,
 	}
 	for _, m := range e.Models {
 		out.Models = append(out.Models, &fleetpb.Model{Name: m.Name, Version: m.Version})
@@ -44,6 +44,7 @@
 		},
 		LastAnnounced: now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond),
 		Silent:        s.GetSilent(),
+		Withdrawn:     s.GetWithdrawn(),
 	}
 	if left := time.Duration(s.GetWarmupLeftMs()) * time.Millisecond; left > 0 {
 		out.WarmupUntil, out.WarmupLeft = now.Add(left), now.Add(left).Sub(out.LastAnnounced)
--- a/internal/fleetsync/departures.go
+++ b/internal/fleetsync/departures.go
@@ -26,8 +26,10 @@
 type DepartureLog struct {
 	path string
 	log  zerolog.Logger
-	// file is nil until it has been opened. Only the writer uses it.
-	file *durable.Log
+	// file is nil until it has been opened, and unexpiredBytes was its size after the last time that it
+	// was rewritten. Only the writer uses them.
+	file           *durable.Log
+	unexpiredBytes int64
 
 	mu sync.Mutex
 	// departures has the newest record of each server by its ID.
@@ -188,7 +190,7 @@
 // the entries that have not expired.
 func (d *DepartureLog) write(batch []pendingDeparture, now time.Time) error {
 	var entries []registry.Entry
-	replace := d.file.Size() > maxDepartureLogBytes
+	replace := d.file.Size() > max(maxDepartureLogBytes, 2*d.unexpiredBytes)
 	d.mu.Lock()
 	for _, p := range batch {
 		d.departures[p.entry.ID] = p.entry
@@ -203,6 +205,7 @@
 		return errors.Wrap(err, "encode departures of backend servers")
 	}
 	if replace {
+		d.unexpiredBytes = int64(len(raw))
 		return d.file.Replace(raw)
 	}
 	return d.file.Append(raw)
--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,3 +112,96 @@
 	g.Expect(log.IsStored(departure(1).Server)).To(BeTrue())
 	g.Expect(fleetsync.OpenDepartureLog(path, zerolog.Nop()).IsStored(departure(1).Server)).To(BeTrue())
 }
+
+// TestWithdrawalOfUnknownServerReachesRouters guards against a withdrawal that is confirmed by replicas
+// that do not know the server, since they have restarted, while routers go on using it.
+func TestWithdrawalOfUnknownServerReachesRouters(t *testing.T) {
+	g := NewWithT(t)
+	one, two := reserveAddress(t), reserveAddress(t)
+	start := func() (services []*fleetsync.Service, stop func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var stopped []<-chan struct{}
+		for _, own := range []string{one, two} {
+			replica := newFakeReplica(one, two)
+			replica.setTable(newTable(t, 1))
+			service := newTestService(t, replica, own)
+			services, stopped = append(services, service), append(stopped, serveUntil(t, ctx, service, own))
+		}
+		return services, func() {
+			cancel()
+			for _, done := range stopped {
+				<-done
+			}
+		}
+	}
+	services, stop := start()
+	for i := range 3 {
+		g.Expect(services[0].Announce(context.Background(), testServer(i))).To(Succeed())
+	}
+	var fleets []*serverCounter
+	for _, source := range []string{one, two} {
+		_, fleet := startRouter(t, "router-of-"+source, source)
+		g.Eventually(fleet.servers.Load, 5*time.Second, 5*time.Millisecond).Should(Equal(int64(3)))
+		fleets = append(fleets, fleet)
+	}
+	stop()
+	services, _ = start()
+	time.Sleep(time.Second)
+	left := testServer(0)
+	g.Expect(services[0].Withdraw(context.Background(), left.ID)).To(Succeed())
+	for i, fleet := range fleets {
+		g.Eventually(func() registry.State { return fleet.entry(left.ID).State }, 2*time.Second, 5*time.Millisecond).
+			Should(Equal(registry.StateGone), "router %d", i)
+		g.Expect(fleet.entry(left.ID).Address).To(Equal(left.Address))
+		g.Expect(fleet.entry(testServer(1).ID).State).To(Equal(registry.StateReady), "another server that control does not know yet")
+	}
+	g.Expect(services[1].Announce(context.Background(), left)).To(Succeed(), "a delayed announcement")
+	g.Expect(services[1].StateOf(left.ID)).To(Equal(registry.StateGone))
+	left.StartedMS = time.Now().UnixMilli()
+	g.Expect(services[1].Announce(context.Background(), left)).To(Succeed())
+	for _, fleet := range fleets {
+		g.Eventually(func() registry.State { return fleet.entry(left.ID).State }, 2*time.Second, 5*time.Millisecond).
+			Should(Equal(registry.StateReady), "a later incarnation")
+	}
+}
+
+// TestWithdrawalOfUnknownServerOutlivesARestart guards against a second restart that forgets it.
+func TestWithdrawalOfUnknownServerOutlivesARestart(t *testing.T) {
+	g := NewWithT(t)
+	one, two := reserveAddress(t), reserveAddress(t)
+	path := filepath.Join(t.TempDir(), "departures")
+	server := testServer(1)
+	for restart := range 2 {
+		log := fleetsync.OpenDepartureLog(path, zerolog.Nop())
+		service := fleetsync.NewService(one, newFakeReplica(one, two), newTestLosses(), log, controlLimits, 0, zerolog.Nop())
+		if restart == 0 {
+			g.Expect(service.Withdraw(context.Background(), server.ID)).To(Succeed())
+		}
+		g.Expect(service.Announce(context.Background(), server)).To(Succeed())
+		g.Expect(service.StateOf(server.ID)).To(Equal(registry.StateGone))
+	}
+}
+
+// TestWithdrawalsOfUnknownServersAreBounded guards against a log that withdrawals of servers that never
+// were fill, and against an ID that does not fit into a record.
+func TestWithdrawalsOfUnknownServersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	one := reserveAddress(t)
+	path := filepath.Join(t.TempDir(), "departures")
+	service := fleetsync.NewService(one, newFakeReplica(one), newTestLosses(), fleetsync.OpenDepartureLog(path, zerolog.Nop()), controlLimits, 0, zerolog.Nop())
+	real := testServer(1)
+	g.Expect(service.Announce(context.Background(), real)).To(Succeed())
+	var refused error
+	for i := range registry.MaxWithdrawn + 1 {
+		refused = service.Withdraw(context.Background(), fmt.Sprint("never-", i))
+	}
+	g.Expect(api.AsError(refused).Code).To(Equal(api.CodeWithdrawalsFull))
+	g.Expect(service.Withdraw(context.Background(), real.ID)).To(Succeed())
+	g.Expect(service.StateOf(real.ID)).To(Equal(registry.StateGone))
+	info, err := os.Stat(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(info.Size()).To(BeNumerically("<", 1<<20))
+	invalid := service.Withdraw(context.Background(), strings.Repeat("x", 257))
+	g.Expect(api.AsError(invalid).Code).To(Equal(api.CodeAnnouncement))
+	g.Expect(api.AsError(invalid).Field).To(Equal(registry.FieldID))
+}
--- a/internal/fleetsync/domains.go
+++ b/internal/fleetsync/domains.go
@@ -9,7 +9,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.table.Since(0) {
-		domains = append(domains, e.Domain)
+		if !e.Withdrawn {
+			domains = append(domains, e.Domain)
+		}
 	}
 	slices.Sort(domains)
 	return slices.Compact(domains), complete
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -104,7 +104,7 @@
 	s.onReportNews = s.scheduleShare
 	s.publisher.numbering = s.numbering
 	for _, e := range departures.Entries(s.started) {
-		s.table.Merge(e.Server, e.LastAnnounced)
+		s.table.MergeRecord(e)
 	}
 	return s
 }
@@ -119,7 +119,7 @@
 func (s *Service) Announce(ctx context.Context, server registry.Server) error {
 	now := time.Now()
 	s.mu.Lock()
-	if s.table.IsStale(server) {
+	if s.table.IsStale(server, now) {
 		known, _ := s.table.Get(server.ID)
 		s.mu.Unlock()
 		announcementsLate.Inc()
@@ -180,12 +180,21 @@
 }
 
 // Withdraw marks a server as gone, and stores the change and sends it to the other replicas before
-// it returns, as Announce does.
+// it returns, as Announce does. This replica may not know the server, for example right after its
+// start, while routers still use it. The error has api.CodeWithdrawalsFull if too many unknown servers have
+// withdrawn, and api.CodeAnnouncement if the ID is not valid.
 func (s *Service) Withdraw(ctx context.Context, id string) error {
+	if err := registry.ValidateID(id); err != nil {
+		return err
+	}
 	s.mu.Lock()
-	known := s.table.Withdraw(id, time.Now())
+	known, recorded := s.table.Withdraw(id, time.Now())
 	s.notifyChanged()
 	s.mu.Unlock()
+	if !recorded {
+		s.log.Warn().Str("server", id).Msg("withdrawal refused: too many unknown backend servers have withdrawn")
+		return api.FieldErrorf(api.CodeWithdrawalsFull, registry.FieldID, "%d unknown backend servers have withdrawn within %v", registry.MaxWithdrawn, registry.EntryRetention)
+	}
 	s.log.Info().Str("server", id).Bool("known", known).Msg("backend server withdrawn")
 	return s.storeDeparture(ctx, id)
 }
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -203,7 +203,7 @@
 		entry := fleetsync.FromServer(record, now)
 		entry.AppearedAt = v.appearedAt(entry, now)
 		if v.mergeServer(entry, event.GetFirst()) {
-			changed = append(changed, entry)
+			changed = append(changed, v.servers[entry.ID])
 		}
 	}
 	dropped := v.dropUnconfirmed(now)
@@ -338,12 +338,21 @@
 }
 
 // mergeServer merges a server record and reports whether it did. It drops a record of an
-// older incarnation, and one that has both a lower sequence number and an earlier state. It
-// logs a change, at debug level if the record is part of a stream's first event.
+// older incarnation, one that has both a lower sequence number and an earlier state, and one that a
+// withdrawal covers. It logs a change, at debug level if the record is part of a stream's first event.
 func (v *View) mergeServer(e registry.Entry, isFirst bool) bool {
 	known, ok := v.servers[e.ID]
 	v.confirmed[e.ID] = true
-	if ok && (e.StartedMS < known.StartedMS || e.StartedMS == known.StartedMS && e.Sequence < known.Sequence && e.State < known.State) {
+	switch {
+	case !ok:
+	case e.Withdrawn:
+		var isNews bool
+		if e, isNews = e.ApplyTo(known); !isNews {
+			return false
+		}
+	case known.Withdrawn && known.CoversAnnounced(&e.Server, e.LastAnnounced):
+		return false
+	case e.StartedMS < known.StartedMS || e.StartedMS == known.StartedMS && e.Sequence < known.Sequence && e.State < known.State:
 		return false
 	}
 	if !ok || known.State != e.State || known.Silent != e.Silent || known.StartedMS != e.StartedMS {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -78,6 +78,10 @@
 	LastAnnounced time.Time
 	// Silent is set if no announcement was received for SilentAfter.
 	Silent bool
+	// Withdrawn is set on a server that has withdrawn while its incarnation was not known. It is gone,
+	// and so are all its incarnations that had started before LastAnnounced, the time of the withdrawal.
+	// The other fields are those of an earlier incarnation, or empty.
+	Withdrawn bool
 	// WarmupUntil is the end of the warm-up for routers, or zero: the one that the server has stated,
 	// or a later one if the server states the same remaining time again and again.
 	WarmupUntil time.Time
@@ -113,6 +117,8 @@
 	// byAddress has the entries by address. A search of all entries with each change takes a tenth of
 	// a second of a core when 3,000 servers start.
 	byAddress map[string][]*Entry
+	// withdrawn is the number of entries with Withdrawn set.
+	withdrawn int
 	revision  uint64
 }
 
@@ -135,7 +141,12 @@
 }
 
 // MergeRecord applies the record that another replica has of a server, as Merge does.
-func (t *Table) MergeRecord(e Entry) bool { return t.merge(e.Server, e.LastAnnounced, e.WarmupUntil) }
+func (t *Table) MergeRecord(e Entry) bool {
+	if e.Withdrawn {
+		return t.mergeWithdrawal(e)
+	}
+	return t.merge(e.Server, e.LastAnnounced, e.WarmupUntil)
+}
 
 // merge applies an announcement with the end of the warm-up that it implies, or zero.
 func (t *Table) merge(s Server, announcedAt, until time.Time) bool {
@@ -145,9 +156,10 @@
 		t.displaceOlder(s)
 		return true
 	}
-	if isStale(&s, &current.Server) {
+	if t.IsStale(s, announcedAt) {
 		return false
 	}
+	t.setWithdrawn(current, false)
 	isNew := s.StartedMS != current.StartedMS
 	changed := isNew || current.Silent || !equalForRouters(&s, &current.Server) || current.endsLater(until)
 	current.setWarmupEnd(isNew, until, announcedAt)
@@ -179,6 +191,9 @@
 	}
 	e.hash, e.indexed = 0, ""
 	t.entries[e.ID] = t.markChanged(&e)
+	if e.Withdrawn {
+		t.withdrawn++
+	}
 }
 
 // DeleteGone deletes the entries of servers that were gone before a time.
@@ -190,11 +205,17 @@
 	}
 }
 
-// IsStale reports whether the table has a newer announcement of the server, or has
-// marked the incarnation as gone, so that Merge drops the announcement.
-func (t *Table) IsStale(s Server) bool {
+// IsStale reports whether the table has a newer announcement of the server than the one that was
+// received at announcedAt, or has the incarnation as gone, so that Merge drops the announcement.
+func (t *Table) IsStale(s Server, announcedAt time.Time) bool {
 	current := t.entries[s.ID]
-	return current != nil && isStale(&s, &current.Server)
+	if current == nil {
+		return false
+	}
+	if current.Withdrawn {
+		return current.Covers(&s, announcedAt)
+	}
+	return isStale(&s, &current.Server)
 }
 
 func isStale(s, current *Server) bool {
@@ -240,18 +261,6 @@
 	}
 }
 
-// Withdraw marks a server as gone. It reports whether the table has the server.
-func (t *Table) Withdraw(id string, now time.Time) bool {
-	current := t.entries[id]
-	if current == nil {
-		return false
-	}
-	if current.State != StateGone {
-		current.State, current.LastAnnounced = StateGone, now
-		t.markChanged(current)
-	}
-	return true
-}
 
 // Confirm records that another replica received an announcement of an incarnation at
 // announcedAt. It reports whether the table has the incarnation.
@@ -347,6 +356,7 @@
 
 // remove deletes an entry.
 func (t *Table) remove(e *Entry) {
+	t.setWithdrawn(e, false)
 	delete(t.entries, e.ID)
 	delete(t.byHash, e.hash)
 	t.removeAddress(e)
--- a/internal/registry/validate.go
+++ b/internal/registry/validate.go
@@ -61,6 +61,14 @@
 	return nil
 }
 
+// ValidateID returns CodeAnnouncement unless id is a valid server ID.
+func ValidateID(id string) error {
+	if err := validateName(FieldID, id, true); err != nil {
+		return err
+	}
+	return nil
+}
+
 func validateName(field, value string, required bool) *api.Error {
 	switch {
 	case required && value == "":
--- /dev/null
+++ b/internal/registry/withdrawal.go
@@ -0,0 +1,86 @@
+package registry
+
+import "time"
+
+// MaxWithdrawn is the number of withdrawals of unknown servers that a table records at the same time.
+// They expire after EntryRetention, as all records do.
+const MaxWithdrawn = 1024
+
+// Withdraw marks a server as gone at now. If the table does not have the server, it records that all
+// incarnations are gone that started before: another replica or a router may have one. Withdraw reports
+// whether the table had the server, and whether the withdrawal is recorded, which it is not beyond
+// MaxWithdrawn.
+func (t *Table) Withdraw(id string, now time.Time) (known, recorded bool) {
+	current := t.entries[id]
+	if current == nil {
+		if t.withdrawn >= MaxWithdrawn {
+			return false, false
+		}
+		return false, t.mergeWithdrawal(Entry{Server: Server{ID: id, State: StateGone}, LastAnnounced: now, Withdrawn: true})
+	}
+	if current.Withdrawn {
+		current.LastAnnounced = now
+	}
+	if current.State != StateGone {
+		current.State, current.LastAnnounced = StateGone, now
+		t.markChanged(current)
+	}
+	return true, true
+}
+
+// CoversAnnounced reports whether the withdrawal that an entry records, with Withdrawn set, covers an
+// incarnation of the server because it was last announced at announcedAt, before the withdrawal, or
+// because the entry has its data or those of a later one.
+func (e *Entry) CoversAnnounced(s *Server, announcedAt time.Time) bool {
+	return s.StartedMS <= e.StartedMS || !announcedAt.After(e.LastAnnounced)
+}
+
+// Covers is CoversAnnounced, and also reports whether an incarnation that was announced after the
+// withdrawal had started before: the announcement was delayed. That compares the clocks of two hosts.
+func (e *Entry) Covers(s *Server, announcedAt time.Time) bool {
+	withdrawnAt := announcedAt.Add(-announcedAt.Sub(e.LastAnnounced))
+	return e.CoversAnnounced(s, announcedAt) || time.UnixMilli(s.StartedMS).Before(withdrawnAt)
+}
+
+// ApplyTo applies the entry, which has Withdrawn set, to what a router knows of the server. It returns the
+// entry with the data of the known incarnation, and whether it is news.
+func (e Entry) ApplyTo(known Entry) (Entry, bool) {
+	if known.Withdrawn && !e.LastAnnounced.After(known.LastAnnounced) || !known.Withdrawn && !e.Covers(&known.Server, known.LastAnnounced) {
+		return known, false
+	}
+	known.State, known.Silent, known.Withdrawn, known.LastAnnounced = StateGone, false, true, e.LastAnnounced
+	return known, true
+}
+
+// mergeWithdrawal applies an entry with Withdrawn set and reports whether it is news.
+func (t *Table) mergeWithdrawal(e Entry) bool {
+	current := t.entries[e.ID]
+	switch {
+	case current == nil:
+		current = &Entry{Server: e.Server}
+		t.entries[e.ID] = current
+	case current.Withdrawn:
+		if !e.LastAnnounced.After(current.LastAnnounced) {
+			return false
+		}
+	case !e.Covers(&current.Server, current.LastAnnounced):
+		return false
+	}
+	current.State, current.Silent, current.LastAnnounced = StateGone, false, e.LastAnnounced
+	t.setWithdrawn(current, true)
+	t.markChanged(current)
+	return true
+}
+
+// setWithdrawn sets the field Withdrawn of an entry.
+func (t *Table) setWithdrawn(e *Entry, withdrawn bool) {
+	if e.Withdrawn == withdrawn {
+		return
+	}
+	e.Withdrawn = withdrawn
+	if withdrawn {
+		t.withdrawn++
+	} else {
+		t.withdrawn--
+	}
+}
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -358,6 +358,14 @@
 	f.Expect(w.received()).To(HaveLen(before))
 }
 
+// restartWithoutBootstrap starts the process of a machine again after its end.
+func (f *fleet) restartWithoutBootstrap(m *machine) {
+	_ = m.Wait()
+	m.settings.Join.Bootstrap = false
+	f.writeSettings(m)
+	f.Expect(m.Start()).To(Succeed())
+}
+
 // TestRestartOfAllControlsKeepsDepartures guards against requests to a worker whose departure was
 // acknowledged: all control processes are killed right after that, and a heartbeat that the worker
 // sent before arrives after their restart.
@@ -370,10 +378,7 @@
 		f.Expect(control.Signal(syscall.SIGKILL)).To(Succeed())
 	}
 	for _, control := range f.controls {
-		_ = control.Wait()
-		control.settings.Join.Bootstrap = false
-		f.writeSettings(control)
-		f.Expect(control.Start()).To(Succeed())
+		f.restartWithoutBootstrap(control)
 	}
 	f.awaitControls(f.config(7, 1000))
 	status, _ = leaving.sendHeartbeat(f, f.controls[0])
@@ -382,3 +387,26 @@
 	time.Sleep(3 * time.Second)
 	f.expectNoRequest(leaving, "from i-2")
 }
+
+// TestWorkerUnknownAfterARestartLeaves guards against requests to a worker whose departure was
+// acknowledged by control instances that do not know it: it could not reach them since they had been
+// killed and restarted, and leaves without another heartbeat.
+func TestWorkerUnknownAfterARestartLeaves(t *testing.T) {
+	f, leaving := startFleetOfTwoWorkers(t)
+	leaving.silence()
+	for _, control := range f.controls {
+		f.Expect(control.Signal(syscall.SIGKILL)).To(Succeed())
+	}
+	for _, control := range f.controls {
+		f.restartWithoutBootstrap(control)
+	}
+	f.awaitControls(f.config(7, 1000))
+	status, _ := f.callControl(f.controls[1], http.MethodDelete, "/instances/i-1", "")
+	f.Expect(status).To(Equal(http.StatusOK))
+	time.Sleep(drainLimit)
+	f.expectNoRequest(leaving, "from i-2")
+	status, _ = leaving.sendHeartbeat(f, f.controls[0])
+	f.Expect(status).To(Equal(http.StatusOK), "a delayed heartbeat")
+	time.Sleep(time.Second)
+	f.expectNoRequest(leaving, "from i-2")
+}
