Keep a server gone when a router changes its source

Callers saw: nothing yet; found by reading beside the lost departures, and shown by the test. A router that had learned that a server is gone took it into use again when it changed to a control replica that had not heard.

Cause: a router dropped a record with an earlier state only if its sequence number was lower as well. A withdrawal has no sequence number of its own, so the record of before has the same one.

Change: a record with an earlier state needs a higher sequence number. A relay that drops a server which its source does not list marks it with sequence number 0: the server has said nothing, so followers take any record of it.

--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -14,6 +14,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/fleetsync"
+	"peridotwinch.example/peridotwinch/internal/fleetview"
 	"peridotwinch.example/peridotwinch/internal/registry"
 )
 
@@ -205,3 +206,30 @@
 	g.Expect(api.AsError(invalid).Code).To(Equal(api.CodeAnnouncement))
 	g.Expect(api.AsError(invalid).Field).To(Equal(registry.FieldID))
 }
+
+// TestChangeOfSourceDoesNotReviveServer guards against a source that has not heard yet that a server is
+// gone: its record has the same sequence number, as a withdrawal has none.
+func TestChangeOfSourceDoesNotReviveServer(t *testing.T) {
+	g := NewWithT(t)
+	addresses := fleetview.PreferenceOrder("router-1", []string{reserveAddress(t), reserveAddress(t)})
+	server := testServer(1)
+	var services []*fleetsync.Service
+	var stops []func()
+	for _, own := range addresses {
+		// The replicas do not exchange records.
+		replica := newFakeReplica(own)
+		replica.setTable(newTable(t, 1))
+		service := newTestService(t, replica, own)
+		g.Expect(service.Announce(context.Background(), server)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := serveUntil(t, ctx, service, own)
+		services, stops = append(services, service), append(stops, func() { cancel(); <-stopped })
+	}
+	_, fleet := startRouter(t, "router-1", addresses...)
+	g.Eventually(func() registry.State { return fleet.entry(server.ID).State }, 5*time.Second).Should(Equal(registry.StateReady))
+	g.Expect(services[0].Withdraw(context.Background(), server.ID)).To(Succeed())
+	g.Eventually(func() registry.State { return fleet.entry(server.ID).State }, 5*time.Second).Should(Equal(registry.StateGone))
+	stops[0]()
+	g.Consistently(func() registry.State { return fleet.entry(server.ID).State }, 3*time.Second).Should(Equal(registry.StateGone))
+	g.Expect(services[1].StateOf(server.ID)).To(Equal(registry.StateReady), "the second source has not heard")
+}
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -20,6 +20,14 @@
 	return e.State
 }
 
+// SequenceOf returns the sequence number of a server's record, or 0.
+func (p *publisher) SequenceOf(id string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, _ := p.table.Get(id)
+	return e.Sequence
+}
+
 // Admit admits a router as if it had subscribed.
 func (p *publisher) Admit(instance string) {
 	p.decide(&fleetpb.FollowRequest{Instance: instance})
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -81,8 +81,7 @@
 	}
 	for _, e := range r.table.Since(0) {
 		if !present[e.ID] && e.State != registry.StateGone {
-			e.State, e.LastAnnounced = registry.StateGone, time.Now()
-			r.table.Replace(e)
+			r.table.Replace(droppedEntry(e, time.Now()))
 		}
 	}
 }
@@ -100,8 +99,7 @@
 		r.table.Replace(e)
 	}
 	for _, e := range dropped {
-		e.State, e.LastAnnounced = registry.StateGone, now
-		r.table.Replace(e)
+		r.table.Replace(droppedEntry(e, now))
 	}
 	r.table.DeleteGone(now.Add(-goneRetention))
 	if r.table.Revision() != before {
@@ -109,6 +107,13 @@
 	}
 }
 
+// droppedEntry returns the entry of a server that the router has dropped as followers receive it. The
+// server has not stated that it is gone, so any record of it is newer.
+func droppedEntry(e registry.Entry, now time.Time) registry.Entry {
+	e.State, e.Sequence, e.LastAnnounced = registry.StateGone, 0, now
+	return e
+}
+
 // Report implements the Report RPC of the Fleet service. It merges what a follower reports and
 // returns the loads that this router received recently from its followers and its source.
 func (r *Relay) Report(_ context.Context, request *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
--- a/internal/fleetsync/relay_test.go
+++ b/internal/fleetsync/relay_test.go
@@ -271,6 +271,7 @@
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateReady))
 	relayed.UpdateServers(nil, []registry.Entry{entry}, time.Now())
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateGone))
+	g.Expect(relayed.SequenceOf(entry.ID)).To(BeZero(), "a record with the same sequence number is newer")
 	entry.Sequence++
 	relayed.UpdateServers([]registry.Entry{entry}, nil, time.Now())
 	g.Expect(relayed.StateOf(entry.ID)).To(Equal(registry.StateReady), "the server announced itself again")
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -338,7 +338,7 @@
 }
 
 // mergeServer merges a server record and reports whether it did. It drops a record of an
-// older incarnation, one that has both a lower sequence number and an earlier state, and one that a
+// older incarnation, one that has an earlier state without a higher sequence number, and one that a
 // withdrawal covers. It logs a change, at debug level if the record is part of a stream's first event.
 func (v *View) mergeServer(e registry.Entry, isFirst bool) bool {
 	known, ok := v.servers[e.ID]
@@ -352,7 +352,7 @@
 		}
 	case known.Withdrawn && known.CoversAnnounced(&e.Server, e.LastAnnounced):
 		return false
-	case e.StartedMS < known.StartedMS || e.StartedMS == known.StartedMS && e.Sequence < known.Sequence && e.State < known.State:
+	case e.StartedMS < known.StartedMS || e.StartedMS == known.StartedMS && e.Sequence <= known.Sequence && e.State < known.State:
 		return false
 	}
 	if !ok || known.State != e.State || known.Silent != e.Silent || known.StartedMS != e.StartedMS {
