--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,24 +135,6 @@
 	}
 }
 
-// probe opens connections to unreachable servers. It puts no request at risk and costs
-// the server no work.
-func (g *Gateway) probe(ctx context.Context, now time.Time) {
-	for _, p := range g.pools.list() {
-		for _, s := range p.serversToProbe(now) {
-			id, address := s.ID, s.Address
-			go func() {
-				if err := g.client.Probe(ctx, address); err != nil {
-					p.recordConnectFailure(s)
-					return
-				}
-				g.log.Info().Str("server", id).Str("address", address).Msg("connection to server restored")
-				p.recordConnectSuccess(s)
-			}()
-		}
-	}
-}
-
 // InProgress returns the number of requests in progress.
 func (g *Gateway) InProgress() int { return int(g.inProgress.Load()) }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -285,13 +285,6 @@
 	p.retryBudget.Earn(time.Now())
 }
 
-// serversToProbe returns the unreachable servers that are due for a probe.
-func (p *pool) serversToProbe(now time.Time) []*placement.Server {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.servers.ServersToProbe(now)
-}
-
 func (p *pool) recordConnectFailure(s *placement.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
