Tell relays that have just started which servers are gone

Callers saw: nothing yet; found by reading beside the lost departures, and shown by the test. A router that missed a departure and then followed a relay that had started after it went on using the server for 10 s, five times DrainMs.

Cause: a source sends the record of a server that is gone only to routers that list the server. A relay that has just started lists none, so its followers, which may have the server, learned nothing but that the relay does not list it.

Change: records of servers that have been gone for less than 10 s, the time for which routers keep them, go to all subscribers. A router that starts receives at most the departures of the last 10 s more.

--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -233,3 +233,27 @@
 	g.Consistently(func() registry.State { return fleet.entry(server.ID).State }, 3*time.Second).Should(Equal(registry.StateGone))
 	g.Expect(services[1].StateOf(server.ID)).To(Equal(registry.StateReady), "the second source has not heard")
 }
+
+// TestRelayThatStartedAfterADepartureReportsIt guards against a router that has missed that a server is
+// gone, and then follows a relay that has never had the server: it would use it for another 10 s.
+func TestRelayThatStartedAfterADepartureReportsIt(t *testing.T) {
+	g := NewWithT(t)
+	address := reserveAddress(t)
+	first, second := newCountingProxy(t, address), newCountingProxy(t, address)
+	replica := newFakeReplica(first.address)
+	replica.setTable(newTable(t, 1))
+	service := newTestService(t, replica, address)
+	serve(t, service, address)
+	server := testServer(1)
+	g.Expect(service.Announce(context.Background(), server)).To(Succeed())
+	router := startRelayingRouter(t, "router-1", "domain-a", first.address)
+	state := func() registry.State { return router.fleet.entry(server.ID).State }
+	g.Eventually(state, 5*time.Second, 5*time.Millisecond).Should(Equal(registry.StateReady))
+	first.cut()
+	first.closeConnections()
+	g.Expect(service.Withdraw(context.Background(), server.ID)).To(Succeed())
+	relaying := startRelayingRouter(t, "router-2", "domain-a", second.address)
+	g.Eventually(generationOf(relaying.view), 5*time.Second, 5*time.Millisecond).Should(Equal(uint64(1)))
+	router.view.SetSeeds([]string{relaying.address})
+	g.Eventually(state, 4*time.Second, 5*time.Millisecond).Should(Equal(registry.StateGone))
+}
--- a/internal/fleetsync/records.go
+++ b/internal/fleetsync/records.go
@@ -72,14 +72,15 @@
 }
 
 // missingRecords returns the records that a router lacks or that are warming up, and the hashes of
-// the servers that only the router has. The end of a warm-up is not part of a digest. The record of a server that is gone goes only to routers that have the
-// server. missingRecords removes entries from known.
+// the servers that only the router has. The end of a warm-up is not part of a digest. The record of a
+// server that has been gone for longer than goneRetention goes only to routers that have the server;
+// before that, a follower of the router may have it. missingRecords removes entries from known.
 func missingRecords(entries []registry.Entry, known map[uint64]uint32, now time.Time) (servers []*fleetpb.Server, unknown []uint64) {
 	for _, e := range entries {
 		id := registry.HashID(e.ID)
 		digest, isKnown := known[id]
 		delete(known, id)
-		if isKnown && digest == e.Digest() && !e.WarmupUntil.After(now) || !isKnown && e.State == registry.StateGone {
+		if isKnown && digest == e.Digest() && !e.WarmupUntil.After(now) || !isKnown && e.State == registry.StateGone && now.Sub(e.LastAnnounced) > goneRetention {
 			continue
 		}
 		servers = append(servers, toServer(e, now))
