Let an instance with an empty disk find its group through messages

Callers saw: a control instance that lost its disk answered 503 for good, and the group had one voter less than it should.

Cause: an instance with an empty disk looks for its group at the addresses of its settings. If all other seeds have been replaced, nobody answers there, and only a member could add it. The members still send it messages, which it rejected.

Change: an instance without a group records the senders of such messages as instances that may have one, and asks them.

--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -28,6 +29,18 @@
 	}
 }
 
+// recordGroupMember records an instance from which this one receives messages of a group, although it
+// belongs to none: the group does not know yet that this instance has lost its disk. Its seeds may all
+// have been replaced since.
+func (r *Replica) recordGroupMember(group, instance string) {
+	if group == "" || r.transport.currentGroup() != "" || !r.transport.usesSeeds {
+		return
+	}
+	if _, err := netip.ParseAddrPort(instance); err == nil {
+		r.AddSeeds([]string{instance})
+	}
+}
+
 // isBootstrapSeed reports whether this replica is one of the seeds that form the group at
 // the first start of the whole system.
 func (r *Replica) isBootstrapSeed() bool {
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -66,6 +66,7 @@
 // without a response if there is none.
 func (r *Replica) step(ctx context.Context, group, instance string, messages []*consensuspb.Message, heartbeatResponse chan<- consensus.Message) error {
 	if group == "" || group != r.transport.currentGroup() {
+		r.recordGroupMember(group, instance)
 		return errors.Errorf("message of group %q rejected: this replica does not belong to the group", group)
 	}
 	decoded := make([]consensus.Message, 0, len(messages))
