Tell a second withdrawal of an unknown server from a record passed on

The time of a record is computed from its age at each receiver, so a replica took the record that it had sent itself for a later one, and two replicas passed it on to each other for good. And the withdrawal of a later incarnation that the replica does not know either was neither sent on nor stored.

Change: a withdrawal is another one if it is more than 1 s later. Then it is sent on, and stored although one of the same ID is. Membership changes are logged by name instead of number.

Test: TestSecondWithdrawalOfUnknownServerIsStored failed without the slack (the revision of the registry went on rising).

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -17,6 +17,23 @@
 	SetDomains
 )
 
+// String returns the name of the type for logs.
+func (t ChangeType) String() string {
+	switch t {
+	case AddLearner:
+		return "add learner"
+	case PromoteLearner:
+		return "promote learner"
+	case RemoveReplica:
+		return "remove replica"
+	case DemoteVoter:
+		return "demote voter"
+	case SetDomains:
+		return "set failure domains"
+	}
+	return "unknown"
+}
+
 // Change adds, promotes, demotes or removes one replica, or sets the failure domains of members.
 type Change struct {
 	Type   ChangeType
--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -313,7 +313,7 @@
 			change = consensus.Change{Type: consensus.RemoveReplica, Member: replaced}
 		}
 		if err := r.core.ProposeChange(change); err == nil {
-			r.log.Info().Str("peer", learner.Instance).Int("change", int(change.Type)).Msg("replacing a voter of the control group")
+			r.log.Info().Str("peer", learner.Instance).Stringer("change", change.Type).Msg("replacing a voter of the control group")
 		}
 		return
 	}
--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -82,7 +82,7 @@
 		r.log.Debug().Err(err).Msg("control group membership change not proposed yet")
 		return true
 	}
-	r.log.Info().Str("peer", change.Member.Instance).Str("domain", change.Member.Domain).Int("change", int(change.Type)).
+	r.log.Info().Str("peer", change.Member.Instance).Str("domain", change.Member.Domain).Stringer("change", change.Type).
 		Msg("control group membership change proposed")
 	return true
 }
--- a/internal/fleetsync/departures.go
+++ b/internal/fleetsync/departures.go
@@ -34,13 +34,20 @@
 	mu sync.Mutex
 	// departures has the newest record of each server by its ID.
 	departures map[string]registry.Entry
-	// stored has the states of incarnations that are durable, by Server.Hash.
-	stored  map[uint64]registry.State
+	// stored has what is durable, by Server.Hash.
+	stored  map[uint64]storedDeparture
 	pending []pendingDeparture
 	// isWriting is set while a goroutine writes the pending records.
 	isWriting bool
 }
 
+// storedDeparture is the state of an incarnation, and the time of its last announcement or of its
+// withdrawal.
+type storedDeparture struct {
+	state registry.State
+	at    time.Time
+}
+
 // pendingDeparture is a record that is not durable yet.
 type pendingDeparture struct {
 	entry  registry.Entry
@@ -51,7 +58,7 @@
 // it again when it writes: the records matter for minutes only, and a replica has to start on a full
 // disk.
 func OpenDepartureLog(path string, log zerolog.Logger) *DepartureLog {
-	d := &DepartureLog{path: path, log: log, departures: make(map[string]registry.Entry), stored: make(map[uint64]registry.State)}
+	d := &DepartureLog{path: path, log: log, departures: make(map[string]registry.Entry), stored: make(map[uint64]storedDeparture)}
 	if err := d.open(); err != nil {
 		log.Error().Err(err).Msg("departures of backend servers not loaded")
 	}
@@ -81,7 +88,7 @@
 			// The time of day may have been set back since.
 			age := max(now.Sub(time.UnixMilli(record.GetRecordedMs())), 0)
 			entry := FromServer(server, now.Add(-age))
-			d.departures[entry.ID], d.stored[entry.Hash()] = entry, entry.State
+			d.departures[entry.ID], d.stored[entry.Hash()] = entry, storedDeparture{entry.State, entry.LastAnnounced}
 		}
 	}
 	return nil
@@ -123,11 +130,13 @@
 	return entries
 }
 
-// IsStored reports whether the departure of an incarnation is durable, in its state or a later one.
-func (d *DepartureLog) IsStored(server registry.Server) bool {
+// IsStored reports whether the departure of an incarnation is durable, in its state or a later one, or
+// the withdrawal of all incarnations up to its time.
+func (d *DepartureLog) IsStored(entry registry.Entry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.stored[server.Hash()] >= server.State
+	stored := d.stored[entry.Hash()]
+	return stored.state >= entry.State && (!entry.Withdrawn || !stored.at.Before(entry.LastAnnounced))
 }
 
 // Append makes records durable. It returns an error if that fails or takes until ctx ends; the
@@ -178,7 +187,7 @@
 		d.mu.Lock()
 		for _, p := range batch {
 			if err == nil {
-				d.stored[p.entry.Hash()] = p.entry.State
+				d.stored[p.entry.Hash()] = storedDeparture{p.entry.State, p.entry.LastAnnounced}
 			}
 			p.result <- err
 		}
--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -20,6 +20,13 @@
 	return e.State
 }
 
+// Revision returns the revision of the registry.
+func (p *publisher) Revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Revision()
+}
+
 // SequenceOf returns the sequence number of a server's record, or 0.
 func (p *publisher) SequenceOf(id string) uint64 {
 	p.mu.Lock()
--- a/internal/fleetsync/share.go
+++ b/internal/fleetsync/share.go
@@ -108,7 +108,7 @@
 	for _, record := range servers {
 		entry := FromServer(record, now)
 		changed = s.table.MergeRecord(entry) || changed
-		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged.Server) {
+		if merged, _ := s.table.Get(entry.ID); merged.State > registry.StateReady && !s.departures.IsStored(merged) {
 			departed = append(departed, merged)
 		}
 	}
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -157,7 +157,7 @@
 	s.mu.Lock()
 	entry, known := s.table.Get(id)
 	s.mu.Unlock()
-	if !known || entry.State == registry.StateReady || s.departures.IsStored(entry.Server) {
+	if !known || entry.State == registry.StateReady || s.departures.IsStored(entry) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -184,6 +184,7 @@
 	current := t.entries[e.ID]
 	if current != nil && current.Digest() == e.Digest() && !current.endsLater(e.WarmupUntil) {
 		current.Sequence, current.LastAnnounced = e.Sequence, e.LastAnnounced
+		t.setWithdrawn(current, e.Withdrawn)
 		return
 	}
 	if current != nil {
--- a/internal/registry/withdrawal.go
+++ b/internal/registry/withdrawal.go
@@ -6,6 +6,11 @@
 // They expire after EntryRetention, as all records do.
 const MaxWithdrawn = 1024
 
+// withdrawalSlack is by how much a withdrawal has to be later than the recorded one to be another one.
+// The time of a record that is passed on is the receiver's, later by the delay of the message: without
+// the slack, two replicas would return a record to each other for good.
+const withdrawalSlack = time.Second
+
 // Withdraw marks a server as gone at now. If the table does not have the server, it records that all
 // incarnations are gone that started before: another replica or a router may have one. Withdraw reports
 // whether the table had the server, and whether the withdrawal is recorded, which it is not beyond
@@ -19,7 +24,9 @@
 		return false, t.mergeWithdrawal(Entry{Server: Server{ID: id, State: StateGone}, LastAnnounced: now, Withdrawn: true})
 	}
 	if current.Withdrawn {
-		current.LastAnnounced = now
+		// A later incarnation may have withdrawn that this table does not know either.
+		t.mergeWithdrawal(Entry{Server: current.Server, LastAnnounced: now, Withdrawn: true})
+		return false, true
 	}
 	if current.State != StateGone {
 		current.State, current.LastAnnounced = StateGone, now
@@ -28,6 +35,11 @@
 	return true, true
 }
 
+// isLaterWithdrawal reports whether e records a later withdrawal than known.
+func (e *Entry) isLaterWithdrawal(known *Entry) bool {
+	return e.LastAnnounced.Sub(known.LastAnnounced) > withdrawalSlack
+}
+
 // CoversAnnounced reports whether the withdrawal that an entry records, with Withdrawn set, covers an
 // incarnation of the server because it was last announced at announcedAt, before the withdrawal, or
 // because the entry has its data or those of a later one.
@@ -45,7 +57,7 @@
 // ApplyTo applies the entry, which has Withdrawn set, to what a router knows of the server. It returns the
 // entry with the data of the known incarnation, and whether it is news.
 func (e Entry) ApplyTo(known Entry) (Entry, bool) {
-	if known.Withdrawn && !e.LastAnnounced.After(known.LastAnnounced) || !known.Withdrawn && !e.Covers(&known.Server, known.LastAnnounced) {
+	if known.Withdrawn && !e.isLaterWithdrawal(&known) || !known.Withdrawn && !e.Covers(&known.Server, known.LastAnnounced) {
 		return known, false
 	}
 	known.State, known.Silent, known.Withdrawn, known.LastAnnounced = StateGone, false, true, e.LastAnnounced
@@ -60,7 +72,7 @@
 		current = &Entry{Server: e.Server}
 		t.entries[e.ID] = current
 	case current.Withdrawn:
-		if !e.LastAnnounced.After(current.LastAnnounced) {
+		if !e.isLaterWithdrawal(current) {
 			return false
 		}
 	case !e.Covers(&current.Server, current.LastAnnounced):
