--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -12,24 +12,32 @@
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
-// settingsVariable is the environment variable with the default of -settings.
-const settingsVariable = "PERIDOTWINCH_SETTINGS"
+// Environment variables with the defaults of -settings and -fault-tolerance.
+const (
+	settingsVariable       = "PERIDOTWINCH_SETTINGS"
+	faultToleranceVariable = "PERIDOTWINCH_FAULT_TOLERANCE"
+)
 
 func serveCommand(adapters adapter.Set) *command {
-	var path string
+	var path, faultTolerance string
 	return &command{
 		name:     "serve",
 		group:    groupDaemon,
 		synopsis: "Runs a daemon with the roles that its settings list",
-		usage:    "-settings FILE",
+		usage:    "-settings FILE [-fault-tolerance N]",
 		setFlags: func(f *flag.FlagSet) {
 			f.StringVar(&path, "settings", os.Getenv(settingsVariable), "JSON settings file; $"+settingsVariable+" by default")
+			f.StringVar(&faultTolerance, "fault-tolerance", os.Getenv(faultToleranceVariable),
+				"join.faultTolerance if the settings do not state it; $"+faultToleranceVariable+" by default")
 		},
 		run: func(ctx context.Context, _ []string) error {
 			s, err := settings.Load(path)
 			if err != nil {
 				return err
 			}
+			if err := s.SetFaultTolerance(faultTolerance); err != nil {
+				return err
+			}
 			lines := eventlog.NewWriter(os.Stdout)
 			defer lines.Close()
 			log := newLogger(s.LogLevel).Output(lines).Hook(eventlog.NewBudget(time.Now()))
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 )
 
 // Join configures the discovery of the other daemons through seeds, instead of a list of peers.
@@ -30,6 +31,25 @@
 	maxFaultTolerance     = 4
 )
 
+// SetFaultTolerance sets join.faultTolerance from the text of a number, unless the settings state it or
+// the text is empty. It returns Errors with the field if the text is not valid.
+func (s *Settings) SetFaultTolerance(text string) error {
+	if text == "" || s.Join == nil || s.Join.FaultTolerance != 0 {
+		return nil
+	}
+	v := &validator{}
+	tolerated, err := strconv.Atoi(text)
+	if err != nil {
+		v.add("join.faultTolerance", "%q is not a number", text)
+		return v.errs
+	}
+	s.Join.FaultTolerance = tolerated
+	if v.faultTolerance(s.Join); len(v.errs) > 0 {
+		return v.errs
+	}
+	return nil
+}
+
 // MaxVoters returns the number of voters that the control group has if there are enough instances.
 func (j *Join) MaxVoters() int {
 	tolerated := j.FaultTolerance
@@ -76,6 +96,12 @@
 	return s.Instance
 }
 
+func (v *validator) faultTolerance(j *Join) {
+	if j.FaultTolerance < 0 || j.FaultTolerance > maxFaultTolerance {
+		v.add("join.faultTolerance", "%d is not between 1 and %d", j.FaultTolerance, maxFaultTolerance)
+	}
+}
+
 func (v *validator) join(s *Settings) {
 	if s.Join == nil {
 		return
@@ -89,9 +115,7 @@
 	if s.Join.Address != "" {
 		v.address("join.address", s.Join.Address)
 	}
-	if s.Join.FaultTolerance < 0 || s.Join.FaultTolerance > maxFaultTolerance {
-		v.add("join.faultTolerance", "%d is not between 1 and %d", s.Join.FaultTolerance, maxFaultTolerance)
-	}
+	v.faultTolerance(s.Join)
 	if len(s.Peers) > 0 {
 		v.add("peers", "must be empty if join is set")
 	}
