--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -262,7 +262,6 @@
 	}
 }
 
-
 // Confirm records that another replica received an announcement of an incarnation at
 // announcedAt. It reports whether the table has the incarnation.
 func (t *Table) Confirm(hash uint64, announcedAt, now time.Time) bool {
--- a/internal/registry/withdrawal_test.go
+++ b/internal/registry/withdrawal_test.go
@@ -11,7 +11,9 @@
 )
 
 // startedAt returns a server that started at a time.
-func startedAt(at time.Time) registry.Server { return server("a", at.UnixMilli(), 1, registry.StateReady) }
+func startedAt(at time.Time) registry.Server {
+	return server("a", at.UnixMilli(), 1, registry.StateReady)
+}
 
 // TestWithdrawalOfUnknownServerIsRecorded guards against a withdrawal that is confirmed and not
 // recorded, and against a delayed announcement that revives the server.
