Name superseded members of the control group, and build join requests once

"Succeeded" reads as "was successful"; the term is superseded. The simulation of the tests built join requests with a copy of the product's code.

Change: names, comments and one function shared with the simulation. Behaviour and checks are the same.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -110,7 +110,7 @@
 }
 
 // withoutMember returns the members without one. The next member that joined in its failure domain takes
-// its place, so that it succeeds no other one; the instance itself does so if it runs another replica.
+// its place, so that it supersedes no other one; the instance itself does so if it runs another replica.
 func withoutMember(members []Member, position int) []Member {
 	removed, successor := members[position], -1
 	for i, member := range members {
--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -175,7 +175,8 @@
 func (r *Replica) requestJoin(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	request := r.joinRequest()
+	status := r.Status()
+	request := r.joinRequest(status.Status, status.Group, r.instanceName())
 	r.callPeers(ctx, func(ctx context.Context, client consensuspb.DRPCConsensusClient) error {
 		_, err := client.Join(ctx, request)
 		return err
--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -155,11 +155,11 @@
 	}
 }
 
-// joinRequest returns the request of this replica to be a member of its group.
-func (r *Replica) joinRequest() *consensuspb.JoinRequest {
-	status := r.Status()
+// joinRequest returns the request of the replica with a status, on an instance, to be a member of its
+// group.
+func (r *Replica) joinRequest(status consensus.Status, group, instance string) *consensuspb.JoinRequest {
 	request := &consensuspb.JoinRequest{
-		Group: status.Group, Replica: uint64(status.ID), Instance: r.instanceName(), Domain: r.settings.FailureDomain,
+		Group: group, Replica: uint64(status.ID), Instance: instance, Domain: r.settings.FailureDomain,
 	}
 	if member, ok := status.Membership.Find(status.ID); ok {
 		request.Joined = proto.Uint64(member.Joined)
--- a/internal/control/replica/simulation_test.go
+++ b/internal/control/replica/simulation_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"peridotwinch.example/peridotwinch/internal/consensus"
 	"peridotwinch.example/peridotwinch/internal/rpc/consensuspb"
@@ -270,7 +269,7 @@
 			}
 		}
 		if leader := s.leader(); leader != nil && leader != r {
-			leader.addLearner(s.joinRequest(r))
+			leader.addLearner(r.joinRequest(status, "", r.instance))
 			s.processReady(leader)
 		}
 	}
@@ -284,14 +283,3 @@
 	}
 	return responses
 }
-
-// joinRequest returns the request of a replica as Replica.joinRequest does.
-func (s *simulation) joinRequest(r *simulatedReplica) *consensuspb.JoinRequest {
-	request := &consensuspb.JoinRequest{Replica: uint64(r.id), Instance: r.instance, Domain: r.domain}
-	if member, ok := r.core.Membership().Find(r.id); ok {
-		request.Joined = proto.Uint64(member.Joined)
-	} else if r.settings.Join.Bootstrap {
-		request.Joined = proto.Uint64(0)
-	}
-	return request
-}
--- a/internal/control/replica/voters.go
+++ b/internal/control/replica/voters.go
@@ -50,18 +50,18 @@
 	if lost, ok := g.lostVoter(); ok && (voters > view.maxVoters || voters%2 == 1 && len(caughtUp) > 0) {
 		return consensus.Change{Type: consensus.RemoveReplica, Member: lost}, true
 	}
-	succeeded, hasSucceeded := g.succeededVoter()
-	if voters > view.maxVoters && hasSucceeded {
-		return consensus.Change{Type: consensus.DemoteVoter, Member: succeeded}, true
+	superseded, hasSuperseded := g.supersededVoter()
+	if voters > view.maxVoters && hasSuperseded {
+		return consensus.Change{Type: consensus.DemoteVoter, Member: superseded}, true
 	}
 	if voters > view.maxVoters || len(caughtUp) == 0 {
 		return consensus.Change{}, false
 	}
 	best := caughtUp[0]
-	takesOver := hasSucceeded && !g.isSucceeded(best)
+	takesOver := hasSuperseded && !g.isSuperseded(best)
 	switch {
-	case takesOver && voters == view.maxVoters && view.inactiveFor(succeeded.ID) > 0:
-		return consensus.Change{Type: consensus.RemoveReplica, Member: succeeded}, true
+	case takesOver && voters == view.maxVoters && view.inactiveFor(superseded.ID) > 0:
+		return consensus.Change{Type: consensus.RemoveReplica, Member: superseded}, true
 	case takesOver, voters < view.maxVoters && (voters%2 == 0 || len(caughtUp) > 1):
 		return consensus.Change{Type: consensus.PromoteLearner, Member: best}, true
 	}
@@ -103,9 +103,9 @@
 	return lost, found
 }
 
-// isSucceeded reports whether more members have joined later in the same failure domain and caught up
-// than others that they may succeed are inactive: each succeeds one instance.
-func (g group) isSucceeded(member consensus.Member) bool {
+// isSuperseded reports whether more members have joined later in the same failure domain and caught up
+// than others that they may replace are inactive: each replaces one instance.
+func (g group) isSuperseded(member consensus.Member) bool {
 	successors := 0
 	for _, other := range g.Members {
 		switch {
@@ -120,19 +120,19 @@
 	return successors > 0
 }
 
-// succeededVoter returns a voter that has a successor, preferably one that does not lead, in the
+// supersededVoter returns a voter that has a successor, preferably one that does not lead, in the
 // failure domain with most voters.
-func (g group) succeededVoter() (consensus.Member, bool) {
-	var succeeded []consensus.Member
+func (g group) supersededVoter() (consensus.Member, bool) {
+	var superseded []consensus.Member
 	for _, member := range g.Members {
-		if !member.Learner && g.isSucceeded(member) {
-			succeeded = append(succeeded, member)
+		if !member.Learner && g.isSuperseded(member) {
+			superseded = append(superseded, member)
 		}
 	}
-	if len(succeeded) == 0 {
+	if len(superseded) == 0 {
 		return consensus.Member{}, false
 	}
-	return slices.MinFunc(succeeded, func(a, b consensus.Member) int {
+	return slices.MinFunc(superseded, func(a, b consensus.Member) int {
 		return cmp.Or(
 			compareBool(a.ID == g.view.leader, b.ID == g.view.leader),
 			cmp.Compare(g.votersIn(b.Domain), g.votersIn(a.Domain)),
@@ -151,7 +151,7 @@
 	}
 	slices.SortFunc(learners, func(a, b consensus.Member) int {
 		return cmp.Or(
-			compareBool(g.isSucceeded(a), g.isSucceeded(b)),
+			compareBool(g.isSuperseded(a), g.isSuperseded(b)),
 			cmp.Compare(g.votersIn(a.Domain), g.votersIn(b.Domain)),
 			cmp.Compare(a.ID, b.ID),
 		)
