Bound the memory for the bodies of all requests in progress

Callers saw: 44 callers sent bodies of 4 MiB at once, as the route table allows.

Cause: a request keeps its body until it ends, because another attempt sends it again. Each body is bounded, their sum was not.

Ruled out: answers that are buffered (13 bytes each here, and bounded), bytes that wait on the way to servers (these read at once).

A request for which too little is left is refused with 3034 before it is sent to a server, at once if it declares its length. Bodies of more than 64 KiB leave a quarter to smaller ones. The rest of a refused body is discarded, so that the caller receives the answer and keeps its connection.

--- a/api/code.go
+++ b/api/code.go
@@ -61,6 +61,7 @@
 	CodeAnswerNotKept    Code = 3031
 	CodePromptWithheld   Code = 3032
 	CodeDomainEvacuated  Code = 3033
+	CodeMemoryExhausted  Code = 3034
 	CodeAnnouncement     Code = 4001
 	CodeFencingTokenOld  Code = 4010
 	CodeLoadMixInvalid   Code = 4011
@@ -141,6 +142,7 @@
 	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, ExitRefused, "The request ran; its answer was too large to be stored for retries."},
 	{CodePromptWithheld, "prompt_withheld", http.StatusServiceUnavailable, ExitRefused, "Backend servers have ended one after the other while they began to answer prompts with one part of this prompt; it is not sent to further ones until the time in Retry-After."},
 	{CodeDomainEvacuated, "domain_evacuated", http.StatusServiceUnavailable, ExitRefused, "All backend servers that could accept the request are in evacuated failure domains."},
+	{CodeMemoryExhausted, "memory_exhausted", http.StatusServiceUnavailable, ExitRefused, "The requests in progress hold as many bytes as the router keeps for them; this one was not sent to a backend server."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
 	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
 	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the load description is not valid."},
--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -1,29 +1,50 @@
-// Package bytebudget bounds the memory that many answers buffer together. An answer of any
-// single server is bounded by its reader; a budget bounds their sum.
+// Package bytebudget bounds the memory that many requests or answers buffer together. Each of them is
+// bounded by its reader; a budget bounds their sum.
 package bytebudget
 
 import "sync/atomic"
 
-// FreeBytes is how many bytes each share holds without drawing on its budget, so that answers
-// of an ordinary size are read even while large ones have used up the budget.
+// FreeBytes is how many bytes each share of a budget made with New holds without drawing on it, so that
+// answers of an ordinary size are read even while large ones have used up the budget.
 const FreeBytes = 64 << 10
 
+// reservedPart is the number of parts of a strict budget of which one is left to small shares.
+const reservedPart = 4
+
 // Budget is a number of bytes that shares draw on. It is safe for concurrent use.
 type Budget struct {
 	limitBytes int64
-	usedBytes  atomic.Int64
+	// freeBytes is what each share holds without drawing on the budget.
+	freeBytes int64
+	// reservedBytes is left to shares of up to FreeBytes.
+	reservedBytes int64
+	usedBytes     atomic.Int64
 }
 
-// New returns a budget of limitBytes.
-func New(limitBytes int64) *Budget { return &Budget{limitBytes: limitBytes} }
+// New returns a budget of limitBytes for what shares hold beyond FreeBytes each.
+func New(limitBytes int64) *Budget { return &Budget{limitBytes: limitBytes, freeBytes: FreeBytes} }
+
+// NewStrict returns a budget of limitBytes for all that shares hold. Those of more than FreeBytes leave a
+// quarter of it to smaller ones.
+func NewStrict(limitBytes int64) *Budget {
+	return &Budget{limitBytes: limitBytes, reservedBytes: limitBytes / reservedPart}
+}
 
-// UsedBytes returns how many bytes the shares hold beyond FreeBytes each.
+// UsedBytes returns how many bytes the shares have drawn.
 func (b *Budget) UsedBytes() int64 { return b.usedBytes.Load() }
 
+// limit returns how much of the budget may be used after a share has been resized.
+func (b *Budget) limit(size int64) int64 {
+	if size > FreeBytes {
+		return b.limitBytes - b.reservedBytes
+	}
+	return b.limitBytes
+}
+
 // Share returns a share that holds no bytes. Release must be called.
 func (b *Budget) Share() *Share { return &Share{budget: b} }
 
-// Share is the part of a budget that one answer holds. It is not safe for concurrent use.
+// Share is the part of a budget that one request or answer holds. It is not safe for concurrent use.
 type Share struct {
 	budget *Budget
 	// drawnBytes is what the share has drawn on the budget.
@@ -33,15 +54,23 @@
 // Resize makes the share hold size bytes. It returns false, and changes nothing, if the budget
 // has too few left.
 func (s *Share) Resize(size int) bool {
-	drawn := max(int64(size)-FreeBytes, 0)
-	added := drawn - s.drawnBytes
-	if used := s.budget.usedBytes.Add(added); added > 0 && used > s.budget.limitBytes {
+	added := s.added(int64(size))
+	if used := s.budget.usedBytes.Add(added); added > 0 && used > s.budget.limit(int64(size)) {
 		s.budget.usedBytes.Add(-added)
 		return false
 	}
-	s.drawnBytes = drawn
+	s.drawnBytes += added
 	return true
 }
 
+// CanResize reports whether the budget has enough bytes left now to make the share hold size bytes.
+func (s *Share) CanResize(size int64) bool {
+	added := s.added(size)
+	return added <= 0 || s.budget.usedBytes.Load()+added <= s.budget.limit(size)
+}
+
+// added returns by how many bytes a size changes what the share has drawn.
+func (s *Share) added(size int64) int64 { return max(size-s.budget.freeBytes, 0) - s.drawnBytes }
+
 // Release returns the share's bytes to the budget.
 func (s *Share) Release() { s.Resize(0) }
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -1,7 +1,9 @@
 package bytebudget_test
 
 import (
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	. "github.com/onsi/gomega"
 
@@ -24,3 +26,49 @@
 	second.Release()
 	g.Expect(budget.UsedBytes()).To(BeZero())
 }
+
+// TestStrictBudgetLeavesAPartToSmallShares guards against small requests that are refused because large
+// ones use up the whole budget.
+func TestStrictBudgetLeavesAPartToSmallShares(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 1 << 20
+	budget := bytebudget.NewStrict(limit)
+	large, other := budget.Share(), budget.Share()
+	g.Expect(large.Resize(limit / 4 * 3)).To(BeTrue())
+	g.Expect(other.Resize(bytebudget.FreeBytes + 1)).To(BeFalse())
+	g.Expect(budget.UsedBytes()).To(Equal(int64(limit / 4 * 3)))
+	for range limit / 4 / bytebudget.FreeBytes {
+		g.Expect(budget.Share().Resize(bytebudget.FreeBytes)).To(BeTrue())
+	}
+	g.Expect(other.Resize(1)).To(BeFalse())
+	large.Release()
+	g.Expect(other.Resize(1)).To(BeTrue())
+}
+
+// TestReadAllHoldsWhatHasArrived guards against bytes that are read and not counted, and against a
+// declared length that is counted before it arrives.
+func TestReadAllHoldsWhatHasArrived(t *testing.T) {
+	g := NewWithT(t)
+	const size, limit = 3<<20 + 5, 8 << 20
+	text := strings.Repeat("0123456789", size/10+1)[:size]
+	for _, declared := range []int64{size, -1} {
+		budget := bytebudget.NewStrict(limit)
+		share := budget.Share()
+		body, err := share.ReadAll(iotest.HalfReader(strings.NewReader(text)), declared)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(body) == text).To(BeTrue())
+		g.Expect(budget.UsedBytes()).To(And(BeNumerically(">=", size), BeNumerically("<=", 2*size)))
+		_, err = budget.Share().ReadAll(strings.NewReader(""), 6<<20)
+		g.Expect(err).To(MatchError(bytebudget.ErrExhausted))
+		other := budget.Share()
+		_, err = other.ReadAll(strings.NewReader(text+text), -1)
+		g.Expect(err).To(MatchError(bytebudget.ErrExhausted))
+		other.Release()
+		share.Release()
+		g.Expect(budget.UsedBytes()).To(BeZero())
+
+		_, err = share.ReadAll(iotest.TimeoutReader(strings.NewReader(text)), 6<<20)
+		g.Expect(err).To(MatchError(iotest.ErrTimeout))
+		g.Expect(budget.UsedBytes()).To(BeNumerically("<=", 64<<10))
+	}
+}
--- /dev/null
+++ b/internal/bytebudget/read.go
@@ -0,0 +1,54 @@
+package bytebudget
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// initialBytes bounds the memory for a body before it arrives.
+const initialBytes = 32 << 10
+
+// ErrExhausted is the error of a read for which the budget has too few bytes left.
+var ErrExhausted = errors.New("too few bytes of memory are left")
+
+// ReadAll reads a body of a declared length, or of an unknown one if it is negative, into memory that
+// the share holds. The share grows as bytes arrive, because a sender may declare a large body and never
+// send it. A declared length for which the budget has too few bytes fails before anything is read.
+func (s *Share) ReadAll(r io.Reader, declaredLength int64) ([]byte, error) {
+	if declaredLength >= 0 && !s.CanResize(declaredLength) {
+		return nil, ErrExhausted
+	}
+	capacity := int64(initialBytes)
+	if declaredLength >= 0 {
+		capacity = min(capacity, fullCapacity(declaredLength))
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if !s.Resize(int(capacity)) {
+				return nil, ErrExhausted
+			}
+			body = append(make([]byte, 0, capacity), body...)
+			capacity = nextCapacity(capacity, declaredLength)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// fullCapacity leaves room for the read that returns io.EOF.
+func fullCapacity(length int64) int64 { return length + 1 }
+
+func nextCapacity(capacity, declaredLength int64) int64 {
+	if full := fullCapacity(declaredLength); capacity < full {
+		return min(2*capacity, full)
+	}
+	return 2 * capacity
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,24 +1,20 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/bytebudget"
 	"peridotwinch.example/peridotwinch/internal/placement"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
-// maxInitialBodyBytes limits the memory for a body before it arrives.
-const maxInitialBodyBytes = 32 << 10
-
 // call is a caller's request in progress, with its route, customer and pool.
 type call struct {
 	gateway    *Gateway
@@ -32,8 +28,10 @@
 	poolName   string
 	pool       *pool
 	body       []byte
-	ctx        context.Context
-	deadline   time.Time
+	// memory is the call's share of the memory for bodies.
+	memory   *bytebudget.Share
+	ctx      context.Context
+	deadline time.Time
 
 	// attempts counts the sends after which the server may have run the request;
 	// sends counts all of them.
@@ -78,12 +76,7 @@
 			return api.FieldErrorf(api.CodeKeyUnknown, "key", "route %q in generation %d requires a customer's key", c.route.Name, c.table.Generation)
 		}
 	}
-	limit := c.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	var err error
-	if c.body, err = readBody(c.w, c.r, limit); err != nil {
+	if err := c.readBody(); err != nil {
 		return err
 	}
 	c.deadline = c.receivedAt.Add(c.route.Timeout)
@@ -103,31 +96,6 @@
 	return nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > limit {
-		return nil, api.Errorf(api.CodeTooLarge, "body has %d bytes; the limit is %d", r.ContentLength, limit)
-	}
-	// A caller may declare a large body and never send it.
-	var out bytes.Buffer
-	out.Grow(int(min(max(r.ContentLength, 0), maxInitialBodyBytes)) + bytes.MinRead)
-	_, err := out.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	return out.Bytes(), bodyError(err, limit)
-}
-
-func bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return api.Errorf(api.CodeTooLarge, "body exceeds %d bytes", limit)
-	}
-	if err != nil {
-		return api.Errorf(api.CodeRequestInvalid, "read the body: %v", err)
-	}
-	return nil
-}
-
 // pathOf returns the undecoded path as the caller sent it, without the query.
 func pathOf(r *http.Request) string {
 	path, _, _ := strings.Cut(targetOf(r), "?")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"peridotwinch.example/peridotwinch/internal/quarantine"
 	"peridotwinch.example/peridotwinch/internal/registry"
 	"peridotwinch.example/peridotwinch/internal/routetable"
+	"peridotwinch.example/peridotwinch/internal/settings"
 	"peridotwinch.example/peridotwinch/internal/slotrpc"
 )
 
@@ -24,8 +25,6 @@
 }
 
 const (
-	// defaultMaxBodyBytes is the body size limit if the route table sets none.
-	defaultMaxBodyBytes = 4 << 20
 	// maintenanceInterval is how often expired connections are closed and unreachable servers
 	// are probed.
 	maintenanceInterval = 200 * time.Millisecond
@@ -58,6 +57,8 @@
 	startedAt          time.Time
 	// answerMemory bounds the memory for incomplete stream events.
 	answerMemory *bytebudget.Budget
+	// requestMemory bounds the memory for the bodies of requests.
+	requestMemory *bytebudget.Budget
 
 	inProgress atomic.Int64
 	// drainEnd is when a shutdown aborts the requests in progress; nil before a shutdown.
@@ -76,6 +77,7 @@
 		log: log, domain: domain, transitLimit: transitLimit, dialect: dialect,
 		pools: newPools(m), metrics: m, startedAt: time.Now(), answerMemory: bytebudget.New(answerMemoryBytes),
 	}
+	g.SetRequestMemory(settings.DefaultRequestMemoryBytes)
 	g.client = backend.NewClient(backend.Hooks{
 		Opened: m.connectionsOpened.Inc, PassedOver: m.connectionsPassedOver.Inc, Dialed: m.recordDial, Evicted: m.connectionsEvicted.Inc,
 	})
@@ -150,7 +152,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
-	c := &call{gateway: g, w: w, r: r, receivedAt: time.Now(), table: g.tableSource.Table(), in: g.dialect.ParseRequest(r)}
+	c := &call{gateway: g, w: w, r: r, receivedAt: time.Now(), table: g.tableSource.Table(), in: g.dialect.ParseRequest(r), memory: g.requestMemory.Share()}
+	defer c.memory.Release()
 	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,7 @@
 	metrics.GetOrCreateGauge("peridotwinch_gateway_connections_idle", func() float64 { return float64(g.client.Idle()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_silence_ignored", func() float64 { return float64(g.pools.ignoredSilence()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_answer_memory_bytes", func() float64 { return float64(g.answerMemory.UsedBytes()) })
+	metrics.GetOrCreateGauge("peridotwinch_gateway_request_memory_bytes", func() float64 { return float64(g.requestMemory.UsedBytes()) })
 	metrics.GetOrCreateGauge("peridotwinch_gateway_requests_waiting", func() float64 {
 		queued := 0
 		for _, p := range g.pools.list() {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -78,7 +78,12 @@
 	}
 	g.metrics.recordOutcome(c, "refused")
 	g.dialect.MarkRouterAnswer(c.w.Header(), c.in.ID)
-	httpx.WriteJSON(c.w, status, &api.ErrorBody{Error: &apiErr})
+	write := func() { httpx.WriteJSON(c.w, status, &api.ErrorBody{Error: &apiErr}) }
+	if apiErr.Code != api.CodeMemoryExhausted {
+		write()
+	} else if err := httpx.AnswerUnread(c.w, c.r, write); err != nil {
+		c.log(zerolog.InfoLevel).Err(err).Msg("body of a refused request not read to its end")
+	}
 }
 
 func (c *call) retryAfter(code api.Code) time.Duration {
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -2,6 +2,7 @@
 package httpx
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -34,9 +35,12 @@
 
 // WriteJSON writes an answer with a JSON body. It ignores write errors.
 func WriteJSON(w http.ResponseWriter, status int, body any) {
+	var encoded bytes.Buffer
+	_ = json.NewEncoder(&encoded).Encode(body)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(encoded.Len()))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(encoded.Bytes())
 }
 
 // WriteError writes the *api.Error in err's chain with the HTTP status of its code.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,6 +54,7 @@
 	in := &Ingress{settings: s, log: log, lifecycle: lc, callers: callers}
 	losses := quarantine.NewStore(s.Instance, log)
 	in.gateway = gateway.New(s.FailureDomain, a.Dialect(), s.Streams.TransitLimit(), losses, log)
+	in.gateway.SetRequestMemory(s.RequestMemoryBytes())
 	in.gateway.SetWarmup(s.Warmup.Overage, s.Warmup.Slack)
 	if s.Prefill.Balance {
 		in.gateway.SeparatePrompts()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"peridotwinch.example/peridotwinch/api"
@@ -50,6 +50,8 @@
 	activeCalls     *callSet
 	// answerMemory bounds the memory for large answers and stream events.
 	answerMemory *bytebudget.Budget
+	// requestMemory bounds the memory for the bodies of requests.
+	requestMemory *bytebudget.Budget
 
 	// lastAdmission is until when requests are admitted; nil before a shutdown, during which each
 	// answer closes its connection.
@@ -72,6 +74,7 @@
 		progressTimeout: s.Timeouts.Progress(),
 		activeCalls:     newCallSet(),
 		answerMemory:    bytebudget.New(answerMemoryBytes),
+		requestMemory:   bytebudget.NewStrict(s.RequestMemoryBytes()),
 		abortCtx:        abortCtx,
 		abort:           abort,
 	}
@@ -96,6 +99,8 @@
 	config   *catalog.Catalog
 	customer *catalog.Customer
 	body     []byte
+	// memory is the call's share of the memory for bodies.
+	memory *bytebudget.Share
 	// key is the request's idempotency key. It is cleared if the request is
 	// idempotent and needs no claim.
 	key string
@@ -109,7 +114,8 @@
 // returned.
 func (p *Proxy) serve(handle handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c := &call{id: requestID(r), state: newRequestState(), key: r.Header.Get(api.HeaderIdempotencyKey)}
+		c := &call{id: requestID(r), state: newRequestState(), key: r.Header.Get(api.HeaderIdempotencyKey), memory: p.requestMemory.Share()}
+		defer c.memory.Release()
 		p.activeCalls.add(c)
 		defer p.activeCalls.remove(c)
 		w.Header().Set(api.HeaderRequestID, c.id)
@@ -124,7 +130,7 @@
 			err = handle(w, r, c)
 		}
 		if err != nil {
-			p.refuse(w, c, err)
+			p.refuse(w, r, c, err)
 		}
 	}
 }
@@ -153,7 +159,11 @@
 		return api.FieldErrorf(api.CodeCustomerUnknown, "Authorization", "the bearer token does not belong to a customer")
 	}
 	var err error
-	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
+	c.body, err = c.memory.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.ContentLength)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		return api.Errorf(api.CodeMemoryExhausted, "the requests in progress hold %d bytes", p.requestMemory.UsedBytes())
+	}
+	if err != nil {
 		return api.Errorf(api.CodeRequestInvalid, "read the request body: %v", err)
 	}
 	p.retryBudgets.earn()
@@ -162,7 +172,7 @@
 
 // refuse answers a call with an error. The call's state, not the error,
 // determines the reported outcome.
-func (p *Proxy) refuse(w http.ResponseWriter, c *call, err error) {
+func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	if stateErr := c.state.finishWithoutAnswer(c.key != ""); stateErr != nil {
 		p.log.Error().Err(stateErr).Str("requestId", c.id).Msg("cannot move the request to a final state of its chart")
 	}
@@ -175,7 +185,11 @@
 		c.callerStream.writeError(&apiErr)
 		return
 	}
-	httpx.WriteError(w, &apiErr)
+	if apiErr.Code != api.CodeMemoryExhausted {
+		httpx.WriteError(w, &apiErr)
+	} else if err := httpx.AnswerUnread(w, r, func() { httpx.WriteError(w, &apiErr) }); err != nil {
+		p.log.Info().Str("requestId", c.id).Err(err).Msg("body of a refused request not read to its end")
+	}
 }
 
 // fire applies an event to the call's request chart. An event that the current
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -82,6 +82,43 @@
 	)
 })
 
+// Guards against a router that ends for lack of memory because many callers send large bodies at once.
+var _ = Describe("large bodies of many requests", func() {
+	It("are refused before a server receives them once they exceed the memory for them", func() {
+		const requests, size, limit = 20, 4 << 20, 16 << 20
+		release := make(chan struct{})
+		server := newRawServer(func(conn net.Conn, _, _ int) bool {
+			<-release
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+api.HeaderSendID+": "+sendIDMark+"\r\n\r\nok")
+			return err == nil
+		})
+		proxy := newTestProxy(10*time.Second, server.address())
+		proxy.proxy.requestMemory = bytebudget.NewStrict(limit)
+		var mu sync.Mutex
+		statuses := make(map[int]int)
+		var callers sync.WaitGroup
+		for range requests {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				reply := proxy.mustCall("POST", "/services/gates/a", strings.Repeat("m", size))
+				mu.Lock()
+				defer mu.Unlock()
+				if statuses[reply.status]++; reply.status != 200 {
+					Expect(reply.errorOrEmpty().Code).To(Equal(api.CodeMemoryExhausted))
+					Expect(reply.outcome).To(Equal(api.OutcomeNotRun))
+				}
+			})
+		}
+		Eventually(func() int { mu.Lock(); defer mu.Unlock(); return statuses[503] }).
+			WithTimeout(10 * time.Second).Should(BeNumerically(">=", requests-limit/size))
+		close(release)
+		callers.Wait()
+		Expect(statuses[200] + statuses[503]).To(Equal(requests))
+		Expect(statuses[200]).To(And(BeNumerically(">", 0), BeNumerically("<", limit/size)))
+		Expect(proxy.proxy.requestMemory.UsedBytes()).To(BeZero())
+	})
+})
+
 var _ = Describe("eventReader", func() {
 	read := func(text string) (events []string, err error) {
 		reader := newEventReader(strings.NewReader(text), bytebudget.New(answerMemoryBytes).Share())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -273,6 +273,8 @@
 	v.policy(s.Routing.Policy)
 	v.notNegative("memory.gcPercent", s.Memory.GCPercent)
 	v.notNegative("memory.limitMb", s.Memory.LimitMB)
+	v.notNegative("memory.processMb", s.Memory.ProcessMB)
+	v.notNegative("memory.requestsMb", s.Memory.RequestsMB)
 	if s.Link.MBitPerSecond < 0 {
 		v.add("link.mbitPerSecond", "must not be negative")
 	}
