Do not cut off slow answers that end before the deadline

Cause: the attempt timeout, which leaves time for another server, also ran while a large answer was forwarded, when no other server can take over.

Ruled out: the write deadline of the caller's connection (1.6 s later), an end by the server (it sees the router close the connection). The logged cause is the attempt timeout.

Change: the timeout ends once a part was forwarded.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,8 +24,8 @@
 	maxDiscardedBytes = 64 << 10
 	// maxSends bounds the sends of one request, including those that a server refuses.
 	maxSends = 4
-	// attemptTimeoutShare is the share of the remaining time that an attempt may take until the
-	// first byte if the request may be retried on another server.
+	// attemptTimeoutShare is the share of the remaining time that an attempt may take if the request may
+	// be retried on another server and the answer does not arrive fast enough.
 	attemptTimeoutShare = 0.45
 )
 
@@ -89,8 +89,8 @@
 	c.lastServer = lease.hash
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	attemptTimer := time.AfterFunc(c.attemptTimeout(), func() { cancel(errAttemptTimeout) })
-	defer attemptTimer.Stop()
+	timer := newAttemptTimer(c.attemptTimeout(), c.deadline, func() { cancel(errAttemptTimeout) })
+	defer timer.stop()
 	ex, err := c.gateway.client.Send(ctx, lease.address, c.backendRequest(lease))
 	if err != nil {
 		return c.handleSendError(lease, err)
@@ -112,16 +112,16 @@
 	}
 	c.recordRate(lease, answer)
 	if isEventStream(ex) {
-		attemptTimer.Stop()
+		timer.stop()
 		return c.relayStream(ctx, ex, lease)
 	}
 	if c.streamStarted() {
 		return c.rejectAsContinuation(ex, lease, firstByte)
 	}
-	return c.relayAnswer(ctx, ex, lease, firstByte)
+	return c.relayAnswer(ctx, timer, ex, lease, firstByte)
 }
 
-// attemptTimeout returns how long the server may take until the first byte. The last attempt
+// attemptTimeout returns how long the server may take before it has to show progress. The last attempt
 // that the request may make is bounded by the request's own deadline, which expires first.
 func (c *call) attemptTimeout() time.Duration {
 	if c.route.Retryable() && c.attempts+1 < c.route.MaxServers {
@@ -179,10 +179,13 @@
 }
 
 // relayAnswer forwards an answer that is no stream. One of up to maxBufferedAnswerBytes is read
-// completely first, so that another server can take over if it ends early.
-func (c *call) relayAnswer(ctx context.Context, ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
-	body, err := io.ReadAll(io.LimitReader(ex.Body, maxBufferedAnswerBytes+1))
+// completely first, so that another server can take over if it ends early or takes too long.
+func (c *call) relayAnswer(ctx context.Context, timer *attemptTimer, ex *backend.Exchange, lease *lease, firstByte time.Duration) *failure {
+	progress := &bodyProgress{Reader: ex.Body, length: ex.ContentLength, startedAt: time.Now()}
+	timer.watch(progress)
+	body, err := io.ReadAll(io.LimitReader(progress, maxBufferedAnswerBytes+1))
 	if err == nil && len(body) > maxBufferedAnswerBytes {
+		timer.stop()
 		return c.relayLargeAnswer(ctx, ex, lease, body, firstByte)
 	}
 	if err == nil && len(body) == 0 && !ex.IsFramed() && c.r.Method != http.MethodHead {
