Keep a silent stream at its server while that can be reached

Cause: 1.2 s of silence were taken for the loss of the server, and the close of the connection was relied on to end its work.

Ruled out: a lost connection (the server sees the router close it), a retry of a request that had not begun (the second server gets the last event's ID).

Change: before a silent stream is given up, the router opens a connection to the server, and only if the stream may be resumed at all. If the connection cannot be opened within 0.35 s, the stream is resumed after 1.2 s as before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,11 +22,6 @@
 	streamBufferBytes = 8 << 10
 	// maxEventBytes bounds an incomplete event.
 	maxEventBytes = 1 << 20
-	// A resumable stream is resumed on another server after a silence of
-	// stallPauseFactor times the route's pause objective, and of at least minStallTimeout.
-	// Callers give up after eight such pauses, and after two seconds at the earliest.
-	stallPauseFactor = 4
-	minStallTimeout  = 1200 * time.Millisecond
 )
 
 // streamState is the caller's side of a streamed answer, across all servers that produce it.
@@ -123,13 +118,13 @@
 
 // relayEvents forwards the stream's events until its end.
 func (c *call) relayEvents(ctx context.Context, ex *backend.Exchange, lease *lease) error {
-	stallTimer := c.startStallTimer(ex)
-	defer stallTimer.Stop()
+	guard := c.newStallGuard(ex, lease)
+	defer guard.stop()
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := ex.Body.Read(buffer)
 		if n > 0 {
-			stallTimer.Reset(c.stallTimeout())
+			guard.recordProgress()
 			if writeErr := c.forwardEvents(ex, lease, buffer[:n]); writeErr != nil {
 				return writeErr
 			}
@@ -149,19 +144,6 @@
 // answerStarted reports whether a part of an answer was forwarded to the caller.
 func (c *call) answerStarted() bool { return c.forwarding || c.streamStarted() }
 
-// startStallTimer starts a timer that aborts a stalled stream if another server may resume it.
-func (c *call) startStallTimer(ex *backend.Exchange) *time.Timer {
-	return time.AfterFunc(c.stallTimeout(), func() {
-		if c.route.Resumable && c.attempts < c.route.MaxServers {
-			ex.Abort()
-		}
-	})
-}
-
-func (c *call) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallPauseFactor*c.route.PauseObjective)
-}
-
 // closeStream ends the use of the caller's writer by the stream, if there is one.
 func (c *call) closeStream() {
 	if c.stream != nil {
