Show that two replacements at once in domains of two are beyond any group

TestTwoReplacementsAtOnceInDomainsOfTwo fails because one of five voters may be an instance that ends next. Traced: after both successors have taken over, two of the voters are in the domain that loses its disks and one is the other predecessor.

No choice of voters mends it: of two instances in each of three domains, two newcomers and two tolerated losses, there are two sets of instances that may be all that is left and have no instance in common. The new test finds them.

--- a/internal/control/replica/replacement_test.go
+++ b/internal/control/replica/replacement_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -216,3 +217,27 @@
 	h.lose("control-6", h.now+5400*time.Millisecond)
 	h.expectRecovery(NewWithT(t))
 }
+
+// TestNoGroupOutlivesTwoReplacementsAtOnceInDomainsOfTwo shows that the history of the test before is beyond
+// any group that only knows failure domains. Two instances of each of the domains a, b and c, and the
+// successors of one in a and one in b: whichever two were replaced, and whichever two others are lost, the
+// rest has to go on. Two such rests have no instance in common, and each would have to elect a leader.
+func TestNoGroupOutlivesTwoReplacementsAtOnceInDomainsOfTwo(t *testing.T) {
+	instances := []string{"a1", "a2", "a-successor", "b1", "b2", "b-successor", "c1", "c2"}
+	var survivors [][]string
+	for _, replaced := range [][]string{{"a1", "b1"}, {"a1", "b2"}, {"a2", "b1"}, {"a2", "b2"}} {
+		for i, lost := range instances {
+			for _, otherLost := range instances[i+1:] {
+				gone := append([]string{lost, otherLost}, replaced...)
+				survivors = append(survivors, slices.DeleteFunc(slices.Clone(instances), func(instance string) bool {
+					return slices.Contains(gone, instance)
+				}))
+			}
+		}
+	}
+	NewWithT(t).Expect(slices.ContainsFunc(survivors, func(some []string) bool {
+		return slices.ContainsFunc(survivors, func(others []string) bool {
+			return !slices.ContainsFunc(some, func(instance string) bool { return slices.Contains(others, instance) })
+		})
+	})).To(BeTrue())
+}
