Withhold a prompt that is sent again whole and ends one server after the other

Cause: the last part of a prompt was left out of the evidence as unique to its request. The parts before it are shared with sound prompts, whose answers clear them, so that nothing was left to blame.

Change: the last part counts. It is blamed by the same three ends one after the other, apart from the parts that prompts share, so that neither explains the ends of the other. A loss that blames only its last part is kept for 10 minutes.

--- a/internal/quarantine/evict.go
+++ b/internal/quarantine/evict.go
@@ -12,7 +12,7 @@
 		if r.isRefuted() && r.refutedAt.IsZero() {
 			r.refutedAt = now
 		}
-		if now.Sub(r.LostAt) > 2*holdTime+time.Hour || r.isRefuted() && now.Sub(r.refutedAt) > refutedRetention {
+		if now.Sub(r.LostAt) > t.retention(r) || r.isRefuted() && now.Sub(r.refutedAt) > refutedRetention {
 			t.delete(id)
 		}
 	}
@@ -21,6 +21,15 @@
 	}
 }
 
+// retention returns how long a loss counts that is not refuted.
+func (t *Table) retention(r *record) time.Duration {
+	last := Part{r.Pool, r.Parts[len(r.Parts)-1]}
+	if _, isWithheld := t.verdicts[last]; !isWithheld && r.blamesOnlyLast() {
+		return repeatRetention
+	}
+	return 2*holdTime + time.Hour
+}
+
 func (t *Table) delete(id uint64) {
 	delete(t.losses, id)
 	t.revision++
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,6 +39,9 @@
 	maxLosses = 64
 	// maxParts limits the parts of a loss; those at the start of longer prompts are left out.
 	maxParts = 32
+	// repeatRetention is how long a loss counts that blames only the last part of its prompt: most prompts
+	// are not sent again.
+	repeatRetention = 10 * time.Minute
 	// refutedRetention is how long a loss is kept after answers to all of its parts, so that
 	// other processes receive that.
 	refutedRetention = 30 * time.Second
@@ -57,8 +60,8 @@
 	Server  uint64
 	Request uint64
 	Pool    string
-	// Parts are the parts of the request's prompt in order, without the last one, which is
-	// unique to the request.
+	// Parts are the parts of the request's prompt in order. The last one belongs to the request or its
+	// session: it tells a prompt that is sent again from others that share all other parts.
 	Parts []uint64
 	// SentAt is when the request was sent, LostAt when its connection ended.
 	SentAt, LostAt time.Time
@@ -71,14 +74,8 @@
 }
 
 // PartsAtRisk returns the parts of a prompt that can be at fault if a server ends, given the IDs of
-// all parts in order: all but the last one, limited to maxParts.
-func PartsAtRisk(parts []uint64) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	parts = parts[:len(parts)-1]
-	return parts[max(0, len(parts)-maxParts):]
-}
+// all parts in order: the last maxParts of them.
+func PartsAtRisk(parts []uint64) []uint64 { return parts[max(0, len(parts)-maxParts):] }
 
 // ID returns a hash that identifies the loss: the server, the request and its prompt.
 func (l *Loss) ID() uint64 {
@@ -93,12 +90,25 @@
 // allParts returns the mask with a bit for each part.
 func (l *Loss) allParts() uint32 { return uint32(1)<<len(l.Parts) - 1 }
 
+// blamesOnlyLast reports whether answers have shown that all parts but the last one are harmless.
+func (l *Loss) blamesOnlyLast() bool { return l.Answered == l.allParts()>>1 }
+
 // isRefuted reports whether answers have shown that all parts are harmless.
 func (l *Loss) isRefuted() bool { return l.Answered == l.allParts() }
 
 // bit returns the mask of a part of the prompt.
 func (l *Loss) bit(part Part) uint32 { return 1 << slices.Index(l.Parts, part.ID) }
 
+// maskOf returns the mask of the loss's parts that are among some parts.
+func (l *Loss) maskOf(parts []uint64) (mask uint32) {
+	for i, id := range l.Parts {
+		if slices.Contains(parts, id) {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
 // blames reports whether the part is in the prompt and not known to be harmless.
 func (l *Loss) blames(part Part) bool {
 	i := slices.Index(l.Parts, part.ID)
@@ -120,8 +130,13 @@
 	revision uint64
 	// refutedAt is when the table was first found to have answers to all parts.
 	refutedAt time.Time
+	// followed has bit i set if a later request, which blames Parts[i], was lost too.
+	followed uint32
 }
 
+// open returns the mask of the parts that the next answer may contrast.
+func (r *record) open() uint32 { return r.allParts() &^ (r.Answered | r.Contrasted | r.followed) }
+
 // Table is the evidence that one process has. It is not safe for concurrent use.
 type Table struct {
 	instance string
@@ -129,6 +144,10 @@
 	revision uint64
 	answers  answerMemory
 	verdicts map[Part]Verdict
+	// byPart has the losses that blame a part, and open those with parts that the next answer may
+	// contrast. Both are rebuilt with the verdicts, so that an answer that is no news costs little.
+	byPart map[Part][]*record
+	open   []*record
 	// triedAt is when this process last tried a part whose hold time has passed.
 	triedAt map[Part]time.Time
 }
@@ -150,8 +169,13 @@
 	for _, loss := range losses {
 		t.merge(loss)
 	}
+	merged := t.revision
+	if merged != before {
+		// A verdict may rest on losses that would expire without it.
+		t.evaluate()
+	}
 	t.expire(now)
-	if t.revision != before {
+	if t.revision != merged {
 		t.evaluate()
 	}
 	return t.revision != before
@@ -189,24 +213,24 @@
 func (t *Table) RecordAnswer(pool string, parts []uint64, now time.Time) bool {
 	t.answers.record(pool, parts, now)
 	before := t.revision
-	for _, r := range t.losses {
-		if r.Pool != pool || r.isRefuted() {
+	for _, r := range t.open {
+		if r.Pool != pool {
 			continue
 		}
-		answered, contrasted := r.Answered, r.Contrasted
-		for i, id := range r.Parts {
-			switch {
-			case slices.Contains(parts, id):
-				answered |= 1 << i
-			case (answered|contrasted)&(1<<i) == 0 && !t.hasLaterLoss(r, Part{pool, id}):
-				contrasted |= 1 << i
-			}
-		}
-		if answered != r.Answered || contrasted != r.Contrasted {
-			r.Answered, r.Contrasted = answered, contrasted
+		if contrasted := r.open() &^ r.maskOf(parts); contrasted != 0 {
+			r.Contrasted |= contrasted
 			t.markChanged(r)
 		}
 	}
+	for _, id := range parts {
+		part := Part{pool, id}
+		for _, r := range t.byPart[part] {
+			if r.blames(part) {
+				r.Answered |= r.bit(part)
+				t.markChanged(r)
+			}
+		}
+	}
 	if t.revision == before {
 		return false
 	}
@@ -228,14 +252,9 @@
 	return found
 }
 
-// hasLaterLoss reports whether a loss that blames the part is of a request sent after r.
-func (t *Table) hasLaterLoss(r *record, part Part) bool {
-	for _, other := range t.losses {
-		if other.blames(part) && !other.SentAt.Before(r.LostAt) {
-			return true
-		}
-	}
-	return false
+// isFollowed reports whether a loss that blames the part is of a request sent after the end of r.
+func (t *Table) isFollowed(r *record, part Part) bool {
+	return slices.ContainsFunc(t.byPart[part], func(other *record) bool { return !other.SentAt.Before(r.LostAt) })
 }
 
 // Since returns the losses that have changed after a revision.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -17,57 +17,108 @@
 	losses []*record
 }
 
-// evaluate computes the verdicts. A part that explains an end clears the others of it.
+// evaluate computes the verdicts.
 func (t *Table) evaluate() {
 	t.verdicts = make(map[Part]Verdict)
-	unexplained := make([]*record, 0, len(t.losses))
+	losses := make([]*record, 0, len(t.losses))
 	for _, r := range t.losses {
-		unexplained = append(unexplained, r)
+		losses = append(losses, r)
 	}
-	slices.SortFunc(unexplained, func(a, b *record) int {
+	slices.SortFunc(losses, func(a, b *record) int {
 		return cmp.Or(a.LostAt.Compare(b.LostAt), b.SentAt.Compare(a.SentAt))
 	})
+	t.index(losses)
+	t.blameRepeated(losses)
+	t.blameShared(losses)
+	for part := range t.triedAt {
+		if _, found := t.verdicts[part]; !found {
+			delete(t.triedAt, part)
+		}
+	}
+}
+
+// index rebuilds byPart and open.
+func (t *Table) index(losses []*record) {
+	t.byPart, t.open = make(map[Part][]*record), nil
+	for _, r := range losses {
+		for _, id := range r.Parts {
+			if part := (Part{r.Pool, id}); r.blames(part) {
+				t.byPart[part] = append(t.byPart[part], r)
+			}
+		}
+	}
+	for _, r := range losses {
+		for i, id := range r.Parts {
+			if t.isFollowed(r, Part{r.Pool, id}) {
+				r.followed |= 1 << i
+			}
+		}
+		if r.open() != 0 {
+			t.open = append(t.open, r)
+		}
+	}
+}
+
+// blameRepeated blames the last parts of prompts that were sent again and ended servers each time. They say
+// nothing of the parts that other prompts share, and those say nothing of them.
+func (t *Table) blameRepeated(losses []*record) {
+	for part, e := range collectEvidence(losses, func(r *record, i int) bool { return i == len(r.Parts)-1 }) {
+		if e.sequentialEnds(false) >= minLosses {
+			t.verdicts[part] = e.verdict()
+		}
+	}
+}
+
+// blameShared blames parts that several prompts may share. A part that explains an end clears the others
+// of it.
+func (t *Table) blameShared(losses []*record) {
+	unexplained := slices.Clone(losses)
 	for {
 		blamed := mostLikely(unexplained)
 		if blamed == nil {
-			break
-		}
-		t.verdicts[blamed.part] = Verdict{
-			Part: blamed.part, Servers: len(blamed.servers), LastLostAt: blamed.lastLostAt,
-			Confirmed: blamed.sequentialEnds(true) >= minLosses,
+			return
 		}
+		t.verdicts[blamed.part] = blamed.verdict()
 		unexplained = slices.DeleteFunc(unexplained, func(r *record) bool { return blamed.servers[r.Server] })
 	}
-	for part := range t.triedAt {
-		if _, found := t.verdicts[part]; !found {
-			delete(t.triedAt, part)
-		}
+}
+
+func (e *evidence) verdict() Verdict {
+	return Verdict{
+		Part: e.part, Servers: len(e.servers), LastLostAt: e.lastLostAt, Confirmed: e.sequentialEnds(true) >= minLosses,
 	}
 }
 
-// mostLikely returns the evidence against the part that most likely ended the servers, or nil if
-// it does not suffice against any. Of parts that are blamed for about as many ends, it is the
-// one that comes last in the prompts, because the parts before it are shared by more prompts.
-func mostLikely(losses []*record) *evidence {
+// collectEvidence returns the evidence against each part that a loss blames at an index that counts.
+func collectEvidence(losses []*record, counts func(r *record, i int) bool) map[Part]*evidence {
 	byPart := make(map[Part]*evidence)
 	for _, r := range losses {
 		for i, id := range r.Parts {
-			if part := (Part{r.Pool, id}); r.blames(part) {
-				e := byPart[part]
-				if e == nil {
-					e = &evidence{part: part, servers: make(map[uint64]bool)}
-					byPart[part] = e
-				}
-				e.servers[r.Server] = true
-				e.position = max(e.position, i)
-				e.lastLostAt = r.LostAt
-				e.losses = append(e.losses, r)
+			part := Part{r.Pool, id}
+			if !counts(r, i) || !r.blames(part) {
+				continue
+			}
+			e := byPart[part]
+			if e == nil {
+				e = &evidence{part: part, servers: make(map[uint64]bool)}
+				byPart[part] = e
 			}
+			e.servers[r.Server] = true
+			e.position = max(e.position, i)
+			e.lastLostAt = r.LostAt
+			e.losses = append(e.losses, r)
 		}
 	}
+	return byPart
+}
+
+// mostLikely returns the evidence against the part that most likely ended the servers, or nil if
+// it does not suffice against any. Of parts that are blamed for about as many ends, it is the
+// one that comes last in the prompts, because the parts before it are shared by more prompts.
+func mostLikely(losses []*record) *evidence {
 	var sufficient []*evidence
 	mostEnds := 0
-	for _, e := range byPart {
+	for _, e := range collectEvidence(losses, func(r *record, i int) bool { return i < len(r.Parts)-1 }) {
 		if e.sequentialEnds(false) >= minLosses {
 			sufficient = append(sufficient, e)
 			mostEnds = max(mostEnds, len(e.servers))
