Keep a resumable request without an answer at a server that can be reached

Change: the guard of silent streams begins with the send, and the attempt timeout does not apply to resumable requests. A server that is lost before it answers is noticed after 1.2 s, and counts as unreachable for other requests. Exchange.Abort has no caller any more; its tests now end the context, which does the same.

TestUnansweredStreamStaysAtAReachableServer is new as well.

--- a/internal/backend/abort_test.go
+++ b/internal/backend/abort_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestAbortAfterCloseSparesNextSend guards against a late abort that closes the connection under the next send.
+// TestAbortAfterCloseSparesNextSend guards against a late end of the context that closes the connection under the next send.
 func TestAbortAfterCloseSparesNextSend(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
@@ -30,8 +30,8 @@
 		}
 	})
 	c := newClient(&opened)
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
+	ctx, abort := context.WithTimeout(context.Background(), 5*time.Second)
+	defer abort()
 	first, err := c.Send(ctx, address, newRequest("1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = io.ReadAll(first.Body)
@@ -43,13 +43,13 @@
 		result <- err
 	}()
 	g.Eventually(received.Load).Should(Equal(int32(2)))
-	first.Abort()
+	abort()
 	close(release)
 	g.Expect(<-result).NotTo(HaveOccurred())
 	g.Expect(opened.Load()).To(Equal(int32(1)), "both sends use one connection")
 }
 
-// TestAbortFailsReadOfAnswer guards against an abort that does nothing before Close.
+// TestAbortFailsReadOfAnswer guards against an end of the context that does nothing before Close.
 func TestAbortFailsReadOfAnswer(t *testing.T) {
 	g := NewWithT(t)
 	address := startServer(t, func(_ int32, conn net.Conn, requests *bufio.Reader) {
@@ -59,9 +59,11 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	ex, err := newClient(&atomic.Int32{}).Send(ctx, address, newRequest("1"))
+	sendCtx, abort := context.WithCancel(ctx)
+	defer abort()
+	ex, err := newClient(&atomic.Int32{}).Send(sendCtx, address, newRequest("1"))
 	g.Expect(err).NotTo(HaveOccurred())
-	time.AfterFunc(20*time.Millisecond, ex.Abort)
+	time.AfterFunc(20*time.Millisecond, abort)
 	_, err = io.ReadAll(ex.Body)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -342,13 +342,3 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(e.Body, limitBytes+1))
 	e.Close(err == nil && n <= limitBytes)
 }
-
-// Abort closes the connection, so that a read of the answer fails. It may be called concurrently with
-// the other methods. After Close it does nothing, because the connection may carry another request.
-func (e *Exchange) Abort() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.closed {
-		_ = e.conn.Close()
-	}
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,8 @@
 	defer cancel(nil)
 	timer := newAttemptTimer(c.attemptTimeout(), c.deadline, func() { cancel(errAttemptTimeout) })
 	defer timer.stop()
+	guard := c.newStallGuard(lease, func() { cancel(errServerLost) })
+	defer guard.stop()
 	ex, err := c.gateway.client.Send(ctx, lease.address, c.backendRequest(lease))
 	if err != nil {
 		return c.handleSendError(lease, err)
@@ -113,8 +115,10 @@
 	c.recordRate(lease, answer)
 	if isEventStream(ex) {
 		timer.stop()
-		return c.relayStream(ctx, ex, lease)
+		guard.recordProgress()
+		return c.relayStream(ctx, guard, ex, lease)
 	}
+	guard.stop()
 	if c.streamStarted() {
 		return c.rejectAsContinuation(ex, lease, firstByte)
 	}
@@ -122,9 +126,10 @@
 }
 
 // attemptTimeout returns how long the server may take before it has to show progress. The last attempt
-// that the request may make is bounded by the request's own deadline, which expires first.
+// that the request may make is bounded by the request's own deadline, which expires first. So is one that
+// may be resumed: its server may still work on it, see stallGuard.
 func (c *call) attemptTimeout() time.Duration {
-	if c.route.Retryable() && c.attempts+1 < c.route.MaxServers {
+	if c.route.Retryable() && !c.route.Resumable && c.attempts+1 < c.route.MaxServers {
 		return time.Duration(attemptTimeoutShare * float64(time.Until(c.deadline)))
 	}
 	return 2 * c.route.Timeout
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -5,12 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotwinch.example/peridotwinch/internal/backend"
 )
 
 const (
-	// A resumable stream is resumed on another server after a silence of stallPauseFactor times the
-	// route's pause objective, and of at least minStallTimeout, if its server is lost. Callers give up
+	// A resumable request goes to another server after a silence of stallPauseFactor times the route's
+	// pause objective, and of at least minStallTimeout, if its server is lost. Callers give up
 	// after eight such pauses, and after two seconds at the earliest.
 	stallPauseFactor = 4
 	minStallTimeout  = 1200 * time.Millisecond
@@ -18,45 +20,55 @@
 	stallProbeTimeout = 350 * time.Millisecond
 )
 
-// stallGuard gives up a silent stream if its server is lost and another one may resume it. The silence
-// alone does not tell: an engine may have preempted the request, and still works on it after the
-// connection has been closed.
+var errServerLost = errors.New("no progress, and no connection to the server can be opened")
+
+// stallGuard ends an attempt of a resumable request that makes no progress if its server is lost and another
+// one may take over. The silence alone does not tell: an engine may have preempted the request, and
+// still works on it after the connection has been closed.
 type stallGuard struct {
 	call  *call
-	ex    *backend.Exchange
 	lease *lease
+	abort func()
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// timer is nil if the route allows no other server after this one.
 	timer   *time.Timer
 	stopped bool
-	// reads counts the parts of the stream that have arrived.
+	// reads counts the parts of the answer that have arrived.
 	reads uint64
 }
 
-func (c *call) newStallGuard(ex *backend.Exchange, lease *lease) *stallGuard {
-	g := &stallGuard{call: c, ex: ex, lease: lease}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.timer = time.AfterFunc(c.stallTimeout()-stallProbeTimeout, g.check)
+// newStallGuard returns the guard of an attempt at a server that is about to begin.
+func (c *call) newStallGuard(lease *lease, abort func()) *stallGuard {
+	g := &stallGuard{call: c, lease: lease, abort: abort}
+	if c.route.Resumable && c.attempts+1 < c.route.MaxServers {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.timer = time.AfterFunc(c.stallTimeout()-stallProbeTimeout, g.check)
+	}
 	return g
 }
 
-// recordProgress records that a part of the stream has arrived.
+// recordProgress records that a part of the answer has arrived.
 func (g *stallGuard) recordProgress() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reads++
-	g.timer.Reset(g.call.stallTimeout() - stallProbeTimeout)
+	if g.timer != nil {
+		g.timer.Reset(g.call.stallTimeout() - stallProbeTimeout)
+	}
 }
 
 func (g *stallGuard) stop() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
-	g.timer.Stop()
+	if g.timer != nil {
+		g.timer.Stop()
+	}
 }
 
-// check probes the server of a silent stream, and gives the stream up if the server cannot be reached.
+// check probes the server of a silent attempt, and ends the attempt if the server cannot be reached.
 func (g *stallGuard) check() {
 	g.mu.Lock()
 	reads, done := g.reads, g.stopped
@@ -64,27 +76,30 @@
 	if done {
 		return
 	}
-	lost := false
-	if g.call.mayResume() {
-		ctx, cancel := context.WithTimeout(g.call.ctx, stallProbeTimeout)
-		err := g.call.gateway.client.Probe(ctx, g.lease.address)
-		cancel()
-		lost = err != nil && g.call.ctx.Err() == nil
-	}
+	lost := g.call.pool.availableRetries() >= 1 && g.isServerLost()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case g.stopped || g.reads != reads:
 	case lost:
-		g.ex.Abort()
+		g.stopped = true
+		g.abort()
 	default:
 		g.timer.Reset(g.call.stallTimeout())
 	}
 }
 
-// mayResume reports whether another server may resume the stream.
-func (c *call) mayResume() bool {
-	return c.route.Resumable && c.attempts < c.route.MaxServers && c.pool.availableRetries() >= 1
+func (g *stallGuard) isServerLost() bool {
+	ctx, cancel := context.WithTimeout(g.call.ctx, stallProbeTimeout)
+	defer cancel()
+	err := g.call.gateway.client.Probe(ctx, g.lease.address)
+	if err == nil || g.call.ctx.Err() != nil {
+		return false
+	}
+	if backend.IsServerDown(err) {
+		g.lease.pool.recordConnectFailure(g.lease.Server)
+	}
+	return true
 }
 
 func (c *call) stallTimeout() time.Duration {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -70,3 +70,16 @@
 	g.Expect(time.Since(start)).To(BeNumerically("<", 1800*time.Millisecond))
 	g.Expect(servers[0].requestCount() + servers[1].requestCount()).To(Equal(2))
 }
+
+// TestUnansweredStreamStaysAtAReachableServer guards against a stream that is sent to a second server because
+// the first, which works on it, has not sent an event for half of the time.
+func TestUnansweredStreamStaysAtAReachableServer(t *testing.T) {
+	g := NewWithT(t)
+	slow := func(n int, conn net.Conn, r *http.Request) bool {
+		time.Sleep(1500 * time.Millisecond)
+		return streamWithPause(0)(n, conn, r)
+	}
+	a, b := startTestServer(t, "a", slow), startTestServer(t, "b", slow)
+	expectWholeStream(g, send(t, startGateway(t, newTable(t), a, b), "/resume/x"))
+	g.Expect(a.requestCount()+b.requestCount()).To(Equal(1), "servers that received the request")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,7 +78,7 @@
 
 // relayStream forwards a stream in whole events, so that another server can resume it after
 // the last forwarded event.
-func (c *call) relayStream(ctx context.Context, ex *backend.Exchange, lease *lease) *failure {
+func (c *call) relayStream(ctx context.Context, guard *stallGuard, ex *backend.Exchange, lease *lease) *failure {
 	if c.stream == nil {
 		c.stream = &streamState{memory: c.gateway.answerMemory.Share(), writer: newEventWriter(c.w, mergeInterval(c.gateway.transitLimit, c.route.PauseObjective))}
 	} else if c.stream.headSent {
@@ -86,7 +86,7 @@
 	}
 	c.stream.partial, c.stream.intervalEvents, c.stream.answering = nil, 0, false
 	defer c.stream.memory.Release()
-	err := c.relayEvents(ctx, ex, lease)
+	err := c.relayEvents(ctx, guard, ex, lease)
 	// A stream without a length ends with its connection. Before the first event, only a
 	// server that failed ends it.
 	if err == nil && (len(c.stream.partial) > 0 || !ex.IsFramed() && !c.stream.answering) {
@@ -117,9 +117,7 @@
 }
 
 // relayEvents forwards the stream's events until its end.
-func (c *call) relayEvents(ctx context.Context, ex *backend.Exchange, lease *lease) error {
-	guard := c.newStallGuard(ex, lease)
-	defer guard.stop()
+func (c *call) relayEvents(ctx context.Context, guard *stallGuard, ex *backend.Exchange, lease *lease) error {
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := ex.Body.Read(buffer)
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -358,6 +358,8 @@
 	// nil if no limit is set.
 	routerFault   func(router string) (faulty bool, at time.Time)
 	onLimitBroken func(format string, args ...any)
+	// serveFirst answers a request before the worker does, and reports whether it has; it may be nil.
+	serveFirst func(w *worker, response http.ResponseWriter, r *http.Request) bool
 	// down is set from the worker's end to its next start; ends counts the ends.
 	down    bool
 	ends    int
@@ -432,7 +434,11 @@
 	}
 	w.checkStatement(r)
 	w.checkLimit(r)
+	serveFirst := w.serveFirst
 	w.mu.Unlock()
+	if serveFirst != nil && refusal == 0 && serveFirst(w, response, r) {
+		return
+	}
 	if isDeadly(r) {
 		time.Sleep(deadlyDelay)
 		w.end()
