Reserve 4 KiB instead of 32 for a body of unknown length

Each request with a chunked body drew 32 KiB on the memory for bodies before a byte had arrived, whatever its size: 2,000 of them at once would have used up 64 MB. Found by reading; the reads of the tests are unchanged.

--- a/internal/bytebudget/read.go
+++ b/internal/bytebudget/read.go
@@ -6,8 +6,12 @@
 	"github.com/pkg/errors"
 )
 
-// initialBytes bounds the memory for a body before it arrives.
-const initialBytes = 32 << 10
+const (
+	// maxInitialBytes bounds the memory for a body of a declared length before it arrives.
+	maxInitialBytes = 32 << 10
+	// initialBytes is the memory for a body of an unknown length before it arrives.
+	initialBytes = 4 << 10
+)
 
 // ErrExhausted is the error of a read for which the budget has too few bytes left.
 var ErrExhausted = errors.New("too few bytes of memory are left")
@@ -21,7 +25,7 @@
 	}
 	capacity := int64(initialBytes)
 	if declaredLength >= 0 {
-		capacity = min(capacity, fullCapacity(declaredLength))
+		capacity = min(maxInitialBytes, fullCapacity(declaredLength))
 	}
 	var body []byte
 	for {
