Take a silent server for lost only if nothing accepts a connection there

A probe that failed for a lack of descriptors or ports of the router itself would have ended streams of servers that run. Found by reading.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -89,16 +89,15 @@
 	}
 }
 
+// isServerLost reports whether nothing accepts a connection at the server's address.
 func (g *stallGuard) isServerLost() bool {
 	ctx, cancel := context.WithTimeout(g.call.ctx, stallProbeTimeout)
 	defer cancel()
 	err := g.call.gateway.client.Probe(ctx, g.lease.address)
-	if err == nil || g.call.ctx.Err() != nil {
+	if g.call.ctx.Err() != nil || !backend.IsServerDown(err) {
 		return false
 	}
-	if backend.IsServerDown(err) {
-		g.lease.pool.recordConnectFailure(g.lease.Server)
-	}
+	g.lease.pool.recordConnectFailure(g.lease.Server)
 	return true
 }
 
