Count an answer for each of two equal parts of a prompt

A prompt may list a part twice. Since the losses are indexed by part, an answer counted for the first of the two only, and the loss was kept for hours. Found by reading; TestPartThatAPromptListsTwiceIsRefuted failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -99,7 +99,7 @@
 // bit returns the mask of a part of the prompt.
 func (l *Loss) bit(part Part) uint32 { return 1 << slices.Index(l.Parts, part.ID) }
 
-// maskOf returns the mask of the loss's parts that are among some parts.
+// maskOf returns the mask of the loss's parts that are among some parts. A prompt may list a part twice.
 func (l *Loss) maskOf(parts []uint64) (mask uint32) {
 	for i, id := range l.Parts {
 		if slices.Contains(parts, id) {
@@ -226,7 +226,7 @@
 		part := Part{pool, id}
 		for _, r := range t.byPart[part] {
 			if r.blames(part) {
-				r.Answered |= r.bit(part)
+				r.Answered |= r.maskOf([]uint64{id})
 				t.markChanged(r)
 			}
 		}
@@ -243,7 +243,7 @@
 	_, found := t.verdicts[part]
 	for _, r := range t.losses {
 		if r.blames(part) {
-			r.Answered |= r.bit(part)
+			r.Answered |= r.maskOf([]uint64{part.ID})
 			t.markChanged(r)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -139,6 +139,18 @@
 	g.Expect(withheld(table, 14200, subject, other)).To(BeFalse(), "an answer releases the part")
 }
 
+// TestPartThatAPromptListsTwiceIsRefuted guards against a loss that is kept for hours because an answer
+// counts for the first of two equal parts only.
+func TestPartThatAPromptListsTwiceIsRefuted(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable("r")
+	table.Merge([]quarantine.Loss{repeatedLoss(1, 0, 200, common, common, subject)}, at(220))
+	table.RecordAnswer(pool, []uint64{common, common, subject}, at(300))
+	table.Merge(nil, at(400))
+	table.Merge(nil, at(60_000))
+	g.Expect(table.Since(0)).To(BeEmpty())
+}
+
 // TestSharedPartIsBlamedIfLaterPartsDiffer guards against blaming the specific parts of prompts
 // one after the other where the part before them ends the servers.
 func TestSharedPartIsBlamedIfLaterPartsDiffer(t *testing.T) {
