Do not end when a request is answered by a server that has left

Cause: the coordinator of slots takes the median of the service times of the listed servers when a request has been answered. If the request's server is no longer listed and no other one has answered, there is none: an index out of range.

Ruled out: a malformed message, a lack of memory (the trace names the line).

Change: the service time of the request itself is then the typical one.

Tests: TestCoordinatorHandlesAnyOrderOfEvents failed in its 10th history before, 20,000 hold now; TestRequestEndsAtAServerThatIsNoLongerListed failed before.

--- a/internal/slotshare/estimate.go
+++ b/internal/slotshare/estimate.go
@@ -76,6 +76,10 @@
 			means = append(means, each.service.mean)
 		}
 	}
+	if len(means) == 0 {
+		// The server is no longer listed, and no listed one has answered yet.
+		means = append(means, sample)
+	}
 	slices.Sort(means)
 	c.typical = means[(len(means)-1)/2]
 }
