--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -112,8 +112,8 @@
 	return byPart
 }
 
-// mostLikely returns the evidence against the part that most likely ended the servers, or nil if
-// it does not suffice against any. Of parts that are blamed for about as many ends, it is the
+// mostLikely returns the evidence against the part that most likely ended the servers, other than the last
+// parts of prompts, or nil if it does not suffice against any. Of parts that are blamed for about as many ends, it is the
 // one that comes last in the prompts, because the parts before it are shared by more prompts.
 func mostLikely(losses []*record) *evidence {
 	var sufficient []*evidence
