Remove what the change wrote twice, and use one name for one thing

- Table.mergeWithdrawal repeated the conditions of Entry.ApplyTo and now calls it.
- The probe of a server that may be down, with its record, is one function for silent requests and for lost prompts.
It is not ended by the end of the call, which says nothing of the server.
- Loss.bit returned the first of two equal parts, which was worked around in two places.
Loss.mask returns all and replaces it; uncontrasted parts are called so.
- The reserve of a strict budget is a share instead of a number of parts, and megabytes have one constant.
- The tests of fragile servers share their set-up, and those of bodies use a method instead of a list of errors.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -8,8 +8,8 @@
 // answers of an ordinary size are read even while large ones have used up the budget.
 const FreeBytes = 64 << 10
 
-// reservedPart is the number of parts of a strict budget of which one is left to small shares.
-const reservedPart = 4
+// reservedShare is the share of a strict budget that shares of more than FreeBytes leave to smaller ones.
+const reservedShare = 0.25
 
 // Budget is a number of bytes that shares draw on. It is safe for concurrent use.
 type Budget struct {
@@ -24,10 +24,10 @@
 // New returns a budget of limitBytes for what shares hold beyond FreeBytes each.
 func New(limitBytes int64) *Budget { return &Budget{limitBytes: limitBytes, freeBytes: FreeBytes} }
 
-// NewStrict returns a budget of limitBytes for all that shares hold. Those of more than FreeBytes leave a
-// quarter of it to smaller ones.
+// NewStrict returns a budget of limitBytes for all that shares hold. Those of more than FreeBytes leave
+// reservedShare of it to smaller ones.
 func NewStrict(limitBytes int64) *Budget {
-	return &Budget{limitBytes: limitBytes, reservedBytes: limitBytes / reservedPart}
+	return &Budget{limitBytes: limitBytes, reservedBytes: int64(reservedShare * float64(limitBytes))}
 }
 
 // UsedBytes returns how many bytes the shares have drawn.
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -11,8 +11,6 @@
 // percentage.
 const envGCPercent = "GOGC"
 
-const bytesPerMB = 1_000_000
-
 // tuneMemory configures the garbage collector. A setting takes precedence over the runtime's
 // environment variable, which takes precedence over the default.
 func tuneMemory(s *settings.Settings) {
@@ -20,6 +18,6 @@
 		debug.SetGCPercent(s.GCPercent())
 	}
 	if s.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(int64(s.Memory.LimitMB) * bytesPerMB)
+		debug.SetMemoryLimit(int64(s.Memory.LimitMB) * settings.BytesPerMB)
 	}
 }
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -73,6 +73,13 @@
 	return err
 }
 
+func (u *upload) writeRequest(size int) error {
+	if err := u.writeHead(size); err != nil {
+		return err
+	}
+	return u.writeBody(size)
+}
+
 // read returns the answer with its body read.
 func (u *upload) read() (*http.Response, error) { return u.readWithin(30 * time.Second) }
 
@@ -102,7 +109,7 @@
 		u := newUpload(t, target)
 		group.Go(func() {
 			// The client does not read before it has sent the whole body.
-			if err := errorsOf(u.writeHead(largeBodyBytes), u.writeBody(largeBodyBytes)); err != nil {
+			if err := u.writeRequest(largeBodyBytes); err != nil {
 				t.Error(err)
 				return
 			}
@@ -153,7 +160,7 @@
 		slow = append(slow, u)
 	}
 	whole := newUpload(t, target)
-	g.Expect(errorsOf(whole.writeHead(largeBodyBytes), whole.writeBody(largeBodyBytes))).To(Succeed())
+	g.Expect(whole.writeRequest(largeBodyBytes)).To(Succeed())
 	response, err := whole.read()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.StatusCode).To(Equal(200), "declared bodies that were not sent take no memory")
@@ -176,7 +183,7 @@
 		_ = u.conn.Close()
 	}
 	g.Eventually(func() int {
-		if err := errorsOf(refused.writeHead(largeBodyBytes), refused.writeBody(largeBodyBytes)); err != nil {
+		if err := refused.writeRequest(largeBodyBytes); err != nil {
 			return 0
 		}
 		response, err := refused.read()
@@ -186,13 +193,3 @@
 		return response.StatusCode
 	}).WithTimeout(5*time.Second).Should(Equal(200), "the memory of a caller that left is free again")
 }
-
-// errorsOf returns the first error.
-func errorsOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotwinch.example/peridotwinch/internal/backend"
 	"peridotwinch.example/peridotwinch/internal/placement"
 )
 
@@ -40,3 +41,13 @@
 		}
 	}
 }
+
+// isServerDown opens a connection to the server of a lease and reports whether nothing accepts it, which it
+// records.
+func (l *lease) isServerDown(ctx context.Context, client *backend.Client) bool {
+	if err := client.Probe(ctx, l.address); !backend.IsServerDown(err) {
+		return false
+	}
+	l.pool.recordConnectFailure(l.Server)
+	return true
+}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -79,14 +79,19 @@
 	return f.ended, f.received
 }
 
+// startFragileGateway starts a gateway for fragile servers, and returns a function that sends a prompt.
+func startFragileGateway(t *testing.T, count int) (servers *fragileServers, sendParts func(parts ...string) answer) {
+	servers = startFragileServers(t, count)
+	gw, url := startUpdatableGateway(t, newTable(t), servers.alive...)
+	servers.onEnd = func(alive []*testServer) { gw.SetServers(entriesOf(alive)) }
+	return servers, func(parts ...string) answer { return send(t, url, "/resume/x", "Parts", strings.Join(parts, " ")) }
+}
+
 // TestRequestsWithPromptPartThatEndsServersAreWithheld guards against requests with one prompt
 // part that end one server after the other: every new request is sent to a sound server.
 func TestRequestsWithPromptPartThatEndsServersAreWithheld(t *testing.T) {
 	g := NewWithT(t)
-	servers := startFragileServers(t, 200)
-	gw, url := startUpdatableGateway(t, newTable(t), servers.alive...)
-	servers.onEnd = func(alive []*testServer) { gw.SetServers(entriesOf(alive)) }
-	sendParts := func(parts ...string) answer { return send(t, url, "/resume/x", "Parts", strings.Join(parts, " ")) }
+	servers, sendParts := startFragileGateway(t, 200)
 	fifthEnd := time.Time{}
 	for i := 0; fifthEnd.IsZero() || time.Since(fifthEnd) < contactTime; i++ {
 		sendParts(commonPart, subjectPart, deadlyPart, fmt.Sprint("e", i))
@@ -118,10 +123,7 @@
 // server after the other, while sound prompts share all of its parts but the last one.
 func TestRepeatedPromptThatEndsServersIsWithheld(t *testing.T) {
 	g := NewWithT(t)
-	servers := startFragileServers(t, 30)
-	gw, url := startUpdatableGateway(t, newTable(t), servers.alive...)
-	servers.onEnd = func(alive []*testServer) { gw.SetServers(entriesOf(alive)) }
-	sendParts := func(parts ...string) answer { return send(t, url, "/resume/x", "Parts", strings.Join(parts, " ")) }
+	servers, sendParts := startFragileGateway(t, 30)
 	soundAnswers := 0
 	for i := range 12 {
 		sendParts(commonPart, subjectPart, deadlyPart)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"peridotwinch.example/peridotwinch/internal/backend"
 )
 
 const (
@@ -91,14 +89,10 @@
 
 // isServerLost reports whether nothing accepts a connection at the server's address.
 func (g *stallGuard) isServerLost() bool {
-	ctx, cancel := context.WithTimeout(g.call.ctx, stallProbeTimeout)
+	// The end of the call says nothing of the server.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.call.ctx), stallProbeTimeout)
 	defer cancel()
-	err := g.call.gateway.client.Probe(ctx, g.lease.address)
-	if g.call.ctx.Err() != nil || !backend.IsServerDown(err) {
-		return false
-	}
-	g.lease.pool.recordConnectFailure(g.lease.Server)
-	return true
+	return g.lease.isServerDown(ctx, g.call.gateway.client) && g.call.ctx.Err() == nil
 }
 
 func (c *call) stallTimeout() time.Duration {
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -54,15 +54,14 @@
 
 // confirm records the losses of the lease's server if it has ended.
 func (r *lossRecorder) confirm(lease *lease) {
-	err := r.client.Probe(context.Background(), lease.address)
+	isDown := lease.isServerDown(context.Background(), r.client)
 	r.mu.Lock()
 	unconfirmed := r.unconfirmed[lease.hash]
 	delete(r.unconfirmed, lease.hash)
 	r.mu.Unlock()
-	if !backend.IsServerDown(err) {
+	if !isDown {
 		return
 	}
-	lease.pool.recordConnectFailure(lease.Server)
 	losses := make([]quarantine.Loss, 0, len(unconfirmed))
 	for _, loss := range unconfirmed {
 		r.log.Info().Str("server", lease.id).Str("address", lease.address).Str("requestId", loss.requestID).
--- a/internal/httpx/unread.go
+++ b/internal/httpx/unread.go
@@ -19,7 +19,7 @@
 	// Without full duplex, the server reads the rest of a small body before it sends the answer, and
 	// closes the connection of a large one.
 	if err := controller.EnableFullDuplex(); err != nil {
-		return errors.Wrap(err, "answer before the body was read")
+		return errors.Wrap(err, "enable full duplex")
 	}
 	write()
 	if err := controller.Flush(); err != nil {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -96,11 +96,8 @@
 // isRefuted reports whether answers have shown that all parts are harmless.
 func (l *Loss) isRefuted() bool { return l.Answered == l.allParts() }
 
-// bit returns the mask of a part of the prompt.
-func (l *Loss) bit(part Part) uint32 { return 1 << slices.Index(l.Parts, part.ID) }
-
-// maskOf returns the mask of the loss's parts that are among some parts. A prompt may list a part twice.
-func (l *Loss) maskOf(parts []uint64) (mask uint32) {
+// mask returns the mask of the loss's parts that are among some parts. A prompt may list a part twice.
+func (l *Loss) mask(parts ...uint64) (mask uint32) {
 	for i, id := range l.Parts {
 		if slices.Contains(parts, id) {
 			mask |= 1 << i
@@ -134,8 +131,10 @@
 	followed uint32
 }
 
-// open returns the mask of the parts that the next answer may contrast.
-func (r *record) open() uint32 { return r.allParts() &^ (r.Answered | r.Contrasted | r.followed) }
+// uncontrasted returns the mask of the parts that the next answer may contrast.
+func (r *record) uncontrasted() uint32 {
+	return r.allParts() &^ (r.Answered | r.Contrasted | r.followed)
+}
 
 // Table is the evidence that one process has. It is not safe for concurrent use.
 type Table struct {
@@ -144,10 +143,10 @@
 	revision uint64
 	answers  answerMemory
 	verdicts map[Part]Verdict
-	// byPart has the losses that blame a part, and open those with parts that the next answer may
+	// byPart has the losses that blame a part, and uncontrasted those with parts that the next answer may
 	// contrast. Both are rebuilt with the verdicts, so that an answer that is no news costs little.
-	byPart map[Part][]*record
-	open   []*record
+	byPart       map[Part][]*record
+	uncontrasted []*record
 	// triedAt is when this process last tried a part whose hold time has passed.
 	triedAt map[Part]time.Time
 }
@@ -213,11 +212,11 @@
 func (t *Table) RecordAnswer(pool string, parts []uint64, now time.Time) bool {
 	t.answers.record(pool, parts, now)
 	before := t.revision
-	for _, r := range t.open {
+	for _, r := range t.uncontrasted {
 		if r.Pool != pool {
 			continue
 		}
-		if contrasted := r.open() &^ r.maskOf(parts); contrasted != 0 {
+		if contrasted := r.uncontrasted() &^ r.mask(parts...); contrasted != 0 {
 			r.Contrasted |= contrasted
 			t.markChanged(r)
 		}
@@ -226,7 +225,7 @@
 		part := Part{pool, id}
 		for _, r := range t.byPart[part] {
 			if r.blames(part) {
-				r.Answered |= r.maskOf([]uint64{id})
+				r.Answered |= r.mask(id)
 				t.markChanged(r)
 			}
 		}
@@ -243,7 +242,7 @@
 	_, found := t.verdicts[part]
 	for _, r := range t.losses {
 		if r.blames(part) {
-			r.Answered |= r.maskOf([]uint64{part.ID})
+			r.Answered |= r.mask(part.ID)
 			t.markChanged(r)
 		}
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// index rebuilds byPart and open.
+// index rebuilds byPart and uncontrasted.
 func (t *Table) index(losses []*record) {
-	t.byPart, t.open = make(map[Part][]*record), nil
+	t.byPart, t.uncontrasted = make(map[Part][]*record), nil
 	for _, r := range losses {
 		for _, id := range r.Parts {
 			if part := (Part{r.Pool, id}); r.blames(part) {
@@ -53,8 +53,8 @@
 				r.followed |= 1 << i
 			}
 		}
-		if r.open() != 0 {
-			t.open = append(t.open, r)
+		if r.uncontrasted() != 0 {
+			t.uncontrasted = append(t.uncontrasted, r)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 			length = 1
 		case r.SentAt.Before(last.LostAt.Add(minGap)):
 			continue
-		case !contrasted || last.Contrasted&last.bit(e.part) != 0:
+		case !contrasted || last.Contrasted&last.mask(e.part.ID) != 0:
 			length++
 		default:
 			length = 1
--- a/internal/registry/withdrawal.go
+++ b/internal/registry/withdrawal.go
@@ -54,7 +54,7 @@
 	return e.CoversAnnounced(s, announcedAt) || time.UnixMilli(s.StartedMS).Before(withdrawnAt)
 }
 
-// ApplyTo applies the entry, which has Withdrawn set, to what a router knows of the server. It returns the
+// ApplyTo applies the entry, which has Withdrawn set, to what a process knows of the server. It returns the
 // entry with the data of the known incarnation, and whether it is news.
 func (e Entry) ApplyTo(known Entry) (Entry, bool) {
 	if known.Withdrawn && !e.isLaterWithdrawal(&known) || !known.Withdrawn && !e.Covers(&known.Server, known.LastAnnounced) {
@@ -67,19 +67,16 @@
 // mergeWithdrawal applies an entry with Withdrawn set and reports whether it is news.
 func (t *Table) mergeWithdrawal(e Entry) bool {
 	current := t.entries[e.ID]
-	switch {
-	case current == nil:
+	if current == nil {
 		current = &Entry{Server: e.Server}
-		t.entries[e.ID] = current
-	case current.Withdrawn:
-		if !e.isLaterWithdrawal(current) {
-			return false
-		}
-	case !e.Covers(&current.Server, current.LastAnnounced):
+	}
+	applied, isNews := e.ApplyTo(*current)
+	if !isNews {
 		return false
 	}
-	current.State, current.Silent, current.LastAnnounced = StateGone, false, e.LastAnnounced
 	t.setWithdrawn(current, true)
+	*current = applied
+	t.entries[e.ID] = current
 	t.markChanged(current)
 	return true
 }
--- a/internal/settings/memory.go
+++ b/internal/settings/memory.go
@@ -36,10 +36,12 @@
 	return nil
 }
 
+// BytesPerMB is the unit of sizes in the settings.
+const BytesPerMB = 1_000_000
+
 const (
-	bytesPerMB = 1_000_000
 	// DefaultRequestMemoryBytes bounds the bodies of requests if the memory of the process is unknown.
-	DefaultRequestMemoryBytes = 64 * bytesPerMB
+	DefaultRequestMemoryBytes = 64 * BytesPerMB
 	// requestMemoryShare is the share of the memory of the process that bodies of requests may take. The
 	// rest is for answers, connections, and what the garbage collector has not collected yet.
 	requestMemoryShare = 0.45
@@ -49,10 +51,10 @@
 // RequestMemoryBytes returns the bound of the bodies of all requests in progress.
 func (s *Settings) RequestMemoryBytes() int64 {
 	if s.Memory.RequestsMB > 0 {
-		return int64(s.Memory.RequestsMB) * bytesPerMB
+		return int64(s.Memory.RequestsMB) * BytesPerMB
 	}
 	if s.Memory.ProcessMB > 0 {
-		return int64(requestMemoryShare * float64(s.Memory.ProcessMB) * bytesPerMB)
+		return int64(requestMemoryShare * float64(s.Memory.ProcessMB) * BytesPerMB)
 	}
 	return DefaultRequestMemoryBytes
 }
