--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -14,6 +14,9 @@
 
 // scenarios return whether the rule was broken. trouble is false for a play without the disruption.
 var scenarios = map[string]func(rec *record, binary string, trouble bool) bool{
+	"broken":   brokenConfig,
+	"stranger": strangersEntry,
+	"foreign":  foreignHeartbeat,
 	"smuggled": smuggledRequest,
 }
 
