--- a/review/_standin3/stranger.go
+++ b/review/_standin3/stranger.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// strangerHeartbeats is the number of heartbeats of the other writer.
+const strangerHeartbeats = 8
+
 // strangersEntry sends heartbeats of another writer, in which the field Seq is missing, for a process that is no
 // worker: it answers 404 to all paths of the routes.
 func strangersEntry(rec *record, binary string, trouble bool) bool {
@@ -45,18 +48,18 @@
 	defer stranger.Close()
 	at := time.Now()
 	if trouble {
-		for i := range 3 {
+		for i := range strangerHeartbeats {
 			body := jsonText(map[string]any{
 				"Service": service, "Address": listener.Addr().String(), "Zone": "zone-a", "Version": "v1", "Slots": 6, "State": "ready",
 				"ColdLeftMs": 0, "born": at.UnixMilli(),
 			})
-			m := f.controls[i]
+			m := f.controls[i%len(f.controls)]
 			status, answer, err := call(m, http.MethodPut, "/instances/stranger-1", body, time.Second)
 			rec.add("heartbeat without Seq for stranger-1 at %s: %s: answered %d %v %s", m.name, strings.TrimSpace(body), status, err, strings.TrimSpace(answer))
 			time.Sleep(1200 * time.Millisecond)
 		}
 	} else {
-		time.Sleep(3600 * time.Millisecond)
+		time.Sleep(strangerHeartbeats * 1200 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
 	close(stop)
