--- a/review/_standin3/smuggled.go
+++ b/review/_standin3/smuggled.go
@@ -13,21 +13,19 @@
 )
 
 const (
-	// largeBody and mediumBody are below MaxBodyBytes of the configuration, 4,194,304 bytes; largeClients and
-	// mediumClients are the numbers of clients that send one such body each.
-	largeBody, largeClients   = 4_000_000, 28
-	mediumBody, mediumClients = 1_000_000, 6
+	// largeBody, mediumBody and smallBody are below MaxBodyBytes of the configuration, 4,194,304 bytes; largeClients,
+	// mediumClients and smallClients are the numbers of clients that send one such body each.
+	largeBody, largeClients   = 4_000_000, 27
+	mediumBody, mediumClients = 1_000_000, 5
+	smallBody, smallClients   = 300_000, 4
 	// clientGap is the time between two of these clients.
-	clientGap = 40 * time.Millisecond
+	clientGap = 20 * time.Millisecond
 	// outerBody is the size of the part of a body before the request that it has inside.
 	outerBody = 600_000
 	// outerClients is the number of clients that send such a body.
 	outerClients = 6
-	// auditWork is the time that a worker takes for a large request, which is slowFactor times as long while it is
-	// slow, for slowTime.
-	auditWork  = 1600 * time.Millisecond
-	slowFactor = 5
-	slowTime   = 6500 * time.Millisecond
+	// auditWork is the time that a worker takes for a large request.
+	auditWork = 2 * time.Second
 	// auditDeadline is the deadline of a large request and the timeout of its route.
 	auditDeadline = 15 * time.Second
 )
@@ -49,16 +47,14 @@
 	})
 }
 
-// smuggledRequest lets many users send large requests to slow workers. Meanwhile some clients send a request
-// whose body, in chunks, has an invalid chunk and then the text of another request.
+// smuggledRequest lets many users send large requests at once. Meanwhile some clients send a request whose body,
+// in chunks, has an invalid chunk and then the text of another request.
 func smuggledRequest(rec *record, binary string, trouble bool) bool {
 	f := newFleet(rec, binary, 3, 1, false)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	slowSince := make(chan struct{})
-	var slowUntil time.Time
 	var workers []*worker
 	for i := range 4 {
 		w := f.newWorker(fmt.Sprintf("i-%d", i+1), service, []string{"zone-a", "zone-b", "zone-c"}[i%3], f.subnet+".200:0")
@@ -66,17 +62,7 @@
 		defer w.close()
 		w.handle = func(rw http.ResponseWriter, r *http.Request) {
 			if strings.HasPrefix(r.URL.Path, "/audit/") {
-				for left := auditWork; left > 0; time.Sleep(10 * time.Millisecond) {
-					select {
-					case <-slowSince:
-						if time.Now().Before(slowUntil) {
-							left -= 10 * time.Millisecond / slowFactor
-							continue
-						}
-					default:
-					}
-					left -= 10 * time.Millisecond
-				}
+				time.Sleep(auditWork)
 			}
 			id := r.Header.Get("Peridotwinch-Attempt-Id")
 			rw.Header().Set("Peridotwinch-Server-Stamp", "stamp."+w.id+"."+id)
@@ -101,14 +87,13 @@
 			})
 			time.Sleep(clientGap)
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
 	if trouble {
-		slowUntil = time.Now().Add(slowTime)
-		close(slowSince)
-		rec.add("the workers turn slow: %d times as long for %v; many users come at once", slowFactor, slowTime)
+		rec.add("many users come at once")
 		send(largeClients, largeBody)
 		send(mediumClients, mediumBody)
+		send(smallClients, smallBody)
+		time.Sleep(100 * time.Millisecond)
 	} else {
 		send(2, largeBody)
 		send(1, mediumBody)
