--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -18,6 +18,7 @@
 	"stranger": strangersEntry,
 	"foreign":  foreignHeartbeat,
 	"smuggled": smuggledRequest,
+	"upload":   slowUpload,
 }
 
 func main() { os.Exit(play()) }
