--- a/review/_standin3/brokenconfig.go
+++ b/review/_standin3/brokenconfig.go
@@ -10,7 +10,7 @@
 
 // brokenConfig sends a configuration with one byte that is no UTF-8 text, so that it cannot be read in full.
 func brokenConfig(rec *record, binary string, trouble bool) bool {
-	f := newFleet(rec, binary, 3, 2, false)
+	f := newFleet(rec, binary, 3, 2)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/_standin3/fleet.go
+++ b/review/_standin3/fleet.go
@@ -18,10 +18,8 @@
 
 // Bounds of the small sites.
 const (
-	contact     = 3 * time.Second
 	configApply = 2 * time.Second
 	drain       = 2 * time.Second
-	ack         = 4 * time.Second
 )
 
 // record is record.txt of the case.
@@ -45,11 +43,8 @@
 	front, ready   string
 	control        string
 	peers          string
-	// listenPeers differs from peers if a proxy stands before the machine.
-	listenPeers string
-	dataDir     string
-	proxy       *proxy
-	bootstrap   bool
+	dataDir        string
+	bootstrap      bool
 
 	fleet   *fleet
 	mu      sync.Mutex
@@ -67,7 +62,6 @@
 	seeds    []any
 	zones    map[string]any
 	subnet   string
-	used     map[string]bool
 }
 
 func freePort(ip string) string {
@@ -87,19 +81,18 @@
 // cannotRun ends the program with status 2.
 type cannotRun struct{ err error }
 
-// newFleet returns a deployment with core machines in three zones and some fronts; withProxies puts a proxy
-// before the peer address of each machine.
-func newFleet(rec *record, binary string, cores, fronts int, withProxies bool) *fleet {
+// newFleet returns a deployment with core machines and fronts in three zones.
+func newFleet(rec *record, binary string, cores, fronts int) *fleet {
 	dir, err := os.MkdirTemp("", "review3-")
 	check(err)
-	f := &fleet{rec: rec, dir: dir, binary: binary, zones: map[string]any{"zone-a": "region", "zone-b": "region", "zone-c": "region"}, used: map[string]bool{}}
+	f := &fleet{rec: rec, dir: dir, binary: binary, zones: map[string]any{"zone-a": "region", "zone-b": "region", "zone-c": "region"}}
 	f.subnet = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, time.Now().UnixNano()/1000%250+1)
 	peerPort, controlPort := freePort(f.subnet+".1"), freePort(f.subnet+".1")
 	internal := freePort(f.subnet + ".1")
 	zoneNames := []string{"zone-a", "zone-b", "zone-c"}
 	for i := range cores + fronts {
 		ip := fmt.Sprintf("%s.%d", f.subnet, i+1)
-		m := &machine{fleet: f, ip: ip, zone: zoneNames[i%3], peers: ip + ":" + peerPort, listenPeers: ip + ":" + peerPort, bootstrap: true}
+		m := &machine{fleet: f, ip: ip, zone: zoneNames[i%3], peers: ip + ":" + peerPort, bootstrap: true}
 		if i < cores {
 			m.name, m.role, m.control = fmt.Sprintf("core-%d", i+1), "control", ip+":"+controlPort
 			m.dataDir = filepath.Join(dir, m.name, "data")
@@ -115,14 +108,6 @@
 			m.front, m.ready = ip+":"+freePort(ip), ip+":"+freePort(ip)
 			f.fronts = append(f.fronts, m)
 		}
-		if withProxies {
-			m.listenPeers = ip + ":" + freePort(ip)
-		}
-	}
-	if withProxies {
-		for _, m := range f.machines() {
-			m.proxy = newProxy(m.peers, m.listenPeers)
-		}
 	}
 	return f
 }
@@ -141,14 +126,7 @@
 	for _, m := range f.machines() {
 		m.kill()
 	}
-	for _, m := range f.machines() {
-		if m.proxy != nil {
-			m.proxy.close()
-		}
-	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.dir)
-	}
+	_ = os.RemoveAll(f.dir)
 }
 
 // writeSettings renders the template of the deploy file for the machine.
@@ -171,15 +149,6 @@
 	template, err := os.ReadFile("deploy/" + m.role + ".json.tmpl")
 	check(err)
 	text := render(string(template), fields)
-	if m.listenPeers != m.peers {
-		// The proxy stands at the address that the other machines know.
-		settings := map[string]any{}
-		check(json.Unmarshal([]byte(text), &settings))
-		settings["listen"].(map[string]any)["peers"] = m.listenPeers
-		settings["join"].(map[string]any)["address"] = m.peers
-		raw, _ := json.Marshal(settings)
-		text = string(raw)
-	}
 	path := filepath.Join(m.fleet.dir, m.name+".json")
 	check(os.WriteFile(path, []byte(text), 0o644))
 	return path
@@ -210,14 +179,6 @@
 	}()
 }
 
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.process != nil {
-		_ = m.process.Process.Signal(s)
-	}
-}
-
 // kill kills the process and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
--- a/review/_standin3/foreign.go
+++ b/review/_standin3/foreign.go
@@ -54,7 +54,7 @@
 // foreignHeartbeat sends one heartbeat of another writer, in which the field Seq is missing, with the id and the
 // address of a worker. Later the worker leaves.
 func foreignHeartbeat(rec *record, binary string, trouble bool) bool {
-	f := newFleet(rec, binary, 3, 2, false)
+	f := newFleet(rec, binary, 3, 2)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/_standin3/smuggled.go
+++ b/review/_standin3/smuggled.go
@@ -50,7 +50,7 @@
 // smuggledRequest lets many users send large requests at once. Meanwhile some clients send a request whose body,
 // in chunks, has an invalid chunk and then the text of another request.
 func smuggledRequest(rec *record, binary string, trouble bool) bool {
-	f := newFleet(rec, binary, 3, 1, false)
+	f := newFleet(rec, binary, 3, 1)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/_standin3/stranger.go
+++ b/review/_standin3/stranger.go
@@ -16,7 +16,7 @@
 // strangersEntry sends heartbeats of another writer, in which the field Seq is missing, for a process that is no
 // worker: it answers 404 to all paths of the routes.
 func strangersEntry(rec *record, binary string, trouble bool) bool {
-	f := newFleet(rec, binary, 3, 2, false)
+	f := newFleet(rec, binary, 3, 2)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/_standin3/upload.go
+++ b/review/_standin3/upload.go
@@ -24,7 +24,7 @@
 // slowUpload lets many users send large requests at once. Some more clients make the body of a request while they
 // send it, read the answer, and send another request on the same connection.
 func slowUpload(rec *record, binary string, trouble bool) bool {
-	f := newFleet(rec, binary, 3, 1, false)
+	f := newFleet(rec, binary, 3, 1)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/_standin3/worker.go
+++ b/review/_standin3/worker.go
@@ -30,7 +30,6 @@
 	stopOnce sync.Once
 	server   *http.Server
 	listener net.Listener
-	proxy    *proxy
 	// handle, if set, answers instead of the standard answer.
 	handle func(w http.ResponseWriter, r *http.Request)
 
@@ -59,9 +58,6 @@
 func (w *worker) close() {
 	w.stopOnce.Do(func() { close(w.stop) })
 	_ = w.server.Close()
-	if w.proxy != nil {
-		w.proxy.close()
-	}
 }
 
 func (w *worker) beatBody(seq int64) string {
