Refuse texts from outside that cannot be read in full

Announcements with such a byte were acknowledged too, and the server was kept under a changed text.

Cause: encoding/json replaces bytes that are not UTF-8 and lone surrogates by U+FFFD, takes the last of several fields with one name, and accepts names in another case, all without an error. The check for UTF-8 in registry.Validate comes after it and cannot fail for a body.

Ruled out: a loss on the way into the log (GET returns the bytes as sent), and a comparison of prefixes in another encoding (the prefix in force has U+FFFD).

Change: jsonx decodes with a decoder that is strict about these (RFC 8259, 8.1 to 8.3, and 4) and names the field and the offset. Routers decode accepted tables as before: a table that an earlier version has acknowledged keeps its meaning, and a new one that routers of such a version would read differently is refused.

--- a/api/error.go
+++ b/api/error.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/pkg/errors"
+
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 // Outcome reports whether a refused request has run.
@@ -46,6 +48,20 @@
 	return err
 }
 
+// TextError returns a numbered error for a JSON text that cannot be decoded. Its field is the one at fault
+// within parent, the path of the text in a larger one, or parent if the fault is not in a field.
+func TextError(code Code, parent string, err error) *Error {
+	var text *jsonx.Error
+	if !errors.As(err, &text) || text.Field == "" {
+		return FieldErrorf(code, parent, "%v", err)
+	}
+	field := text.Field
+	if parent != "" {
+		field = parent + "." + field
+	}
+	return FieldErrorf(code, field, "byte %d: %s", text.Offset, text.Message())
+}
+
 // NotRun returns a copy of e with OutcomeNotRun: the request has not run and will not.
 func (e *Error) NotRun() *Error { return e.withOutcome(OutcomeNotRun) }
 
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -42,10 +42,11 @@
 
 // Adapter translates between a deployment's interface and the product.
 type Adapter interface {
-	// DecodeTable decodes and validates the declared form of a route table.
+	// DecodeTable decodes the declared form of a route table that control has accepted, in this or an
+	// earlier version.
 	DecodeTable(source []byte) (*routetable.Table, error)
-	// CheckTable decodes a table as DecodeTable does, and returns all violations instead of the
-	// first one. The table is nil if the source cannot be decoded.
+	// CheckTable decodes a route table that an operator sends, and returns all violations. The table
+	// is nil if the source cannot be read in full.
 	CheckTable(source []byte) (*routetable.Table, routetable.Violations)
 	// TablePath is the path of the control handler at which a GET returns the declared form of the
 	// table in force.
--- a/internal/cli/checktable.go
+++ b/internal/cli/checktable.go
@@ -7,6 +7,7 @@
 
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/adapter"
+	"peridotwinch.example/peridotwinch/internal/routetable"
 	"peridotwinch.example/peridotwinch/internal/tablecheck"
 )
 
@@ -108,10 +109,13 @@
 			return base, err
 		}
 	}
-	table, violations := format.CheckTable(baseSource)
-	if table == nil {
-		first := violations[0].Err
-		return base, api.FieldErrorf(first.Code, first.Field, "%s: %s", base.Name, first.Message)
+	table, err := format.DecodeTable(baseSource)
+	if err != nil {
+		var violations routetable.Violations
+		if table, violations = format.CheckTable(baseSource); table == nil {
+			first := violations[0].Err
+			return base, api.FieldErrorf(first.Code, first.Field, "%s: %s", base.Name, first.Message)
+		}
 	}
 	base.Table, base.SameSource = table, tablecheck.SameValue(source, baseSource)
 	return base, nil
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -73,7 +73,7 @@
 func (c *Control) put(w http.ResponseWriter, r *http.Request) {
 	resource := &api.Resource{}
 	if err := jsonx.DecodeKnown(http.MaxBytesReader(w, r.Body, maxResourceBytes), resource); err != nil {
-		httpx.WriteError(w, api.Errorf(api.CodeResourceInvalid, "decode the request body: %v", err))
+		httpx.WriteError(w, api.TextError(api.CodeResourceInvalid, "", err))
 		return
 	}
 	resource.Kind = api.Kind(r.PathValue("kind"))
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -80,7 +80,7 @@
 	announcement := api.Announcement{}
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
 	if err := jsonx.Decode(body, &announcement); err != nil {
-		httpx.WriteError(w, api.Errorf(api.CodeAnnouncement, "decode the request body: %v", err))
+		httpx.WriteError(w, api.TextError(api.CodeAnnouncement, "", err))
 		return
 	}
 	if err := announcement.Validate(); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -237,7 +236,7 @@
 func Parse(raw []byte) (*Settings, error) {
 	s := &Settings{}
 	if err := jsonx.DecodeKnown(bytes.NewReader(raw), s); err != nil {
-		return nil, decodeError(err)
+		return nil, api.TextError(api.CodeSettingsInvalid, "", err)
 	}
 	if errs := s.Validate(); len(errs) > 0 {
 		return nil, errs
@@ -245,16 +244,6 @@
 	return s, nil
 }
 
-func decodeError(err error) error {
-	if typeErr, ok := err.(*json.UnmarshalTypeError); ok {
-		return api.FieldErrorf(api.CodeSettingsInvalid, typeErr.Field, "value of the wrong type: JSON %s", typeErr.Value)
-	}
-	if field, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
-		return api.FieldErrorf(api.CodeSettingsInvalid, strings.Trim(field, `"`), "unknown field")
-	}
-	return api.Errorf(api.CodeSettingsInvalid, "%v", err)
-}
-
 // Validate returns an error for each field that is not valid.
 func (s *Settings) Validate() Errors {
 	v := &validator{}
--- a/internal/tablecheck/differences.go
+++ b/internal/tablecheck/differences.go
@@ -1,7 +1,7 @@
 package tablecheck
 
 import (
-	"encoding/json"
+	"bytes"
 	"fmt"
 	"reflect"
 	"slices"
@@ -9,6 +9,7 @@
 	"strings"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 )
 
@@ -59,10 +60,12 @@
 	SameSource bool
 }
 
-// SameValue reports whether two sources have the same JSON value.
+// SameValue reports whether two sources have the same JSON value. A source that jsonx.Decode refuses
+// has the same value as an equal one only.
 func SameValue(a, b []byte) bool {
 	var valueA, valueB any
-	return json.Unmarshal(a, &valueA) == nil && json.Unmarshal(b, &valueB) == nil && reflect.DeepEqual(valueA, valueB)
+	return bytes.Equal(a, b) || jsonx.Decode(bytes.NewReader(a), &valueA) == nil &&
+		jsonx.Decode(bytes.NewReader(b), &valueB) == nil && reflect.DeepEqual(valueA, valueB)
 }
 
 // Compare adds the differences of the table from a base to the report. It adds an error if the table
