Read specifications, chat requests and files strictly, too

What callers saw: a chat with a byte that is not UTF-8 or a lone surrogate reached the backend server with U+FFFD in its place; of two models in one request the last one was used. The specification of a resource and the files of the command line (resources, inventories, load mixes, descriptions) were read in the same way, and text after the value in these files was ignored.

Cause: these callers of encoding/json bypassed jsonx.

Change: they use jsonx. A stored specification is decoded as before (DecodeAcceptedKnown), so that resources which an earlier version has acknowledged keep their effect.

--- a/api/resource.go
+++ b/api/resource.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"sort"
 	"strings"
+
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 // Kind is a kind of resource, as in the path of the resource API.
@@ -129,10 +131,13 @@
 func (r *Resource) Validate(schemes []Scheme) []*Error {
 	var errs []*Error
 	errs = append(errs, r.validateNames(schemes)...)
-	spec, err := DecodeSpec(r.Kind, r.Spec)
+	spec, err := newSpec(r.Kind)
 	if err != nil {
 		return append(errs, AsError(err))
 	}
+	if err := jsonx.DecodeKnown(bytes.NewReader(r.Spec), spec); err != nil {
+		return append(errs, TextError(CodeResourceInvalid, "spec", err))
+	}
 	return append(errs, spec.Validate()...)
 }
 
@@ -164,16 +169,14 @@
 	return FieldErrorf(CodeResourceInvalid, field, format, args...)
 }
 
-// DecodeSpec decodes the specification of a resource of the given kind and refuses unknown
-// fields. It fails with CodeKindUnknown or CodeResourceInvalid.
+// DecodeSpec decodes the specification of a resource that control has accepted, in this or an earlier
+// version, and refuses unknown fields. It fails with CodeKindUnknown or CodeResourceInvalid.
 func DecodeSpec(kind Kind, raw json.RawMessage) (Spec, error) {
 	spec, err := newSpec(kind)
 	if err != nil {
 		return nil, err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(spec); err != nil {
+	if err := jsonx.DecodeAcceptedKnown(raw, spec); err != nil {
 		return nil, invalidField("spec", "%v", err)
 	}
 	return spec, nil
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 func applyCommand() *command {
@@ -49,12 +49,11 @@
 
 // readResources reads a sequence of resources, each a JSON value, and refuses unknown fields.
 func readResources(r io.Reader) ([]*api.Resource, error) {
-	decoder := json.NewDecoder(r)
-	decoder.DisallowUnknownFields()
+	sequence := jsonx.NewSequence(r)
 	var out []*api.Resource
 	for {
 		resource := &api.Resource{}
-		err := decoder.Decode(resource)
+		err := sequence.Next(resource)
 		if errors.Is(err, io.EOF) {
 			return out, nil
 		}
--- a/internal/experiment/description.go
+++ b/internal/experiment/description.go
@@ -6,11 +6,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"os"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
@@ -95,10 +95,8 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeUsage, "%v", err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	d := &Description{}
-	if err := decoder.Decode(d); err != nil {
+	if err := jsonx.DecodeKnown(bytes.NewReader(raw), d); err != nil {
 		return nil, api.Errorf(api.CodeUsage, "decode the description: %v", err)
 	}
 	return d, d.Validate()
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
@@ -51,10 +52,8 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeSettingsInvalid, "%v", err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	inventory := &Inventory{}
-	if err := decoder.Decode(inventory); err != nil {
+	if err := jsonx.DecodeKnown(bytes.NewReader(raw), inventory); err != nil {
 		return nil, api.Errorf(api.CodeSettingsInvalid, "%s: %v", path, err)
 	}
 	return inventory, nil
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -5,12 +5,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"os"
 	"time"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 	"peridotwinch.example/peridotwinch/internal/settings"
 )
 
@@ -123,9 +123,7 @@
 	if err != nil {
 		return api.Errorf(api.CodeLoadMixInvalid, "%v", err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(out); err != nil {
+	if err := jsonx.DecodeKnown(bytes.NewReader(raw), out); err != nil {
 		return api.Errorf(api.CodeLoadMixInvalid, "%s: %v", path, err)
 	}
 	return nil
--- a/internal/proxy/chat.go
+++ b/internal/proxy/chat.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -8,6 +9,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/balance"
 	"peridotwinch.example/peridotwinch/internal/catalog"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 const chatPath = "/v1/chat/completions"
@@ -15,8 +17,8 @@
 // chat executes a chat completion request.
 func (p *Proxy) chat(w http.ResponseWriter, r *http.Request, c *call) error {
 	request := &api.ChatRequest{}
-	if err := json.Unmarshal(c.body, request); err != nil {
-		return api.Errorf(api.CodeRequestInvalid, "decode the request body: %v", err)
+	if err := jsonx.Decode(bytes.NewReader(c.body), request); err != nil {
+		return api.TextError(api.CodeRequestInvalid, "", err)
 	}
 	if err := request.Validate(); err != nil {
 		return err
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"encoding/json"
+	"bytes"
 	"net/http"
 	"net/url"
 	"strings"
@@ -9,6 +9,7 @@
 	"peridotwinch.example/peridotwinch/api"
 	"peridotwinch.example/peridotwinch/internal/catalog"
 	"peridotwinch.example/peridotwinch/internal/httpx"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 // servicePathParts is the number of parts of "/services/{pool}/{path...}" split
@@ -58,8 +59,8 @@
 
 func (p *Proxy) mintKeys(w http.ResponseWriter, r *http.Request, c *call) error {
 	request := mintRequest{}
-	if err := json.Unmarshal(c.body, &request); err != nil {
-		return api.Errorf(api.CodeRequestInvalid, "decode the request body: %v", err)
+	if err := jsonx.Decode(bytes.NewReader(c.body), &request); err != nil {
+		return api.TextError(api.CodeRequestInvalid, "", err)
 	}
 	if request.Count < 1 || request.Count > maxMintedKeys {
 		return api.FieldErrorf(api.CodeRequestInvalid, "count", "must be within 1 to %d, is %d", maxMintedKeys, request.Count)
--- a/internal/statechart/chart.go
+++ b/internal/statechart/chart.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"embed"
-	"encoding/json"
 	"io/fs"
 	"slices"
 
@@ -14,6 +13,7 @@
 	"github.com/qmuntal/stateless"
 
 	"peridotwinch.example/peridotwinch/api"
+	"peridotwinch.example/peridotwinch/internal/jsonx"
 )
 
 //go:embed charts/*.json
@@ -75,10 +75,8 @@
 // chart has an unknown field, names an undeclared state or event, or has a state
 // that cannot be reached from the initial state.
 func Parse(raw []byte) (*Chart, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	definition := Definition{}
-	if err := decoder.Decode(&definition); err != nil {
+	if err := jsonx.DecodeKnown(bytes.NewReader(raw), &definition); err != nil {
 		return nil, api.Errorf(api.CodeChartInvalid, "decode the state chart: %v", err)
 	}
 	if err := definition.validate(); err != nil {
