Store the answer to a charge whatever its content type

What callers saw: after an answer whose Content-Type is not UTF-8, which HTTP allows, a retry of the charge got may_have_run instead of that answer.

Cause: the content type was a protobuf string, and the encoder refuses such a text, so the claim was not completed at any replica.

Change: the field has the type bytes, which has the same encoding; records of earlier versions are read as before. Dropping such a content type was ruled out: the retry would get another answer than the first attempt.

--- a/internal/ledger/wire/wire.go
+++ b/internal/ledger/wire/wire.go
@@ -14,7 +14,7 @@
 	if answer == nil {
 		return nil
 	}
-	out := &ledgerpb.StoredAnswer{Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
+	out := &ledgerpb.StoredAnswer{Status: int32(answer.Status), ContentType: []byte(answer.ContentType), Body: answer.Body}
 	if answer.BodyDigest != nil {
 		out.BodyDigest = answer.BodyDigest[:]
 	}
@@ -27,7 +27,7 @@
 	if message == nil {
 		return nil, nil
 	}
-	out := &ledger.Answer{Status: int(message.Status), ContentType: message.ContentType, Body: message.Body}
+	out := &ledger.Answer{Status: int(message.Status), ContentType: string(message.ContentType), Body: message.Body}
 	if len(message.BodyDigest) == 0 {
 		return out, nil
 	}
