Refuse paths and headers that cannot be kept as sent

What callers saw: the log keeps the path, the request ID and the operator of a write as JSON, with U+FFFD for bytes that are not UTF-8. Writes whose request IDs differ in such a byte count as the same one, and a name with such a byte as another one. A caller's chat ID may come back in a backend server's announcement, which is refused since announcements are decoded strictly: one caller could have removed servers.

Idempotency keys are hashed and forwarded as bytes, so they may have any value.

--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -27,7 +27,7 @@
 	} else {
 		refuseEvacuations(mux)
 	}
-	return mux
+	return httpx.CheckText(api.CodeResourceInvalid, mux, api.HeaderRequestID, api.HeaderOperator)
 }
 
 func (c *Control) list(w http.ResponseWriter, r *http.Request) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -158,7 +158,10 @@
 	if c.customer = c.config.Customer(token); c.customer == nil {
 		return api.FieldErrorf(api.CodeCustomerUnknown, "Authorization", "the bearer token does not belong to a customer")
 	}
-	var err error
+	err := httpx.CheckHeaders(api.CodeRequestInvalid, r.Header, api.HeaderRequestID, api.HeaderChat)
+	if err != nil {
+		return err
+	}
 	c.body, err = c.memory.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.ContentLength)
 	if errors.Is(err, bytebudget.ErrExhausted) {
 		return api.Errorf(api.CodeMemoryExhausted, "the requests in progress hold %d bytes", p.requestMemory.UsedBytes())
