--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"peridotwinch.example/peridotwinch/internal/actor"
@@ -22,9 +23,25 @@
 	if ready.HardState == nil && len(ready.Entries) == 0 {
 		return nil
 	}
-	return r.writeWithRetry(ctx, func() error { return r.disk.append(ready.HardState, ready.Entries) })
+	started := time.Now()
+	err := r.writeWithRetry(ctx, func() error { return r.disk.append(ready.HardState, ready.Entries) })
+	r.reportSlowWrite(time.Since(started))
+	return err
 }
 
+// reportSlowWrite logs a write of the log that took longer than the election timeout. The replica sends
+// and handles nothing meanwhile: a leader may lose its office, and a follower is missing in the quorum.
+func (r *Replica) reportSlowWrite(took time.Duration) {
+	logWriteSeconds.Update(took.Seconds())
+	limit := electionTicks * r.settings.Timeouts.Heartbeat() / ticksPerHeartbeatSetting
+	if took > limit {
+		r.log.Warn().Dur("took", took).Dur("electionTimeout", limit).Str("role", r.core.Status().Role.String()).Msg("slow write of the control log")
+	}
+}
+
+// logWriteSeconds measures the writes of the log, each with its sync.
+var logWriteSeconds = metrics.NewHistogram("peridotwinch_control_log_write_seconds")
+
 // installSnapshot makes the snapshot of ready durable in place of the log, and restores the
 // state machine from it.
 func (r *Replica) installSnapshot(ctx context.Context, ready *consensus.Ready) error {
