Refuse announcements that lack a field

Cause: an absent number or text decodes as its zero value, which is valid.

On the product's own interface incarnation and sequence are required. The test of late announcements sent one without ColdLeftMs; it sends a complete one now, and checks the same.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -77,13 +78,8 @@
 
 // ServeHTTP accepts an announcement of a backend server.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	announcement := api.Announcement{}
-	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
-	if err := jsonx.Decode(body, &announcement); err != nil {
-		httpx.WriteError(w, api.TextError(api.CodeAnnouncement, "", err))
-		return
-	}
-	if err := announcement.Validate(); err != nil {
+	announcement, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
 		httpx.WriteError(w, err)
 		return
 	}
@@ -91,6 +87,31 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// decodeAnnouncement returns an error with CodeAnnouncement and the field if the announcement is not
+// valid or does not say to which incarnation it belongs and when it was sent.
+func decodeAnnouncement(body io.Reader) (api.Announcement, error) {
+	decoded := struct {
+		api.Announcement
+		Incarnation *uint64 `json:"incarnation"`
+		Sequence    *uint64 `json:"sequence"`
+	}{}
+	if err := jsonx.Decode(body, &decoded); err != nil {
+		return api.Announcement{}, api.TextError(api.CodeAnnouncement, "", err)
+	}
+	switch {
+	case decoded.Incarnation == nil:
+		return api.Announcement{}, api.FieldErrorf(api.CodeAnnouncement, "incarnation", "missing")
+	case decoded.Sequence == nil:
+		return api.Announcement{}, api.FieldErrorf(api.CodeAnnouncement, "sequence", "missing")
+	}
+	out := decoded.Announcement
+	out.Incarnation, out.Sequence = *decoded.Incarnation, *decoded.Sequence
+	if err := out.Validate(); err != nil {
+		return api.Announcement{}, err
+	}
+	return out, nil
+}
+
 // mergeAnnouncement merges an announcement that this router received and marks it as
 // pending for the peers. A draining server triggers an immediate exchange.
 func (s *Service) mergeAnnouncement(now time.Time, announcement api.Announcement) {
--- a/test/platform/metrics_test.go
+++ b/test/platform/metrics_test.go
@@ -60,7 +60,7 @@
 func TestLateAnnouncementIsLogged(t *testing.T) {
 	f := startFleet(t, 0)
 	announce := func(seq string) int {
-		status, _ := f.callControl(f.controls[0], http.MethodPut, "/instances/i-9", `{"Service":"app","Address":"10.0.0.9:80","Zone":"zone-0","Version":"v1","Slots":6,"State":"ready","Seq":`+seq+`,"born":1000}`)
+		status, _ := f.callControl(f.controls[0], http.MethodPut, "/instances/i-9", `{"Service":"app","Address":"10.0.0.9:80","Zone":"zone-0","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,"Seq":`+seq+`,"born":1000}`)
 		return status
 	}
 	f.Eventually(func() int { return announce("5") }, testcluster.WaitTimeout).Should(Equal(http.StatusOK))
