Do not confirm a departure that has no effect

Cause: Announce drops a late announcement and returns no error. That is right if it changes nothing, as a delayed one that the server is ready, but not if the server counts on it.

Applying it to the later incarnation was ruled out: the announcement of one that has crashed may be delayed by a partition, and would take a sound server out of use.

--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -232,6 +232,28 @@
 	g.Expect(api.AsError(invalid).Field).To(Equal(registry.FieldID))
 }
 
+// TestOutdatedDepartureIsNotConfirmed guards against a departure that is confirmed and has no effect,
+// because an announcement with a later start time is known under the server's ID.
+func TestOutdatedDepartureIsNotConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	address := reserveAddress(t)
+	service := newTestService(t, newFakeReplica(address), address)
+	leaving := testServer(1)
+	leaving.State, leaving.Sequence = registry.StateDraining, leaving.Sequence+10
+	later := testServer(1)
+	later.StartedMS++
+	g.Expect(service.Announce(context.Background(), later)).To(Succeed())
+	err := service.Announce(context.Background(), leaving)
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeAnnouncementOutdated))
+	g.Expect(service.StateOf(leaving.ID)).To(Equal(registry.StateReady))
+	ready := leaving
+	ready.State = registry.StateReady
+	g.Expect(service.Announce(context.Background(), ready)).To(Succeed(), "a late announcement of a ready server")
+	later.State, later.Sequence = registry.StateDraining, later.Sequence+1
+	g.Expect(service.Announce(context.Background(), later)).To(Succeed())
+	g.Expect(service.Announce(context.Background(), leaving)).To(Succeed(), "the server leaves anyway")
+}
+
 // TestChangeOfSourceDoesNotReviveServer guards against a source that has not heard yet that a server is
 // gone: its record has the same sequence number, as a withdrawal has none.
 func TestChangeOfSourceDoesNotReviveServer(t *testing.T) {
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -115,7 +115,9 @@
 // Announce merges an announcement into the registry, or drops it if it is stale. If the
 // server is not ready, for example because it drains, Announce returns after it has stored the
 // change and sent it to the other replicas, which store it too; a replica that does not answer in
-// time receives it later. The error has api.CodeNoQuorum if no replica has stored it in time.
+// time receives it later. The error has api.CodeNoQuorum if no replica has stored it in time, and
+// api.CodeAnnouncementOutdated if a later announcement says that the server is ready: it then goes on
+// receiving requests.
 func (s *Service) Announce(ctx context.Context, server registry.Server) error {
 	now := time.Now()
 	s.mu.Lock()
@@ -126,6 +128,10 @@
 		s.log.Info().Str("server", server.ID).Uint8("state", uint8(server.State)).Uint64("sequence", server.Sequence).
 			Int64("born", server.StartedMS).Uint8("knownState", uint8(known.State)).Uint64("knownSequence", known.Sequence).
 			Int64("knownBorn", known.StartedMS).Msg("late announcement dropped")
+		if server.State != registry.StateReady && known.State == registry.StateReady {
+			return api.Errorf(api.CodeAnnouncementOutdated, "a later announcement of server %q says that it is ready: started at %d, sequence %d",
+				server.ID, known.StartedMS, known.Sequence)
+		}
 		return nil
 	}
 	changed := s.table.Merge(server, now)
