--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -81,7 +81,7 @@
 	write := func() { httpx.WriteJSON(c.w, status, &api.ErrorBody{Error: &apiErr}) }
 	if apiErr.Code != api.CodeMemoryExhausted {
 		write()
-	} else if err := httpx.AnswerUnread(c.w, c.r, write); err != nil {
+	} else if err := httpx.AnswerUnread(c.w, c.r, c.patienceEnd(), write); err != nil {
 		c.log(zerolog.InfoLevel).Err(err).Msg("body of a refused request not read to its end")
 	}
 }
@@ -112,6 +112,14 @@
 	return max(delay, minRetryAfter)
 }
 
+// patienceEnd returns the caller's deadline, or the zero time if it is unknown.
+func (c *call) patienceEnd() time.Time {
+	if c.deadline.IsZero() && c.in.Timeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(c.remainingTime())
+}
+
 // remainingTime returns the time until the caller's deadline; at most 0 if it is unknown or
 // has passed.
 func (c *call) remainingTime() time.Duration {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -190,7 +190,7 @@
 	}
 	if apiErr.Code != api.CodeMemoryExhausted {
 		httpx.WriteError(w, &apiErr)
-	} else if err := httpx.AnswerUnread(w, r, func() { httpx.WriteError(w, &apiErr) }); err != nil {
+	} else if err := httpx.AnswerUnread(w, r, time.Time{}, func() { httpx.WriteError(w, &apiErr) }); err != nil {
 		p.log.Info().Str("requestId", c.id).Err(err).Msg("body of a refused request not read to its end")
 	}
 }
