Soak: another writer's calls, and uploads that are refused halfway

Change: another writer sends heartbeats and configurations that are unreadable or lack a field, under workers' IDs and one of its own; none may be acknowledged or take effect. Four clients upload slowly to a router with little memory for bodies, some with an invalid chunk before the text of another request, and use the connection again.

--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -67,10 +67,13 @@
 
 // startRelayedFleet starts a fleet in which every daemon has a TCP relay between its peer
 // address and the other daemons, the control instances first. A control instance streams to one
-// router, to which it redirects the others.
-func startRelayedFleet(t *testing.T, routers int) (*fleet, []*testcluster.Relay) {
+// router, to which it redirects the others. Changes of the settings apply before the start.
+func startRelayedFleet(t *testing.T, routers int, changes ...func(*fleet)) (*fleet, []*testcluster.Relay) {
 	t.Helper()
 	f := newFleet(t, routers)
+	for _, change := range changes {
+		change(f)
+	}
 	var relays []*testcluster.Relay
 	for _, m := range f.machines() {
 		// All daemons advertise the same peer port. The relay listens on it.
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -60,6 +60,7 @@
 // and the observations of its clients and workers.
 type soak struct {
 	*fleet
+	seed uint64
 	// rng and limitRNG decide on the faults and on the limits of workers.
 	rng, limitRNG *rand.Rand
 	relays        []*testcluster.Relay
@@ -68,6 +69,8 @@
 	tasks         sync.WaitGroup
 	// reusedIDs counts the attempts that reused the ID of one reported as not run.
 	reusedIDs atomic.Int64
+	// uploadRefusals counts the answers with status 503 to upload clients.
+	uploadRefusals atomic.Int64
 
 	mu sync.Mutex
 	// reportedNotRun has the attempts (headerAttempt) that an answer reported as not run.
@@ -89,9 +92,9 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	f, relays := startRelayedFleet(t, soakRouters)
+	f, relays := startRelayedFleet(t, soakRouters, func(f *fleet) { f.routers[0].settings.Memory.RequestsMB = uploadMemoryMB })
 	s := &soak{
-		fleet: f, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1)), stop: make(chan struct{}),
+		fleet: f, seed: seed, relays: relays, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1)), stop: make(chan struct{}),
 		reportedNotRun: make(map[string]bool), faulty: make(map[string]bool), restarts: make(map[string]int), faultAt: make(map[string]time.Time),
 		unplannedUntil: make(map[string]time.Time),
 	}
@@ -154,6 +157,10 @@
 	}
 	s.tasks.Go(s.runOperator)
 	s.tasks.Go(s.runDeadlyClient)
+	s.tasks.Go(func() { s.runForeignWriter(rand.New(rand.NewPCG(s.seed, 2))) })
+	for i := range uint64(soakUploadClients) {
+		s.tasks.Go(func() { s.runUploadClient(rand.New(rand.NewPCG(s.seed, 3+i))) })
+	}
 	for i := range soakStreamClients {
 		s.tasks.Go(func() { s.runStreamClient(i) })
 	}
@@ -203,6 +210,7 @@
 	if version < acknowledged {
 		s.reportViolation("version %d was acknowledged, but version %d is in force at the end", acknowledged, version)
 	}
+	s.checkInside()
 	runs := s.unsafeRuns()
 	for attempt, servers := range runs {
 		if len(servers) > 1 {
@@ -212,8 +220,8 @@
 			s.reportViolation("attempt %s ran at %v, but its answer reported it as not run", attempt, servers)
 		}
 	}
-	s.t.Logf("%d answered, %d unsafe requests ran, %d IDs reused, %d streams complete, version %d acknowledged",
-		s.successes, len(runs), s.reusedIDs.Load(), s.streams, acknowledged)
+	s.t.Logf("%d answered, %d unsafe requests ran, %d IDs reused, %d uploads refused, %d streams complete, version %d acknowledged",
+		s.successes, len(runs), s.reusedIDs.Load(), s.uploadRefusals.Load(), s.streams, acknowledged)
 	s.Expect(s.successes).To(BeNumerically(">", 100), "too few requests succeeded for a meaningful run")
 	for _, violation := range s.violations {
 		s.t.Log(violation)
