Name the code of an old departure as that of an old fencing token

The code 4004 of 'Do not confirm a departure that has no effect' becomes 4002 announcement_old: the next free number of its area, and the name that fencing_token_old has for the same matter. Behaviour and checks are as before; the tests of api and internal/fleetsync pass.

--- a/api/code.go
+++ b/api/code.go
@@ -11,62 +11,62 @@
 // Result codes. The thousands digit is the area: 1 command line and settings, 2 resource API,
 // 3 callers' requests, 4 announcements, backend servers and load.
 const (
-	CodeOK                   Code = 0
-	CodeInternal             Code = 1000
-	CodeSettingsInvalid      Code = 1001
-	CodeAddressInUse         Code = 1002
-	CodeChartInvalid         Code = 1003
-	CodeUsage                Code = 1004
-	CodeUnreachable          Code = 1005
-	CodeDataDamaged          Code = 1006
-	CodeKindUnknown          Code = 2001
-	CodeResourceNotFound     Code = 2002
-	CodeResourceInvalid      Code = 2003
-	CodeVersionConflict      Code = 2004
-	CodeNameTaken            Code = 2005
-	CodeNameAmbiguous        Code = 2006
-	CodeRevisionGone         Code = 2007
-	CodeNoQuorum             Code = 2008
-	CodeRequestIDReused      Code = 2010
-	CodeReferenceMissing     Code = 2011
-	CodeStillReferenced      Code = 2012
-	CodeRouteTable           Code = 2013
-	CodeDomainUnknown        Code = 2014
-	CodeWithdrawalsFull      Code = 2015
-	CodeCustomerMissing      Code = 3001
-	CodeCustomerUnknown      Code = 3002
-	CodeModelUnknown         Code = 3003
-	CodeRequestInvalid       Code = 3004
-	CodeNoBackendServer      Code = 3005
-	CodeOverloaded           Code = 3006
-	CodeBackendFailed        Code = 3007
-	CodeStreamBroken         Code = 3008
-	CodeDraining             Code = 3009
-	CodeClaimUnavailable     Code = 3010
-	CodeClaimLost            Code = 3011
-	CodeKeyExpired           Code = 3012
-	CodeKeyReused            Code = 3013
-	CodeTimeout              Code = 3014
-	CodePoolUnknown          Code = 3015
-	CodeNotConfigured        Code = 3016
-	CodeRouteUnknown         Code = 3017
-	CodeKeyUnknown           Code = 3018
-	CodeTooLarge             Code = 3019
-	CodeLedgerMajority       Code = 3020
-	CodeLedgerView           Code = 3021
-	CodeLedgerChange         Code = 3022
-	CodeLedgerMember         Code = 3023
-	CodeLedgerNoMajority     Code = 3024
-	CodeDrainCut             Code = 3030
-	CodeAnswerNotKept        Code = 3031
-	CodePromptWithheld       Code = 3032
-	CodeDomainEvacuated      Code = 3033
-	CodeMemoryExhausted      Code = 3034
-	CodeAnnouncement         Code = 4001
-	CodeAnnouncementOutdated Code = 4004
-	CodeFencingTokenOld      Code = 4010
-	CodeLoadMixInvalid       Code = 4011
-	CodeLoadNotWhole         Code = 4012
+	CodeOK               Code = 0
+	CodeInternal         Code = 1000
+	CodeSettingsInvalid  Code = 1001
+	CodeAddressInUse     Code = 1002
+	CodeChartInvalid     Code = 1003
+	CodeUsage            Code = 1004
+	CodeUnreachable      Code = 1005
+	CodeDataDamaged      Code = 1006
+	CodeKindUnknown      Code = 2001
+	CodeResourceNotFound Code = 2002
+	CodeResourceInvalid  Code = 2003
+	CodeVersionConflict  Code = 2004
+	CodeNameTaken        Code = 2005
+	CodeNameAmbiguous    Code = 2006
+	CodeRevisionGone     Code = 2007
+	CodeNoQuorum         Code = 2008
+	CodeRequestIDReused  Code = 2010
+	CodeReferenceMissing Code = 2011
+	CodeStillReferenced  Code = 2012
+	CodeRouteTable       Code = 2013
+	CodeDomainUnknown    Code = 2014
+	CodeWithdrawalsFull  Code = 2015
+	CodeCustomerMissing  Code = 3001
+	CodeCustomerUnknown  Code = 3002
+	CodeModelUnknown     Code = 3003
+	CodeRequestInvalid   Code = 3004
+	CodeNoBackendServer  Code = 3005
+	CodeOverloaded       Code = 3006
+	CodeBackendFailed    Code = 3007
+	CodeStreamBroken     Code = 3008
+	CodeDraining         Code = 3009
+	CodeClaimUnavailable Code = 3010
+	CodeClaimLost        Code = 3011
+	CodeKeyExpired       Code = 3012
+	CodeKeyReused        Code = 3013
+	CodeTimeout          Code = 3014
+	CodePoolUnknown      Code = 3015
+	CodeNotConfigured    Code = 3016
+	CodeRouteUnknown     Code = 3017
+	CodeKeyUnknown       Code = 3018
+	CodeTooLarge         Code = 3019
+	CodeLedgerMajority   Code = 3020
+	CodeLedgerView       Code = 3021
+	CodeLedgerChange     Code = 3022
+	CodeLedgerMember     Code = 3023
+	CodeLedgerNoMajority Code = 3024
+	CodeDrainCut         Code = 3030
+	CodeAnswerNotKept    Code = 3031
+	CodePromptWithheld   Code = 3032
+	CodeDomainEvacuated  Code = 3033
+	CodeMemoryExhausted  Code = 3034
+	CodeAnnouncement     Code = 4001
+	CodeAnnouncementOld  Code = 4002
+	CodeFencingTokenOld  Code = 4010
+	CodeLoadMixInvalid   Code = 4011
+	CodeLoadNotWhole     Code = 4012
 )
 
 // Exit codes of the command line.
@@ -145,7 +145,7 @@
 	{CodeDomainEvacuated, "domain_evacuated", http.StatusServiceUnavailable, ExitRefused, "All backend servers that could accept the request are in evacuated failure domains."},
 	{CodeMemoryExhausted, "memory_exhausted", http.StatusServiceUnavailable, ExitRefused, "The requests in progress hold as many bytes as the router keeps for them; this one was not sent to a backend server."},
 	{CodeAnnouncement, "announcement_invalid", http.StatusBadRequest, ExitRefused, "A field of the announcement is not valid."},
-	{CodeAnnouncementOutdated, "announcement_outdated", http.StatusConflict, ExitRefused, "The backend server leaves, but a later announcement that it is ready is known; it goes on receiving requests."},
+	{CodeAnnouncementOld, "announcement_old", http.StatusConflict, ExitRefused, "The backend server leaves, but a later announcement that it is ready is known; it goes on receiving requests."},
 	{CodeFencingTokenOld, "fencing_token_old", http.StatusConflict, ExitRefused, "The order carries a fencing token below the highest that the backend server has seen."},
 	{CodeLoadMixInvalid, "load_mix_invalid", http.StatusBadRequest, ExitSettingsInvalid, "A field of the load description is not valid."},
 	{CodeLoadNotWhole, "load_not_whole", http.StatusInternalServerError, ExitFailure, "An answer under load was truncated or did not belong to its request."},
--- a/internal/fleetsync/departures_test.go
+++ b/internal/fleetsync/departures_test.go
@@ -244,7 +244,7 @@
 	later.StartedMS++
 	g.Expect(service.Announce(context.Background(), later)).To(Succeed())
 	err := service.Announce(context.Background(), leaving)
-	g.Expect(api.AsError(err).Code).To(Equal(api.CodeAnnouncementOutdated))
+	g.Expect(api.AsError(err).Code).To(Equal(api.CodeAnnouncementOld))
 	g.Expect(service.StateOf(leaving.ID)).To(Equal(registry.StateReady))
 	ready := leaving
 	ready.State = registry.StateReady
--- a/internal/fleetsync/spread.go
+++ b/internal/fleetsync/spread.go
@@ -116,7 +116,7 @@
 // server is not ready, for example because it drains, Announce returns after it has stored the
 // change and sent it to the other replicas, which store it too; a replica that does not answer in
 // time receives it later. The error has api.CodeNoQuorum if no replica has stored it in time, and
-// api.CodeAnnouncementOutdated if a later announcement says that the server is ready: it then goes on
+// api.CodeAnnouncementOld if a later announcement says that the server is ready: it then goes on
 // receiving requests.
 func (s *Service) Announce(ctx context.Context, server registry.Server) error {
 	now := time.Now()
@@ -129,7 +129,7 @@
 			Int64("born", server.StartedMS).Uint8("knownState", uint8(known.State)).Uint64("knownSequence", known.Sequence).
 			Int64("knownBorn", known.StartedMS).Msg("late announcement dropped")
 		if server.State != registry.StateReady && known.State == registry.StateReady {
-			return api.Errorf(api.CodeAnnouncementOutdated, "a later announcement of server %q says that it is ready: started at %d, sequence %d",
+			return api.Errorf(api.CodeAnnouncementOld, "a later announcement of server %q says that it is ready: started at %d, sequence %d",
 				server.ID, known.StartedMS, known.Sequence)
 		}
 		return nil
--- a/internal/jsonx/jsonx.go
+++ b/internal/jsonx/jsonx.go
@@ -1,7 +1,7 @@
 // Package jsonx decodes JSON texts that come from outside: route tables, announcements, resources,
-// settings and callers' bodies. Such a text is either decoded as its author meant it or refused.
-// encoding/json would replace bytes that are not UTF-8, take the last of several fields with the same
-// name, accept field names in another case, and ignore what follows the value.
+// settings and callers' bodies. Such a text is either kept as it was sent or refused. encoding/json
+// would replace bytes that are not UTF-8, take the last of several fields with the same name, accept
+// field names in another case, and ignore what follows the value.
 package jsonx
 
 import (
