--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -12,6 +12,9 @@
 	"peridotwinch.example/peridotwinch/internal/durable"
 )
 
+// logWriteSeconds measures the writes of the log, each with its sync.
+var logWriteSeconds = metrics.NewHistogram("peridotwinch_control_log_write_seconds")
+
 // persist makes the hard state, the snapshot and the entries of ready durable, and restores
 // the state machine from the snapshot.
 func (r *Replica) persist(ctx context.Context, ready *consensus.Ready) error {
@@ -30,7 +33,7 @@
 }
 
 // reportSlowWrite logs a write of the log that took longer than the election timeout. The replica sends
-// and handles nothing meanwhile: a leader may lose its office, and a follower is missing in the quorum.
+// and handles nothing meanwhile: a leader may lose its leadership, and a follower is missing in the quorum.
 func (r *Replica) reportSlowWrite(took time.Duration) {
 	logWriteSeconds.Update(took.Seconds())
 	limit := electionTicks * r.settings.Timeouts.Heartbeat() / ticksPerHeartbeatSetting
@@ -39,9 +42,6 @@
 	}
 }
 
-// logWriteSeconds measures the writes of the log, each with its sync.
-var logWriteSeconds = metrics.NewHistogram("peridotwinch_control_log_write_seconds")
-
 // installSnapshot makes the snapshot of ready durable in place of the log, and restores the
 // state machine from it.
 func (r *Replica) installSnapshot(ctx context.Context, ready *consensus.Ready) error {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -81,7 +81,7 @@
 	write := func() { httpx.WriteJSON(c.w, status, &api.ErrorBody{Error: &apiErr}) }
 	if apiErr.Code != api.CodeMemoryExhausted {
 		write()
-	} else if err := httpx.AnswerUnread(c.w, c.r, c.patienceEnd(), write); err != nil {
+	} else if err := httpx.AnswerUnread(c.w, c.r, c.callerDeadline(), write); err != nil {
 		c.log(zerolog.InfoLevel).Err(err).Msg("body of a refused request not read to its end")
 	}
 }
@@ -112,8 +112,8 @@
 	return max(delay, minRetryAfter)
 }
 
-// patienceEnd returns the caller's deadline, or the zero time if it is unknown.
-func (c *call) patienceEnd() time.Time {
+// callerDeadline returns the caller's deadline, or the zero time if it is unknown.
+func (c *call) callerDeadline() time.Time {
 	if c.deadline.IsZero() && c.in.Timeout <= 0 {
 		return time.Time{}
 	}
--- a/test/platform/soak_uploads_test.go
+++ b/test/platform/soak_uploads_test.go
@@ -57,7 +57,11 @@
 
 // upload sends a request, and returns whether the connection can be used again after its answer.
 func (c *uploadClient) upload(invalid bool) bool {
-	id := c.writeHead("/look/x", map[bool]string{false: fmt.Sprint("Content-Length: ", uploadBytes), true: "Transfer-Encoding: chunked"}[invalid])
+	framing := fmt.Sprint("Content-Length: ", uploadBytes)
+	if invalid {
+		framing = "Transfer-Encoding: chunked"
+	}
+	id := c.writeHead("/look/x", framing)
 	if invalid {
 		_, _ = fmt.Fprintf(c.conn, "%x\r\n", uploadBytes)
 	}
--- a/test/platform/unreadable_test.go
+++ b/test/platform/unreadable_test.go
@@ -44,7 +44,8 @@
 	f.awaitControls(next)
 }
 
-// useStoredGroup gives the control instances the addresses and copies of the disks of a stored group.
+// useStoredGroup gives the control instances the addresses and copies of the disks of a stored group. The
+// addresses are part of the stored state, so two test processes cannot use the group at the same time.
 func (f *fleet) useStoredGroup(dir string) {
 	f.t.Helper()
 	const peers, platform, operators = ":7201", ":7202", ":7203"
