Return the memory of a failed read before the rest of the body is discarded

What callers saw: of many large uploads that arrived equally fast, all were refused with 3034, although some of them fit.

Cause: an upload that found too few bytes kept those it had drawn until its request ended, and the request ended after the rest of its body was read, up to 30 s later. The refused uploads held the room that the others needed, so these were refused as well. Each upload draws its bytes as they arrive, so uploads that advance together all reach the end of the budget at once.

Change: a read that fails returns its bytes at once. An upload is now refused only while others hold what is missing, and the last one of them always has room.

Ruled out: counting a declared length when a request starts.

--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -1,7 +1,10 @@
 package bytebudget_test
 
 import (
+	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -72,3 +75,53 @@
 		g.Expect(budget.UsedBytes()).To(BeNumerically("<=", 64<<10))
 	}
 }
+
+// TestFailedReadHoldsNothing guards against refused uploads that keep their bytes of the budget while the
+// rest of their body is read and discarded.
+func TestFailedReadHoldsNothing(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 1 << 20
+	budget := bytebudget.NewStrict(limit)
+	share := budget.Share()
+	_, err := share.ReadAll(strings.NewReader(strings.Repeat("x", 2*limit)), -1)
+	g.Expect(err).To(MatchError(bytebudget.ErrExhausted))
+	g.Expect(budget.UsedBytes()).To(BeZero())
+	_, err = share.ReadAll(iotest.TimeoutReader(strings.NewReader("x")), 100)
+	g.Expect(err).To(MatchError(iotest.ErrTimeout))
+	g.Expect(budget.UsedBytes()).To(BeZero())
+}
+
+// TestUploadsThatAdvanceTogetherAreNotAllRefused guards against a router that refuses all of many large
+// uploads that arrive equally fast, although some of them fit.
+func TestUploadsThatAdvanceTogetherAreNotAllRefused(t *testing.T) {
+	g := NewWithT(t)
+	const uploads, size, chunk, limit = 20, 4 << 20, 16 << 10, 16 << 20
+	budget := bytebudget.NewStrict(limit)
+	var completed atomic.Int64
+	var readers sync.WaitGroup
+	senders := make([]*io.PipeWriter, uploads)
+	for i := range senders {
+		body, sender := io.Pipe()
+		senders[i] = sender
+		share := budget.Share()
+		t.Cleanup(share.Release)
+		readers.Go(func() {
+			if _, err := share.ReadAll(body, size); err == nil {
+				completed.Add(1)
+			}
+			_ = body.Close()
+		})
+	}
+	text := make([]byte, chunk)
+	for range size / chunk {
+		for _, sender := range senders {
+			// An upload that was refused takes no more bytes.
+			_, _ = sender.Write(text)
+		}
+	}
+	for _, sender := range senders {
+		g.Expect(sender.Close()).To(Succeed())
+	}
+	readers.Wait()
+	g.Expect(completed.Load()).To(And(BeNumerically(">", 0), BeNumerically("<", limit/size)))
+}
--- a/internal/bytebudget/read.go
+++ b/internal/bytebudget/read.go
@@ -18,8 +18,14 @@
 
 // ReadAll reads a body of a declared length, or of an unknown one if it is negative, into memory that
 // the share holds. The share grows as bytes arrive, because a sender may declare a large body and never
-// send it. A declared length for which the budget has too few bytes fails before anything is read.
-func (s *Share) ReadAll(r io.Reader, declaredLength int64) ([]byte, error) {
+// send it. A declared length for which the budget has too few bytes fails before anything is read. After
+// an error the share holds nothing, so that others which are still growing have room.
+func (s *Share) ReadAll(r io.Reader, declaredLength int64) (body []byte, err error) {
+	defer func() {
+		if err != nil {
+			s.Release()
+		}
+	}()
 	if declaredLength >= 0 && !s.CanResize(declaredLength) {
 		return nil, ErrExhausted
 	}
@@ -27,7 +33,6 @@
 	if declaredLength >= 0 {
 		capacity = min(maxInitialBytes, fullCapacity(declaredLength))
 	}
-	var body []byte
 	for {
 		if len(body) == cap(body) {
 			if !s.Resize(int(capacity)) {
