Never count bytes of a budget that do not fit

What callers saw: a request with room for it was refused with 3034 at the moment when a larger one was refused.

Cause: a share added its bytes to those used, compared the sum with the limit, and subtracted them again if they did not fit. Until then they counted for all others, which failed as well. Uploads that grow at the same moment could all fail.

Change: the sum is compared before it is stored, with a compare-and-swap.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -41,6 +41,20 @@
 	return b.limitBytes
 }
 
+// draw adds bytes to those used. It returns false, and changes nothing, if more than limit would be used.
+// What does not fit never counts, not even for a moment: other shares would fail that fit.
+func (b *Budget) draw(added, limit int64) bool {
+	for {
+		used := b.usedBytes.Load()
+		if added > 0 && used+added > limit {
+			return false
+		}
+		if b.usedBytes.CompareAndSwap(used, used+added) {
+			return true
+		}
+	}
+}
+
 // Share returns a share that holds no bytes. Release must be called.
 func (b *Budget) Share() *Share { return &Share{budget: b} }
 
@@ -55,8 +69,7 @@
 // has too few left.
 func (s *Share) Resize(size int) bool {
 	added := s.added(int64(size))
-	if used := s.budget.usedBytes.Add(added); added > 0 && used > s.budget.limit(int64(size)) {
-		s.budget.usedBytes.Add(-added)
+	if !s.budget.draw(added, s.budget.limit(int64(size))) {
 		return false
 	}
 	s.drawnBytes += added
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -125,3 +125,37 @@
 	readers.Wait()
 	g.Expect(completed.Load()).To(And(BeNumerically(">", 0), BeNumerically("<", limit/size)))
 }
+
+// TestResizeFailsOnlyIfItDoesNotFit guards against a share that cannot grow while others try to grow by
+// more than is left.
+func TestResizeFailsOnlyIfItDoesNotFit(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 1 << 20
+	budget := bytebudget.NewStrict(limit)
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	for range 4 {
+		others.Go(func() {
+			share := budget.Share()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					share.Resize(limit)
+				}
+			}
+		})
+	}
+	share, failed := budget.Share(), 0
+	for range 100_000 {
+		if !share.Resize(limit / 2) {
+			failed++
+		}
+		share.Release()
+	}
+	close(stop)
+	others.Wait()
+	g.Expect(failed).To(BeZero())
+	g.Expect(budget.UsedBytes()).To(BeZero())
+}
