Send loads that have fallen before those that are still high

What callers saw: in a large fleet, routers went on avoiding a server for up to 3 s after its load had fallen.

Cause: of more equally high loads than the 128 highest that are sent, each selection takes some. Loads that had been among the highest took all places of the changed ones, although 79 to 84 of the 128 had not changed (trace of the selection in 10 failed runs). Loads that were sent as high because they were new had no preference after they fell.

Change: a load precedes others only if it is lower than when it was sent as a high one.

Ruled out: late reports (1 ms old) and too many fallen loads (50 for 128 places).

Result: TestFallenLoadsPrecedeLoadsThatAreStillHigh failed in 3 of 3 runs before. TestLoadThatFallsIsSent failed in 6 of 300 runs before and in 0 of 600 now, twelve at a time.

--- a/internal/fleetsync/export_test.go
+++ b/internal/fleetsync/export_test.go
@@ -150,3 +150,17 @@
 	}
 	return capacity
 }
+
+// LoadSelection is the selection of the loads of a large pool.
+type LoadSelection struct{ selection loadSelection }
+
+// Choose returns the selected loads, of a pool whose servers are those of hashes in this order. The load
+// of the server with the hash h was reported h ms before the newest.
+func (l *LoadSelection) Choose(hashes []uint64, requests map[uint64]int, now time.Time) map[uint64]ServerLoad {
+	loads := make([]hashedLoad, 0, len(hashes))
+	for _, hash := range hashes {
+		loads = append(loads, hashedLoad{hash, requests[hash], time.Duration(hash) * time.Millisecond})
+	}
+	l.selection.choose(map[string][]hashedLoad{"pool-a": loads}, now)
+	return l.selection.loads
+}
--- a/internal/fleetsync/loadselection.go
+++ b/internal/fleetsync/loadselection.go
@@ -1,6 +1,8 @@
 package fleetsync
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +40,15 @@
 	selectedAt time.Time
 	loads      map[uint64]ServerLoad
 	pools      map[string]PoolLoad
-	// highAt is when a load was last among the highest, by the server's hash.
-	highAt map[uint64]time.Time
+	// sentHigh has the high loads that were selected in the last MaxLoadAge, by the server's hash. Routers
+	// still avoid these servers.
+	sentHigh map[uint64]sentLoad
+}
+
+// sentLoad is a load as it was last selected.
+type sentLoad struct {
+	requests int
+	at       time.Time
 }
 
 // get returns the current selection. If it is outdated, get makes a new one from the loads that
@@ -56,12 +65,12 @@
 
 func (l *loadSelection) choose(byPool map[string][]hashedLoad, now time.Time) {
 	l.loads, l.pools = make(map[uint64]ServerLoad, 2*maxSelectedLoads), make(map[string]PoolLoad)
-	if l.highAt == nil {
-		l.highAt = make(map[uint64]time.Time)
+	if l.sentHigh == nil {
+		l.sentHigh = make(map[uint64]sentLoad)
 	}
-	for hash, at := range l.highAt {
-		if now.Sub(at) > MaxLoadAge {
-			delete(l.highAt, hash)
+	for hash, sent := range l.sentHigh {
+		if now.Sub(sent.at) > MaxLoadAge {
+			delete(l.sentHigh, hash)
 		}
 	}
 	for pool, loads := range byPool {
@@ -85,24 +94,29 @@
 	age      time.Duration
 }
 
-// choosePart adds the highest loads of a pool, then those that were among the highest before and
-// are no longer, and then the newest.
+// choosePart adds the highest loads of a pool, then those that have fallen since they were sent as high
+// ones, and then the newest.
 func (l *loadSelection) choosePart(loads []hashedLoad, now time.Time) {
 	highest, rest := lowestBuckets(loads, maxHighestLoads, func(load *hashedLoad) int { return loadBuckets - 1 - load.requests })
-	for _, load := range highest {
-		l.highAt[load.hash] = now
-	}
 	// Loads of the last 2.5 s differ by their bucket.
 	newest, _ := lowestBuckets(rest, maxSelectedLoads-maxHighestLoads, func(load *hashedLoad) int {
-		if _, wasHigh := l.highAt[load.hash]; wasHigh {
+		if sent, found := l.sentHigh[load.hash]; found && load.requests < sent.requests {
 			return 0
 		}
 		return 1 + int(load.age/(10*time.Millisecond))
 	})
 	l.add(highest, now)
 	l.add(newest, now)
+	lowestHigh := slices.MinFunc(highest, compareRequests).requests
+	for _, load := range slices.Concat(highest, newest) {
+		if load.requests >= lowestHigh {
+			l.sentHigh[load.hash] = sentLoad{load.requests, now}
+		}
+	}
 }
 
+func compareRequests(a, b hashedLoad) int { return cmp.Compare(a.requests, b.requests) }
+
 func (l *loadSelection) add(loads []hashedLoad, now time.Time) {
 	for _, load := range loads {
 		l.loads[load.hash] = ServerLoad{Requests: load.requests, ReportedAt: now.Add(-load.age)}
--- a/internal/fleetsync/loadselection_test.go
+++ b/internal/fleetsync/loadselection_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,6 +92,35 @@
 	}
 }
 
+// TestFallenLoadsPrecedeLoadsThatAreStillHigh guards against a fallen load that is not sent, because loads
+// which were sent as high ones before and have not changed take its place.
+func TestFallenLoadsPrecedeLoadsThatAreStillHigh(t *testing.T) {
+	g := NewWithT(t)
+	const servers, high = 3000, 9
+	hashes, requests := make([]uint64, servers), make(map[uint64]int, servers)
+	for i := range hashes {
+		hashes[i], requests[uint64(i)] = uint64(i), i%10
+	}
+	var selection fleetsync.LoadSelection
+	now := time.Now()
+	// The first selection has the high loads at the end of the list, and the newest loads.
+	reversed := slices.Clone(hashes)
+	slices.Reverse(reversed)
+	var fallen []uint64
+	for hash := range selection.Choose(reversed, requests, now) {
+		if requests[hash] == high && (hash < 1000 || len(fallen) < 40) {
+			fallen = append(fallen, hash)
+		}
+	}
+	for _, hash := range fallen {
+		requests[hash] = 1
+	}
+	second := selection.Choose(hashes, requests, now.Add(300*time.Millisecond))
+	for _, hash := range fallen {
+		g.Expect(second).To(HaveKey(hash))
+	}
+}
+
 // TestLoadsUpTo1000ServersAreSentWhole guards against a changed placement in smaller fleets.
 func TestLoadsUpTo1000ServersAreSentWhole(t *testing.T) {
 	g := NewWithT(t)
