Do not copy an answer whose read has failed

What users saw: a router whose servers send without end could need more than half of its memory for them.

Cause: io.ReadAll joins its chunks also after an error. Once the memory for answers is used up, the reads of all large answers fail together, and each copied what it had read.

Change: answers are read into chunks of at most 64 KiB that are joined only after a read without an error.

Ruled out: the stand-in's own buffers (same peaks without its copies).

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,10 @@
 	maxAnswerBytes = 16 << 20
 	// answerMemoryBytes bounds the sum of the large answers that are in memory.
 	answerMemoryBytes = maxAnswerBytes
+	// initialChunkBytes and maxChunkBytes are the sizes of the first and the largest buffers that an answer
+	// is read into.
+	initialChunkBytes = 512
+	maxChunkBytes     = 64 << 10
 )
 
 const (
@@ -181,7 +186,7 @@
 
 // readAnswer reads an answer to its end into memory that it draws from the share.
 func readAnswer(ex *exchange, memory *bytebudget.Share) (*answer, error) {
-	body, err := io.ReadAll(io.LimitReader(&progressReader{ex: ex, memory: memory}, maxAnswerBytes+1))
+	body, err := readChunks(io.LimitReader(&progressReader{ex: ex, memory: memory}, maxAnswerBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -194,6 +199,28 @@
 	}, nil
 }
 
+// readChunks reads to the end of r. Unlike io.ReadAll, it allocates no more than maxChunkBytes ahead, and
+// joins the chunks only after a read without an error: when the memory for answers is used up, many reads
+// fail at once.
+func readChunks(r io.Reader) ([]byte, error) {
+	var full [][]byte
+	chunk := make([]byte, 0, initialChunkBytes)
+	for {
+		n, err := r.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		if err == io.EOF {
+			return slices.Concat(append(full, chunk)...), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(chunk) == cap(chunk) {
+			full = append(full, chunk)
+			chunk = make([]byte, 0, min(2*cap(chunk), maxChunkBytes))
+		}
+	}
+}
+
 // progressReader reads an answer and restarts the progress timeout whenever a read
 // returns data. It fails if the answer exceeds the memory that is left for answers.
 type progressReader struct {
