Reserve the addresses of fleetsync's tests from other processes

Cause, read from the error: the harness opened a port of the kernel's ephemeral range, closed it, and listened there later. A connection of another process could take it meanwhile.

Change: the harness takes its addresses from testcluster, which reserves them for the life of the process, below that range.

Result: all tests of internal/fleetsync pass with the race detector, one run; the collision itself was not reproduced.

--- a/internal/fleetsync/harness_test.go
+++ b/internal/fleetsync/harness_test.go
@@ -19,6 +19,7 @@
 	"peridotwinch.example/peridotwinch/internal/relay"
 	"peridotwinch.example/peridotwinch/internal/routetable"
 	"peridotwinch.example/peridotwinch/internal/rpc"
+	"peridotwinch.example/peridotwinch/internal/testcluster"
 )
 
 // fakeReplica is a fleetsync.Source whose route table and quorum a test sets.
@@ -127,12 +128,10 @@
 	f.hasQuorum = hasQuorum
 }
 
-// reserveAddress returns a loopback address without a listener.
+// reserveAddress returns a loopback address without a listener that no other process takes.
 func reserveAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := testcluster.Address()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	address := listener.Addr().String()
-	NewWithT(t).Expect(listener.Close()).To(Succeed())
 	return address
 }
 
