--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -42,7 +42,7 @@
 }
 
 // draw adds bytes to those used. It returns false, and changes nothing, if more than limit would be used.
-// What does not fit never counts, not even for a moment: other shares would fail that fit.
+// Bytes that do not fit are never added: shares that resize at the same moment would fail because of them.
 func (b *Budget) draw(added, limit int64) bool {
 	for {
 		used := b.usedBytes.Load()
--- a/internal/fleetview/follow.go
+++ b/internal/fleetview/follow.go
@@ -256,7 +256,7 @@
 // fails, or no event is received in time. The error is a redirectError if the source
 // redirects the router, and a refusalError if the source answers but sends no data.
 func (v *View) stream(ctx context.Context, source relay.Source, handle func(*fleetpb.FollowEvent) error) error {
-	// A digest of thousands of records takes time, which is not the source's.
+	// Prepared before acceptTimeout begins: the digest of thousands of records takes a busy router a while.
 	request := v.request()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
