--- a/internal/fleetsync/loadselection.go
+++ b/internal/fleetsync/loadselection.go
@@ -45,7 +45,7 @@
 	sentHigh map[uint64]sentLoad
 }
 
-// sentLoad is a load as it was last selected.
+// sentLoad is a load as it was last selected among the high ones.
 type sentLoad struct {
 	requests int
 	at       time.Time
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -32,12 +32,10 @@
 		for i := range text {
 			text[i] = byte(i % 251)
 		}
-		for _, reader := range []func([]byte) ([]byte, error){
-			func(b []byte) ([]byte, error) { return readChunks(bytes.NewReader(b)) },
-			func(b []byte) ([]byte, error) { return readChunks(iotest.DataErrReader(bytes.NewReader(b))) },
-			func(b []byte) ([]byte, error) { return readChunks(iotest.HalfReader(bytes.NewReader(b))) },
+		for _, r := range []io.Reader{
+			bytes.NewReader(text), iotest.DataErrReader(bytes.NewReader(text)), iotest.HalfReader(bytes.NewReader(text)),
 		} {
-			body, err := reader(text)
+			body, err := readChunks(r)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(body).To(HaveLen(size))
 			g.Expect(bytes.Equal(body, text)).To(BeTrue())
