Wait until a closed listener is noticed before the server shuts down

A caller saw nothing.

Cause: the test closed the listener and called Shutdown of net/http at once, as the router of the product's own path does. Until Serve has returned, Shutdown closes the listener once more and returns the error after all connections are closed. The router took any error for the end of the drain timeout and aborted the requests in progress, of which none is left by then.

Ruled out: an error of a connection's close, which Shutdown does not return.

Change: the router waits for Serve after the close, as the other path does. The test waits too, and its listener notices each close 20 ms late; the assertions stay.

--- a/internal/httpx/drain.go
+++ b/internal/httpx/drain.go
@@ -143,7 +143,8 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
-// Drain closes the connections as they become idle. The listener must be closed before.
+// Drain closes the connections as they become idle. The listener must be closed and Serve must
+// have returned before: a connection that is being accepted is not known until then.
 // Drain returns nil once no connection is left, or ctx's error if ctx ends first.
 func (s *DrainingServer) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(closePollInterval)
--- a/internal/httpx/drain_close_test.go
+++ b/internal/httpx/drain_close_test.go
@@ -14,7 +14,8 @@
 	"peridotwinch.example/peridotwinch/internal/httpx"
 )
 
-// closeHookListener calls beforeClose before an accepted connection is closed.
+// closeHookListener calls beforeClose before an accepted connection is closed. Its own close is
+// noticed late, as on a busy machine.
 type closeHookListener struct {
 	net.Listener
 	beforeClose func()
@@ -23,6 +24,7 @@
 func (l closeHookListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
+		time.Sleep(20 * time.Millisecond)
 		return nil, err
 	}
 	return closeHookConn{conn, l.beforeClose}, nil
@@ -38,7 +40,7 @@
 	return c.Conn.Close()
 }
 
-// drainingServer serves a listener and, after it is closed, drains.
+// drainingServer serves a listener until it is closed, and then drains.
 type drainingServer struct {
 	serve func(net.Listener) error
 	drain func(context.Context) error
@@ -57,7 +59,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	var client net.Conn
 	var sent atomic.Bool
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		_ = server.serve(closeHookListener{listener, func() {
 			if sent.CompareAndSwap(false, true) {
 				_, _ = fmt.Fprint(client, requestHead, "\r\n")
@@ -72,6 +76,7 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	_ = listener.Close()
+	g.Eventually(served, 5*time.Second).Should(BeClosed())
 	g.Expect(server.drain(context.Background())).To(Succeed())
 	g.Expect(sent.Load()).To(BeTrue())
 	answer, err := http.ReadResponse(reader, nil)
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -32,10 +33,10 @@
 // second half of the drain timeout are refused.
 func (r *Router) serveCallers(ctx context.Context) error {
 	server := &http.Server{Handler: r.proxy.Handler(), ReadHeaderTimeout: httpx.ReadHeaderTimeout}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(r.callers) }()
+	serveResult := make(chan error, 1)
+	go func() { serveResult <- server.Serve(r.callers) }()
 	select {
-	case err := <-failed:
+	case err := <-serveResult:
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
@@ -44,6 +45,10 @@
 	r.proxy.AnnounceDrain(time.Now().Add(r.settings.Timeouts.Drain() / 2))
 	actor.Sleep(drainCtx, r.settings.Timeouts.Announce())
 	_ = r.callers.Close()
+	// Shutdown would close a listener in use once more, and return the error.
+	if err := <-serveResult; !errors.Is(err, net.ErrClosed) {
+		r.log.Warn().Err(err).Msg("listener for callers failed")
+	}
 	r.waitUntilIdle(drainCtx)
 	if err := server.Shutdown(drainCtx); err != nil {
 		r.abortRequests(server)
