Ask a limited server for the end of its limit although its share of prompts is small

Callers waited at busy servers while another one, which had named a low rate and named none any more, got hardly a request. Soaks have seen it as "got no more than 5 requests 12 s after the end of its limit".

Cause: a limited server keeps a fixed part of its own prompts. At a low rate this is a few percent, and a prompt that is not with the server enters only below the part less 10%, so none does. Once the prompts that the server had kept pause or have moved, it gets no request, and no answer ends its limit.

Ruled out: an end that other routers do not hear of (there was no answer to hear of); shares without tokens (they refill with 0.5 requests/s at least).

Change: once nothing was heard of the server for 4 s, and a second later for each rank, a router that shares the rate sends any prompt of the server to it. The rate bounds these requests too.

--- a/internal/placement/address.go
+++ b/internal/placement/address.go
@@ -70,10 +70,10 @@
 
 // keyShare returns the smallest share of a limited server's own keys that the incarnations at its
 // address admit; limited is false if none limits its rate.
-func (p *Pool) keyShare(s *Server) (share float64, limited bool) {
+func (p *Pool) keyShare(s *Server, now time.Time) (share float64, limited bool) {
 	share = 1
 	for _, hash := range s.sameAddress {
-		if own, ok := p.limits.KeyShare(hash); ok {
+		if own, ok := p.limits.KeyShare(hash, now); ok {
 			share, limited = min(share, own), true
 		}
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -71,7 +71,7 @@
 	home := p.homeServer(candidates, request, now)
 	out := make([]*Server, 0, len(candidates))
 	for _, s := range candidates {
-		share, limited := p.keyShare(s)
+		share, limited := p.keyShare(s, now)
 		if !limited || s == home && p.admitsKey(s, share, key, now) {
 			out = append(out, s)
 		}
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -168,8 +168,10 @@
 }
 
 // KeyShare returns which share of a limited server's own keys this router can send to it, from 0 to
-// 1; limited is false if the server does not limit its rate.
-func (b *Book) KeyShare(server uint64) (share float64, limited bool) {
+// 1; limited is false if the server does not limit its rate. The share is 1 if nothing was heard of
+// the server for long: the keys of a smaller share may have no request, and the end of the limit would
+// not be noticed.
+func (b *Book) KeyShare(server uint64, now time.Time) (share float64, limited bool) {
 	l := b.limits[server]
 	if l == nil || !l.Limited {
 		return 0, false
@@ -179,7 +181,7 @@
 	switch {
 	case l.rank(v) >= sharers:
 		return 0, true
-	case sharers > l.total || v.demandPerSecond == 0:
+	case sharers > l.total || v.demandPerSecond == 0 || now.After(l.asksAt(v)):
 		return 1, true
 	default:
 		return min(1, usedShare*l.refillRate(v)/v.demandPerSecond), true
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -35,6 +35,11 @@
 const (
 	// unknownCount is the number of routers that one with an unknown position assumes.
 	unknownCount = 16
+	// askAfter is the time since the newest statement, and since its own last request, from which a
+	// router that shares the rate sends any request for the server. Each further router waits for
+	// askSpacing more, in which it learns of an answer to the one before.
+	askAfter   = burstWindow
+	askSpacing = time.Second
 	// quietPeriod is the age of the newest statement from which the other routers take turns, since
 	// those that share the rate may have no request for the server; a limit that does not change is
 	// told to routers at least every 8 s. In each turnInterval the next one may send a request
@@ -224,6 +229,11 @@
 	return turn
 }
 
+// asksAt returns from when a router that shares the rate sends any request for the server.
+func (l *limit) asksAt(v vantage) time.Time {
+	return latest(l.StatedAt, l.sentAt).Add(askAfter + time.Duration(l.rank(v))*askSpacing)
+}
+
 // refill adds the tokens since the last call.
 func (l *limit) refill(v vantage, now time.Time) {
 	if elapsed := now.Sub(l.refilledAt); elapsed > 0 {
