Say in a soak how many requests a server got after its limit

The violation named only the number that was expected, so a server that nobody asked and one that was chosen seldom looked the same. The check is unchanged.

--- a/test/platform/soak_limit_test.go
+++ b/test/platform/soak_limit_test.go
@@ -304,15 +304,19 @@
 			continue
 		}
 		want := int(limitFactor*limit.highest*soakRecoveryTimeout.Seconds()) + limitExtra
-		isUsed := func() bool {
+		progress := func() (received int, isUsed bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			return w.limit != limit || limit.receivedAfter > want
+			return limit.receivedAfter, w.limit != limit || limit.receivedAfter > want
 		}
-		for !isUsed() {
+		for {
+			received, isUsed := progress()
+			if isUsed {
+				break
+			}
 			if time.Since(start) > soakRecoveryTimeout {
-				s.reportViolation("%s got no more than %d requests %v after the end of its limit (%s) of up to %v a second",
-					w.id, want, time.Since(limit.endedAt), limit.name, limit.highest)
+				s.reportViolation("%s got %d requests %v after the end of its limit (%s) of up to %v a second, more than %d are expected",
+					w.id, received, time.Since(limit.endedAt), limit.name, limit.highest, want)
 				break
 			}
 			time.Sleep(limitTurn)
