Replace the limits of all IDs at an address with the newest statement

Callers waited at busy servers while another one got 2 to 4 requests in the 13 s after its limit had ended.

Cause: a process that is announced under two IDs named its limit under both, and no limit under one of them. Its limit under the other ID stayed in force, and bound its requests under both.

Ruled out: an end that does not reach the routers (all five logged it within 0.1 s).

Change: a statement replaces older limits of all incarnations at its address.

Measured: TestNewestRateOfAProcessReplacesThoseOfItsOtherIDs failed before.

--- a/internal/placement/address_test.go
+++ b/internal/placement/address_test.go
@@ -58,6 +58,35 @@
 	g.Expect(sent).To(BeNumerically(">", 2))
 }
 
+// TestNewestRateOfAProcessReplacesThoseOfItsOtherIDs guards against a limit that stays in force because
+// the process names no limit any more under another of its IDs only.
+func TestNewestRateOfAProcessReplacesThoseOfItsOtherIDs(t *testing.T) {
+	limit, none := ratelimit.Statement{PerSecond: 0.5, Limited: true}, ratelimit.Statement{}
+	record := map[string]func(p *placement.Pool, hash uint64, s ratelimit.Statement){
+		"answer": func(p *placement.Pool, hash uint64, s ratelimit.Statement) { p.RecordRate(hash, s) },
+		"peer":   func(p *placement.Pool, hash uint64, s ratelimit.Statement) { p.RecordPeerRate(hash, s) },
+	}
+	for name, recordRate := range record {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, infos := twoIDs()
+			p.SetServers(infos, start)
+			state := func(id int, s ratelimit.Statement, after time.Duration) int {
+				s.StatedAt = start.Add(after)
+				recordRate(p, infos[id].Hash, s)
+				limited, _ := p.Limited(start.Add(10 * time.Second))
+				return limited
+			}
+			g.Expect(state(0, limit, time.Second)).To(Equal(2))
+			g.Expect(state(1, limit, 2*time.Second)).To(Equal(2))
+			g.Expect(state(0, none, 4*time.Second)).To(BeZero())
+			g.Expect(state(1, limit, 3*time.Second)).To(BeZero(), "an older statement that arrives late")
+			g.Expect(state(1, limit, 5*time.Second)).To(Equal(2))
+			g.Expect(state(0, none, 4500*time.Millisecond)).To(Equal(2), "an older end that arrives late")
+		})
+	}
+}
+
 // TestOlderIncarnationAtAnAddressGetsNoRequest guards against requests for a process that has ended, and
 // against a new process that is bound by what the ended one stated.
 func TestOlderIncarnationAtAnAddressGetsNoRequest(t *testing.T) {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -16,6 +16,7 @@
 // RecordRate records what an incarnation's answer to this router stated about its rate, and
 // reports whether it changes whether the server limits its rate.
 func (p *Pool) RecordRate(incarnation uint64, s ratelimit.Statement) (isNews bool) {
+	p.replaceRates(incarnation, s)
 	return p.limits.RecordAnswer(incarnation, s)
 }
 
@@ -27,9 +28,24 @@
 	if server == nil {
 		return nil, false
 	}
+	p.replaceRates(incarnation, s)
 	return server, p.limits.RecordPeer(incarnation, s)
 }
 
+// replaceRates replaces the older limits of the other incarnations at an incarnation's address: the same
+// process has named them.
+func (p *Pool) replaceRates(incarnation uint64, s ratelimit.Statement) {
+	server := p.byHash[incarnation]
+	if server == nil {
+		return
+	}
+	for _, hash := range server.sameAddress {
+		if hash != incarnation && p.limits.IsLimited(hash) {
+			p.limits.RecordPeer(hash, s)
+		}
+	}
+}
+
 // TakeRateReports returns the statements about rates that this router received in answers since
 // the last call, by incarnation.
 func (p *Pool) TakeRateReports() map[uint64]ratelimit.Statement { return p.limits.TakeReports() }
