--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -168,9 +168,9 @@
 }
 
 // KeyShare returns which share of a limited server's own keys this router can send to it, from 0 to
-// 1; limited is false if the server does not limit its rate. The share is 1 if nothing was heard of
-// the server for long: the keys of a smaller share may have no request, and the end of the limit would
-// not be noticed.
+// 1; limited is false if the server does not limit its rate. The share is 1 once the server
+// was silent for askAfter: the keys of a smaller share may have no request, and the end of the limit
+// would not be noticed.
 func (b *Book) KeyShare(server uint64, now time.Time) (share float64, limited bool) {
 	l := b.limits[server]
 	if l == nil || !l.Limited {
